--- /dev/null
+++ b/include/cactusward/admission.h
@@ -0,0 +1,104 @@
+// Admission: bounded queues by class, and each organisation's share.
+#ifndef CACTUSWARD_ADMISSION_H_
+#define CACTUSWARD_ADMISSION_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cactusward/config.h"
+#include "cactusward/result.h"
+#include "cactusward/time.h"
+
+namespace cactusward {
+
+// Accounts for what each organisation uses at this instance. The fleet-wide
+// limit is divided among live instances; an instance may go beyond its part by
+// what its peers leave unused. Not thread-safe.
+class organisation_ledger {
+ public:
+  // Sets the number of instances that share the limits. Precondition: >= 1.
+  void SetInstances(int instances) { instances_ = instances; }
+
+  // Admits one request of `tokens` prompt tokens.
+  // @return kOrganisationLimit when the organisation is at its part.
+  result<bool> Admit(const organisation& organisation,
+                     std::int64_t tokens,
+                     time_point now);
+  // Ends what Admit began.
+  void Release(const std::string& name);
+
+  int Concurrent(const std::string& name) const;
+
+ private:
+  struct account {
+    int concurrent = 0;
+    double balance = 0;  // tokens that may be used now
+    std::optional<time_point> refilled_at;
+  };
+
+  std::map<std::string, account> accounts_;
+  int instances_ = 1;
+};
+
+// A request that waits for an upstream.
+struct queued_request {
+  std::uint64_t id = 0;
+  std::size_t length_class = 0;
+  std::string organisation;
+  std::string service;
+  std::int64_t prompt_tokens = 0;
+  time_point queued_at;
+  time_point deadline;
+
+  friend bool operator==(const queued_request& a, const queued_request& b) {
+    return a.id == b.id && a.length_class == b.length_class &&
+           a.organisation == b.organisation && a.service == b.service &&
+           a.prompt_tokens == b.prompt_tokens && a.queued_at == b.queued_at &&
+           a.deadline == b.deadline;
+  }
+};
+
+// Depth and age of one part of the queue, for operators.
+struct queue_row {
+  std::string length_class;
+  std::string organisation;
+  int depth = 0;
+  milliseconds oldest{0};
+
+  friend bool operator==(const queue_row& a, const queue_row& b) {
+    return a.length_class == b.length_class &&
+           a.organisation == b.organisation && a.depth == b.depth &&
+           a.oldest == b.oldest;
+  }
+};
+
+// Requests waiting at this instance, bounded by class and by organisation.
+// Shorter classes go first; a request gains on shorter ones as its deadline
+// comes near. Organisations within a class take turns. Not thread-safe.
+class request_queue {
+ public:
+  // @return kQueueFull or kOrganisationLimit when a bound is reached.
+  result<bool> Push(const queued_request& request,
+                    const length_class& limits,
+                    int max_queued_of_organisation);
+  // Removes a request. @return whether it was there.
+  bool Remove(std::uint64_t id);
+  // Ids in the order in which they should be placed at `now`.
+  std::vector<std::uint64_t> Order(time_point now) const;
+
+  std::size_t size() const { return requests_.size(); }
+  std::vector<queue_row> Rows(const std::vector<length_class>& classes,
+                              time_point now) const;
+
+ private:
+  std::map<std::uint64_t, queued_request> requests_;
+  std::map<std::size_t, int> depth_of_class_;
+  std::map<std::string, int> depth_of_organisation_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_ADMISSION_H_
--- /dev/null
+++ b/include/cactusward/claims.h
@@ -0,0 +1,113 @@
+// At most one run for each idempotency key.
+#ifndef CACTUSWARD_CLAIMS_H_
+#define CACTUSWARD_CLAIMS_H_
+
+#include <boost/asio/spawn.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "cactusward/key_value_store.h"
+#include "cactusward/result.h"
+#include "cactusward/time.h"
+
+namespace cactusward {
+
+enum class claim_state { kClaimed, kDone };
+
+// The record of one claim. Only the claimant whose nonce it carries may
+// dispatch the work, and only once.
+struct claim_record {
+  std::string nonce;
+  std::string instance;
+  std::string fingerprint;  // of the request's body and target
+  claim_state state = claim_state::kClaimed;
+  int status = 0;            // kDone: HTTP status of the answer
+  std::string content_type;  // kDone
+  std::string body;          // kDone; empty when `body_dropped`
+  bool body_dropped = false;
+
+  friend bool operator==(const claim_record& a, const claim_record& b) {
+    return a.nonce == b.nonce && a.instance == b.instance &&
+           a.fingerprint == b.fingerprint && a.state == b.state &&
+           a.status == b.status && a.content_type == b.content_type &&
+           a.body == b.body && a.body_dropped == b.body_dropped;
+  }
+};
+
+// Encodes for the key-value service. Thread-safe.
+std::string EncodeClaim(const claim_record& record);
+// Decodes what EncodeClaim made; kInternal for anything else. Thread-safe.
+result<claim_record> DecodeClaim(std::string_view text);
+
+// Where claims are kept. One call at a time per key and claimant.
+class claim_store {
+ public:
+  virtual ~claim_store() = default;
+
+  // Name of the implementation, for logs and reports.
+  virtual std::string_view name() const = 0;
+
+  // Sets how long claims made from now on are kept.
+  virtual void SetRetention(duration retention) = 0;
+
+  // Puts `record` if there is none under `key`. A lost answer is settled by
+  // reading back until `deadline`.
+  // @return the record that holds the key now: the caller's own when the nonce
+  //     is equal, else another claimant's; kStoreUnavailable when neither
+  //     could be established, in which case the caller must not dispatch and
+  //     should Release.
+  virtual result<claim_record> Claim(const std::string& key,
+                                     const claim_record& record,
+                                     time_point deadline,
+                                     boost::asio::yield_context yield) = 0;
+
+  // Records the outcome of the claimant's own run. Retried by the caller.
+  virtual result<bool> Complete(const std::string& key,
+                                const claim_record& record,
+                                time_point deadline,
+                                boost::asio::yield_context yield) = 0;
+
+  // Removes a claim that the claimant will not dispatch.
+  // Precondition: the work was not dispatched.
+  virtual result<bool> Release(const std::string& key,
+                               const std::string& nonce,
+                               time_point deadline,
+                               boost::asio::yield_context yield) = 0;
+};
+
+// One key in the key-value service for each claim.
+class direct_claim_store : public claim_store {
+ public:
+  // Precondition: `store` outlives this object. Claims live for `retention`.
+  direct_claim_store(key_value_store* store, duration retention);
+
+  std::string_view name() const override { return "direct"; }
+  void SetRetention(duration retention) override;
+  result<claim_record> Claim(const std::string& key,
+                             const claim_record& record,
+                             time_point deadline,
+                             boost::asio::yield_context yield) override;
+  result<bool> Complete(const std::string& key,
+                        const claim_record& record,
+                        time_point deadline,
+                        boost::asio::yield_context yield) override;
+  result<bool> Release(const std::string& key,
+                       const std::string& nonce,
+                       time_point deadline,
+                       boost::asio::yield_context yield) override;
+
+ private:
+  // A lease shared by the claims of one period.
+  result<std::int64_t> Lease(time_point deadline,
+                             boost::asio::yield_context yield);
+
+  key_value_store* store_;
+  duration retention_;
+  std::int64_t lease_ = 0;
+  time_point lease_granted_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_CLAIMS_H_
--- /dev/null
+++ b/include/cactusward/error.h
@@ -0,0 +1,84 @@
+// The closed list of error kinds and the table from kind to answer.
+#ifndef CACTUSWARD_ERROR_H_
+#define CACTUSWARD_ERROR_H_
+
+#include <string_view>
+#include <system_error>
+#include <type_traits>
+
+namespace cactusward {
+
+// Every way in which an operation of this library or of the daemons fails.
+enum class error_kind {
+  kOk = 0,
+  kBadRequest,
+  kBodyTooLarge,
+  kHeaderTooLarge,
+  kSlowCaller,
+  kCallerGone,
+  kUnauthenticated,
+  kNotFound,
+  kUnknownModel,
+  kUnknownCall,
+  kPromptTooLong,
+  kDeadlineOutOfRange,
+  kIdempotencyKeyMissing,
+  kIdempotencyKeyReused,
+  kInProgress,
+  kOutcomeUnknown,
+  kQueueFull,
+  kOrganisationLimit,
+  kDeadlineInfeasible,
+  kDraining,
+  kNotReady,
+  kNoUpstream,
+  kUpstreamUnreachable,
+  kUpstreamRefused,
+  kUpstreamFailed,
+  kUpstreamGarbled,
+  kTimedOut,
+  kSuspectRefused,
+  kStoreUnavailable,
+  kConfigInvalid,
+  kConfigConflict,
+  kPeerRefused,
+  kInternal,
+};
+
+// Whether the work behind a failed request may have run at an upstream.
+enum class run_state { kNo, kUnknown };
+
+// One row of the table from error kind to answer.
+struct error_answer {
+  error_kind kind;
+  std::string_view name;
+  int http_status;
+  run_state was_run;
+  int retry_after_ms;  // 0: repeating the request unchanged will not help
+  std::string_view message;
+};
+
+// Returns the row of `kind`. The row is valid for the life of the process.
+// Precondition: none; an unknown value gives the row of kInternal.
+// Thread-safe.
+const error_answer& AnswerFor(error_kind kind);
+
+// Returns the category under which error kinds travel in std::error_code.
+// Thread-safe.
+const std::error_category& ErrorCategory();
+
+// Makes std::error_code constructible from error_kind. Thread-safe.
+std::error_code make_error_code(error_kind kind);
+
+// Returns the kind carried by `error`; codes of other categories give
+// kInternal. Thread-safe.
+error_kind KindOf(const std::error_code& error);
+
+}  // namespace cactusward
+
+namespace std {
+template <>
+struct is_error_code_enum<cactusward::error_kind> : true_type {};
+}  // namespace std
+
+#endif  // CACTUSWARD_ERROR_H_
--- /dev/null
+++ b/include/cactusward/membership.h
@@ -0,0 +1,206 @@
+// Membership by random probing: each period a member probes one other, asks
+// others to probe on its behalf before suspecting it, and passes changes on
+// with its probes. The cost per member does not grow with the fleet.
+#ifndef CACTUSWARD_MEMBERSHIP_H_
+#define CACTUSWARD_MEMBERSHIP_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cactusward/result.h"
+#include "cactusward/time.h"
+
+namespace cactusward {
+
+enum class member_state : std::uint8_t { kAlive, kSuspect, kDead, kLeft };
+
+// Name of a state, for logs and tables. Thread-safe.
+std::string_view NameOf(member_state state);
+
+// What is known of one instance. A higher incarnation always wins; within one
+// incarnation the later state in the enumeration wins.
+struct member {
+  std::string name;
+  std::uint64_t incarnation = 0;
+  member_state state = member_state::kAlive;
+  std::string address;       // HTTP, IP:port
+  std::string peer_address;  // datagrams and peer calls, IP:port
+  std::string availability_zone;
+
+  friend bool operator==(const member& a, const member& b) {
+    return a.name == b.name && a.incarnation == b.incarnation &&
+           a.state == b.state && a.address == b.address &&
+           a.peer_address == b.peer_address &&
+           a.availability_zone == b.availability_zone;
+  }
+};
+
+// True when `next` replaces `known`. Precondition: same name. Thread-safe.
+bool Supersedes(const member& next, const member& known);
+
+// An upstream died while it ran a request.
+struct suspect_report {
+  std::uint64_t fingerprint = 0;
+  std::uint32_t upstream = 0;  // UpstreamKey
+  std::int64_t age_ms = 0;     // since the death
+
+  friend bool operator==(const suspect_report& a, const suspect_report& b) {
+    return a.fingerprint == b.fingerprint && a.upstream == b.upstream &&
+           a.age_ms == b.age_ms;
+  }
+};
+
+// Prompt tokens that one instance waits for at one upstream.
+struct in_flight_report {
+  std::uint32_t upstream = 0;  // hash of the upstream's name
+  std::int64_t prefill_tokens = 0;
+
+  friend bool operator==(const in_flight_report& a, const in_flight_report& b) {
+    return a.upstream == b.upstream && a.prefill_tokens == b.prefill_tokens;
+  }
+};
+
+enum class gossip_kind : std::uint8_t { kPing, kAck, kPingRequest, kNews };
+
+// One datagram between instances.
+struct gossip_message {
+  gossip_kind kind = gossip_kind::kPing;
+  std::uint32_t sequence = 0;
+  member sender;
+  std::string target;              // kPingRequest: whom to probe
+  std::string target_address;      // kPingRequest
+  std::int64_t config_number = 0;  // revision in force at the sender
+  std::int64_t confirmed_age_ms =
+      -1;  // since the service confirmed it; -1: never
+  std::vector<member> members;
+  std::vector<suspect_report> suspects;
+  std::vector<in_flight_report> in_flight;
+
+  friend bool operator==(const gossip_message& a, const gossip_message& b) {
+    return a.kind == b.kind && a.sequence == b.sequence &&
+           a.sender == b.sender && a.target == b.target &&
+           a.target_address == b.target_address &&
+           a.config_number == b.config_number &&
+           a.confirmed_age_ms == b.confirmed_age_ms && a.members == b.members &&
+           a.suspects == b.suspects && a.in_flight == b.in_flight;
+  }
+};
+
+// Encodes as CBOR. Thread-safe.
+std::string EncodeGossip(const gossip_message& message);
+// Decodes what EncodeGossip made.
+// @return kBadRequest for anything else. Thread-safe.
+result<gossip_message> DecodeGossip(std::string_view bytes);
+
+struct membership_settings {
+  milliseconds probe_period{400};
+  milliseconds probe_timeout{150};      // then others are asked
+  milliseconds suspect_timeout{1200};   // then a suspect is dead
+  milliseconds forget_timeout{60'000};  // then a dead member is forgotten
+  int indirect_probes = 2;
+};
+
+// A message and where to send it.
+struct outbound_message {
+  std::string peer_address;
+  gossip_message message;
+};
+
+// The state machine of one member. It does no I/O and reads no clock.
+// Not thread-safe.
+class member_table {
+ public:
+  // @param self this instance; its incarnation must exceed that of every
+  //     earlier process of the same name.
+  // @param random_seed seeds the choice of whom to probe.
+  member_table(member self,
+               const membership_settings& settings,
+               std::uint64_t random_seed);
+
+  // Advances time: times out probes, begins new ones.
+  // @return messages to send. Call at least every quarter probe period.
+  std::vector<outbound_message> Tick(time_point now);
+
+  // Takes a message in. @return messages to send in answer.
+  std::vector<outbound_message> Receive(const gossip_message& message,
+                                        time_point now);
+
+  // Applies knowledge from elsewhere, as the platform's list.
+  // @return whether anything changed.
+  bool Learn(const member& news, time_point now);
+
+  // A ping to an address of which no member is known yet.
+  outbound_message Greeting(const std::string& peer_address);
+
+  // Marks this instance as leaving and returns the notices to send.
+  std::vector<outbound_message> Leave(time_point now);
+
+  // Up to `count` distinct live members other than this one, at random.
+  std::vector<member> RandomPeers(std::size_t count);
+
+  // Live members including this one, by name. Suspects count as live.
+  std::vector<member> Live() const;
+  // Every member known, dead ones included, by name.
+  std::vector<member> All() const;
+  std::optional<member> Find(const std::string& name) const;
+  const member& self() const { return self_; }
+  // Whether another member was ever known.
+  bool HasPeers() const { return !members_.empty(); }
+  // When a message last arrived from another member.
+  std::optional<time_point> LastHeard() const { return last_heard_; }
+  // A message of `kind` from this member with pending news attached.
+  gossip_message Compose(gossip_kind kind);
+
+ private:
+  struct entry {
+    member known;
+    time_point changed_at;
+  };
+  struct probe {
+    std::string target;
+    std::uint32_t sequence = 0;
+    time_point sent_at;
+    bool asked_others = false;
+  };
+  struct relayed_probe {
+    std::uint32_t sequence = 0;
+    std::string requester_address;
+    std::uint32_t requester_sequence = 0;
+    time_point sent_at;
+  };
+  struct news_item {
+    std::string name;
+    int sends_left = 0;
+  };
+
+  void Refute(const member& news);
+  void Announce(const std::string& name);
+  int SendsPerNews() const;
+  void SetState(const std::string& name, member_state state, time_point now);
+  void ExpireProbe(time_point now, std::vector<outbound_message>* out);
+  void ExpireMembers(time_point now);
+  void BeginProbe(time_point now, std::vector<outbound_message>* out);
+  std::string NextTarget();
+  void OnAck(const gossip_message& message, std::vector<outbound_message>* out);
+
+  member self_;
+  membership_settings settings_;
+  std::mt19937_64 random_;
+  std::map<std::string, entry> members_;
+  std::deque<std::string> probe_order_;
+  std::deque<news_item> news_;
+  std::optional<probe> probe_;
+  std::vector<relayed_probe> relayed_;
+  std::optional<time_point> last_probe_;
+  std::optional<time_point> last_heard_;
+  std::uint32_t next_sequence_ = 1;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_MEMBERSHIP_H_
--- /dev/null
+++ b/include/cactusward/suspects.h
@@ -0,0 +1,81 @@
+// Requests suspected of making upstreams fail.
+#ifndef CACTUSWARD_SUSPECTS_H_
+#define CACTUSWARD_SUSPECTS_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "cactusward/membership.h"
+#include "cactusward/time.h"
+
+namespace cactusward {
+
+// What may be done with a request.
+enum class suspect_verdict {
+  kClear,   // place it anywhere
+  kAlone,   // place it where no other suspect is in flight
+  kRefuse,  // do not run it
+};
+
+// Blames deaths of upstreams on the requests in flight there. A death is
+// blamed on requests that were suspects already; only without such a one does
+// it make suspects of all. A death that a peer explains by a request of its
+// own is blamed on nobody else. Not thread-safe.
+class suspect_table {
+ public:
+  // @param refuse_after deaths after which a request is refused.
+  // @param period how long a suspicion lasts after its latest death.
+  suspect_table(std::size_t refuse_after, duration period)
+      : refuse_after_(refuse_after), period_(period) {}
+
+  // Records that `upstream` died with these requests in flight.
+  // @return what to pass on to peers.
+  std::vector<suspect_report> RecordDeath(
+      std::uint32_t upstream,
+      const std::vector<std::uint64_t>& in_flight,
+      time_point now);
+
+  // Takes in a peer's report. @return whether it was news.
+  bool Learn(const suspect_report& report, time_point now);
+
+  // Records that a request finished: its suspicion is lifted, unless it is
+  // refused already. Peers lift theirs by expiry.
+  void RecordFinish(std::uint64_t fingerprint);
+
+  suspect_verdict Judge(std::uint64_t fingerprint, time_point now) const;
+  // Deaths blamed on a request so far.
+  std::size_t Deaths(std::uint64_t fingerprint, time_point now) const;
+
+  // Sets the period for all suspicions.
+  void SetPeriod(duration period) { period_ = period; }
+  // Drops expired suspicions.
+  void Expire(time_point now);
+  std::size_t size() const { return suspects_.size(); }
+
+ private:
+  struct death {
+    std::uint32_t upstream = 0;
+    time_point at;
+  };
+  using deaths = std::vector<death>;
+
+  const deaths* Find(std::uint64_t fingerprint, time_point now) const;
+  // Adds a death; false when it is known.
+  bool Add(std::uint64_t fingerprint,
+           std::uint32_t upstream,
+           time_point at,
+           time_point now);
+  // Whether a refused request explains a death of `upstream` at `at`.
+  bool IsExplained(std::uint32_t upstream, time_point at) const;
+  // Lifts the blame for a death from all but `culprit`.
+  void Exonerate(std::uint64_t culprit, std::uint32_t upstream, time_point at);
+
+  std::size_t refuse_after_;
+  duration period_;
+  std::map<std::uint64_t, deaths> suspects_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SUSPECTS_H_
--- /dev/null
+++ b/include/cactusward/timer_service.h
@@ -0,0 +1,33 @@
+// Periodic callbacks that parts subscribe to.
+#ifndef CACTUSWARD_TIMER_SERVICE_H_
+#define CACTUSWARD_TIMER_SERVICE_H_
+
+#include <functional>
+#include <memory>
+
+#include "cactusward/time.h"
+
+namespace cactusward {
+
+// Ends its subscription when destroyed.
+class timer_subscription {
+ public:
+  virtual ~timer_subscription() = default;
+};
+
+// Not thread-safe: subscribe and be called on one thread.
+class timer_service {
+ public:
+  using callback = std::function<void(time_point now)>;
+  virtual ~timer_service() = default;
+
+  // Calls `callback` every `period` until the subscription is destroyed. Calls
+  // missed while the process was stopped are not made up for.
+  // Precondition: `period` is positive.
+  virtual std::unique_ptr<timer_subscription> Every(duration period,
+                                                    callback callback) = 0;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_TIMER_SERVICE_H_
--- /dev/null
+++ b/include/cactusward/upstreams.h
@@ -0,0 +1,198 @@
+// What an instance knows of the upstreams of one service.
+#ifndef CACTUSWARD_UPSTREAMS_H_
+#define CACTUSWARD_UPSTREAMS_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cactusward/membership.h"
+#include "cactusward/routing.h"
+#include "cactusward/time.h"
+
+namespace cactusward {
+
+// An upstream as the platform lists it.
+struct upstream_listing {
+  std::string address;  // IP:port, its identity
+  std::string service;
+  std::string availability_zone;
+  bool leaving = false;
+
+  friend bool operator==(const upstream_listing& a, const upstream_listing& b) {
+    return a.address == b.address && a.service == b.service &&
+           a.availability_zone == b.availability_zone && a.leaving == b.leaving;
+  }
+};
+
+// Load as an upstream reports it, some time late.
+struct load_report {
+  std::int64_t waiting_tokens = 0;  // prompt tokens not yet processed
+  std::int64_t waiting_long_tokens = 0;
+  std::int64_t kv_used_tokens = 0;
+  bool leaving = false;
+  duration lag{0};  // age at its arrival
+
+  friend bool operator==(const load_report& a, const load_report& b) {
+    return a.waiting_tokens == b.waiting_tokens &&
+           a.waiting_long_tokens == b.waiting_long_tokens &&
+           a.kv_used_tokens == b.kv_used_tokens && a.leaving == b.leaving &&
+           a.lag == b.lag;
+  }
+};
+
+struct ejection_settings {
+  int failures = 3;  // in a row
+  milliseconds first_ejection{500};
+  milliseconds longest_ejection{30'000};
+  double max_share = 0.3;  // of a service's upstreams
+};
+
+// One request in flight at one upstream.
+struct dispatch {
+  std::string address;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t kv_tokens = 0;
+  std::uint64_t fingerprint = 0;
+  bool is_long = false;
+  bool suspect = false;
+  time_point sent_at;
+};
+
+// The upstreams of one service: listing, reports, own dispatches, ejection.
+// Not thread-safe.
+class upstream_pool {
+ public:
+  // One row for operators.
+  struct row {
+    std::string address;
+    std::string availability_zone;
+    bool accepting = false;
+    bool leaving = false;
+    bool ejected = false;
+    bool reachable = true;
+    int in_flight = 0;
+    std::int64_t backlog_tokens = 0;
+    std::int64_t kv_reserved = 0;
+  };
+
+  upstream_pool(const upstream_service& service,
+                std::string own_zone,
+                const ejection_settings& ejection);
+
+  // Replaces the platform's list for this service. An upstream that is gone
+  // from the list is kept, not accepting, while it has dispatches.
+  void SetListings(const std::vector<upstream_listing>& listings);
+  void SetService(const upstream_service& service) { service_ = service; }
+  void SetMaxEjectedShare(double share) { ejection_.max_share = share; }
+
+  void RecordReport(const std::string& address,
+                    const load_report& report,
+                    time_point now);
+  // Replaces what peers together have in flight, by UpstreamKey.
+  void SetPeerBacklog(std::unordered_map<std::uint32_t, std::int64_t> tokens) {
+    peer_backlog_ = std::move(tokens);
+  }
+  // Whether the upstream can be reached at all; unlike ejection not bounded
+  // to a share of the upstreams. @return whether that changed.
+  bool SetReachable(const std::string& address, bool reachable);
+  // A failed answer; a run of them ejects.
+  void RecordFailure(const std::string& address, time_point now);
+  void RecordSuccess(const std::string& address);
+
+  // Accounts for a dispatch. @return its id, for the calls below.
+  std::uint64_t Begin(const dispatch& dispatch);
+  void FirstToken(std::uint64_t id);
+  void End(std::uint64_t id);
+
+  // Number of upstreams in the view.
+  std::size_t size() const { return order_.size(); }
+  // The upstream at `index` of an order that all instances share.
+  upstream_view ViewAt(std::size_t index, time_point now) const;
+  const std::string& AddressAt(std::size_t index) const;
+  // Every upstream, accepting or not.
+  std::vector<std::string> Addresses() const;
+  // When a report or an answer last arrived; nothing before the first.
+  std::optional<time_point> LastContact(const std::string& address) const;
+  // Fingerprints in flight at an upstream.
+  std::vector<std::uint64_t> InFlightAt(const std::string& address) const;
+  int InFlightCount(const std::string& address) const;
+  // Own prompt tokens waiting, for peers.
+  std::vector<in_flight_report> InFlightReports() const;
+  std::vector<row> Rows(time_point now) const;
+  const upstream_service& service() const { return service_; }
+
+ private:
+  // Tokens of dispatches, kept as sums so that a view costs no loop over them.
+  struct token_sums {
+    std::int64_t prompt = 0;
+    std::int64_t long_prompt = 0;
+    std::int64_t kv = 0;
+    int long_requests = 0;
+  };
+  struct open_dispatch {
+    dispatch sent;
+    bool first_token_seen = false;
+  };
+  struct entry {
+    upstream_listing listing;
+    std::uint64_t rank = 0;
+    bool listed = true;
+    bool reachable = true;
+    std::optional<load_report> report;
+    time_point reported_at;
+    std::optional<time_point> contact;
+    int failures = 0;
+    int ejections = 0;
+    time_point ejected_until;
+    int suspects = 0;
+    token_sums sums;
+    std::map<std::uint64_t, open_dispatch> dispatches;
+    std::deque<std::uint64_t> unreported;  // ids sent since the report, by age
+  };
+
+  entry* Find(const std::string& address);
+  const entry* Find(const std::string& address) const;
+  entry* FindDispatch(std::uint64_t id);
+  token_sums Unreported(const entry& entry) const;
+  std::size_t EjectedCount(time_point now) const;
+  void RemoveUnlisted();
+  void RebuildOrder();
+
+  upstream_service service_;
+  std::string own_zone_;
+  ejection_settings ejection_;
+  std::unordered_map<std::string, std::unique_ptr<entry>> entries_;
+  std::vector<entry*> order_;  // by rank
+  std::unordered_map<std::uint64_t, entry*> entry_of_;
+  std::unordered_map<std::uint32_t, std::int64_t> peer_backlog_;
+  std::uint64_t next_id_ = 1;
+};
+
+// The pool as it stands at one moment. Precondition: the pool outlives it and
+// does not change meanwhile.
+class pool_view : public routing_view {
+ public:
+  pool_view(const upstream_pool* pool, time_point now)
+      : pool_(pool), now_(now) {}
+  std::size_t size() const override { return pool_->size(); }
+  upstream_view At(std::size_t index) const override {
+    return pool_->ViewAt(index, now_);
+  }
+
+ private:
+  const upstream_pool* pool_;
+  time_point now_;
+};
+
+// The identity of an upstream in in_flight_report. Thread-safe.
+std::uint32_t UpstreamKey(std::string_view address);
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_UPSTREAMS_H_
--- /dev/null
+++ b/src/admission/organisation_ledger.cc
@@ -0,0 +1,57 @@
+#include <algorithm>
+
+#include "cactusward/admission.h"
+
+namespace cactusward {
+namespace {
+
+// An instance may run ahead of its part by this much time's worth of tokens.
+constexpr double kBurstSeconds = 10;
+// The balancer spreads callers unevenly; each part is widened by this factor.
+constexpr double kUnevenness = 1.5;
+
+}  // namespace
+
+result<bool> organisation_ledger::Admit(const organisation& organisation,
+                                        std::int64_t tokens,
+                                        time_point now) {
+  account& account = accounts_[organisation.name];
+  const double part = instances_ == 1 ? 1.0 : kUnevenness / instances_;
+  const double concurrent =
+      std::max(1.0, organisation.limits.max_concurrent * part);
+  if (account.concurrent >= static_cast<int>(concurrent))
+    return {error_kind::kOrganisationLimit,
+            "concurrent requests of " + organisation.name};
+  const double rate =
+      static_cast<double>(organisation.limits.tokens_per_second) * part;
+  const double burst = rate * kBurstSeconds;
+  if (!account.refilled_at)
+    account.balance = burst;
+  else
+    account.balance =
+        std::min(burst, account.balance + rate * std::chrono::duration<double>(
+                                                     now - *account.refilled_at)
+                                                     .count());
+  account.refilled_at = now;
+  // A prompt larger than the burst may run when the account is full.
+  const double needed = std::min(static_cast<double>(tokens), burst);
+  if (account.balance < needed)
+    return {error_kind::kOrganisationLimit,
+            "tokens a second of " + organisation.name};
+  account.balance -= static_cast<double>(tokens);
+  ++account.concurrent;
+  return true;
+}
+
+void organisation_ledger::Release(const std::string& name) {
+  const auto it = accounts_.find(name);
+  if (it != accounts_.end() && it->second.concurrent > 0)
+    --it->second.concurrent;
+}
+
+int organisation_ledger::Concurrent(const std::string& name) const {
+  const auto it = accounts_.find(name);
+  return it == accounts_.end() ? 0 : it->second.concurrent;
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/claims/direct_claim_store.cc
@@ -0,0 +1,180 @@
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "cactusward/claims.h"
+
+namespace cactusward {
+namespace {
+
+constexpr std::string_view kPrefix = "cactusward/claims/";
+constexpr int kLeasesPerRetention = 4;
+constexpr milliseconds kFirstPause{10};
+constexpr milliseconds kLongestPause{200};
+constexpr milliseconds kTryTimeout{500};
+
+std::string KeyOf(const std::string& key) {
+  return std::string(kPrefix) + key;
+}
+
+// Waits `pause` or until `deadline`, whichever comes first.
+void Pause(milliseconds pause,
+           time_point deadline,
+           boost::asio::yield_context yield) {
+  boost::asio::steady_timer timer(boost::asio::get_associated_executor(yield));
+  timer.expires_at(std::min(clock::now() + pause, deadline));
+  boost::system::error_code ignored;
+  timer.async_wait(yield[ignored]);
+}
+
+}  // namespace
+
+std::string EncodeClaim(const claim_record& record) {
+  const nlohmann::json json = {
+      {"nonce", record.nonce},
+      {"instance", record.instance},
+      {"fingerprint", record.fingerprint},
+      {"done", record.state == claim_state::kDone},
+      {"status", record.status},
+      {"content_type", record.content_type},
+      {"body",
+       nlohmann::json::binary({record.body.begin(), record.body.end()})},
+      {"body_dropped", record.body_dropped}};
+  std::string bytes;
+  nlohmann::json::to_cbor(json, bytes);
+  return bytes;
+}
+
+result<claim_record> DecodeClaim(std::string_view text) {
+  const auto json = nlohmann::json::from_cbor(text, true, false);
+  const result<claim_record> malformed(error_kind::kInternal,
+                                       "malformed claim record");
+  if (!json.is_object())
+    return malformed;
+  const auto is = [&json](const char* name, auto check) {
+    const auto it = json.find(name);
+    return it != json.end() && check(*it);
+  };
+  const auto is_text = [](const auto& v) { return v.is_string(); };
+  const auto is_flag = [](const auto& v) { return v.is_boolean(); };
+  const auto is_number = [](const auto& v) { return v.is_number_integer(); };
+  const auto is_bytes = [](const auto& v) { return v.is_binary(); };
+  if (!is("nonce", is_text) || !is("instance", is_text) ||
+      !is("fingerprint", is_text) || !is("done", is_flag) ||
+      !is("status", is_number) || !is("content_type", is_text) ||
+      !is("body", is_bytes) || !is("body_dropped", is_flag))
+    return malformed;
+  claim_record record;
+  record.nonce = json["nonce"].get<std::string>();
+  record.instance = json["instance"].get<std::string>();
+  record.fingerprint = json["fingerprint"].get<std::string>();
+  record.state =
+      json["done"].get<bool>() ? claim_state::kDone : claim_state::kClaimed;
+  record.status = json["status"].get<int>();
+  record.content_type = json["content_type"].get<std::string>();
+  const auto& body = json["body"].get_binary();
+  record.body.assign(body.begin(), body.end());
+  record.body_dropped = json["body_dropped"].get<bool>();
+  return record;
+}
+
+direct_claim_store::direct_claim_store(key_value_store* store,
+                                       duration retention)
+    : store_(store), retention_(retention) {}
+
+void direct_claim_store::SetRetention(duration retention) {
+  if (retention == retention_)
+    return;
+  retention_ = retention;
+  lease_ = 0;
+}
+
+result<std::int64_t> direct_claim_store::Lease(
+    time_point deadline,
+    boost::asio::yield_context yield) {
+  const time_point now = clock::now();
+  const duration period = retention_ / kLeasesPerRetention;
+  if (lease_ != 0 && now - lease_granted_ < period)
+    return lease_;
+  const auto ttl =
+      std::chrono::duration_cast<milliseconds>(retention_ + period);
+  const auto granted = store_->GrantLease(ttl, deadline, yield);
+  if (!granted)
+    return granted;
+  lease_ = *granted;
+  lease_granted_ = now;
+  return lease_;
+}
+
+result<claim_record> direct_claim_store::Claim(
+    const std::string& key,
+    const claim_record& record,
+    time_point deadline,
+    boost::asio::yield_context yield) {
+  milliseconds pause = kFirstPause;
+  // The nonce makes the put idempotent, so an unanswered one is put again: it
+  // then finds either nothing or the record of whoever came first.
+  while (clock::now() < deadline) {
+    const time_point until = std::min(deadline, clock::now() + kTryTimeout);
+    const auto lease = Lease(until, yield);
+    if (lease) {
+      const auto swap = store_->CompareAndSwap(
+          KeyOf(key), 0, {{KeyOf(key), EncodeClaim(record), *lease}}, until,
+          yield);
+      if (swap && swap->applied)
+        return record;
+      if (swap && swap->current)
+        return DecodeClaim(swap->current->value);
+    }
+    Pause(pause, deadline, yield);
+    pause = std::min(pause * 2, kLongestPause);
+  }
+  return {error_kind::kStoreUnavailable, "claim not established in time"};
+}
+
+result<bool> direct_claim_store::Complete(const std::string& key,
+                                          const claim_record& record,
+                                          time_point deadline,
+                                          boost::asio::yield_context yield) {
+  const auto current = store_->Get(KeyOf(key), deadline, yield);
+  if (!current)
+    return {current.kind(), current.detail()};
+  if (!current->has_value())
+    return false;
+  const auto known = DecodeClaim((*current)->value);
+  if (!known || known->nonce != record.nonce)
+    return false;
+  if (known->state == claim_state::kDone)
+    return true;
+  const auto lease = Lease(deadline, yield);
+  if (!lease)
+    return {lease.kind(), lease.detail()};
+  const auto swap = store_->CompareAndSwap(
+      KeyOf(key), (*current)->mod_revision,
+      {{KeyOf(key), EncodeClaim(record), *lease}}, deadline, yield);
+  if (!swap)
+    return {swap.kind(), swap.detail()};
+  return swap->applied;
+}
+
+result<bool> direct_claim_store::Release(const std::string& key,
+                                         const std::string& nonce,
+                                         time_point deadline,
+                                         boost::asio::yield_context yield) {
+  const auto current = store_->Get(KeyOf(key), deadline, yield);
+  if (!current)
+    return {current.kind(), current.detail()};
+  if (!current->has_value())
+    return true;
+  const auto known = DecodeClaim((*current)->value);
+  if (!known || known->nonce != nonce || known->state == claim_state::kDone)
+    return true;
+  const auto swap =
+      store_->CompareAndSwap(KeyOf(key), (*current)->mod_revision,
+                             {{KeyOf(key), std::nullopt}}, deadline, yield);
+  if (!swap)
+    return {swap.kind(), swap.detail()};
+  return swap->applied;
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/config/json_reader.cc
@@ -0,0 +1,208 @@
+#include "src/config/json_reader.h"
+
+#include <algorithm>
+
+namespace cactusward::internal {
+namespace {
+
+using nlohmann::json;
+constexpr std::size_t kShownBytes = 60;
+
+// Shortens a value for a message.
+std::string Shown(const json& value) {
+  std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
+  if (text.size() > kShownBytes)
+    text = text.substr(0, kShownBytes) + "...";
+  return text;
+}
+
+const json& EmptyObject() {
+  static const json empty = json::object();
+  return empty;
+}
+
+}  // namespace
+
+void fault_list::Add(const std::string& path,
+                     const std::string& found,
+                     const std::string& allowed) {
+  faults_.push_back(path + ": found " + found + ", allowed: " + allowed);
+}
+
+std::string fault_list::Text() const {
+  std::string text;
+  for (const std::string& fault : faults_) {
+    if (!text.empty())
+      text += '\n';
+    text += fault;
+  }
+  return text;
+}
+
+object_reader::object_reader(const json& value,
+                             std::string path,
+                             fault_list* faults)
+    : value_(&value), path_(std::move(path)), faults_(faults) {
+  if (value.is_object())
+    return;
+  faults_->Add(path_.empty() ? "document" : path_, Shown(value), "an object");
+  value_ = &EmptyObject();
+}
+
+std::string object_reader::PathOf(std::string_view name) const {
+  if (path_.empty())
+    return std::string(name);
+  return path_ + "." + std::string(name);
+}
+
+const json* object_reader::Find(std::string_view name) {
+  known_.emplace(name);
+  const auto it = value_->find(std::string(name));
+  return it == value_->end() ? nullptr : &*it;
+}
+
+bool object_reader::Has(std::string_view name) {
+  return Find(name) != nullptr;
+}
+
+void object_reader::Fault(std::string_view name,
+                          const std::string& found,
+                          const std::string& allowed) {
+  faults_->Add(PathOf(name), found, allowed);
+}
+
+std::int64_t object_reader::Integer(std::string_view name,
+                                    std::int64_t fallback,
+                                    std::int64_t low,
+                                    std::int64_t high) {
+  const json* found = Find(name);
+  if (!found)
+    return fallback;
+  const bool fits =
+      found->is_number_integer() &&
+      !(found->is_number_unsigned() && found->get<std::uint64_t>() > INT64_MAX);
+  if (fits && found->get<std::int64_t>() >= low &&
+      found->get<std::int64_t>() <= high)
+    return found->get<std::int64_t>();
+  Fault(
+      name, Shown(*found),
+      "an integer from " + std::to_string(low) + " to " + std::to_string(high));
+  return fallback;
+}
+
+double object_reader::Number(std::string_view name,
+                             double fallback,
+                             double low,
+                             double high) {
+  const json* found = Find(name);
+  if (!found)
+    return fallback;
+  if (found->is_number() && found->get<double>() >= low &&
+      found->get<double>() <= high)
+    return found->get<double>();
+  Fault(name, Shown(*found),
+        "a number from " + json(low).dump() + " to " + json(high).dump());
+  return fallback;
+}
+
+bool object_reader::Boolean(std::string_view name, bool fallback) {
+  const json* found = Find(name);
+  if (!found)
+    return fallback;
+  if (found->is_boolean())
+    return found->get<bool>();
+  Fault(name, Shown(*found), "true or false");
+  return fallback;
+}
+
+std::string object_reader::Text(std::string_view name,
+                                std::string fallback,
+                                std::size_t min_length,
+                                std::size_t max_length) {
+  const json* found = Find(name);
+  if (!found)
+    return fallback;
+  if (found->is_string()) {
+    const auto& text = found->get_ref<const std::string&>();
+    if (text.size() >= min_length && text.size() <= max_length)
+      return text;
+  }
+  Fault(name, Shown(*found),
+        "a text of " + std::to_string(min_length) + " to " +
+            std::to_string(max_length) + " bytes");
+  return fallback;
+}
+
+std::string object_reader::RequiredText(std::string_view name,
+                                        std::size_t min_length) {
+  if (!Has(name)) {
+    Fault(name, "nothing",
+          "a text of at least " + std::to_string(min_length) + " bytes");
+    return {};
+  }
+  return Text(name, {}, min_length);
+}
+
+std::string object_reader::Choice(std::string_view name,
+                                  std::string fallback,
+                                  const std::vector<std::string>& choices) {
+  const json* found = Find(name);
+  if (!found)
+    return fallback;
+  if (found->is_string() &&
+      std::find(choices.begin(), choices.end(), found->get<std::string>()) !=
+          choices.end())
+    return found->get<std::string>();
+  std::string allowed = "one of";
+  for (const std::string& choice : choices)
+    allowed += " " + choice;
+  Fault(name, Shown(*found), allowed);
+  return fallback;
+}
+
+object_reader object_reader::Object(std::string_view name) {
+  const json* found = Find(name);
+  return {found ? *found : EmptyObject(), PathOf(name), faults_};
+}
+
+std::vector<object_reader> object_reader::Array(std::string_view name) {
+  std::vector<object_reader> readers;
+  const json* found = Find(name);
+  if (!found)
+    return readers;
+  if (!found->is_array()) {
+    Fault(name, Shown(*found), "an array");
+    return readers;
+  }
+  for (std::size_t i = 0; i < found->size(); ++i)
+    readers.emplace_back((*found)[i],
+                         PathOf(name) + "[" + std::to_string(i) + "]", faults_);
+  return readers;
+}
+
+std::vector<std::string> object_reader::Texts(std::string_view name) {
+  std::vector<std::string> texts;
+  const json* found = Find(name);
+  if (!found)
+    return texts;
+  if (!found->is_array()) {
+    Fault(name, Shown(*found), "an array of texts");
+    return texts;
+  }
+  for (const json& item : *found) {
+    if (item.is_string())
+      texts.push_back(item.get<std::string>());
+    else
+      Fault(name, Shown(item), "a text");
+  }
+  return texts;
+}
+
+void object_reader::Finish() {
+  for (const auto& [name, value] : value_->items()) {
+    if (known_.count(name) == 0)
+      Fault(name, "an unknown field", "a field of this object");
+  }
+}
+
+}  // namespace cactusward::internal
--- /dev/null
+++ b/src/config/json_reader.h
@@ -0,0 +1,83 @@
+// Reads fields from JSON and collects faults with the path of each field.
+#ifndef CACTUSWARD_SRC_CONFIG_JSON_READER_H_
+#define CACTUSWARD_SRC_CONFIG_JSON_READER_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusward::internal {
+
+// Faults of one document.
+class fault_list {
+ public:
+  void Add(const std::string& path,
+           const std::string& found,
+           const std::string& allowed);
+  bool empty() const { return faults_.empty(); }
+  // All faults, one a line.
+  std::string Text() const;
+
+ private:
+  std::vector<std::string> faults_;
+};
+
+// One JSON object being read. Every field read is marked as known; Finish
+// reports the rest.
+class object_reader {
+ public:
+  // Precondition: `faults` outlives the reader, and so does `value`.
+  object_reader(const nlohmann::json& value,
+                std::string path,
+                fault_list* faults);
+
+  bool Has(std::string_view name);
+  std::int64_t Integer(std::string_view name,
+                       std::int64_t fallback,
+                       std::int64_t low,
+                       std::int64_t high);
+  double Number(std::string_view name,
+                double fallback,
+                double low,
+                double high);
+  bool Boolean(std::string_view name, bool fallback);
+  std::string Text(std::string_view name,
+                   std::string fallback,
+                   std::size_t min_length = 0,
+                   std::size_t max_length = 1024);
+  // A required text of at least one character.
+  std::string RequiredText(std::string_view name, std::size_t min_length = 1);
+  // One of `choices`.
+  std::string Choice(std::string_view name,
+                     std::string fallback,
+                     const std::vector<std::string>& choices);
+  // The child object, or an empty one.
+  object_reader Object(std::string_view name);
+  // The elements of an array of objects.
+  std::vector<object_reader> Array(std::string_view name);
+  // The elements of an array of texts.
+  std::vector<std::string> Texts(std::string_view name);
+
+  // Reports fields that nobody read.
+  void Finish();
+  void Fault(std::string_view name,
+             const std::string& found,
+             const std::string& allowed);
+  const std::string& path() const { return path_; }
+
+ private:
+  const nlohmann::json* Find(std::string_view name);
+  std::string PathOf(std::string_view name) const;
+
+  const nlohmann::json* value_;
+  std::string path_;
+  fault_list* faults_;
+  std::set<std::string, std::less<>> known_;
+};
+
+}  // namespace cactusward::internal
+
+#endif  // CACTUSWARD_SRC_CONFIG_JSON_READER_H_
--- /dev/null
+++ b/src/edges/etcd_store.cc
@@ -0,0 +1,267 @@
+#include "src/edges/etcd_store.h"
+
+#include <openssl/evp.h>
+
+#include <charconv>
+
+namespace cactusward {
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds kWatchOpenTimeout{2'000};
+// A watch that is silent for longer is opened anew.
+constexpr std::chrono::minutes kWatchLife{10};
+constexpr std::size_t kMaxWatchLine = 4 * 1024 * 1024;
+
+// The protocol writes 64-bit integers as texts.
+std::int64_t IntegerOf(const json& object, const char* name) {
+  const auto it = object.find(name);
+  if (it == object.end())
+    return 0;
+  if (it->is_number_integer())
+    return it->get<std::int64_t>();
+  if (!it->is_string())
+    return 0;
+  const auto& text = it->get_ref<const std::string&>();
+  std::int64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+std::optional<stored_value> ReadKeyValue(const json& object) {
+  if (!object.is_object())
+    return std::nullopt;
+  const auto bytes_of = [&object](const char* name) {
+    const auto it = object.find(name);
+    if (it == object.end() || !it->is_string())
+      return std::optional<std::string>(std::string());
+    return DecodeBase64(it->get_ref<const std::string&>());
+  };
+  const auto key = bytes_of("key");
+  const auto value = bytes_of("value");
+  if (!key || !value || key->empty())
+    return std::nullopt;
+  return stored_value{*key, *value, IntegerOf(object, "mod_revision")};
+}
+
+std::vector<stored_value> ReadKeyValues(const json& answer) {
+  std::vector<stored_value> values;
+  const auto kvs = answer.find("kvs");
+  if (kvs == answer.end() || !kvs->is_array())
+    return values;
+  for (const json& item : *kvs) {
+    if (auto value = ReadKeyValue(item))
+      values.push_back(std::move(*value));
+  }
+  return values;
+}
+
+json RangeOf(const std::string& key) {
+  return {{"key", EncodeBase64(key)}};
+}
+
+json WriteOf(const key_write& write) {
+  if (!write.value)
+    return {{"request_delete_range", RangeOf(write.key)}};
+  json put = {{"key", EncodeBase64(write.key)},
+              {"value", EncodeBase64(*write.value)}};
+  if (write.lease != 0)
+    put["lease"] = std::to_string(write.lease);
+  return {{"request_put", std::move(put)}};
+}
+
+// The value read by the failure branch of a transaction.
+std::optional<stored_value> ReadFailureBranch(const json& answer) {
+  const auto responses = answer.find("responses");
+  if (responses == answer.end() || !responses->is_array() ||
+      responses->empty() || !responses->front().is_object())
+    return std::nullopt;
+  const auto range = responses->front().find("response_range");
+  if (range == responses->front().end())
+    return std::nullopt;
+  auto values = ReadKeyValues(*range);
+  if (values.empty())
+    return std::nullopt;
+  return std::move(values.front());
+}
+
+// Hands each put of one line of a watch to `handler`.
+void ReadWatchLine(std::string_view line,
+                   const key_value_store::change_handler& handler) {
+  const json event = json::parse(line, nullptr, false);
+  if (!event.is_object() || !event.contains("result") ||
+      !event["result"].is_object())
+    return;
+  const auto events = event["result"].find("events");
+  if (events == event["result"].end() || !events->is_array())
+    return;
+  for (const json& change : *events) {
+    if (!change.is_object() || change.value("type", "PUT") != "PUT" ||
+        !change.contains("kv"))
+      continue;
+    if (const auto value = ReadKeyValue(change["kv"]))
+      handler(*value);
+  }
+}
+
+}  // namespace
+
+std::string EncodeBase64(std::string_view bytes) {
+  std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+  const int length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
+  text.resize(static_cast<std::size_t>(length));
+  return text;
+}
+
+std::optional<std::string> DecodeBase64(std::string_view text) {
+  if (text.size() % 4 != 0)
+    return std::nullopt;
+  std::string bytes(text.size() / 4 * 3 + 1, '\0');
+  const int length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  if (length < 0)
+    return std::nullopt;
+  std::size_t padding = 0;
+  while (padding < 2 && padding < text.size() &&
+         text[text.size() - 1 - padding] == '=')
+    ++padding;
+  bytes.resize(static_cast<std::size_t>(length) - padding);
+  return bytes;
+}
+
+etcd_store::etcd_store(http_client* client, std::string address)
+    : client_(client), address_(std::move(address)) {}
+
+result<json> etcd_store::Post(const std::string& target,
+                              const json& body,
+                              time_point deadline,
+                              asio::yield_context yield) {
+  ++calls_;
+  outgoing_request request;
+  request.method = http::verb::post;
+  request.target = target;
+  request.body = body.dump();
+  request.headers = {{"Content-Type", "application/json"}};
+  const auto answer = client_->Call(address_, request, deadline, yield);
+  if (!answer)
+    return {error_kind::kStoreUnavailable, answer.detail()};
+  json parsed = json::parse(answer->body, nullptr, false);
+  if (answer->status != 200 || !parsed.is_object())
+    return {error_kind::kStoreUnavailable,
+            "status " + std::to_string(answer->status)};
+  return parsed;
+}
+
+result<std::optional<stored_value>> etcd_store::Get(const std::string& key,
+                                                    time_point deadline,
+                                                    asio::yield_context yield) {
+  const auto answer = Post("/v3/kv/range", RangeOf(key), deadline, yield);
+  if (!answer)
+    return {answer.kind(), answer.detail()};
+  auto values = ReadKeyValues(*answer);
+  if (values.empty())
+    return std::optional<stored_value>();
+  return std::optional<stored_value>(std::move(values.front()));
+}
+
+result<std::vector<stored_value>> etcd_store::List(const std::string& prefix,
+                                                   time_point deadline,
+                                                   asio::yield_context yield) {
+  std::string end = prefix;
+  ++end.back();
+  json range = RangeOf(prefix);
+  range["range_end"] = EncodeBase64(end);
+  const auto answer = Post("/v3/kv/range", range, deadline, yield);
+  if (!answer)
+    return {answer.kind(), answer.detail()};
+  return ReadKeyValues(*answer);
+}
+
+result<swap_outcome> etcd_store::CompareAndSwap(
+    const std::string& key,
+    std::int64_t expected_revision,
+    const std::vector<key_write>& writes,
+    time_point deadline,
+    asio::yield_context yield) {
+  json success = json::array();
+  for (const key_write& write : writes)
+    success.push_back(WriteOf(write));
+  const json body = {{"compare",
+                      {{{"key", EncodeBase64(key)},
+                        {"target", "MOD"},
+                        {"result", "EQUAL"},
+                        {"mod_revision", std::to_string(expected_revision)}}}},
+                     {"success", std::move(success)},
+                     {"failure", {{{"request_range", RangeOf(key)}}}}};
+  const auto answer = Post("/v3/kv/txn", body, deadline, yield);
+  if (!answer)
+    return {answer.kind(), answer.detail()};
+  swap_outcome outcome;
+  const auto succeeded = answer->find("succeeded");
+  outcome.applied = succeeded != answer->end() && succeeded->is_boolean() &&
+                    succeeded->get<bool>();
+  if (!outcome.applied) {
+    outcome.current = ReadFailureBranch(*answer);
+    return outcome;
+  }
+  const auto header = answer->find("header");
+  if (header != answer->end() && header->is_object())
+    outcome.mod_revision = IntegerOf(*header, "revision");
+  return outcome;
+}
+
+result<std::int64_t> etcd_store::GrantLease(milliseconds time_to_live,
+                                            time_point deadline,
+                                            asio::yield_context yield) {
+  const auto seconds =
+      std::chrono::ceil<std::chrono::seconds>(time_to_live).count();
+  const auto answer = Post("/v3/lease/grant",
+                           {{"TTL", std::to_string(seconds)}}, deadline, yield);
+  if (!answer)
+    return {answer.kind(), answer.detail()};
+  const std::int64_t id = IntegerOf(*answer, "ID");
+  if (id == 0)
+    return {error_kind::kStoreUnavailable, "no lease granted"};
+  return id;
+}
+
+std::error_code etcd_store::Watch(const std::string& key,
+                                  std::int64_t revision,
+                                  const change_handler& handler,
+                                  asio::yield_context yield) {
+  ++calls_;
+  outgoing_request request;
+  request.method = http::verb::post;
+  request.target = "/v3/watch";
+  request.body = json({{"create_request",
+                        {{"key", EncodeBase64(key)},
+                         {"start_revision", std::to_string(revision + 1)}}}})
+                     .dump();
+  auto stream =
+      client_->Open(address_, request, clock::now() + kWatchOpenTimeout, yield);
+  if (!stream || (*stream)->status() != 200)
+    return error_kind::kStoreUnavailable;
+  const time_point end = clock::now() + kWatchLife;
+  std::string pending;
+  while (true) {
+    const auto bytes = (*stream)->Read(end, yield);
+    if (!bytes || bytes->empty())
+      return error_kind::kStoreUnavailable;
+    pending.append(*bytes);
+    std::size_t newline;
+    while ((newline = pending.find('\n')) != std::string::npos) {
+      ReadWatchLine(std::string_view(pending).substr(0, newline), handler);
+      pending.erase(0, newline + 1);
+    }
+    if (pending.size() > kMaxWatchLine)
+      return error_kind::kStoreUnavailable;
+  }
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/edges/gossip_socket.cc
@@ -0,0 +1,78 @@
+#include "src/edges/gossip_socket.h"
+
+#include "cactusward/hash.h"
+
+namespace cactusward {
+namespace {
+
+constexpr std::size_t kMacBytes = 16;
+constexpr int kDatagramOverheadBytes = 28;  // IPv4 and UDP headers
+
+}  // namespace
+
+gossip_socket::gossip_socket(asio::io_context& io,
+                             std::string secret,
+                             handler handler)
+    : io_(io),
+      secret_(std::move(secret)),
+      handler_(std::move(handler)),
+      socket_(io) {}
+
+bool gossip_socket::Listen(const std::string& address) {
+  const auto endpoint = ParseHostPort(address);
+  if (!endpoint)
+    return false;
+  const udp::endpoint local(asio::ip::make_address(endpoint->host),
+                            endpoint->port);
+  boost::system::error_code error;
+  socket_.open(local.protocol(), error);
+  if (!error)
+    socket_.bind(local, error);
+  if (error)
+    return false;
+  socket_.non_blocking(true, error);
+  Spawn(io_, "gossip", [this](asio::yield_context yield) { Receive(yield); });
+  return true;
+}
+
+void gossip_socket::Send(const std::string& address, std::string_view bytes) {
+  const auto target = ParseHostPort(address);
+  if (!target)
+    return;
+  const udp::endpoint endpoint(asio::ip::make_address(target->host),
+                               target->port);
+  std::string datagram = Mac(secret_, bytes);
+  datagram.append(bytes);
+  boost::system::error_code ignored;
+  socket_.send_to(asio::buffer(datagram), endpoint, 0, ignored);
+  ++counters_.sent;
+  counters_.sent_bytes +=
+      static_cast<std::int64_t>(datagram.size()) + kDatagramOverheadBytes;
+}
+
+void gossip_socket::Receive(asio::yield_context yield) {
+  while (true) {
+    udp::endpoint sender;
+    boost::system::error_code error;
+    const std::size_t got =
+        socket_.async_receive_from(asio::buffer(buffer_), sender, yield[error]);
+    if (error == asio::error::operation_aborted)
+      return;
+    // An earlier datagram met a closed port; it says nothing about this one.
+    if (error)
+      continue;
+    counters_.received_bytes +=
+        static_cast<std::int64_t>(got) + kDatagramOverheadBytes;
+    const std::string_view datagram(buffer_.data(), got);
+    if (got <= kMacBytes ||
+        !EqualConstantTime(datagram.substr(0, kMacBytes),
+                           Mac(secret_, datagram.substr(kMacBytes)))) {
+      ++counters_.refused;
+      continue;
+    }
+    ++counters_.received;
+    handler_(datagram.substr(kMacBytes));
+  }
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/edges/http_client.cc
@@ -0,0 +1,246 @@
+#include "src/edges/http_client.h"
+
+#include <boost/asio/write.hpp>
+#include <limits>
+
+namespace cactusward {
+namespace {
+
+constexpr std::size_t kReadBytes = 8 * 1024;
+constexpr std::size_t kMaxIdlePerAddress = 64;
+constexpr milliseconds kMaxIdleTime{10'000};
+constexpr milliseconds kConnectTimeout{1'000};
+
+error_kind KindOfReadError(const boost::system::error_code& error,
+                           bool expired) {
+  if (expired)
+    return error_kind::kTimedOut;
+  const auto& http_category =
+      make_error_code(http::error::bad_version).category();
+  if (error.category() == http_category &&
+      error != http::error::end_of_stream &&
+      error != http::error::partial_message)
+    return error_kind::kUpstreamGarbled;
+  return error_kind::kUpstreamFailed;
+}
+
+// Whether a kept connection was closed or has unexpected bytes.
+bool IsStale(tcp::socket& socket) {
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+http::request<http::string_body> Build(const std::string& address,
+                                       const outgoing_request& request) {
+  http::request<http::string_body> message(request.method, request.target, 11);
+  message.set(http::field::host, address);
+  for (const auto& [name, value] : request.headers)
+    message.set(name, value);
+  message.body() = request.body;
+  message.prepare_payload();
+  return message;
+}
+
+}  // namespace
+
+http_stream::http_stream(http_client* client,
+                         std::string address,
+                         std::unique_ptr<tcp::socket> socket,
+                         cancel_token* cancel)
+    : client_(client),
+      address_(std::move(address)),
+      socket_(std::move(socket)),
+      cancel_(cancel) {
+  parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
+  if (!cancel_)
+    return;
+  cancel_->OnCancel([socket = socket_.get()] {
+    boost::system::error_code ignored;
+    socket->close(ignored);
+  });
+}
+
+http_stream::~http_stream() {
+  if (cancel_)
+    cancel_->OnCancel({});
+  if (finished_ && !cancelled() && parser_.keep_alive())
+    client_->GiveBack(address_, std::move(socket_));
+}
+
+int http_stream::status() const {
+  return static_cast<int>(parser_.get().result_int());
+}
+
+std::string_view http_stream::Header(std::string_view name) const {
+  const auto value = parser_.get()[{name.data(), name.size()}];
+  return {value.data(), value.size()};
+}
+
+result<bool> http_stream::ReadHeader(time_point deadline,
+                                     asio::yield_context yield) {
+  deadline_guard guard(socket_.get(), deadline);
+  boost::system::error_code error;
+  http::async_read_header(*socket_, buffer_, parser_, yield[error]);
+  if (error)
+    return {KindOfReadError(error, guard.expired()), error.message()};
+  finished_ = parser_.is_done();
+  return true;
+}
+
+result<std::string_view> http_stream::Read(time_point deadline,
+                                           asio::yield_context yield) {
+  if (finished_)
+    return std::string_view();
+  if (cancelled())
+    return {error_kind::kUpstreamFailed, "cancelled"};
+  chunk_.resize(kReadBytes);
+  deadline_guard guard(socket_.get(), deadline);
+  while (!parser_.is_done()) {
+    parser_.get().body().data = chunk_.data();
+    parser_.get().body().size = chunk_.size();
+    parser_.get().body().more = true;
+    boost::system::error_code error;
+    http::async_read_some(*socket_, buffer_, parser_, yield[error]);
+    if (error == http::error::need_buffer)
+      error = {};
+    if (error)
+      return {KindOfReadError(error, guard.expired()), error.message()};
+    if (cancelled())
+      return {error_kind::kUpstreamFailed, "cancelled"};
+    const std::size_t got = chunk_.size() - parser_.get().body().size;
+    if (got > 0) {
+      finished_ = parser_.is_done();
+      return std::string_view(chunk_.data(), got);
+    }
+  }
+  finished_ = true;
+  return std::string_view();
+}
+
+std::unique_ptr<tcp::socket> http_client::TakeIdle(const std::string& address) {
+  auto& idle = idle_[address];
+  while (!idle.empty()) {
+    idle_connection connection = std::move(idle.back());
+    idle.pop_back();
+    if (clock::now() - connection.since < kMaxIdleTime &&
+        !IsStale(*connection.socket))
+      return std::move(connection.socket);
+  }
+  return nullptr;
+}
+
+void http_client::GiveBack(const std::string& address,
+                           std::unique_ptr<tcp::socket> socket) {
+  auto& idle = idle_[address];
+  const time_point now = clock::now();
+  while (!idle.empty() && now - idle.front().since >= kMaxIdleTime)
+    idle.pop_front();
+  if (idle.size() < kMaxIdlePerAddress)
+    idle.push_back({std::move(socket), now});
+}
+
+result<std::unique_ptr<tcp::socket>> http_client::Connect(
+    const std::string& address,
+    time_point deadline,
+    asio::yield_context yield,
+    cancel_token* cancel) {
+  const auto endpoint = ParseTcpEndpoint(address);
+  if (!endpoint)
+    return {error_kind::kUpstreamUnreachable, "not an address: " + address};
+  auto socket = std::make_unique<tcp::socket>(io_);
+  deadline_guard guard(socket.get(),
+                       std::min(deadline, clock::now() + kConnectTimeout));
+  if (cancel)
+    cancel->OnCancel([&socket] {
+      boost::system::error_code ignored;
+      socket->close(ignored);
+    });
+  boost::system::error_code error;
+  if (socket->is_open() || !cancel || !cancel->cancelled())
+    socket->async_connect(*endpoint, yield[error]);
+  else
+    error = asio::error::operation_aborted;
+  if (cancel)
+    cancel->OnCancel({});
+  if (error)
+    return {error_kind::kUpstreamUnreachable, error.message()};
+  socket->set_option(tcp::no_delay(true), error);
+  return socket;
+}
+
+result<std::unique_ptr<http_stream>> http_client::Exchange(
+    const std::string& address,
+    const outgoing_request& request,
+    std::unique_ptr<tcp::socket> socket,
+    time_point deadline,
+    asio::yield_context yield,
+    cancel_token* cancel) {
+  auto stream =
+      std::make_unique<http_stream>(this, address, std::move(socket), cancel);
+  {
+    const auto message = Build(address, request);
+    deadline_guard guard(stream->socket_.get(), deadline);
+    boost::system::error_code error;
+    http::async_write(*stream->socket_, message, yield[error]);
+    if (error)
+      return {KindOfReadError(error, guard.expired()), error.message()};
+  }
+  const auto header = stream->ReadHeader(deadline, yield);
+  if (!header)
+    return {header.kind(), header.detail()};
+  return stream;
+}
+
+result<std::unique_ptr<http_stream>> http_client::Open(
+    const std::string& address,
+    const outgoing_request& request,
+    time_point deadline,
+    asio::yield_context yield,
+    cancel_token* cancel) {
+  if (!request.fresh_connection) {
+    if (auto idle = TakeIdle(address)) {
+      auto stream =
+          Exchange(address, request, std::move(idle), deadline, yield, cancel);
+      const bool cancelled = cancel && cancel->cancelled();
+      // The upstream may have closed the kept connection just then.
+      if (stream || cancelled || stream.kind() != error_kind::kUpstreamFailed)
+        return stream;
+    }
+  }
+  auto socket = Connect(address, deadline, yield, cancel);
+  if (!socket)
+    return {socket.kind(), socket.detail()};
+  return Exchange(address, request, std::move(*socket), deadline, yield,
+                  cancel);
+}
+
+result<http_answer> http_client::Call(const std::string& address,
+                                      const outgoing_request& request,
+                                      time_point deadline,
+                                      asio::yield_context yield,
+                                      std::size_t max_body,
+                                      cancel_token* cancel) {
+  auto stream = Open(address, request, deadline, yield, cancel);
+  if (!stream)
+    return {stream.kind(), stream.detail()};
+  http_answer answer;
+  answer.status = (*stream)->status();
+  answer.content_type = (*stream)->Header("Content-Type");
+  answer.load_metrics = (*stream)->Header("endpoint-load-metrics");
+  answer.request_id = (*stream)->Header("X-Request-Id");
+  while (true) {
+    const auto bytes = (*stream)->Read(deadline, yield);
+    if (!bytes)
+      return {bytes.kind(), bytes.detail()};
+    if (bytes->empty())
+      return answer;
+    if (answer.body.size() + bytes->size() > max_body)
+      return {error_kind::kUpstreamGarbled, "answer exceeds the limit"};
+    answer.body.append(*bytes);
+  }
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/edges/http_server.cc
@@ -0,0 +1,335 @@
+#include "src/edges/http_server.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "src/kernel/log.h"
+
+namespace cactusward {
+namespace {
+
+constexpr milliseconds kAnswerTimeout{10'000};
+constexpr milliseconds kAcceptPause{50};
+constexpr milliseconds kRefusedBodyGrace{200};
+constexpr int kMillisecondsPerSecond = 1000;
+
+boost::beast::string_view ToBeast(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::string DecodePercent(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size()) {
+      decoded.push_back(static_cast<char>(std::strtol(
+          std::string(text.substr(i + 1, 2)).c_str(), nullptr, 16)));
+      i += 2;
+    } else {
+      decoded.push_back(text[i] == '+' ? ' ' : text[i]);
+    }
+  }
+  return decoded;
+}
+
+error_kind KindOfParseError(const boost::system::error_code& error) {
+  if (error == http::error::header_limit)
+    return error_kind::kHeaderTooLarge;
+  if (error == http::error::body_limit)
+    return error_kind::kBodyTooLarge;
+  return error_kind::kBadRequest;
+}
+
+bool IsParseError(const boost::system::error_code& error) {
+  return error.category() ==
+             make_error_code(http::error::bad_version).category() &&
+         error != http::error::end_of_stream &&
+         error != http::error::partial_message;
+}
+
+}  // namespace
+
+std::string ErrorBody(error_kind kind, std::string_view detail) {
+  const error_answer& answer = AnswerFor(kind);
+  nlohmann::json error = {
+      {"kind", answer.name},
+      {"message", answer.message},
+      {"was_run", answer.was_run == run_state::kNo ? "no" : "unknown"},
+      {"retry_after_ms", answer.retry_after_ms}};
+  if (!detail.empty())
+    error["detail"] = detail;
+  const nlohmann::json body = {{"error", std::move(error)}};
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+http_exchange::http_exchange(tcp::socket* socket, http_request request)
+    : socket_(socket),
+      request_(std::move(request)),
+      watch_(std::make_shared<hang_up_watch>()),
+      close_(!request_.keep_alive()) {
+  StartWatch();
+}
+
+http_exchange::~http_exchange() {
+  watch_->active = false;
+  watch_->handler = nullptr;
+  boost::system::error_code ignored;
+  socket_->cancel(ignored);
+}
+
+void http_exchange::StartWatch() {
+  socket_->async_wait(
+      tcp::socket::wait_read,
+      [watch = watch_, socket = socket_](boost::system::error_code error) {
+        if (error || !watch->active)
+          return;
+        char byte = 0;
+        const std::size_t got = socket->receive(
+            asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        // A pipelined request is no hang-up; it waits for its turn.
+        if (!error && got > 0)
+          return;
+        watch->hung_up = true;
+        if (watch->handler)
+          watch->handler();
+      });
+}
+
+void http_exchange::OnHangUp(std::function<void()> handler) {
+  if (handler && watch_->hung_up)
+    return handler();
+  watch_->handler = std::move(handler);
+}
+
+std::string_view http_exchange::Header(std::string_view name) const {
+  const auto value = request_[ToBeast(name)];
+  return {value.data(), value.size()};
+}
+
+std::string_view http_exchange::Path() const {
+  const auto target = request_.target();
+  const std::string_view text(target.data(), target.size());
+  return text.substr(0, text.find('?'));
+}
+
+std::string http_exchange::Query(std::string_view name) const {
+  const auto target = request_.target();
+  std::string_view rest(target.data(), target.size());
+  const auto mark = rest.find('?');
+  rest = mark == std::string_view::npos ? std::string_view()
+                                        : rest.substr(mark + 1);
+  while (!rest.empty()) {
+    const auto end = std::min(rest.find('&'), rest.size());
+    const std::string_view pair = rest.substr(0, end);
+    const auto equals = std::min(pair.find('='), pair.size());
+    if (pair.substr(0, equals) == name)
+      return equals < pair.size() ? DecodePercent(pair.substr(equals + 1))
+                                  : std::string("1");
+    rest = rest.substr(std::min(end + 1, rest.size()));
+  }
+  return {};
+}
+
+void http_exchange::SetHeader(std::string name, std::string value) {
+  headers_.emplace_back(std::move(name), std::move(value));
+}
+
+void http_exchange::PrepareHeader(http::response_header<>* header,
+                                  int status,
+                                  std::string_view content_type) {
+  header->result(static_cast<unsigned>(status));
+  header->version(request_.version());
+  header->set(http::field::content_type, ToBeast(content_type));
+  for (const auto& [name, value] : headers_)
+    header->set(name, value);
+  status_ = status;
+  answered_ = true;
+}
+
+bool http_exchange::Answer(int status,
+                           std::string_view content_type,
+                           std::string body,
+                           time_point deadline,
+                           asio::yield_context yield) {
+  http::response<http::string_body> response;
+  PrepareHeader(&response, status, content_type);
+  response.body() = std::move(body);
+  response.keep_alive(!close_);
+  response.prepare_payload();
+  deadline_guard guard(socket_, deadline);
+  boost::system::error_code error;
+  http::async_write(*socket_, response, yield[error]);
+  failed_ = failed_ || error;
+  return !error;
+}
+
+bool http_exchange::AnswerJson(const nlohmann::json& json,
+                               asio::yield_context yield) {
+  return Answer(
+      200, "application/json",
+      json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+      clock::now() + kAnswerTimeout, yield);
+}
+
+bool http_exchange::AnswerError(error_kind kind,
+                                std::string_view detail,
+                                asio::yield_context yield) {
+  const error_answer& answer = AnswerFor(kind);
+  if (answer.retry_after_ms > 0) {
+    const int seconds = (answer.retry_after_ms + kMillisecondsPerSecond - 1) /
+                        kMillisecondsPerSecond;
+    SetHeader("Retry-After", std::to_string(seconds));
+  }
+  return Answer(answer.http_status, "application/json", ErrorBody(kind, detail),
+                clock::now() + kAnswerTimeout, yield);
+}
+
+bool http_exchange::BeginStream(int status,
+                                std::string_view content_type,
+                                time_point deadline,
+                                asio::yield_context yield) {
+  http::response<http::empty_body> response;
+  PrepareHeader(&response, status, content_type);
+  response.keep_alive(!close_);
+  response.chunked(true);
+  streaming_ = true;
+  http::response_serializer<http::empty_body> serializer(response);
+  deadline_guard guard(socket_, deadline);
+  boost::system::error_code error;
+  http::async_write_header(*socket_, serializer, yield[error]);
+  failed_ = failed_ || error;
+  return !error;
+}
+
+bool http_exchange::WriteChunk(std::string_view bytes,
+                               time_point deadline,
+                               asio::yield_context yield) {
+  deadline_guard guard(socket_, deadline);
+  boost::system::error_code error;
+  asio::async_write(*socket_,
+                    http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
+                    yield[error]);
+  failed_ = failed_ || error;
+  return !error;
+}
+
+bool http_exchange::EndStream(time_point deadline, asio::yield_context yield) {
+  deadline_guard guard(socket_, deadline);
+  boost::system::error_code error;
+  asio::async_write(*socket_, http::make_chunk_last(), yield[error]);
+  failed_ = failed_ || error;
+  return !error;
+}
+
+http_server::http_server(asio::io_context& io,
+                         http_handler* handler,
+                         http_server_limits limits)
+    : io_(io), handler_(handler), limits_(limits), acceptor_(io) {}
+
+bool http_server::Listen(const std::string& address) {
+  const auto endpoint = ParseTcpEndpoint(address);
+  if (!endpoint)
+    return false;
+  boost::system::error_code error;
+  acceptor_.open(endpoint->protocol(), error);
+  if (!error)
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error)
+    acceptor_.bind(*endpoint, error);
+  if (!error)
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error)
+    return false;
+  Spawn(io_, "accept", [this](asio::yield_context yield) { Accept(yield); });
+  return true;
+}
+
+void http_server::StopAccepting() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void http_server::Accept(asio::yield_context yield) {
+  while (acceptor_.is_open()) {
+    auto socket = std::make_shared<tcp::socket>(io_);
+    boost::system::error_code error;
+    acceptor_.async_accept(*socket, yield[error]);
+    if (error == asio::error::operation_aborted)
+      return;
+    if (error) {
+      Sleep(io_, kAcceptPause, yield);
+      continue;
+    }
+    Spawn(io_, "serve", [this, socket](asio::yield_context inner) {
+      Serve(std::move(*socket), inner);
+    });
+  }
+}
+
+void http_server::Serve(tcp::socket socket, asio::yield_context yield) {
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  boost::beast::flat_buffer buffer;
+  while (ServeOne(socket, buffer, yield)) {
+    // A large body must not keep its memory while the connection is idle.
+    if (buffer.size() == 0)
+      buffer.shrink_to_fit();
+  }
+  socket.shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+bool http_server::ServeOne(tcp::socket& socket,
+                           boost::beast::flat_buffer& buffer,
+                           asio::yield_context yield) {
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(limits_.max_header_bytes);
+  parser.body_limit(limits_.max_body_bytes);
+  boost::system::error_code error;
+  error_kind failure = error_kind::kOk;
+  {
+    deadline_guard guard(&socket, clock::now() + limits_.header_timeout);
+    http::async_read_header(socket, buffer, parser, yield[error]);
+    if (error && !IsParseError(error) &&
+        !(guard.expired() && (parser.got_some() || buffer.size() > 0)))
+      return false;
+    if (error)
+      failure =
+          guard.expired() ? error_kind::kSlowCaller : KindOfParseError(error);
+  }
+  if (!error) {
+    deadline_guard guard(&socket, clock::now() + limits_.body_timeout);
+    if (parser.get()[http::field::expect] == "100-continue") {
+      http::response<http::empty_body> go_on(http::status::continue_, 11);
+      http::async_write(socket, go_on, yield[error]);
+    }
+    if (!error)
+      http::async_read(socket, buffer, parser, yield[error]);
+    if (error && !IsParseError(error) && !guard.expired())
+      return false;
+    if (error)
+      failure =
+          guard.expired() ? error_kind::kSlowCaller : KindOfParseError(error);
+  }
+  http_exchange exchange(&socket, parser.release());
+  if (failure != error_kind::kOk) {
+    exchange.SetClose();
+    exchange.AnswerError(failure, {}, yield);
+    // Closing with unread bytes would reset the answer away.
+    socket.shutdown(tcp::socket::shutdown_send, error);
+    Sleep(io_, kRefusedBodyGrace, yield);
+    return false;
+  }
+  ++active_;
+  try {
+    handler_->Handle(exchange, yield);
+  } catch (const std::exception& thrown) {
+    Log(log_level::kError, "handler_failed", {{"error", thrown.what()}});
+    if (!exchange.answered())
+      exchange.AnswerError(error_kind::kInternal, {}, yield);
+    else
+      exchange.SetClose();
+  }
+  --active_;
+  return !exchange.close() && !exchange.hung_up();
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/edges/net.h
@@ -0,0 +1,97 @@
+// Short names and small helpers for sockets.
+#ifndef CACTUSWARD_SRC_EDGES_NET_H_
+#define CACTUSWARD_SRC_EDGES_NET_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cactusward/time.h"
+
+namespace cactusward {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using udp = asio::ip::udp;
+
+// An IP number and a port, as "127.0.0.1:8080".
+struct host_port {
+  std::string host;
+  std::uint16_t port = 0;
+};
+
+// Parses an IP number and a port; names are not resolved. Thread-safe.
+std::optional<host_port> ParseHostPort(std::string_view text);
+// Thread-safe.
+std::optional<tcp::endpoint> ParseTcpEndpoint(std::string_view text);
+
+// Cancels the operations of a socket when a deadline passes.
+class deadline_guard {
+ public:
+  // Precondition: `socket` outlives the guard.
+  deadline_guard(tcp::socket* socket, time_point deadline);
+  ~deadline_guard();
+  deadline_guard(const deadline_guard&) = delete;
+  deadline_guard& operator=(const deadline_guard&) = delete;
+
+  bool expired() const { return state_->expired; }
+
+ private:
+  struct state {
+    tcp::socket* socket = nullptr;
+    bool expired = false;
+  };
+  std::shared_ptr<state> state_;
+  asio::steady_timer timer_;
+};
+
+// Lets one party end what another waits for. Not thread-safe.
+class cancel_token {
+ public:
+  // Runs the hook, if one is set, at most once.
+  void Cancel() {
+    cancelled_ = true;
+    if (auto hook = std::move(hook_))
+      hook();
+  }
+  bool cancelled() const { return cancelled_; }
+  // Sets what Cancel runs; an empty hook removes it. Runs it at once when
+  // already cancelled.
+  void OnCancel(std::function<void()> hook) {
+    if (cancelled_ && hook)
+      return hook();
+    hook_ = std::move(hook);
+  }
+
+ private:
+  bool cancelled_ = false;
+  std::function<void()> hook_;
+};
+
+// Runs `body` as a coroutine on `io`; an exception that leaves it is logged
+// and ends that coroutine alone.
+void Spawn(asio::io_context& io,
+           std::string_view what,
+           std::function<void(asio::yield_context)> body);
+
+// Waits until `deadline` or until `timer` is cancelled.
+// @return whether it was cancelled.
+bool WaitOn(asio::steady_timer& timer,
+            time_point deadline,
+            asio::yield_context yield);
+// Waits for `d`.
+void Sleep(asio::io_context& io, duration d, asio::yield_context yield);
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_EDGES_NET_H_
--- /dev/null
+++ b/src/edges/peer_link.cc
@@ -0,0 +1,244 @@
+#include "src/edges/peer_link.h"
+
+#include <map>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include "cactusward/hash.h"
+
+namespace cactusward {
+namespace {
+
+using nlohmann::json;
+using websocketpp::connection_hdl;
+using ws_server = websocketpp::server<websocketpp::config::asio>;
+using ws_client = websocketpp::client<websocketpp::config::asio_client>;
+
+constexpr std::size_t kMacBytes = 16;
+constexpr std::size_t kMaxFrameBytes = 4 * 1024 * 1024;
+constexpr std::size_t kFrameFields = 3;
+
+// A frame is [is_reply, id, body] behind its authentication code.
+struct peer_frame {
+  bool is_reply = false;
+  std::uint64_t id = 0;
+  json body;
+};
+
+std::string Seal(const std::string& secret, const peer_frame& frame) {
+  std::string bytes;
+  json::to_cbor(json::array({frame.is_reply, frame.id, frame.body}), bytes);
+  return Mac(secret, bytes) + bytes;
+}
+
+std::optional<peer_frame> Unseal(const std::string& secret,
+                                 std::string_view sealed) {
+  if (sealed.size() <= kMacBytes)
+    return std::nullopt;
+  const std::string_view bytes = sealed.substr(kMacBytes);
+  if (!EqualConstantTime(sealed.substr(0, kMacBytes), Mac(secret, bytes)))
+    return std::nullopt;
+  json value = json::from_cbor(bytes, true, false);
+  if (!value.is_array() || value.size() != kFrameFields ||
+      !value[0].is_boolean() || !value[1].is_number_unsigned())
+    return std::nullopt;
+  return peer_frame{value[0].get<bool>(), value[1].get<std::uint64_t>(),
+                    std::move(value[2])};
+}
+
+}  // namespace
+
+class peer_link::impl {
+ public:
+  impl(asio::io_context& io, std::string secret, peer_handler* handler)
+      : io_(io), secret_(std::move(secret)), handler_(handler) {
+    server_.clear_access_channels(websocketpp::log::alevel::all);
+    server_.clear_error_channels(websocketpp::log::elevel::all);
+    server_.init_asio(&io_);
+    server_.set_reuse_addr(true);
+    server_.set_max_message_size(kMaxFrameBytes);
+    server_.set_message_handler(
+        [this](const connection_hdl& hdl, const ws_server::message_ptr& m) {
+          OnRequest(hdl, m->get_payload());
+        });
+    client_.clear_access_channels(websocketpp::log::alevel::all);
+    client_.clear_error_channels(websocketpp::log::elevel::all);
+    client_.init_asio(&io_);
+    client_.set_max_message_size(kMaxFrameBytes);
+  }
+
+  bool Listen(const std::string& address) {
+    const auto endpoint = ParseTcpEndpoint(address);
+    if (!endpoint)
+      return false;
+    websocketpp::lib::error_code error;
+    server_.listen(*endpoint, error);
+    if (error)
+      return false;
+    server_.start_accept(error);
+    return !error;
+  }
+
+  result<json> Call(const std::string& address,
+                    const json& request,
+                    time_point deadline,
+                    asio::yield_context yield) {
+    const auto link = Connect(address);
+    if (!link)
+      return {error_kind::kUpstreamUnreachable, "cannot connect"};
+    const std::uint64_t id = next_id_++;
+    const auto call = std::make_shared<pending_call>(io_);
+    calls_[id] = call;
+    call->link = link;
+    std::string sealed = Seal(secret_, {false, id, request});
+    if (link->open)
+      SendOn(*link, sealed);
+    else
+      link->unsent.push_back(std::move(sealed));
+    if (!call->finished)
+      WaitOn(call->timer, deadline, yield);
+    calls_.erase(id);
+    if (call->answer)
+      return std::move(*call->answer);
+    return {
+        link->failed ? error_kind::kUpstreamUnreachable : error_kind::kTimedOut,
+        "no answer from " + address};
+  }
+
+  std::int64_t sent_bytes() const { return sent_bytes_; }
+  std::int64_t refused_frames() const { return refused_; }
+
+ private:
+  struct connection {
+    connection_hdl hdl;
+    bool open = false;
+    bool failed = false;
+    std::vector<std::string> unsent;
+  };
+  struct pending_call {
+    explicit pending_call(asio::io_context& io) : timer(io) {}
+    asio::steady_timer timer;
+    std::shared_ptr<connection> link;
+    std::optional<json> answer;
+    bool finished = false;
+  };
+
+  std::shared_ptr<connection> Connect(const std::string& address) {
+    auto& known = connections_[address];
+    if (known && !known->failed)
+      return known;
+    websocketpp::lib::error_code error;
+    const auto raw = client_.get_connection("ws://" + address, error);
+    if (error)
+      return nullptr;
+    const auto link = std::make_shared<connection>();
+    link->hdl = raw->get_handle();
+    raw->set_open_handler([this, link](const connection_hdl&) {
+      link->open = true;
+      for (const std::string& sealed : link->unsent)
+        SendOn(*link, sealed);
+      link->unsent.clear();
+    });
+    const auto fail = [this, link](const connection_hdl&) { Fail(link); };
+    raw->set_fail_handler(fail);
+    raw->set_close_handler(fail);
+    raw->set_message_handler(
+        [this](const connection_hdl&, const ws_client::message_ptr& message) {
+          OnReply(message->get_payload());
+        });
+    client_.connect(raw);
+    known = link;
+    return link;
+  }
+
+  void SendOn(connection& link, const std::string& sealed) {
+    websocketpp::lib::error_code error;
+    client_.send(link.hdl, sealed, websocketpp::frame::opcode::binary, error);
+    sent_bytes_ += static_cast<std::int64_t>(sealed.size());
+  }
+
+  void Fail(const std::shared_ptr<connection>& link) {
+    link->failed = true;
+    for (auto& [id, call] : calls_) {
+      if (call->link == link)
+        Finish(*call);
+    }
+  }
+
+  static void Finish(pending_call& call) {
+    call.finished = true;
+    call.timer.cancel();
+  }
+
+  void OnReply(const std::string& sealed) {
+    auto frame = Unseal(secret_, sealed);
+    if (!frame || !frame->is_reply) {
+      ++refused_;
+      return;
+    }
+    const auto it = calls_.find(frame->id);
+    if (it == calls_.end())
+      return;
+    it->second->answer = std::move(frame->body);
+    Finish(*it->second);
+  }
+
+  void OnRequest(const connection_hdl& hdl, const std::string& sealed) {
+    const auto frame = Unseal(secret_, sealed);
+    if (!frame || frame->is_reply) {
+      ++refused_;
+      websocketpp::lib::error_code ignored;
+      server_.close(hdl, websocketpp::close::status::policy_violation,
+                    "not authenticated", ignored);
+      return;
+    }
+    handler_->OnPeerCall(
+        frame->body, [this, hdl, id = frame->id](const json& answer) {
+          const std::string reply = Seal(secret_, {true, id, answer});
+          websocketpp::lib::error_code ignored;
+          server_.send(hdl, reply, websocketpp::frame::opcode::binary, ignored);
+          sent_bytes_ += static_cast<std::int64_t>(reply.size());
+        });
+  }
+
+  asio::io_context& io_;
+  std::string secret_;
+  peer_handler* handler_;
+  ws_server server_;
+  ws_client client_;
+  std::map<std::string, std::shared_ptr<connection>> connections_;
+  std::map<std::uint64_t, std::shared_ptr<pending_call>> calls_;
+  std::uint64_t next_id_ = 1;
+  std::int64_t sent_bytes_ = 0;
+  std::int64_t refused_ = 0;
+};
+
+peer_link::peer_link(asio::io_context& io,
+                     std::string secret,
+                     peer_handler* handler)
+    : impl_(std::make_unique<impl>(io, std::move(secret), handler)) {}
+
+peer_link::~peer_link() = default;
+
+bool peer_link::Listen(const std::string& address) {
+  return impl_->Listen(address);
+}
+
+result<json> peer_link::Call(const std::string& peer_address,
+                             const json& request,
+                             time_point deadline,
+                             asio::yield_context yield) {
+  return impl_->Call(peer_address, request, deadline, yield);
+}
+
+std::int64_t peer_link::sent_bytes() const {
+  return impl_->sent_bytes();
+}
+
+std::int64_t peer_link::refused_frames() const {
+  return impl_->refused_frames();
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/edges/peer_link.h
@@ -0,0 +1,52 @@
+// Calls between instances: CBOR over WebSocket, authenticated frame by frame.
+#ifndef CACTUSWARD_SRC_EDGES_PEER_LINK_H_
+#define CACTUSWARD_SRC_EDGES_PEER_LINK_H_
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "cactusward/result.h"
+#include "src/edges/net.h"
+
+namespace cactusward {
+
+// Answers calls of peers.
+class peer_handler {
+ public:
+  using reply = std::function<void(const nlohmann::json&)>;
+  virtual ~peer_handler() = default;
+  // Calls `reply` exactly once, now or later.
+  virtual void OnPeerCall(const nlohmann::json& request, reply reply) = 0;
+};
+
+// Not thread-safe.
+class peer_link {
+ public:
+  // Precondition: `io` and `handler` outlive the link.
+  peer_link(asio::io_context& io, std::string secret, peer_handler* handler);
+  ~peer_link();
+
+  // @return false when the address cannot be had.
+  bool Listen(const std::string& address);
+
+  // Calls the instance at `peer_address`.
+  // @return kUpstreamUnreachable or kTimedOut when no answer came; the call
+  //     may then have been carried out.
+  result<nlohmann::json> Call(const std::string& peer_address,
+                              const nlohmann::json& request,
+                              time_point deadline,
+                              asio::yield_context yield);
+
+  std::int64_t sent_bytes() const;
+  std::int64_t refused_frames() const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_EDGES_PEER_LINK_H_
--- /dev/null
+++ b/src/gateway/claim_service.cc
@@ -0,0 +1,132 @@
+#include "src/gateway/claim_service.h"
+
+#include <charconv>
+
+#include "cactusward/hash.h"
+#include "src/gateway/config_service.h"
+#include "src/gateway/membership_service.h"
+#include "src/kernel/log.h"
+
+namespace cactusward {
+namespace {
+
+constexpr milliseconds kClaimTimeout{3'000};
+constexpr milliseconds kPersistTimeout{1'000};
+constexpr milliseconds kFirstPause{100};
+constexpr milliseconds kLongestPause{5'000};
+constexpr std::chrono::minutes kPersistLimit{30};
+constexpr std::size_t kMaxKeptBody = 64 * 1024;
+constexpr milliseconds kDefaultRetention{3'600'000};
+
+}  // namespace
+
+claim_service::claim_service(runtime& runtime) : runtime_(runtime) {}
+
+void claim_service::Start() {
+  config_ = runtime_.registry.Find<config_service>(kConfigServiceName);
+  membership_ =
+      runtime_.registry.Find<membership_service>(kMembershipServiceName);
+  store_ =
+      std::make_unique<direct_claim_store>(&runtime_.store, kDefaultRetention);
+  config_->keeper().Subscribe([this](const active_config& active) {
+    store_->SetRetention(active.config.recovery.claim_retention);
+  });
+}
+
+std::string claim_service::KeyOf(std::string_view organisation,
+                                 std::string_view idempotency_key) {
+  std::string joined(organisation);
+  joined.push_back('\n');
+  joined.append(idempotency_key);
+  return Sha256Hex(joined);
+}
+
+bool claim_service::ClaimantIsLive(const std::string& claimant) const {
+  const auto slash = claimant.rfind('/');
+  if (slash == std::string::npos)
+    return false;
+  const std::string name = claimant.substr(0, slash);
+  std::uint64_t incarnation = 0;
+  std::from_chars(claimant.data() + slash + 1,
+                  claimant.data() + claimant.size(), incarnation);
+  // A process refutes suspicion by raising its incarnation a little; a new
+  // process starts far above, so only a much higher one is another process.
+  constexpr std::uint64_t kLargestRefutation = 100;
+  return membership_->IsLive(name, incarnation) &&
+         !membership_->IsLive(name, incarnation + kLargestRefutation);
+}
+
+result<claim_record> claim_service::Claim(const std::string& key,
+                                          const std::string& fingerprint,
+                                          time_point deadline,
+                                          std::optional<claim_record>* found,
+                                          asio::yield_context yield) {
+  claim_record mine;
+  mine.nonce = MakeNonce(runtime_);
+  mine.instance =
+      runtime_.settings.instance + "/" + std::to_string(runtime_.incarnation);
+  mine.fingerprint = fingerprint;
+  const time_point until = std::min(deadline, clock::now() + kClaimTimeout);
+  const auto holder = store_->Claim(key, mine, until, yield);
+  if (!holder) {
+    // The write may yet take effect; without a release the caller could never
+    // use this key again.
+    Release(key, mine);
+    return {holder.kind(), holder.detail()};
+  }
+  if (holder->nonce == mine.nonce)
+    return mine;
+  if (holder->fingerprint != fingerprint)
+    return error_kind::kIdempotencyKeyReused;
+  if (holder->state == claim_state::kDone) {
+    *found = *holder;
+    return error_kind::kInProgress;
+  }
+  if (!ClaimantIsLive(holder->instance))
+    return {error_kind::kOutcomeUnknown,
+            "the instance that ran the request is gone"};
+  return error_kind::kInProgress;
+}
+
+void claim_service::Persist(step step) {
+  ++pending_;
+  Spawn(runtime_.io, "claim_persist",
+        [this, step = std::move(step)](asio::yield_context yield) {
+          const time_point limit = clock::now() + kPersistLimit;
+          milliseconds pause = kFirstPause;
+          while (clock::now() < limit) {
+            if (step(clock::now() + kPersistTimeout, yield))
+              break;
+            Sleep(runtime_.io, pause, yield);
+            pause = std::min(pause * 2, kLongestPause);
+          }
+          --pending_;
+        });
+}
+
+void claim_service::Complete(const std::string& key,
+                             claim_record record,
+                             int status,
+                             const std::string& content_type,
+                             const std::string& body) {
+  record.state = claim_state::kDone;
+  record.status = status;
+  record.content_type = content_type;
+  record.body_dropped = body.size() > kMaxKeptBody;
+  if (!record.body_dropped)
+    record.body = body;
+  Persist([this, key, record = std::move(record)](time_point deadline,
+                                                  asio::yield_context yield) {
+    return store_->Complete(key, record, deadline, yield);
+  });
+}
+
+void claim_service::Release(const std::string& key,
+                            const claim_record& record) {
+  Persist([this, key, nonce = record.nonce](time_point deadline,
+                                            asio::yield_context yield) {
+    return store_->Release(key, nonce, deadline, yield);
+  });
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/gateway/claim_service.h
@@ -0,0 +1,66 @@
+// Claims of this instance, with outcomes and releases carried out to the end.
+#ifndef CACTUSWARD_SRC_GATEWAY_CLAIM_SERVICE_H_
+#define CACTUSWARD_SRC_GATEWAY_CLAIM_SERVICE_H_
+
+#include <memory>
+#include <string>
+
+#include "cactusward/claims.h"
+#include "src/gateway/names.h"
+#include "src/gateway/runtime.h"
+
+namespace cactusward {
+
+class config_service;
+class membership_service;
+
+class claim_service : public service {
+ public:
+  explicit claim_service(runtime& runtime);
+
+  std::string_view service_name() const override { return kClaimServiceName; }
+  void Start() override;
+
+  // The key of a claim: one for each organisation and Idempotency-Key.
+  static std::string KeyOf(std::string_view organisation,
+                           std::string_view idempotency_key);
+
+  // Claims `key` for a request. On success the caller alone may dispatch the
+  // request, and must end with Complete or Release.
+  // @param found receives the finished record when another request with this
+  //     key finished; the result is then kInProgress.
+  // @return the record to hand back; kIdempotencyKeyReused, kInProgress,
+  //     kOutcomeUnknown or kStoreUnavailable (nothing was dispatched).
+  result<claim_record> Claim(const std::string& key,
+                             const std::string& fingerprint,
+                             time_point deadline,
+                             std::optional<claim_record>* found,
+                             asio::yield_context yield);
+
+  // Records the outcome in the background, until it is stored.
+  void Complete(const std::string& key,
+                claim_record record,
+                int status,
+                const std::string& content_type,
+                const std::string& body);
+  // Gives up a claim that was not dispatched, in the background.
+  void Release(const std::string& key, const claim_record& record);
+
+  // Outcomes and releases not stored yet.
+  int pending() const { return pending_; }
+
+ private:
+  using step = std::function<result<bool>(time_point, asio::yield_context)>;
+  void Persist(step step);
+  bool ClaimantIsLive(const std::string& claimant) const;
+
+  runtime& runtime_;
+  config_service* config_ = nullptr;
+  membership_service* membership_ = nullptr;
+  std::unique_ptr<claim_store> store_;
+  int pending_ = 0;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_GATEWAY_CLAIM_SERVICE_H_
--- /dev/null
+++ b/src/gateway/completion_format.h
@@ -0,0 +1,91 @@
+// The completion API: requests, event streams and answers.
+#ifndef CACTUSWARD_SRC_GATEWAY_COMPLETION_FORMAT_H_
+#define CACTUSWARD_SRC_GATEWAY_COMPLETION_FORMAT_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cactusward/result.h"
+
+namespace cactusward {
+
+// A parsed request for a completion.
+struct completion_request {
+  nlohmann::json body;
+  std::string model;
+  bool chat = false;
+  bool stream = false;
+  bool include_usage = false;
+  std::int64_t prompt_tokens = 0;  // estimate
+  int max_tokens = 0;
+};
+
+// Estimated number of tokens of a text. Thread-safe.
+std::int64_t EstimateTokens(std::size_t bytes);
+
+// Parses the body of /v1/completions or, for `chat`, /v1/chat/completions.
+// @return kBadRequest with the reason as detail. Thread-safe.
+result<completion_request> ParseCompletion(std::string_view body, bool chat);
+
+// The body to send to an engine: streamed, with usage, and continuing after
+// `text_so_far` of `tokens_so_far` tokens. Thread-safe.
+std::string EngineBody(const completion_request& request,
+                       int priority,
+                       bool send_priority,
+                       const std::string& text_so_far,
+                       int tokens_so_far);
+
+// Splits a stream of server-sent events.
+class event_splitter {
+ public:
+  // Adds bytes and moves complete events' data to `out`.
+  // @return false when an event exceeds the limit.
+  bool Feed(std::string_view bytes, std::vector<std::string>* out);
+  // Whether bytes of an unfinished event are held.
+  bool HasRest() const { return !buffer_.empty(); }
+
+ private:
+  std::string buffer_;
+};
+
+enum class event_kind { kToken, kUsage, kDone, kError, kGarbled };
+
+// One event of an engine's stream.
+struct completion_event {
+  event_kind kind = event_kind::kGarbled;
+  std::string id;
+  std::string text;
+  std::string finish_reason;           // empty: not finished
+  std::int64_t completion_tokens = 0;  // kUsage
+  std::int64_t prompt_tokens = 0;      // kUsage
+};
+
+// Reads the data of one event. Thread-safe.
+completion_event ReadEvent(std::string_view data, bool chat);
+
+// A whole answer for a caller that did not ask for a stream. Thread-safe.
+std::string WholeAnswer(const completion_request& request,
+                        const std::string& id,
+                        const std::string& text,
+                        const std::string& finish_reason,
+                        std::int64_t prompt_tokens,
+                        std::int64_t completion_tokens);
+
+// The data of an event that only ends the text. Thread-safe.
+std::string FinishEvent(const completion_request& request,
+                        const std::string& id,
+                        const std::string& finish_reason);
+
+// The data of a usage event. Thread-safe.
+std::string UsageEvent(const completion_request& request,
+                       const std::string& id,
+                       std::int64_t prompt_tokens,
+                       std::int64_t completion_tokens);
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_GATEWAY_COMPLETION_FORMAT_H_
--- /dev/null
+++ b/src/gateway/config_service.cc
@@ -0,0 +1,217 @@
+#include "src/gateway/config_service.h"
+
+#include "cactusward/hash.h"
+#include "src/gateway/membership_service.h"
+#include "src/kernel/log.h"
+
+namespace cactusward {
+namespace {
+
+constexpr milliseconds kStoreTimeout{800};
+constexpr milliseconds kPullTimeout{800};
+constexpr milliseconds kShortestPause{100};
+constexpr milliseconds kLongestPause{1'500};
+// Each instance confirms this often, and more rarely in a large fleet so that
+// all together make at most kFleetReadsPerSecond.
+constexpr milliseconds kConfirmPeriod{1'200};
+constexpr double kFleetReadsPerSecond = 100;
+// An instance that hears from nobody for longer stops admission.
+constexpr milliseconds kIsolationLimit{3'000};
+constexpr double kJitter = 0.2;
+
+}  // namespace
+
+config_service::config_service(runtime& runtime, peer_link* peers)
+    : runtime_(runtime), peers_(peers), started_at_(clock::now()) {
+  keeper_.Subscribe([](const active_config& active) {
+    Log(log_level::kInfo, "config_in_force",
+        {{"revision", active.revision.number},
+         {"digest", active.revision.digest},
+         {"author", active.revision.author}});
+  });
+}
+
+void config_service::Start() {
+  membership_ =
+      runtime_.registry.Find<membership_service>(kMembershipServiceName);
+  Spawn(runtime_.io, "config_watch",
+        [this](asio::yield_context yield) { Watch(yield); });
+  Spawn(runtime_.io, "config_confirm",
+        [this](asio::yield_context yield) { Confirm(yield); });
+}
+
+void config_service::Take(const std::string& encoded) {
+  const offer_outcome outcome = keeper_.Offer(encoded);
+  if (outcome == offer_outcome::kAdopted && membership_)
+    membership_->SpreadNews();
+  if (outcome == offer_outcome::kInvalid)
+    Log(log_level::kError, "config_not_understood",
+        {{"kept", keeper_.Number()}});
+}
+
+void config_service::Watch(asio::yield_context yield) {
+  milliseconds pause = kShortestPause;
+  while (true) {
+    const time_point began = clock::now();
+    runtime_.store.Watch(
+        std::string(kConfigKey), seen_mod_revision_,
+        [this](const stored_value& change) {
+          seen_mod_revision_ =
+              std::max(seen_mod_revision_, change.mod_revision);
+          confirmed_at_ = clock::now();
+          Take(change.value);
+        },
+        yield);
+    if (clock::now() - began > kLongestPause)
+      pause = kShortestPause;
+    Sleep(runtime_.io, pause, yield);
+    pause = std::min(pause * 2, kLongestPause);
+  }
+}
+
+duration config_service::ConfirmPeriod() {
+  const double instances =
+      membership_ ? static_cast<double>(membership_->LiveCount()) : 1;
+  const double seconds =
+      std::max(std::chrono::duration<double>(kConfirmPeriod).count(),
+               instances / kFleetReadsPerSecond);
+  std::uniform_real_distribution<double> jitter(1 - kJitter, 1 + kJitter);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(seconds * jitter(runtime_.random)));
+}
+
+void config_service::Confirm(asio::yield_context yield) {
+  while (true) {
+    const time_point asked_at = clock::now();
+    const auto value = runtime_.store.Get(std::string(kConfigKey),
+                                          asked_at + kStoreTimeout, yield);
+    if (value) {
+      // The answer speaks for the moment of the question.
+      confirmed_at_ = std::max(confirmed_at_.value_or(asked_at), asked_at);
+      if (value->has_value()) {
+        seen_mod_revision_ =
+            std::max(seen_mod_revision_, (*value)->mod_revision);
+        Take((*value)->value);
+      }
+    }
+    Sleep(runtime_.io, ConfirmPeriod(), yield);
+  }
+}
+
+void config_service::OnPeerRevision(const std::string& peer_address,
+                                    std::int64_t number,
+                                    std::int64_t confirmed_age_ms) {
+  if (confirmed_age_ms >= 0 && number <= keeper_.Number()) {
+    const time_point at = clock::now() - milliseconds(confirmed_age_ms);
+    confirmed_at_ = std::max(confirmed_at_.value_or(at), at);
+  }
+  if (number <= keeper_.Number() || pulling_)
+    return;
+  pulling_ = true;
+  Spawn(runtime_.io, "config_pull",
+        [this, peer_address, number](asio::yield_context yield) {
+          Pull(peer_address, number, yield);
+          pulling_ = false;
+        });
+}
+
+void config_service::Pull(const std::string& peer_address,
+                          std::int64_t number,
+                          asio::yield_context yield) {
+  const auto answer = peers_->Call(peer_address, {{"op", "config_get"}},
+                                   clock::now() + kPullTimeout, yield);
+  if (!answer || !answer->is_object())
+    return;
+  const auto encoded = answer->find("config");
+  if (encoded == answer->end() || !encoded->is_string())
+    return;
+  Take(encoded->get<std::string>());
+  Log(log_level::kInfo, "config_pulled",
+      {{"peer", peer_address},
+       {"announced", number},
+       {"revision", keeper_.Number()}});
+}
+
+std::int64_t config_service::ConfirmedAgeMs(time_point now) const {
+  if (!confirmed_at_)
+    return -1;
+  return std::chrono::duration_cast<milliseconds>(now - *confirmed_at_).count();
+}
+
+bool config_service::IsUsable(time_point now) const {
+  if (!keeper_.Current())
+    return false;
+  if (confirmed_at_ && now - *confirmed_at_ <= kIsolationLimit)
+    return true;
+  if (!membership_ || !membership_->HasPeers())
+    return true;
+  const auto heard = membership_->LastHeard();
+  return heard && now - *heard <= kIsolationLimit;
+}
+
+result<edit_outcome> config_service::Apply(const std::string& document,
+                                           std::int64_t base,
+                                           const std::string& author,
+                                           time_point deadline,
+                                           asio::yield_context yield) {
+  const auto parsed = ParseFleetConfig(document);
+  if (!parsed)
+    return {parsed.kind(), parsed.detail()};
+  config_revision next;
+  next.number = base + 1;
+  next.digest = Sha256Hex(document);
+  next.nonce = MakeNonce(runtime_);
+  next.author = author;
+  next.document = document;
+  const std::string encoded = EncodeRevision(next);
+  const std::string key(kConfigKey);
+  bool write_unanswered = false;
+  while (clock::now() < deadline) {
+    const time_point until = std::min(deadline, clock::now() + kStoreTimeout);
+    const auto current = runtime_.store.Get(key, until, yield);
+    if (!current) {
+      Sleep(runtime_.io, kShortestPause, yield);
+      continue;
+    }
+    std::int64_t found = 0;
+    std::int64_t mod_revision = 0;
+    if (current->has_value()) {
+      mod_revision = (*current)->mod_revision;
+      const auto known = DecodeRevision((*current)->value);
+      if (!known)
+        return {error_kind::kInternal, "stored revision is not understood"};
+      // The nonce settles a write whose answer was lost.
+      if (known->nonce == next.nonce) {
+        Take((*current)->value);
+        return edit_outcome{next.number, next.digest};
+      }
+      found = known->number;
+      Take((*current)->value);
+    }
+    // A store restored from an old copy must not make the fleet go back.
+    if (std::max(found, keeper_.Number()) != base) {
+      if (write_unanswered && found > base)
+        return {error_kind::kConfigConflict,
+                "revision " + std::to_string(found) +
+                    " stands; the edit may have been in force before it"};
+      return {error_kind::kConfigConflict,
+              "based on revision " + std::to_string(base) + ", but revision " +
+                  std::to_string(std::max(found, keeper_.Number())) +
+                  " is in force"};
+    }
+    const auto swap = runtime_.store.CompareAndSwap(
+        key, mod_revision, {{key, encoded}}, until, yield);
+    if (swap && swap->applied) {
+      Take(encoded);
+      return edit_outcome{next.number, next.digest};
+    }
+    write_unanswered = write_unanswered || !swap;
+    if (!swap)
+      Sleep(runtime_.io, kShortestPause, yield);
+  }
+  return {error_kind::kStoreUnavailable,
+          write_unanswered ? "not settled whether the edit was accepted"
+                           : "the edit was not accepted"};
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/gateway/dispatcher.cc
@@ -0,0 +1,211 @@
+#include "src/gateway/dispatcher.h"
+
+#include "src/gateway/config_service.h"
+#include "src/gateway/membership_service.h"
+
+namespace cactusward {
+namespace {
+
+constexpr milliseconds kPumpPeriod{50};
+// Pumps are gathered so that a long queue is not walked for every event.
+constexpr milliseconds kPumpGather{2};
+constexpr std::size_t kLongQueue = 32;
+constexpr double kMillisecondsPerSecond = 1000;
+
+}  // namespace
+
+placed_request::placed_request(upstream_directory* directory,
+                               upstream_pool* pool,
+                               std::uint64_t id,
+                               std::string address)
+    : directory_(directory),
+      pool_(pool),
+      id_(id),
+      address_(std::move(address)) {}
+
+placed_request::~placed_request() {
+  directory_->End(pool_, id_);
+}
+
+dispatcher::dispatcher(runtime& runtime)
+    : runtime_(runtime), pump_delay_(runtime.io) {}
+
+void dispatcher::Start() {
+  config_ = runtime_.registry.Find<config_service>(kConfigServiceName);
+  directory_ =
+      runtime_.registry.Find<upstream_directory>(kDirectoryServiceName);
+  auto* membership =
+      runtime_.registry.Find<membership_service>(kMembershipServiceName);
+  directory_->OnRoom([this] { SchedulePump(); });
+  config_->keeper().Subscribe([this](const active_config& active) {
+    // A policy with state keeps it while its settings stay.
+    if (policy_ && policy_settings_ == active.config.routing)
+      return;
+    policy_settings_ = active.config.routing;
+    policy_ = MakeRoutingPolicy(policy_settings_);
+  });
+  pump_timer_ =
+      runtime_.timers.Every(kPumpPeriod, [this, membership](time_point) {
+        ledger_.SetInstances(static_cast<int>(membership->LiveCount()));
+        Pump();
+      });
+}
+
+std::unique_ptr<placed_request> dispatcher::TryPlace(
+    const placement_request& request,
+    cancel_token* cancel,
+    error_kind* failure) {
+  upstream_pool* pool = directory_->Pool(request.service);
+  if (!pool || !policy_) {
+    *failure = error_kind::kNoUpstream;
+    return nullptr;
+  }
+  const time_point now = clock::now();
+  const auto chosen =
+      policy_->Choose(request.routing, pool_view(pool, now), runtime_.random());
+  if (!chosen)
+    return nullptr;
+  const time_point expected_end =
+      now + chosen->expected_first_token + request.least_run_time;
+  if (pool->service().kind == service_kind::kModel &&
+      expected_end > request.deadline) {
+    *failure = error_kind::kDeadlineInfeasible;
+    return nullptr;
+  }
+  dispatch sent;
+  sent.address = pool->AddressAt(chosen->upstream);
+  sent.prompt_tokens = request.routing.prompt_tokens;
+  sent.kv_tokens = request.routing.kv_tokens;
+  sent.fingerprint = request.fingerprint;
+  sent.is_long = request.routing.is_long;
+  sent.suspect = request.routing.alone;
+  sent.sent_at = now;
+  const std::uint64_t id = directory_->Begin(pool, sent, cancel);
+  return std::make_unique<placed_request>(directory_, pool, id, sent.address);
+}
+
+// Time that the work queued ahead of `request` needs on all upstreams.
+milliseconds dispatcher::QueueDelay(const placement_request& request,
+                                    upstream_pool* pool) const {
+  double ahead = 0;
+  for (const auto& [id, waiting] : waiters_) {
+    if (waiting->request->service == request.service &&
+        waiting->request->length_class <= request.length_class)
+      ahead += static_cast<double>(waiting->request->routing.prompt_tokens);
+  }
+  const double rate =
+      static_cast<double>(pool->service().prefill_tokens_per_second) *
+      static_cast<double>(std::max<std::size_t>(pool->size(), 1));
+  return milliseconds(
+      static_cast<std::int64_t>(ahead / rate * kMillisecondsPerSecond));
+}
+
+result<std::unique_ptr<placed_request>> dispatcher::Place(
+    const placement_request& request,
+    cancel_token* cancel,
+    asio::yield_context yield) {
+  if (cancel->cancelled())
+    return error_kind::kCallerGone;
+  upstream_pool* pool = directory_->Pool(request.service);
+  if (!pool || pool->size() == 0)
+    return {error_kind::kNoUpstream, request.service};
+  error_kind failure = error_kind::kOk;
+  if (queue_.size() == 0) {
+    if (auto place = TryPlace(request, cancel, &failure))
+      return place;
+    if (failure != error_kind::kOk)
+      return {failure, {}};
+  }
+  const bool is_model = pool->service().kind == service_kind::kModel;
+  if (is_model &&
+      clock::now() + QueueDelay(request, pool) + request.least_run_time >
+          request.deadline)
+    return {error_kind::kDeadlineInfeasible, "too much work is queued"};
+  const auto active = config_->Current();
+  const auto& classes = active->config.classes;
+  queued_request queued;
+  queued.id = next_id_++;
+  queued.length_class = std::min(request.length_class, classes.size() - 1);
+  queued.organisation = request.organisation;
+  queued.service = request.service;
+  queued.prompt_tokens = request.routing.prompt_tokens;
+  queued.queued_at = clock::now();
+  queued.deadline = request.deadline;
+  int max_queued = 0;
+  for (const organisation& known : active->config.organisations) {
+    if (known.name == request.organisation)
+      max_queued = known.limits.max_queued;
+  }
+  const auto pushed =
+      queue_.Push(queued, classes[queued.length_class], max_queued);
+  if (!pushed)
+    return {pushed.kind(), pushed.detail()};
+  waiter waiting(runtime_.io);
+  waiting.request = &request;
+  waiting.cancel = cancel;
+  waiters_[queued.id] = &waiting;
+  cancel->OnCancel([&waiting] { waiting.timer.cancel(); });
+  Pump();
+  // Work is given up while a timely refusal is still possible.
+  const time_point give_up = request.deadline - request.least_run_time;
+  while (!waiting.place && waiting.failure == error_kind::kOk &&
+         !cancel->cancelled() && clock::now() < give_up)
+    WaitOn(waiting.timer, give_up, yield);
+  cancel->OnCancel({});
+  queue_.Remove(queued.id);
+  waiters_.erase(queued.id);
+  if (waiting.place)
+    return std::move(waiting.place);
+  if (cancel->cancelled())
+    return error_kind::kCallerGone;
+  if (waiting.failure != error_kind::kOk)
+    return {waiting.failure, {}};
+  return {error_kind::kDeadlineInfeasible, "no place in time"};
+}
+
+void dispatcher::SchedulePump() {
+  if (queue_.size() == 0 || pump_scheduled_)
+    return;
+  pump_scheduled_ = true;
+  pump_delay_.expires_after(queue_.size() > kLongQueue ? kPumpGather
+                                                       : milliseconds(0));
+  pump_delay_.async_wait([this](const boost::system::error_code& error) {
+    pump_scheduled_ = false;
+    if (!error)
+      Pump();
+  });
+}
+
+void dispatcher::Pump() {
+  if (queue_.size() == 0)
+    return;
+  // A class that found no room at a service finds none for its later requests.
+  std::map<std::pair<std::string, bool>, bool> full;
+  for (std::uint64_t id : queue_.Order(clock::now())) {
+    const auto it = waiters_.find(id);
+    if (it == waiters_.end())
+      continue;
+    waiter& waiting = *it->second;
+    bool& is_full =
+        full[{waiting.request->service, waiting.request->routing.is_long}];
+    if (is_full || waiting.place || waiting.failure != error_kind::kOk)
+      continue;
+    waiting.place =
+        TryPlace(*waiting.request, waiting.cancel, &waiting.failure);
+    if (!waiting.place && waiting.failure == error_kind::kOk) {
+      is_full = !waiting.request->routing.alone;
+      continue;
+    }
+    queue_.Remove(id);
+    waiting.timer.cancel();
+  }
+}
+
+std::vector<queue_row> dispatcher::QueueRows() const {
+  const auto active = config_->Current();
+  if (!active)
+    return {};
+  return queue_.Rows(active->config.classes, clock::now());
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/gateway/dispatcher.h
@@ -0,0 +1,112 @@
+// Brings admitted requests to upstreams: queue, placement, refusal in time.
+#ifndef CACTUSWARD_SRC_GATEWAY_DISPATCHER_H_
+#define CACTUSWARD_SRC_GATEWAY_DISPATCHER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cactusward/admission.h"
+#include "cactusward/routing.h"
+#include "src/gateway/names.h"
+#include "src/gateway/runtime.h"
+#include "src/gateway/upstream_directory.h"
+
+namespace cactusward {
+
+class config_service;
+
+// What a request asks of the dispatcher.
+struct placement_request {
+  std::string service;
+  std::string organisation;
+  std::size_t length_class = 0;
+  routing_request routing;
+  std::uint64_t fingerprint = 0;
+  time_point deadline;
+  milliseconds least_run_time{0};  // beyond the first token
+};
+
+// A place at an upstream. Ends the dispatch when destroyed.
+class placed_request {
+ public:
+  placed_request(upstream_directory* directory,
+                 upstream_pool* pool,
+                 std::uint64_t id,
+                 std::string address);
+  ~placed_request();
+  placed_request(const placed_request&) = delete;
+  placed_request& operator=(const placed_request&) = delete;
+
+  const std::string& address() const { return address_; }
+  upstream_pool* pool() const { return pool_; }
+  void FirstToken() { pool_->FirstToken(id_); }
+
+ private:
+  upstream_directory* directory_;
+  upstream_pool* pool_;
+  std::uint64_t id_;
+  std::string address_;
+};
+
+class dispatcher : public service {
+ public:
+  explicit dispatcher(runtime& runtime);
+
+  std::string_view service_name() const override {
+    return kDispatcherServiceName;
+  }
+  void Start() override;
+
+  // Waits for a place.
+  // @param cancel ends the wait, and later the dispatch when the upstream
+  //     cannot be reached any more; it outlives the place.
+  // @return kQueueFull, kOrganisationLimit, kDeadlineInfeasible, kNoUpstream
+  //     or kCallerGone; nothing has been sent in any of these cases.
+  result<std::unique_ptr<placed_request>> Place(
+      const placement_request& request,
+      cancel_token* cancel,
+      asio::yield_context yield);
+
+  // Whether engines are sent priorities under the policy in force.
+  bool UsesPriorities() const { return policy_ && policy_->UsesPriorities(); }
+  organisation_ledger& ledger() { return ledger_; }
+  std::vector<queue_row> QueueRows() const;
+  std::size_t queued() const { return queue_.size(); }
+
+ private:
+  struct waiter {
+    explicit waiter(asio::io_context& io) : timer(io) {}
+    const placement_request* request = nullptr;
+    cancel_token* cancel = nullptr;
+    asio::steady_timer timer;
+    std::unique_ptr<placed_request> place;
+    error_kind failure = error_kind::kOk;
+  };
+
+  std::unique_ptr<placed_request> TryPlace(const placement_request& request,
+                                           cancel_token* cancel,
+                                           error_kind* failure);
+  milliseconds QueueDelay(const placement_request& request,
+                          upstream_pool* pool) const;
+  void SchedulePump();
+  void Pump();
+
+  runtime& runtime_;
+  config_service* config_ = nullptr;
+  upstream_directory* directory_ = nullptr;
+  std::unique_ptr<routing_policy> policy_;
+  routing_settings policy_settings_;
+  organisation_ledger ledger_;
+  request_queue queue_;
+  std::map<std::uint64_t, waiter*> waiters_;
+  std::unique_ptr<timer_subscription> pump_timer_;
+  asio::steady_timer pump_delay_;
+  bool pump_scheduled_ = false;
+  std::uint64_t next_id_ = 1;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_GATEWAY_DISPATCHER_H_
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,125 @@
+#include "src/gateway/gateway.h"
+
+#include "src/gateway/call_run.h"
+#include "src/gateway/completion_run.h"
+#include "src/kernel/log.h"
+
+namespace cactusward {
+namespace {
+
+constexpr std::string_view kAdminPrefix = "/v1/admin/";
+constexpr std::string_view kServicesPrefix = "/v1/services/";
+constexpr milliseconds kTextTimeout{5'000};
+
+// Higher than that of any earlier process of the same name, on any host whose
+// clock is not far behind.
+std::uint64_t NewIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+}  // namespace
+
+gateway::gateway(asio::io_context& io, const instance_settings& settings)
+    : io_(io),
+      settings_(settings),
+      random_(std::random_device{}()),
+      timers_(io),
+      client_(io),
+      store_(&client_, settings.key_value),
+      runtime_{io,      settings, NewIncarnation(), timers_,
+               client_, store_,   registry_,        random_},
+      peers_(io, settings.peer_secret, this),
+      config_(runtime_, &peers_),
+      membership_(runtime_),
+      recovery_(runtime_),
+      directory_(runtime_),
+      dispatcher_(runtime_),
+      claims_(runtime_),
+      report_(runtime_),
+      lifecycle_(runtime_),
+      server_(io, this, http_server_limits()) {
+  for (service* part :
+       {static_cast<service*>(&config_), static_cast<service*>(&membership_),
+        static_cast<service*>(&recovery_), static_cast<service*>(&directory_),
+        static_cast<service*>(&dispatcher_), static_cast<service*>(&claims_),
+        static_cast<service*>(&report_), static_cast<service*>(&lifecycle_)})
+    registry_.Add(part);
+  handlers_ = handler_services::FindIn(registry_);
+  operators_ = std::make_unique<operator_api>(runtime_, handlers_);
+  lifecycle_.OnDrained([this] {
+    server_.StopAccepting();
+    io_.stop();
+  });
+}
+
+bool gateway::Start() {
+  if (!server_.Listen(settings_.listen) ||
+      !peers_.Listen(settings_.peer_listen) || !membership_.Listen())
+    return false;
+  registry_.StartAll();
+  Log(log_level::kInfo, "started",
+      {{"listen", settings_.listen},
+       {"peer_listen", settings_.peer_listen},
+       {"availability_zone", settings_.availability_zone},
+       {"incarnation", runtime_.incarnation}});
+  return true;
+}
+
+void gateway::Drain() {
+  lifecycle_.Drain();
+}
+
+void gateway::OnPeerCall(const nlohmann::json& request, reply reply) {
+  const auto op = request.is_object() ? request.find("op") : request.end();
+  if (request.is_object() && op != request.end() && *op == "config_get")
+    return reply({{"config", config_.keeper().Encoded()}});
+  reply({{"error", AnswerFor(error_kind::kBadRequest).name}});
+}
+
+void gateway::Handle(http_exchange& exchange, asio::yield_context yield) {
+  const std::string_view path = exchange.Path();
+  const time_point deadline = clock::now() + kTextTimeout;
+  if (path == "/healthz") {
+    exchange.Answer(200, "text/plain", "ok\n", deadline, yield);
+  } else if (path == "/readyz") {
+    const bool ready = lifecycle_.IsReady(clock::now());
+    exchange.Answer(ready ? 200 : 503, "text/plain",
+                    ready ? "ready\n" : "not ready\n", deadline, yield);
+  } else if (path == "/metrics") {
+    exchange.Answer(200, "text/plain; version=0.0.4", report_.MetricsText(),
+                    deadline, yield);
+  } else if (path.substr(0, kAdminPrefix.size()) == kAdminPrefix) {
+    operators_->Handle(exchange, yield);
+  } else {
+    HandleCaller(exchange, yield);
+  }
+}
+
+void gateway::HandleCaller(http_exchange& exchange, asio::yield_context yield) {
+  const std::string path(exchange.Path());
+  const bool is_post = exchange.request().method() == http::verb::post;
+  const bool completion = path == "/v1/completions";
+  const bool chat = path == "/v1/chat/completions";
+  const bool call =
+      path.compare(0, kServicesPrefix.size(), kServicesPrefix) == 0;
+  if (!is_post || (!completion && !chat && !call)) {
+    exchange.AnswerError(error_kind::kNotFound, path, yield);
+    return;
+  }
+  request_context context(runtime_, handlers_, exchange);
+  const auto caller = context.Authenticate();
+  if (!caller)
+    return context.Fail(caller.kind(), caller.detail(), yield);
+  if (!call)
+    return completion_run(runtime_, context, chat).Run(yield);
+  const std::string rest = path.substr(kServicesPrefix.size());
+  const auto slash = std::min(rest.find('/'), rest.size());
+  call_run(runtime_, context, rest.substr(0, slash),
+           rest.substr(std::min(slash + 1, rest.size())))
+      .Run(yield);
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,63 @@
+// The daemon: builds the services, connects them, serves requests.
+#ifndef CACTUSWARD_SRC_GATEWAY_GATEWAY_H_
+#define CACTUSWARD_SRC_GATEWAY_GATEWAY_H_
+
+#include <memory>
+
+#include "src/edges/asio_timer_service.h"
+#include "src/edges/etcd_store.h"
+#include "src/edges/http_server.h"
+#include "src/edges/peer_link.h"
+#include "src/gateway/claim_service.h"
+#include "src/gateway/config_service.h"
+#include "src/gateway/dispatcher.h"
+#include "src/gateway/lifecycle_service.h"
+#include "src/gateway/membership_service.h"
+#include "src/gateway/operator_api.h"
+#include "src/gateway/recovery_service.h"
+#include "src/gateway/report_service.h"
+#include "src/gateway/upstream_directory.h"
+
+namespace cactusward {
+
+class gateway : public http_handler, public peer_handler {
+ public:
+  // Precondition: `io` and `settings` outlive the gateway.
+  gateway(asio::io_context& io, const instance_settings& settings);
+
+  // @return false when an address cannot be had.
+  bool Start();
+  // Begins the planned stop; `io` is stopped when it has ended.
+  void Drain();
+
+  void Handle(http_exchange& exchange, asio::yield_context yield) override;
+  void OnPeerCall(const nlohmann::json& request, reply reply) override;
+
+ private:
+  void HandleCaller(http_exchange& exchange, asio::yield_context yield);
+
+  asio::io_context& io_;
+  const instance_settings& settings_;
+  std::mt19937_64 random_;
+  asio_timer_service timers_;
+  http_client client_;
+  etcd_store store_;
+  service_registry registry_;
+  runtime runtime_;
+  peer_link peers_;
+  config_service config_;
+  membership_service membership_;
+  recovery_service recovery_;
+  upstream_directory directory_;
+  dispatcher dispatcher_;
+  claim_service claims_;
+  report_service report_;
+  lifecycle_service lifecycle_;
+  handler_services handlers_;
+  std::unique_ptr<operator_api> operators_;
+  http_server server_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/gateway/lifecycle_service.cc
@@ -0,0 +1,57 @@
+#include "src/gateway/lifecycle_service.h"
+
+#include "src/gateway/claim_service.h"
+#include "src/gateway/config_service.h"
+#include "src/gateway/membership_service.h"
+#include "src/kernel/log.h"
+
+namespace cactusward {
+namespace {
+
+constexpr milliseconds kDrainPoll{20};
+constexpr milliseconds kLastWords{50};
+
+}  // namespace
+
+void lifecycle_service::Start() {
+  config_ = runtime_.registry.Find<config_service>(kConfigServiceName);
+  claims_ = runtime_.registry.Find<claim_service>(kClaimServiceName);
+  membership_ =
+      runtime_.registry.Find<membership_service>(kMembershipServiceName);
+}
+
+bool lifecycle_service::IsReady(time_point now) const {
+  return !draining() && config_->IsUsable(now);
+}
+
+error_kind lifecycle_service::Admission(time_point now) const {
+  if (drain_began_ && now - *drain_began_ >= runtime_.settings.drain_grace)
+    return error_kind::kDraining;
+  return config_->IsUsable(now) ? error_kind::kOk : error_kind::kNotReady;
+}
+
+void lifecycle_service::Drain() {
+  if (draining())
+    return;
+  drain_began_ = clock::now();
+  Log(log_level::kInfo, "drain_began", {{"in_flight", in_flight_}});
+  Spawn(runtime_.io, "drain",
+        [this](asio::yield_context yield) { WaitForEnd(yield); });
+}
+
+void lifecycle_service::WaitForEnd(asio::yield_context yield) {
+  const auto& settings = runtime_.settings;
+  Sleep(runtime_.io, settings.drain_grace, yield);
+  membership_->Leave();
+  const time_point limit = clock::now() + settings.drain_limit;
+  while ((in_flight_ > 0 || claims_->pending() > 0) && clock::now() < limit)
+    Sleep(runtime_.io, kDrainPoll, yield);
+  Log(log_level::kInfo, "drained",
+      {{"in_flight", in_flight_}, {"unsettled_claims", claims_->pending()}});
+  // Answers already written leave the process before it ends.
+  Sleep(runtime_.io, kLastWords, yield);
+  if (on_drained_)
+    on_drained_();
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/gateway/lifecycle_service.h
@@ -0,0 +1,58 @@
+// Readiness and the planned stop.
+#ifndef CACTUSWARD_SRC_GATEWAY_LIFECYCLE_SERVICE_H_
+#define CACTUSWARD_SRC_GATEWAY_LIFECYCLE_SERVICE_H_
+
+#include <functional>
+#include <optional>
+
+#include "src/gateway/names.h"
+#include "src/gateway/runtime.h"
+
+namespace cactusward {
+
+class config_service;
+class claim_service;
+class membership_service;
+
+class lifecycle_service : public service {
+ public:
+  explicit lifecycle_service(runtime& runtime) : runtime_(runtime) {}
+
+  std::string_view service_name() const override {
+    return kLifecycleServiceName;
+  }
+  void Start() override;
+
+  // Begins the planned stop. Readiness ends at once; requests are admitted
+  // until the balancer has had time to notice, and then refused; when all in
+  // flight have ended, or at the limit, `on_drained` is called.
+  void Drain();
+  void OnDrained(std::function<void()> on_drained) {
+    on_drained_ = std::move(on_drained);
+  }
+
+  bool draining() const { return drain_began_.has_value(); }
+  bool IsReady(time_point now) const;
+  // Whether a request arriving now is admitted; kOk or the refusal.
+  error_kind Admission(time_point now) const;
+
+  // Counts requests of callers in progress.
+  void Enter() { ++in_flight_; }
+  void Exit() { --in_flight_; }
+  int in_flight() const { return in_flight_; }
+
+ private:
+  void WaitForEnd(asio::yield_context yield);
+
+  runtime& runtime_;
+  config_service* config_ = nullptr;
+  claim_service* claims_ = nullptr;
+  membership_service* membership_ = nullptr;
+  std::optional<time_point> drain_began_;
+  std::function<void()> on_drained_;
+  int in_flight_ = 0;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_GATEWAY_LIFECYCLE_SERVICE_H_
--- /dev/null
+++ b/src/gateway/membership_service.cc
@@ -0,0 +1,204 @@
+#include "src/gateway/membership_service.h"
+
+#include <algorithm>
+
+#include "src/gateway/config_service.h"
+#include "src/gateway/recovery_service.h"
+#include "src/gateway/upstream_directory.h"
+#include "src/kernel/log.h"
+
+namespace cactusward {
+namespace {
+
+constexpr milliseconds kTickPeriod{50};
+constexpr milliseconds kGreetPeriod{1'000};
+constexpr std::size_t kSpreadFanOut = 4;
+constexpr int kSuspectSends = 12;
+constexpr std::size_t kMaxSuspectsPerMessage = 8;
+constexpr std::size_t kMaxInFlightPerMessage = 32;
+// Older reports of a peer's requests say nothing about now.
+constexpr milliseconds kPeerLoadLife{4'000};
+
+membership_settings Settings() {
+  membership_settings settings;
+  settings.probe_period = milliseconds(500);
+  return settings;
+}
+
+member Self(const runtime& runtime) {
+  return {runtime.settings.instance,
+          runtime.incarnation,
+          member_state::kAlive,
+          runtime.settings.listen,
+          runtime.settings.peer_advertise,
+          runtime.settings.availability_zone};
+}
+
+}  // namespace
+
+membership_service::membership_service(runtime& runtime)
+    : runtime_(runtime),
+      table_(Self(runtime), Settings(), runtime.random()),
+      socket_(runtime.io,
+              runtime.settings.peer_secret,
+              [this](std::string_view bytes) { Receive(bytes); }) {}
+
+bool membership_service::Listen() {
+  return socket_.Listen(runtime_.settings.peer_listen);
+}
+
+void membership_service::Start() {
+  config_ = runtime_.registry.Find<config_service>(kConfigServiceName);
+  directory_ =
+      runtime_.registry.Find<upstream_directory>(kDirectoryServiceName);
+  recovery_ = runtime_.registry.Find<recovery_service>(kRecoveryServiceName);
+  tick_ =
+      runtime_.timers.Every(kTickPeriod, [this](time_point now) { Tick(now); });
+  greet_ = runtime_.timers.Every(kGreetPeriod,
+                                 [this](time_point now) { Greet(now); });
+  Greet(clock::now());
+}
+
+void membership_service::Tick(time_point now) {
+  Send(table_.Tick(now));
+  CountLive();
+}
+
+void membership_service::CountLive() {
+  const std::size_t count = table_.Live().size();
+  if (count == live_count_)
+    return;
+  Log(log_level::kInfo, "members_changed",
+      {{"before", live_count_}, {"now", count}});
+  live_count_ = count;
+}
+
+// Greets listed peers that are not live members, so that parted groups find
+// each other again.
+void membership_service::Greet(time_point now) {
+  UpdatePeerBacklog(now);
+  std::vector<std::string> candidates = runtime_.settings.seed_peers;
+  candidates.insert(candidates.end(), listed_peers_.begin(),
+                    listed_peers_.end());
+  std::vector<std::string> missing;
+  const auto live = table_.Live();
+  for (const std::string& address : candidates) {
+    const bool is_live =
+        address == runtime_.settings.peer_advertise ||
+        std::any_of(live.begin(), live.end(), [&address](const member& m) {
+          return m.peer_address == address;
+        });
+    if (!is_live)
+      missing.push_back(address);
+  }
+  constexpr std::size_t kMaxGreetings = 2;
+  for (std::size_t i = 0; i < kMaxGreetings && !missing.empty(); ++i) {
+    const std::size_t pick = runtime_.random() % missing.size();
+    Send({table_.Greeting(missing[pick])});
+    missing.erase(missing.begin() + static_cast<std::ptrdiff_t>(pick));
+  }
+}
+
+void membership_service::Attach(gossip_message* message) {
+  const time_point now = clock::now();
+  if (config_) {
+    message->config_number = config_->keeper().Number();
+    message->confirmed_age_ms = config_->ConfirmedAgeMs(now);
+  }
+  if (directory_) {
+    message->in_flight = directory_->InFlightReports();
+    if (message->in_flight.size() > kMaxInFlightPerMessage)
+      message->in_flight.resize(kMaxInFlightPerMessage);
+  }
+  std::size_t count = std::min(suspect_news_.size(), kMaxSuspectsPerMessage);
+  while (count-- > 0) {
+    suspect_news news = suspect_news_.front();
+    suspect_news_.pop_front();
+    suspect_report report = news.report;
+    report.age_ms +=
+        std::chrono::duration_cast<milliseconds>(now - news.heard_at).count();
+    message->suspects.push_back(report);
+    if (--news.sends_left > 0)
+      suspect_news_.push_back(news);
+  }
+}
+
+void membership_service::Send(std::vector<outbound_message> messages) {
+  for (outbound_message& outbound : messages) {
+    Attach(&outbound.message);
+    socket_.Send(outbound.peer_address, EncodeGossip(outbound.message));
+  }
+}
+
+void membership_service::SpreadNews() {
+  std::vector<outbound_message> messages;
+  for (const member& peer : table_.RandomPeers(kSpreadFanOut))
+    messages.push_back({peer.peer_address, table_.Compose(gossip_kind::kNews)});
+  Send(std::move(messages));
+}
+
+void membership_service::SpreadSuspects(
+    const std::vector<suspect_report>& reports) {
+  if (reports.empty())
+    return;
+  const time_point now = clock::now();
+  for (const suspect_report& report : reports)
+    suspect_news_.push_front({report, now, kSuspectSends});
+  SpreadNews();
+}
+
+void membership_service::Leave() {
+  Send(table_.Leave(clock::now()));
+}
+
+void membership_service::Receive(std::string_view bytes) {
+  const auto message = DecodeGossip(bytes);
+  if (!message) {
+    socket_.CountMalformed();
+    return;
+  }
+  const time_point now = clock::now();
+  Send(table_.Receive(*message, now));
+  const member& sender = message->sender;
+  if (sender.name == runtime_.settings.instance)
+    return;
+  if (config_)
+    config_->OnPeerRevision(sender.peer_address, message->config_number,
+                            message->confirmed_age_ms);
+  peer_loads_[sender.name] = {message->in_flight, now};
+  if (!recovery_)
+    return;
+  std::vector<suspect_report> news;
+  for (const suspect_report& report : message->suspects) {
+    if (recovery_->Learn(report))
+      news.push_back(report);
+  }
+  SpreadSuspects(news);
+}
+
+void membership_service::UpdatePeerBacklog(time_point now) {
+  std::unordered_map<std::uint32_t, std::int64_t> tokens;
+  for (auto it = peer_loads_.begin(); it != peer_loads_.end();) {
+    if (now - it->second.heard_at > kPeerLoadLife) {
+      it = peer_loads_.erase(it);
+      continue;
+    }
+    for (const in_flight_report& report : it->second.reports)
+      tokens[report.upstream] += report.prefill_tokens;
+    ++it;
+  }
+  if (directory_)
+    directory_->SetPeerBacklog(tokens);
+}
+
+bool membership_service::IsLive(const std::string& name,
+                                std::uint64_t incarnation) const {
+  const auto known = table_.Find(name);
+  if (!known)
+    return false;
+  const bool live = known->state == member_state::kAlive ||
+                    known->state == member_state::kSuspect;
+  return live && known->incarnation >= incarnation;
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/gateway/membership_service.h
@@ -0,0 +1,88 @@
+// Runs the membership protocol over datagrams and carries other news with it.
+#ifndef CACTUSWARD_SRC_GATEWAY_MEMBERSHIP_SERVICE_H_
+#define CACTUSWARD_SRC_GATEWAY_MEMBERSHIP_SERVICE_H_
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cactusward/membership.h"
+#include "src/edges/gossip_socket.h"
+#include "src/gateway/names.h"
+#include "src/gateway/runtime.h"
+
+namespace cactusward {
+
+class config_service;
+class upstream_directory;
+class recovery_service;
+
+class membership_service : public service {
+ public:
+  explicit membership_service(runtime& runtime);
+
+  std::string_view service_name() const override {
+    return kMembershipServiceName;
+  }
+  void Start() override;
+  // @return false when the peer address cannot be had.
+  bool Listen();
+
+  // Sends what is new to a few random peers at once.
+  void SpreadNews();
+  // Passes on a death blamed on a request.
+  void SpreadSuspects(const std::vector<suspect_report>& reports);
+  // Tells the fleet that this instance leaves.
+  void Leave();
+  // Peers named by the platform's list.
+  void SetListedPeers(std::vector<std::string> peer_addresses) {
+    listed_peers_ = std::move(peer_addresses);
+  }
+
+  std::vector<member> Live() const { return table_.Live(); }
+  std::vector<member> All() const { return table_.All(); }
+  std::size_t LiveCount() const { return live_count_; }
+  bool HasPeers() const { return table_.HasPeers(); }
+  std::optional<time_point> LastHeard() const { return table_.LastHeard(); }
+  // Whether the instance `name` lives and is still in `incarnation`.
+  bool IsLive(const std::string& name, std::uint64_t incarnation) const;
+  const gossip_socket::counters& traffic() const { return socket_.totals(); }
+
+ private:
+  struct suspect_news {
+    suspect_report report;
+    time_point heard_at;
+    int sends_left = 0;
+  };
+  struct peer_load {
+    std::vector<in_flight_report> reports;
+    time_point heard_at;
+  };
+
+  void Tick(time_point now);
+  void Greet(time_point now);
+  void Receive(std::string_view bytes);
+  void Send(std::vector<outbound_message> messages);
+  void Attach(gossip_message* message);
+  void UpdatePeerBacklog(time_point now);
+  void CountLive();
+
+  runtime& runtime_;
+  member_table table_;
+  gossip_socket socket_;
+  config_service* config_ = nullptr;
+  upstream_directory* directory_ = nullptr;
+  recovery_service* recovery_ = nullptr;
+  std::vector<std::string> listed_peers_;
+  std::deque<suspect_news> suspect_news_;
+  std::unordered_map<std::string, peer_load> peer_loads_;
+  std::unique_ptr<timer_subscription> tick_;
+  std::unique_ptr<timer_subscription> greet_;
+  std::size_t live_count_ = 1;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_GATEWAY_MEMBERSHIP_SERVICE_H_
--- /dev/null
+++ b/src/gateway/operator_api.cc
@@ -0,0 +1,240 @@
+#include "src/gateway/operator_api.h"
+
+#include <charconv>
+
+#include "cactusward/hash.h"
+#include "src/edges/json.h"
+#include "src/gateway/claim_service.h"
+#include "src/gateway/config_service.h"
+#include "src/gateway/lifecycle_service.h"
+#include "src/gateway/membership_service.h"
+#include "src/gateway/recovery_service.h"
+
+namespace cactusward {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kPrefix = "/v1/admin/";
+constexpr std::string_view kBearer = "Bearer ";
+constexpr milliseconds kGatherTimeout{1'500};
+constexpr milliseconds kApplyTimeout{8'000};
+
+json CountJson(const burn_count& count) {
+  return json::array({count.total, count.bad});
+}
+
+}  // namespace
+
+operator_api::operator_api(runtime& runtime, const handler_services& services)
+    : runtime_(runtime),
+      services_(services),
+      membership_(
+          runtime.registry.Find<membership_service>(kMembershipServiceName)) {}
+
+void operator_api::Handle(http_exchange& exchange, asio::yield_context yield) {
+  const std::string_view header = exchange.Header("Authorization");
+  if (header.substr(0, kBearer.size()) != kBearer ||
+      !EqualConstantTime(header.substr(kBearer.size()),
+                         runtime_.settings.operator_key)) {
+    exchange.AnswerError(error_kind::kUnauthenticated, {}, yield);
+    return;
+  }
+  const std::string name(exchange.Path().substr(kPrefix.size()));
+  const auto method = exchange.request().method();
+  if (name == "config" && method == http::verb::get)
+    return GetConfig(exchange, yield);
+  if (name == "config" && method == http::verb::put)
+    return ApplyConfig(exchange, yield);
+  if (name == "config/check" && method == http::verb::post)
+    return CheckConfig(exchange, yield);
+  if (name == "drain" && method == http::verb::post) {
+    services_.lifecycle->Drain();
+    exchange.AnswerJson({{"draining", true}}, yield);
+    return;
+  }
+  if (name == "members" && method == http::verb::get) {
+    exchange.AnswerJson(Members(), yield);
+    return;
+  }
+  json local = LocalReport(name);
+  if (local.is_null() || method != http::verb::get) {
+    exchange.AnswerError(error_kind::kNotFound, name, yield);
+    return;
+  }
+  if (exchange.Query("scope") == "instance") {
+    exchange.AnswerJson(local, yield);
+    return;
+  }
+  exchange.AnswerJson(Gather(name, yield), yield);
+}
+
+void operator_api::GetConfig(http_exchange& exchange,
+                             asio::yield_context yield) {
+  const auto active = services_.config->Current();
+  if (!active) {
+    exchange.AnswerJson({{"revision", 0}, {"document", ""}}, yield);
+    return;
+  }
+  exchange.AnswerJson({{"revision", active->revision.number},
+                       {"digest", active->revision.digest},
+                       {"author", active->revision.author},
+                       {"document", active->revision.document}},
+                      yield);
+}
+
+void operator_api::CheckConfig(http_exchange& exchange,
+                               asio::yield_context yield) {
+  const auto parsed = ParseFleetConfig(exchange.request().body());
+  if (!parsed) {
+    exchange.AnswerError(parsed.kind(), parsed.detail(), yield);
+    return;
+  }
+  exchange.AnswerJson({{"valid", true},
+                       {"organisations", parsed->organisations.size()},
+                       {"services", parsed->services.size()},
+                       {"exceptions", parsed->exceptions.size()}},
+                      yield);
+}
+
+void operator_api::ApplyConfig(http_exchange& exchange,
+                               asio::yield_context yield) {
+  const std::string base_text = exchange.Query("base");
+  std::int64_t base = -1;
+  std::from_chars(base_text.data(), base_text.data() + base_text.size(), base);
+  if (base < 0) {
+    exchange.AnswerError(error_kind::kBadRequest,
+                         "base: the revision edited is required", yield);
+    return;
+  }
+  const auto accepted = services_.config->Apply(
+      exchange.request().body(), base, exchange.Query("author"),
+      clock::now() + kApplyTimeout, yield);
+  if (!accepted) {
+    exchange.AnswerError(accepted.kind(), accepted.detail(), yield);
+    return;
+  }
+  exchange.AnswerJson(
+      {{"revision", accepted->number}, {"digest", accepted->digest}}, yield);
+}
+
+json operator_api::LocalReport(std::string_view name) {
+  if (name == "status")
+    return Status();
+  if (name == "upstreams")
+    return Upstreams();
+  if (name == "queues")
+    return Queues();
+  if (name == "burn")
+    return Burn();
+  return nullptr;
+}
+
+json operator_api::Status() {
+  const time_point now = clock::now();
+  const auto active = services_.config->Current();
+  return {{"instance", runtime_.settings.instance},
+          {"availability_zone", runtime_.settings.availability_zone},
+          {"incarnation", runtime_.incarnation},
+          {"revision", services_.config->keeper().Number()},
+          {"digest", active ? active->revision.digest : ""},
+          {"confirmed_age_ms", services_.config->ConfirmedAgeMs(now)},
+          {"ready", services_.lifecycle->IsReady(now)},
+          {"draining", services_.lifecycle->draining()},
+          {"in_flight", services_.lifecycle->in_flight()},
+          {"queued", services_.dispatch->queued()},
+          {"unsettled_claims", services_.claims->pending()},
+          {"suspects", services_.recovery->suspects()},
+          {"live_members", membership_->LiveCount()}};
+}
+
+json operator_api::Upstreams() {
+  json list = json::array();
+  for (const upstream_pool* pool : services_.directory->Pools()) {
+    for (const upstream_pool::row& row : pool->Rows(clock::now()))
+      list.push_back({{"service", pool->service().name},
+                      {"address", row.address},
+                      {"availability_zone", row.availability_zone},
+                      {"accepting", row.accepting},
+                      {"leaving", row.leaving},
+                      {"ejected", row.ejected},
+                      {"reachable", row.reachable},
+                      {"in_flight", row.in_flight},
+                      {"backlog_tokens", row.backlog_tokens},
+                      {"kv_reserved", row.kv_reserved}});
+  }
+  return list;
+}
+
+json operator_api::Queues() {
+  json list = json::array();
+  for (const queue_row& row : services_.dispatch->QueueRows())
+    list.push_back({{"class", row.length_class},
+                    {"organisation", row.organisation},
+                    {"depth", row.depth},
+                    {"oldest_ms", row.oldest.count()}});
+  return list;
+}
+
+json operator_api::Burn() {
+  json list = json::array();
+  for (const burn_row& row : services_.report->BurnRows()) {
+    json windows = json::array();
+    for (const burn_count& count : row.windows)
+      windows.push_back(CountJson(count));
+    list.push_back({{"class", row.length_class},
+                    {"organisation", row.organisation},
+                    {"windows", std::move(windows)}});
+  }
+  return list;
+}
+
+json operator_api::Members() {
+  json list = json::array();
+  for (const member& member : membership_->All())
+    list.push_back({{"instance", member.name},
+                    {"incarnation", member.incarnation},
+                    {"state", NameOf(member.state)},
+                    {"address", member.address},
+                    {"availability_zone", member.availability_zone}});
+  return list;
+}
+
+json operator_api::Gather(const std::string& name, asio::yield_context yield) {
+  struct gathering {
+    explicit gathering(asio::io_context& io) : done(io) {}
+    json answers = json::object();
+    std::size_t missing = 0;
+    asio::steady_timer done;
+  };
+  const auto state = std::make_shared<gathering>(runtime_.io);
+  const time_point deadline = clock::now() + kGatherTimeout;
+  for (const member& member : membership_->Live()) {
+    if (member.name == runtime_.settings.instance)
+      continue;
+    ++state->missing;
+    state->answers[member.name] = {{"error", "no answer"}};
+    Spawn(runtime_.io, "gather",
+          [this, state, member, name, deadline](asio::yield_context inner) {
+            outgoing_request request;
+            request.target = std::string(kPrefix) + name + "?scope=instance";
+            request.headers = {
+                {"Authorization",
+                 std::string(kBearer) + runtime_.settings.operator_key}};
+            const auto answer =
+                runtime_.client.Call(member.address, request, deadline, inner);
+            if (answer && answer->status == 200) {
+              if (auto parsed = ParseJson(answer->body))
+                state->answers[member.name] = std::move(*parsed);
+            }
+            if (--state->missing == 0)
+              state->done.cancel();
+          });
+  }
+  state->answers[runtime_.settings.instance] = LocalReport(name);
+  if (state->missing > 0)
+    WaitOn(state->done, deadline, yield);
+  return state->answers;
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/gateway/operator_api.h
@@ -0,0 +1,45 @@
+// What operators see and do, over HTTP.
+#ifndef CACTUSWARD_SRC_GATEWAY_OPERATOR_API_H_
+#define CACTUSWARD_SRC_GATEWAY_OPERATOR_API_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "src/edges/http_server.h"
+#include "src/gateway/request_context.h"
+#include "src/gateway/runtime.h"
+
+namespace cactusward {
+
+class membership_service;
+
+class operator_api {
+ public:
+  operator_api(runtime& runtime, const handler_services& services);
+
+  // Answers a request below /v1/admin/.
+  void Handle(http_exchange& exchange, asio::yield_context yield);
+
+ private:
+  void GetConfig(http_exchange& exchange, asio::yield_context yield);
+  void CheckConfig(http_exchange& exchange, asio::yield_context yield);
+  void ApplyConfig(http_exchange& exchange, asio::yield_context yield);
+  // One report about this instance; null for an unknown name.
+  nlohmann::json LocalReport(std::string_view name);
+  nlohmann::json Status();
+  nlohmann::json Upstreams();
+  nlohmann::json Queues();
+  nlohmann::json Burn();
+  // The same report from every live instance, by name.
+  nlohmann::json Gather(const std::string& name, asio::yield_context yield);
+  nlohmann::json Members();
+
+  runtime& runtime_;
+  handler_services services_;
+  membership_service* membership_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_GATEWAY_OPERATOR_API_H_
--- /dev/null
+++ b/src/gateway/recovery_service.cc
@@ -0,0 +1,69 @@
+#include "src/gateway/recovery_service.h"
+
+#include "cactusward/upstreams.h"
+#include "src/gateway/config_service.h"
+#include "src/gateway/membership_service.h"
+#include "src/kernel/log.h"
+
+namespace cactusward {
+namespace {
+
+constexpr std::size_t kRefuseAfterDeaths = 2;
+constexpr milliseconds kDefaultPeriod{600'000};
+constexpr double kDefaultRetryRatio = 0.1;
+constexpr double kRetryReserve = 32;
+constexpr milliseconds kExpiryPeriod{5'000};
+constexpr milliseconds kExplanationTime{300};
+
+}  // namespace
+
+recovery_service::recovery_service(runtime& runtime)
+    : runtime_(runtime),
+      suspects_(kRefuseAfterDeaths, kDefaultPeriod),
+      budget_(kDefaultRetryRatio, kRetryReserve) {}
+
+void recovery_service::Start() {
+  membership_ =
+      runtime_.registry.Find<membership_service>(kMembershipServiceName);
+  auto* config = runtime_.registry.Find<config_service>(kConfigServiceName);
+  config->keeper().Subscribe([this](const active_config& active) {
+    suspects_.SetPeriod(active.config.recovery.suspect_period);
+    budget_.SetRatio(active.config.recovery.retry_ratio);
+  });
+  expiry_ = runtime_.timers.Every(
+      kExpiryPeriod, [this](time_point now) { suspects_.Expire(now); });
+}
+
+suspect_verdict recovery_service::Judge(std::uint64_t fingerprint) const {
+  return suspects_.Judge(fingerprint, clock::now());
+}
+
+suspect_verdict recovery_service::JudgeAfterDeath(std::uint64_t fingerprint,
+                                                  asio::yield_context yield) {
+  if (Judge(fingerprint) != suspect_verdict::kClear)
+    Sleep(runtime_.io, kExplanationTime, yield);
+  return Judge(fingerprint);
+}
+
+void recovery_service::RecordDeath(
+    const std::string& address,
+    const std::vector<std::uint64_t>& in_flight) {
+  const auto reports =
+      suspects_.RecordDeath(UpstreamKey(address), in_flight, clock::now());
+  Log(log_level::kWarning, "upstream_died",
+      {{"upstream", address},
+       {"in_flight", in_flight.size()},
+       {"blamed", reports.size()}});
+  if (membership_)
+    membership_->SpreadSuspects(reports);
+}
+
+bool recovery_service::Learn(const suspect_report& report) {
+  return suspects_.Learn(report, clock::now());
+}
+
+void recovery_service::RecordFinish(std::uint64_t fingerprint) {
+  suspects_.RecordFinish(fingerprint);
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/gateway/request_context.cc
@@ -0,0 +1,124 @@
+#include "src/gateway/request_context.h"
+
+#include <charconv>
+
+#include "cactusward/hash.h"
+#include "src/gateway/claim_service.h"
+#include "src/gateway/config_service.h"
+#include "src/gateway/lifecycle_service.h"
+#include "src/gateway/recovery_service.h"
+
+namespace cactusward {
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kDeadlineHeader = "X-Deadline-Ms";
+constexpr std::string_view kRequestIdHeader = "X-Request-Id";
+
+std::string NextRequestId(const runtime& runtime) {
+  static std::uint64_t counter = 0;
+  return runtime.settings.instance + "-" + std::to_string(runtime.incarnation) +
+         "-" + std::to_string(++counter);
+}
+
+}  // namespace
+
+handler_services handler_services::FindIn(const service_registry& registry) {
+  handler_services found;
+  found.config = registry.Find<config_service>(kConfigServiceName);
+  found.lifecycle = registry.Find<lifecycle_service>(kLifecycleServiceName);
+  found.directory = registry.Find<upstream_directory>(kDirectoryServiceName);
+  found.dispatch = registry.Find<dispatcher>(kDispatcherServiceName);
+  found.recovery = registry.Find<recovery_service>(kRecoveryServiceName);
+  found.claims = registry.Find<claim_service>(kClaimServiceName);
+  found.report = registry.Find<report_service>(kReportServiceName);
+  return found;
+}
+
+request_context::request_context(runtime& runtime,
+                                 const handler_services& services,
+                                 http_exchange& exchange)
+    : services_(services),
+      exchange_(exchange),
+      active_(services.config->Current()),
+      began_(clock::now()) {
+  record_.request_id = NextRequestId(runtime);
+  record_.target = std::string(exchange.Path());
+  exchange_.SetHeader(std::string(kRequestIdHeader), record_.request_id);
+  exchange_.SetHeader("X-Served-By", runtime.settings.instance);
+  if (services_.lifecycle->draining())
+    exchange_.SetClose();
+  services_.lifecycle->Enter();
+}
+
+request_context::~request_context() {
+  exchange_.OnHangUp({});
+  if (admitted_)
+    services_.dispatch->ledger().Release(organisation_->name);
+  record_.total = clock::now() - began_;
+  record_.status = exchange_.status();
+  services_.report->Record(record_);
+  services_.lifecycle->Exit();
+}
+
+result<bool> request_context::Authenticate() {
+  const error_kind admission = services_.lifecycle->Admission(began_);
+  if (admission != error_kind::kOk)
+    return admission;
+  const std::string_view header = exchange_.Header("Authorization");
+  if (header.substr(0, kBearer.size()) != kBearer)
+    return {error_kind::kUnauthenticated,
+            "Authorization: a bearer key is required"};
+  organisation_ =
+      active_->config.FindByKeyDigest(Sha256Hex(header.substr(kBearer.size())));
+  if (!organisation_)
+    return error_kind::kUnauthenticated;
+  record_.organisation = organisation_->name;
+  fingerprint_ =
+      Hash64(exchange_.request().body(), Hash64(organisation_->name));
+  return true;
+}
+
+result<bool> request_context::SetDeadline(milliseconds time_limit) {
+  const request_limits& limits = active_->config.limits;
+  const std::string_view header = exchange_.Header(kDeadlineHeader);
+  milliseconds life = std::min(time_limit, limits.max_deadline);
+  if (!header.empty()) {
+    std::int64_t asked = 0;
+    const auto [end, error] =
+        std::from_chars(header.data(), header.data() + header.size(), asked);
+    if (error != std::errc() || end != header.data() + header.size() ||
+        milliseconds(asked) < limits.min_deadline ||
+        milliseconds(asked) > limits.max_deadline)
+      return {error_kind::kDeadlineOutOfRange,
+              "X-Deadline-Ms: " + std::to_string(limits.min_deadline.count()) +
+                  " to " + std::to_string(limits.max_deadline.count()) +
+                  " is allowed"};
+    life = std::min(life, milliseconds(asked));
+  }
+  deadline_ = began_ + life;
+  return true;
+}
+
+result<bool> request_context::Admit(std::int64_t tokens) {
+  const auto admitted =
+      services_.dispatch->ledger().Admit(*organisation_, tokens, clock::now());
+  admitted_ = admitted.ok();
+  return admitted;
+}
+
+void request_context::Fail(error_kind kind,
+                           std::string_view detail,
+                           asio::yield_context yield) {
+  record_.kind = kind;
+  // A caller that went away, or asked for what cannot be, is no failure of
+  // the service.
+  const int status = AnswerFor(kind).http_status;
+  record_.good =
+      kind == error_kind::kCallerGone ||
+      (status >= 400 && status < 500 && kind != error_kind::kQueueFull);
+  if (!exchange_.answered() && !exchange_.hung_up())
+    exchange_.AnswerError(kind, detail, yield);
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/gateway/request_context.h
@@ -0,0 +1,79 @@
+// What every caller's request needs: who sent it, until when, at whose cost.
+#ifndef CACTUSWARD_SRC_GATEWAY_REQUEST_CONTEXT_H_
+#define CACTUSWARD_SRC_GATEWAY_REQUEST_CONTEXT_H_
+
+#include <memory>
+#include <string>
+
+#include "cactusward/config_keeper.h"
+#include "src/edges/http_server.h"
+#include "src/gateway/dispatcher.h"
+#include "src/gateway/report_service.h"
+
+namespace cactusward {
+
+class lifecycle_service;
+class recovery_service;
+class claim_service;
+
+// The services that handlers use.
+struct handler_services {
+  config_service* config = nullptr;
+  lifecycle_service* lifecycle = nullptr;
+  upstream_directory* directory = nullptr;
+  dispatcher* dispatch = nullptr;
+  recovery_service* recovery = nullptr;
+  claim_service* claims = nullptr;
+  report_service* report = nullptr;
+
+  static handler_services FindIn(const service_registry& registry);
+};
+
+// Owns a request's place in the accounts; its destructor settles them and
+// writes the access record. Lives as long as the handler.
+class request_context {
+ public:
+  request_context(runtime& runtime,
+                  const handler_services& services,
+                  http_exchange& exchange);
+  ~request_context();
+  request_context(const request_context&) = delete;
+  request_context& operator=(const request_context&) = delete;
+
+  // Checks readiness and the caller's key.
+  result<bool> Authenticate();
+  // Takes the caller's deadline, bounded by `time_limit` and the limits.
+  result<bool> SetDeadline(milliseconds time_limit);
+  // Puts the request on the organisation's account.
+  result<bool> Admit(std::int64_t tokens);
+
+  const fleet_config& config() const { return active_->config; }
+  const organisation& caller() const { return *organisation_; }
+  const std::string& request_id() const { return record_.request_id; }
+  time_point deadline() const { return deadline_; }
+  time_point began() const { return began_; }
+  std::uint64_t fingerprint() const { return fingerprint_; }
+  http_exchange& exchange() { return exchange_; }
+  access_record& record() { return record_; }
+  const handler_services& services() const { return services_; }
+
+  // Answers with an error; once something was answered, only records it.
+  void Fail(error_kind kind,
+            std::string_view detail,
+            asio::yield_context yield);
+
+ private:
+  const handler_services& services_;
+  http_exchange& exchange_;
+  std::shared_ptr<const active_config> active_;
+  const organisation* organisation_ = nullptr;
+  bool admitted_ = false;
+  time_point began_;
+  time_point deadline_;
+  std::uint64_t fingerprint_ = 0;
+  access_record record_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_GATEWAY_REQUEST_CONTEXT_H_
--- /dev/null
+++ b/src/gateway/settings.cc
@@ -0,0 +1,72 @@
+#include "src/gateway/settings.h"
+
+#include "src/config/json_reader.h"
+#include "src/edges/net.h"
+
+namespace cactusward {
+namespace {
+
+using internal::fault_list;
+using internal::object_reader;
+
+constexpr std::size_t kMinSecretBytes = 16;
+constexpr std::int64_t kMaxDrainMs = 24LL * 3600 * 1000;
+
+std::string ReadAddress(object_reader& reader, std::string_view name) {
+  std::string address = reader.RequiredText(name);
+  if (!address.empty() && !ParseHostPort(address))
+    reader.Fault(name, "\"" + address + "\"", "an IP number and a port");
+  return address;
+}
+
+log_level ReadLevel(object_reader& reader) {
+  const std::string level =
+      reader.Choice("log_level", "info", {"debug", "info", "warning", "error"});
+  if (level == "debug")
+    return log_level::kDebug;
+  if (level == "warning")
+    return log_level::kWarning;
+  return level == "error" ? log_level::kError : log_level::kInfo;
+}
+
+}  // namespace
+
+result<instance_settings> ParseSettings(std::string_view text) {
+  const auto json = nlohmann::json::parse(text, nullptr, false);
+  if (json.is_discarded())
+    return {error_kind::kConfigInvalid, "settings: not JSON"};
+  fault_list faults;
+  object_reader root(json, "", &faults);
+  instance_settings settings;
+  settings.instance = root.RequiredText("instance");
+  settings.availability_zone = root.RequiredText("availability_zone");
+  settings.listen = ReadAddress(root, "listen");
+  settings.peer_listen = ReadAddress(root, "peer_listen");
+  settings.peer_advertise = root.Has("peer_advertise")
+                                ? ReadAddress(root, "peer_advertise")
+                                : settings.peer_listen;
+  object_reader platform = root.Object("platform");
+  settings.key_value = ReadAddress(platform, "key_value");
+  settings.instance_list = ReadAddress(platform, "instance_list");
+  platform.Finish();
+  object_reader secrets = root.Object("secrets");
+  settings.peer_secret = secrets.RequiredText("peers", kMinSecretBytes);
+  settings.operator_key = secrets.RequiredText("operators", kMinSecretBytes);
+  secrets.Finish();
+  settings.seed_peers = root.Texts("seed_peers");
+  for (const std::string& peer : settings.seed_peers) {
+    if (!ParseHostPort(peer))
+      root.Fault("seed_peers", "\"" + peer + "\"", "an IP number and a port");
+  }
+  settings.drain_grace = milliseconds(root.Integer(
+      "drain_grace_ms", settings.drain_grace.count(), 0, kMaxDrainMs));
+  settings.drain_limit = milliseconds(root.Integer(
+      "drain_limit_ms", settings.drain_limit.count(), 0, kMaxDrainMs));
+  settings.lowest_level = ReadLevel(root);
+  root.Finish();
+  if (!faults.empty())
+    return {error_kind::kConfigInvalid, faults.Text()};
+  return settings;
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/gateway/upstream_directory.cc
@@ -0,0 +1,233 @@
+#include "src/gateway/upstream_directory.h"
+
+#include <nlohmann/json.hpp>
+
+#include "src/gateway/config_service.h"
+#include "src/gateway/membership_service.h"
+#include "src/gateway/recovery_service.h"
+#include "src/kernel/log.h"
+
+namespace cactusward {
+namespace {
+
+constexpr milliseconds kListPeriod{500};
+constexpr milliseconds kListTimeout{2'000};
+constexpr milliseconds kProbeTick{100};
+constexpr milliseconds kProbeTimeout{1'000};
+constexpr milliseconds kBrokenProbeTimeout{300};
+// An upstream with requests of this instance is probed when silent this long.
+constexpr milliseconds kSilence{700};
+constexpr milliseconds kUnreachablePeriod{500};
+// Idle upstreams are probed one after another.
+constexpr milliseconds kIdlePeriod{600};
+constexpr int kUnreachableAfter = 2;
+
+}  // namespace
+
+upstream_directory::upstream_directory(runtime& runtime) : runtime_(runtime) {}
+
+void upstream_directory::Start() {
+  config_ = runtime_.registry.Find<config_service>(kConfigServiceName);
+  membership_ =
+      runtime_.registry.Find<membership_service>(kMembershipServiceName);
+  recovery_ = runtime_.registry.Find<recovery_service>(kRecoveryServiceName);
+  config_->keeper().Subscribe([this](const active_config&) { ApplyConfig(); });
+  Spawn(runtime_.io, "instance_list",
+        [this](asio::yield_context yield) { PollList(yield); });
+  probe_timer_ =
+      runtime_.timers.Every(kProbeTick, [this](time_point now) { Probe(now); });
+}
+
+void upstream_directory::ApplyConfig() {
+  const auto active = config_->Current();
+  for (const upstream_service& service : active->config.services) {
+    auto& pool = pools_[service.name];
+    if (!pool)
+      pool = std::make_unique<upstream_pool>(
+          service, runtime_.settings.availability_zone, ejection_settings());
+    pool->SetService(service);
+    pool->SetMaxEjectedShare(active->config.recovery.max_ejected_share);
+    pool->SetListings(listings_);
+  }
+  // A pool that left the configuration is kept for its dispatches, unlisted.
+  for (auto& [name, pool] : pools_) {
+    if (!active->config.FindService(name))
+      pool->SetListings({});
+  }
+  NotifyRoom();
+}
+
+upstream_pool* upstream_directory::Pool(const std::string& service) {
+  const auto it = pools_.find(service);
+  return it == pools_.end() ? nullptr : it->second.get();
+}
+
+std::vector<upstream_pool*> upstream_directory::Pools() {
+  std::vector<upstream_pool*> pools;
+  for (auto& [name, pool] : pools_)
+    pools.push_back(pool.get());
+  return pools;
+}
+
+void upstream_directory::PollList(asio::yield_context yield) {
+  while (true) {
+    outgoing_request request;
+    request.target = "/v1/instances";
+    const auto answer =
+        runtime_.client.Call(runtime_.settings.instance_list, request,
+                             clock::now() + kListTimeout, yield);
+    std::vector<std::string> peers;
+    const auto listings = answer && answer->status == 200
+                              ? ParseInstanceList(answer->body, &peers)
+                              : std::nullopt;
+    // The last list stays in use while the platform does not answer.
+    if (listings) {
+      membership_->SetListedPeers(std::move(peers));
+      if (*listings != listings_) {
+        listings_ = *listings;
+        for (auto& [name, pool] : pools_) {
+          if (config_->Current()->config.FindService(name))
+            pool->SetListings(listings_);
+        }
+        NotifyRoom();
+      }
+    }
+    Sleep(runtime_.io, kListPeriod, yield);
+  }
+}
+
+void upstream_directory::Probe(time_point now) {
+  std::vector<std::pair<std::string, std::string>> due;
+  std::vector<std::pair<std::string, std::string>> idle;
+  for (auto& [name, pool] : pools_) {
+    for (const upstream_pool::row& row : pool->Rows(now)) {
+      probe_state& state = probes_[row.address];
+      if (state.running || now < state.next)
+        continue;
+      const auto contact = pool->LastContact(row.address);
+      const bool silent =
+          row.in_flight > 0 && (!contact || now - *contact > kSilence);
+      if (!row.reachable || silent || !contact || state.failures > 0)
+        due.emplace_back(name, row.address);
+      else
+        idle.emplace_back(name, row.address);
+    }
+  }
+  if (!idle.empty() && ++rotation_ % (kIdlePeriod / kProbeTick) == 0)
+    due.push_back(idle[runtime_.random() % idle.size()]);
+  for (const auto& [service, address] : due) {
+    probes_[address].running = true;
+    Spawn(
+        runtime_.io, "probe",
+        [this, service = service, address = address](
+            asio::yield_context yield) { ProbeOne(service, address, yield); });
+  }
+}
+
+void upstream_directory::ProbeOne(const std::string& service,
+                                  const std::string& address,
+                                  asio::yield_context yield) {
+  outgoing_request request;
+  request.target = "/health";
+  const auto answer = runtime_.client.Call(address, request,
+                                           clock::now() + kProbeTimeout, yield);
+  const time_point now = clock::now();
+  probe_state& state = probes_[address];
+  state.running = false;
+  upstream_pool* pool = Pool(service);
+  if (!pool)
+    return;
+  if (answer && answer->status == 200) {
+    state.failures = 0;
+    state.next = now + kSilence;
+    RecordAnswer(pool, address, answer->load_metrics);
+    return;
+  }
+  state.next = now + kUnreachablePeriod;
+  const bool refused = answer.kind() == error_kind::kUpstreamUnreachable;
+  if (refused || ++state.failures >= kUnreachableAfter)
+    MarkUnreachable(pool, address);
+}
+
+bool upstream_directory::MarkUnreachable(upstream_pool* pool,
+                                         const std::string& address) {
+  if (!pool->SetReachable(address, false))
+    return false;
+  Log(log_level::kWarning, "upstream_unreachable",
+      {{"upstream", address}, {"service", pool->service().name}});
+  std::vector<cancel_token*> cancelled;
+  for (const auto& [key, open] : open_) {
+    if (key.first == pool && open.address == address && open.cancel)
+      cancelled.push_back(open.cancel);
+  }
+  for (cancel_token* cancel : cancelled)
+    cancel->Cancel();
+  return true;
+}
+
+void upstream_directory::RecordAnswer(upstream_pool* pool,
+                                      const std::string& address,
+                                      std::string_view load_metrics) {
+  const time_point now = clock::now();
+  const auto report = ParseLoadMetrics(load_metrics);
+  pool->RecordReport(address, report.value_or(load_report()), now);
+  if (pool->SetReachable(address, true))
+    Log(log_level::kInfo, "upstream_reachable", {{"upstream", address}});
+  NotifyRoom();
+}
+
+void upstream_directory::OnBroken(upstream_pool* pool,
+                                  const std::string& address,
+                                  asio::yield_context yield) {
+  const auto in_flight = pool->InFlightAt(address);
+  outgoing_request request;
+  request.target = "/health";
+  request.fresh_connection = true;
+  const auto answer = runtime_.client.Call(
+      address, request, clock::now() + kBrokenProbeTimeout, yield);
+  if (answer) {
+    RecordAnswer(pool, address, answer->load_metrics);
+    return;
+  }
+  if (answer.kind() != error_kind::kUpstreamUnreachable)
+    return;
+  // The first of the broken exchanges records the death for all of them.
+  if (MarkUnreachable(pool, address))
+    recovery_->RecordDeath(address, in_flight);
+}
+
+std::uint64_t upstream_directory::Begin(upstream_pool* pool,
+                                        const dispatch& dispatch,
+                                        cancel_token* cancel) {
+  const std::uint64_t id = pool->Begin(dispatch);
+  open_[{pool, id}] = {dispatch.address, cancel};
+  return id;
+}
+
+void upstream_directory::End(upstream_pool* pool, std::uint64_t id) {
+  open_.erase({pool, id});
+  pool->End(id);
+  NotifyRoom();
+}
+
+std::vector<in_flight_report> upstream_directory::InFlightReports() const {
+  std::vector<in_flight_report> all;
+  for (const auto& [name, pool] : pools_) {
+    const auto reports = pool->InFlightReports();
+    all.insert(all.end(), reports.begin(), reports.end());
+  }
+  return all;
+}
+
+void upstream_directory::SetPeerBacklog(
+    const std::unordered_map<std::uint32_t, std::int64_t>& tokens) {
+  for (auto& [name, pool] : pools_)
+    pool->SetPeerBacklog(tokens);
+}
+
+void upstream_directory::NotifyRoom() {
+  if (room_listener_)
+    room_listener_();
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/gateway/upstream_formats.cc
@@ -0,0 +1,79 @@
+// Reads the platform's instance list and the upstreams' load metrics.
+#include <nlohmann/json.hpp>
+
+#include "src/gateway/upstream_directory.h"
+
+namespace cactusward {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kMetricsFormat = "JSON ";
+
+std::int64_t MetricOf(const json& metrics, const char* name) {
+  const auto it = metrics.find(name);
+  if (it == metrics.end() || !it->is_number())
+    return 0;
+  const double value = it->get<double>();
+  constexpr double kLargest = 1e15;
+  return value >= 0 && value < kLargest ? static_cast<std::int64_t>(value) : 0;
+}
+
+std::string LabelOf(const json& labels, const char* name) {
+  const auto it = labels.find(name);
+  return it != labels.end() && it->is_string() ? it->get<std::string>()
+                                               : std::string();
+}
+
+}  // namespace
+
+std::optional<load_report> ParseLoadMetrics(std::string_view header) {
+  if (header.substr(0, kMetricsFormat.size()) != kMetricsFormat)
+    return std::nullopt;
+  const json parsed =
+      json::parse(header.substr(kMetricsFormat.size()), nullptr, false);
+  if (!parsed.is_object())
+    return std::nullopt;
+  const auto metrics = parsed.find("named_metrics");
+  if (metrics == parsed.end() || !metrics->is_object())
+    return std::nullopt;
+  load_report report;
+  report.waiting_tokens = MetricOf(*metrics, "waiting_tokens");
+  report.waiting_long_tokens =
+      MetricOf(*metrics, "waiting_low_priority_tokens");
+  report.kv_used_tokens = MetricOf(*metrics, "kv_used_tokens");
+  report.leaving = MetricOf(*metrics, "leaving") > 0;
+  report.lag = milliseconds(MetricOf(*metrics, "lag_ms"));
+  return report;
+}
+
+std::optional<std::vector<upstream_listing>> ParseInstanceList(
+    std::string_view body,
+    std::vector<std::string>* own_peers) {
+  const json parsed = json::parse(body, nullptr, false);
+  if (!parsed.is_array())
+    return std::nullopt;
+  std::vector<upstream_listing> listings;
+  for (const json& group : parsed) {
+    if (!group.is_object() || !group.contains("targets") ||
+        !group["targets"].is_array() || !group.contains("labels") ||
+        !group["labels"].is_object())
+      return std::nullopt;
+    const json& labels = group["labels"];
+    const std::string service = LabelOf(labels, "service");
+    for (const json& target : group["targets"]) {
+      if (!target.is_string() || !ParseHostPort(target.get<std::string>()))
+        return std::nullopt;
+      if (service == kOwnServiceName) {
+        own_peers->push_back(target.get<std::string>());
+        continue;
+      }
+      listings.push_back({target.get<std::string>(), service,
+                          LabelOf(labels, "availability_zone"),
+                          LabelOf(labels, "state") == "leaving"});
+    }
+  }
+  return listings;
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/kernel/easylogging.cc
@@ -0,0 +1,2 @@
+// Compiles the logging library into this project.
+#include <easylogging++.cc>
--- /dev/null
+++ b/src/kernel/log.h
@@ -0,0 +1,24 @@
+// Structured logs: one JSON object a line.
+#ifndef CACTUSWARD_SRC_KERNEL_LOG_H_
+#define CACTUSWARD_SRC_KERNEL_LOG_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+namespace cactusward {
+
+enum class log_level { kDebug, kInfo, kWarning, kError };
+
+// Sets up logging to standard error. Call once, before Log.
+void InitLog(const std::string& instance, log_level lowest);
+
+// Writes one line with time, level, instance, `event` and `fields`.
+// Precondition: `fields` is an object. Thread-safe.
+void Log(log_level level,
+         std::string_view event,
+         const nlohmann::json& fields = nlohmann::json::object());
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_KERNEL_LOG_H_
--- /dev/null
+++ b/src/membership/gossip_codec.cc
@@ -0,0 +1,134 @@
+// CBOR form of gossip messages: arrays by position, to keep datagrams small.
+#include <nlohmann/json.hpp>
+
+#include "cactusward/membership.h"
+
+namespace cactusward {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kVersion = 1;
+constexpr std::size_t kMessageFields = 11;
+constexpr std::size_t kMemberFields = 6;
+constexpr std::size_t kMaxItems = 512;
+
+json MemberToJson(const member& m) {
+  return json::array({m.name, m.incarnation, static_cast<int>(m.state),
+                      m.address, m.peer_address, m.availability_zone});
+}
+
+bool IsInteger(const json& value) {
+  return value.is_number_integer();
+}
+
+bool ReadMember(const json& value, member* out) {
+  if (!value.is_array() || value.size() != kMemberFields ||
+      !value[0].is_string() || !value[1].is_number_unsigned() ||
+      !value[2].is_number_unsigned() || !value[3].is_string() ||
+      !value[4].is_string() || !value[5].is_string())
+    return false;
+  const auto state = value[2].get<std::uint64_t>();
+  if (state > static_cast<std::uint64_t>(member_state::kLeft))
+    return false;
+  *out = {value[0].get<std::string>(),      value[1].get<std::uint64_t>(),
+          static_cast<member_state>(state), value[3].get<std::string>(),
+          value[4].get<std::string>(),      value[5].get<std::string>()};
+  return !out->name.empty();
+}
+
+bool IsList(const json& value) {
+  return value.is_array() && value.size() <= kMaxItems;
+}
+
+bool ReadMembers(const json& value, std::vector<member>* out) {
+  if (!IsList(value))
+    return false;
+  for (const json& item : value) {
+    member next;
+    if (!ReadMember(item, &next))
+      return false;
+    out->push_back(std::move(next));
+  }
+  return true;
+}
+
+bool ReadSuspects(const json& value, std::vector<suspect_report>* out) {
+  if (!IsList(value))
+    return false;
+  for (const json& item : value) {
+    if (!item.is_array() || item.size() != 3 || !item[0].is_number_unsigned() ||
+        !item[1].is_number_unsigned() || !IsInteger(item[2]))
+      return false;
+    out->push_back({item[0].get<std::uint64_t>(), item[1].get<std::uint32_t>(),
+                    item[2].get<std::int64_t>()});
+  }
+  return true;
+}
+
+bool ReadInFlight(const json& value, std::vector<in_flight_report>* out) {
+  if (!IsList(value))
+    return false;
+  for (const json& item : value) {
+    if (!item.is_array() || item.size() != 2 || !item[0].is_number_unsigned() ||
+        !IsInteger(item[1]))
+      return false;
+    out->push_back({item[0].get<std::uint32_t>(), item[1].get<std::int64_t>()});
+  }
+  return true;
+}
+
+bool HasHeader(const json& value) {
+  return value.is_array() && value.size() == kMessageFields &&
+         value[0] == kVersion && value[1].is_number_unsigned() &&
+         value[1].get<std::uint64_t>() <=
+             static_cast<std::uint64_t>(gossip_kind::kNews) &&
+         value[2].is_number_unsigned() && value[4].is_string() &&
+         value[5].is_string() && IsInteger(value[6]) && IsInteger(value[7]);
+}
+
+}  // namespace
+
+std::string EncodeGossip(const gossip_message& message) {
+  json members = json::array();
+  for (const member& item : message.members)
+    members.push_back(MemberToJson(item));
+  json suspects = json::array();
+  for (const suspect_report& item : message.suspects)
+    suspects.push_back(
+        json::array({item.fingerprint, item.upstream, item.age_ms}));
+  json in_flight = json::array();
+  for (const in_flight_report& item : message.in_flight)
+    in_flight.push_back(json::array({item.upstream, item.prefill_tokens}));
+  const json encoded = json::array(
+      {kVersion, static_cast<int>(message.kind), message.sequence,
+       MemberToJson(message.sender), message.target, message.target_address,
+       message.config_number, message.confirmed_age_ms, std::move(members),
+       std::move(suspects), std::move(in_flight)});
+  std::string bytes;
+  json::to_cbor(encoded, bytes);
+  return bytes;
+}
+
+result<gossip_message> DecodeGossip(std::string_view bytes) {
+  const json value = json::from_cbor(bytes, true, false);
+  const result<gossip_message> malformed(error_kind::kBadRequest,
+                                         "malformed gossip message");
+  if (!HasHeader(value))
+    return malformed;
+  gossip_message message;
+  message.kind = static_cast<gossip_kind>(value[1].get<int>());
+  message.sequence = value[2].get<std::uint32_t>();
+  message.target = value[4].get<std::string>();
+  message.target_address = value[5].get<std::string>();
+  message.config_number = value[6].get<std::int64_t>();
+  message.confirmed_age_ms = value[7].get<std::int64_t>();
+  if (!ReadMember(value[3], &message.sender) ||
+      !ReadMembers(value[8], &message.members) ||
+      !ReadSuspects(value[9], &message.suspects) ||
+      !ReadInFlight(value[10], &message.in_flight))
+    return malformed;
+  return message;
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/model/engine_model.h
@@ -0,0 +1,95 @@
+// A model of an inference engine: continuous batching with chunked prefill,
+// memory in tokens, priorities, a bounded prefix cache. No I/O and no clock;
+// docs/MODEL.md states it.
+#ifndef CACTUSWARD_SRC_MODEL_ENGINE_MODEL_H_
+#define CACTUSWARD_SRC_MODEL_ENGINE_MODEL_H_
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cactusward::model {
+
+struct engine_parameters {
+  double prefill_tokens_per_second = 20'000;
+  double step_base_ms = 8;
+  double step_per_sequence_ms = 0.05;
+  std::int64_t chunk_tokens = 512;  // prompt tokens processed in one step
+  std::int64_t kv_capacity_tokens = 450'000;
+  std::size_t max_sequences = 128;
+  std::size_t cache_blocks = 1'000;
+  bool honours_priorities = true;
+};
+
+// A request as the engine sees it.
+struct engine_request {
+  std::uint64_t id = 0;
+  std::int64_t prompt_tokens = 0;
+  int max_tokens = 0;
+  int priority = 0;                          // lower goes first
+  std::vector<std::uint64_t> prefix_blocks;  // chained hashes, first to last
+};
+
+// What one step produced.
+struct step_outcome {
+  double duration_ms = 0;
+  std::vector<std::uint64_t> tokens;    // ids that got a token
+  std::vector<std::uint64_t> finished;  // ids whose last token came
+};
+
+struct engine_load {
+  std::int64_t waiting_tokens = 0;
+  std::int64_t waiting_low_priority_tokens = 0;
+  std::int64_t kv_used_tokens = 0;
+  std::size_t waiting = 0;
+  std::size_t running = 0;
+};
+
+// Not thread-safe.
+class engine_model {
+ public:
+  static constexpr std::int64_t kBlockTokens = 256;
+
+  explicit engine_model(const engine_parameters& parameters)
+      : parameters_(parameters) {}
+
+  void Add(const engine_request& request);
+  // Frees what a request holds. @return whether it was known.
+  bool Cancel(std::uint64_t id);
+  // Runs one step; a zero duration means there was nothing to do.
+  step_outcome Step();
+  bool idle() const { return sequences_.empty(); }
+  engine_load Load() const;
+  // Prompt tokens processed, cache hits excluded.
+  std::int64_t processed_tokens() const { return processed_tokens_; }
+
+ private:
+  struct sequence {
+    engine_request request;
+    std::uint64_t arrival = 0;
+    bool admitted = false;
+    std::int64_t left_to_prefill = 0;
+    int tokens = 0;
+  };
+
+  std::int64_t KvOf(const sequence& sequence) const;
+  std::vector<sequence*> InOrder();
+  void AdmitWaiting(const std::vector<sequence*>& order);
+  std::int64_t CachedTokens(const engine_request& request);
+  void Remember(const engine_request& request);
+
+  engine_parameters parameters_;
+  std::map<std::uint64_t, sequence> sequences_;
+  std::list<std::uint64_t> cache_order_;  // most recently used first
+  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> cache_;
+  std::uint64_t next_arrival_ = 0;
+  std::int64_t kv_used_ = 0;
+  std::int64_t processed_tokens_ = 0;
+};
+
+}  // namespace cactusward::model
+
+#endif  // CACTUSWARD_SRC_MODEL_ENGINE_MODEL_H_
--- /dev/null
+++ b/src/model/platform_standin.cc
@@ -0,0 +1,246 @@
+#include "src/model/platform_standin.h"
+
+#include "src/edges/etcd_store.h"
+#include "src/edges/json.h"
+
+namespace cactusward::model {
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds kWriteTimeout{5'000};
+constexpr std::chrono::hours kForever{24};
+constexpr std::chrono::seconds kSilence{30};
+
+std::string BytesOf(const json& object, const char* name) {
+  const auto it = object.find(name);
+  if (it == object.end() || !it->is_string())
+    return {};
+  return DecodeBase64(it->get<std::string>()).value_or("");
+}
+
+std::int64_t IntegerOf(const json& object, const char* name) {
+  const auto it = object.find(name);
+  if (it == object.end())
+    return 0;
+  if (it->is_string())
+    return std::strtoll(it->get<std::string>().c_str(), nullptr, 10);
+  return it->is_number_integer() ? it->get<std::int64_t>() : 0;
+}
+
+}  // namespace
+
+platform_standin::platform_standin(asio::io_context& io, milliseconds list_lag)
+    : io_(io), list_lag_(list_lag), server_(io, this, http_server_limits()) {}
+
+void platform_standin::Handle(http_exchange& exchange,
+                              asio::yield_context yield) {
+  const std::string path(exchange.Path());
+  if (path == "/control")
+    return Control(exchange, yield);
+  if (path == "/v1/instances" && exchange.request().method() == http::verb::put)
+    return SetList(exchange, yield);
+  if (faults_.silent)
+    Sleep(io_, kSilence, yield);
+  if (faults_.down || faults_.silent) {
+    exchange.SetClose();
+    return;
+  }
+  if (faults_.slow_ms > 0)
+    Sleep(io_, milliseconds(faults_.slow_ms), yield);
+  if (path == "/v1/instances") {
+    exchange.Answer(200, "application/json", list_,
+                    clock::now() + kWriteTimeout, yield);
+    return;
+  }
+  HandleStore(exchange, path, yield);
+}
+
+void platform_standin::HandleStore(http_exchange& exchange,
+                                   const std::string& path,
+                                   asio::yield_context yield) {
+  const auto request = ParseJson(exchange.request().body());
+  if (!request || !request->is_object()) {
+    exchange.AnswerError(error_kind::kBadRequest, {}, yield);
+    return;
+  }
+  ExpireLeases();
+  bool wrote = false;
+  json answer;
+  if (path == "/v3/kv/range") {
+    ++reads_;
+    answer = Range(*request);
+  } else if (path == "/v3/kv/txn") {
+    ++writes_;
+    answer = Txn(*request, &wrote);
+  } else if (path == "/v3/lease/grant") {
+    ++writes_;
+    const std::int64_t id = next_lease_++;
+    leases_[id] =
+        clock::now() + std::chrono::seconds(IntegerOf(*request, "TTL"));
+    answer = {{"ID", std::to_string(id)}};
+  } else if (path == "/v3/watch") {
+    ++reads_;
+    return Watch(exchange, (*request)["create_request"], yield);
+  } else {
+    exchange.AnswerError(error_kind::kNotFound, {}, yield);
+    return;
+  }
+  if (wrote && faults_.lose_answers > 0) {
+    --faults_.lose_answers;
+    exchange.SetClose();
+    return;
+  }
+  answer["header"] = {{"revision", std::to_string(revision_)}};
+  exchange.AnswerJson(answer, yield);
+}
+
+json platform_standin::KeyValue(const std::string& key,
+                                const stored& value) const {
+  return {
+      {"key", EncodeBase64(key)},
+      {"value", EncodeBase64(faults_.stale_reads ? value.before : value.value)},
+      {"mod_revision", std::to_string(value.mod_revision)}};
+}
+
+json platform_standin::Range(const json& request) {
+  const std::string key = BytesOf(request, "key");
+  const std::string end = BytesOf(request, "range_end");
+  json kvs = json::array();
+  if (end.empty()) {
+    const auto it = values_.find(key);
+    if (it != values_.end())
+      kvs.push_back(KeyValue(it->first, it->second));
+  } else {
+    for (auto it = values_.lower_bound(key);
+         it != values_.end() && it->first < end; ++it)
+      kvs.push_back(KeyValue(it->first, it->second));
+  }
+  return {{"kvs", std::move(kvs)}};
+}
+
+json platform_standin::Txn(const json& request, bool* wrote) {
+  bool holds = true;
+  for (const json& compare : request.value("compare", json::array())) {
+    const auto it = values_.find(BytesOf(compare, "key"));
+    const std::int64_t found =
+        it == values_.end() ? 0 : it->second.mod_revision;
+    holds = holds && found == IntegerOf(compare, "mod_revision");
+  }
+  json responses = json::array();
+  for (const json& op :
+       request.value(holds ? "success" : "failure", json::array())) {
+    if (op.contains("request_range"))
+      responses.push_back({{"response_range", Range(op["request_range"])}});
+    if (op.contains("request_put"))
+      Put(op["request_put"]);
+    if (op.contains("request_delete_range"))
+      Delete(BytesOf(op["request_delete_range"], "key"));
+  }
+  *wrote = holds;
+  if (holds)
+    WakeWatchers();
+  return {{"succeeded", holds}, {"responses", std::move(responses)}};
+}
+
+void platform_standin::Put(const json& put) {
+  stored& value = values_[BytesOf(put, "key")];
+  value.before = value.mod_revision == 0 ? BytesOf(put, "value") : value.value;
+  value.value = BytesOf(put, "value");
+  value.lease = IntegerOf(put, "lease");
+  value.mod_revision = ++revision_;
+}
+
+void platform_standin::Delete(const std::string& key) {
+  if (values_.erase(key) > 0)
+    ++revision_;
+}
+
+void platform_standin::ExpireLeases() {
+  const time_point now = clock::now();
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (it->second > now) {
+      ++it;
+      continue;
+    }
+    for (auto value = values_.begin(); value != values_.end();) {
+      if (value->second.lease == it->first)
+        value = values_.erase(value);
+      else
+        ++value;
+    }
+    it = leases_.erase(it);
+  }
+}
+
+void platform_standin::WakeWatchers() {
+  for (watcher* watcher : watchers_)
+    watcher->timer.cancel();
+}
+
+void platform_standin::Watch(http_exchange& exchange,
+                             const json& request,
+                             asio::yield_context yield) {
+  watcher self(io_);
+  self.key = BytesOf(request, "key");
+  self.sent_revision = IntegerOf(request, "start_revision") - 1;
+  watchers_.insert(&self);
+  exchange.OnHangUp([&self] {
+    self.gone = true;
+    self.timer.cancel();
+  });
+  bool open = exchange.BeginStream(200, "application/json",
+                                   clock::now() + kWriteTimeout, yield) &&
+              exchange.WriteChunk("{\"result\":{\"created\":true}}\n",
+                                  clock::now() + kWriteTimeout, yield);
+  while (open && !self.gone && !faults_.down) {
+    const auto it = values_.find(self.key);
+    if (it != values_.end() && it->second.mod_revision > self.sent_revision) {
+      if (faults_.watch_lag_ms > 0)
+        Sleep(io_, milliseconds(faults_.watch_lag_ms), yield);
+      self.sent_revision = it->second.mod_revision;
+      const json event = {
+          {"result",
+           {{"events",
+             {{{"type", "PUT"}, {"kv", KeyValue(it->first, it->second)}}}}}}};
+      open = exchange.WriteChunk(event.dump() + "\n",
+                                 clock::now() + kWriteTimeout, yield);
+      continue;
+    }
+    WaitOn(self.timer, clock::now() + kForever, yield);
+  }
+  exchange.OnHangUp({});
+  exchange.SetClose();
+  watchers_.erase(&self);
+}
+
+void platform_standin::Control(http_exchange& exchange,
+                               asio::yield_context yield) {
+  const auto body = ParseJson(exchange.request().body());
+  if (body && body->is_object()) {
+    faults_.down = body->value("down", faults_.down);
+    faults_.silent = body->value("silent", faults_.silent);
+    faults_.slow_ms = body->value("slow_ms", faults_.slow_ms);
+    faults_.lose_answers = body->value("lose_answers", faults_.lose_answers);
+    faults_.watch_lag_ms = body->value("watch_lag_ms", faults_.watch_lag_ms);
+    faults_.stale_reads = body->value("stale_reads", faults_.stale_reads);
+    WakeWatchers();
+  }
+  exchange.AnswerJson({{"reads", reads_},
+                       {"writes", writes_},
+                       {"keys", values_.size()},
+                       {"watches", watchers_.size()}},
+                      yield);
+}
+
+void platform_standin::SetList(http_exchange& exchange,
+                               asio::yield_context yield) {
+  std::string next = exchange.request().body();
+  Spawn(io_, "list_lag", [this, next](asio::yield_context inner) {
+    Sleep(io_, list_lag_, inner);
+    list_ = next;
+  });
+  exchange.AnswerJson({{"ok", true}}, yield);
+}
+
+}  // namespace cactusward::model
