--- /dev/null
+++ b/src/model/platform_standin.h
@@ -0,0 +1,80 @@
+// A stand-in for the platform: the key-value service (a part of the etcd v3
+// JSON gateway) and the lagging list of instances, with outages, slow answers
+// and answers lost after the write.
+#ifndef CACTUSWARD_SRC_MODEL_PLATFORM_STANDIN_H_
+#define CACTUSWARD_SRC_MODEL_PLATFORM_STANDIN_H_
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+
+#include "src/edges/http_server.h"
+
+namespace cactusward::model {
+
+struct platform_faults {
+  bool down = false;     // every connection breaks, watches too
+  bool silent = false;   // no answer at all
+  int slow_ms = 0;       // each answer is late by this
+  int lose_answers = 0;  // coming writes that take effect unanswered
+  int watch_lag_ms = 0;
+  bool stale_reads = false;  // reads answer with the value before the last
+};
+
+class platform_standin : public http_handler {
+ public:
+  platform_standin(asio::io_context& io, milliseconds list_lag);
+
+  bool Listen(const std::string& address) { return server_.Listen(address); }
+  void Handle(http_exchange& exchange, asio::yield_context yield) override;
+
+ private:
+  struct stored {
+    std::string value;
+    std::string before;  // value before the last write
+    std::int64_t mod_revision = 0;
+    std::int64_t lease = 0;
+  };
+  struct watcher {
+    explicit watcher(asio::io_context& io) : timer(io) {}
+    std::string key;
+    std::int64_t sent_revision = 0;
+    asio::steady_timer timer;
+    bool gone = false;
+  };
+
+  void HandleStore(http_exchange& exchange,
+                   const std::string& path,
+                   asio::yield_context yield);
+  nlohmann::json Range(const nlohmann::json& request);
+  nlohmann::json Txn(const nlohmann::json& request, bool* wrote);
+  void Put(const nlohmann::json& put);
+  void Delete(const std::string& key);
+  nlohmann::json KeyValue(const std::string& key, const stored& value) const;
+  void Watch(http_exchange& exchange,
+             const nlohmann::json& request,
+             asio::yield_context yield);
+  void WakeWatchers();
+  void ExpireLeases();
+  void Control(http_exchange& exchange, asio::yield_context yield);
+  void SetList(http_exchange& exchange, asio::yield_context yield);
+
+  asio::io_context& io_;
+  milliseconds list_lag_;
+  http_server server_;
+  platform_faults faults_;
+  std::map<std::string, stored> values_;
+  std::map<std::int64_t, time_point> leases_;
+  std::set<watcher*> watchers_;
+  std::string list_ = "[]";
+  std::int64_t revision_ = 0;
+  std::int64_t next_lease_ = 1;
+  std::int64_t reads_ = 0;
+  std::int64_t writes_ = 0;
+};
+
+}  // namespace cactusward::model
+
+#endif  // CACTUSWARD_SRC_MODEL_PLATFORM_STANDIN_H_
--- /dev/null
+++ b/src/model/runner_standin.cc
@@ -0,0 +1,252 @@
+#include "src/model/runner_standin.h"
+
+#include "cactusward/hash.h"
+#include "src/edges/json.h"
+#include "src/gateway/completion_format.h"
+
+namespace cactusward::model {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::hours kForever{24};
+constexpr milliseconds kWriteTimeout{60'000};
+constexpr int kCutAfterTokens = 3;
+constexpr std::size_t kBlockBytes = 1024;
+
+std::string TextOf(const json& body, bool chat) {
+  if (!chat)
+    return body.value("prompt", "");
+  std::string text;
+  for (const json& message : body["messages"])
+    text += message.value("content", "");
+  return text;
+}
+
+std::vector<std::uint64_t> PrefixBlocks(std::string_view text) {
+  std::vector<std::uint64_t> blocks;
+  std::uint64_t hash = 0;
+  for (std::size_t at = 0; at + kBlockBytes <= text.size(); at += kBlockBytes) {
+    hash = Hash64(text.substr(at, kBlockBytes), hash);
+    blocks.push_back(hash);
+  }
+  return blocks;
+}
+
+bool Take(int* count) {
+  if (*count <= 0)
+    return false;
+  --*count;
+  return true;
+}
+
+}  // namespace
+
+runner_standin::runner_standin(asio::io_context& io,
+                               const runner_settings& settings)
+    : io_(io),
+      settings_(settings),
+      engine_(settings.engine),
+      server_(io, this, http_server_limits()),
+      work_(io) {
+  Spawn(io_, "engine", [this](asio::yield_context yield) { RunEngine(yield); });
+}
+
+void runner_standin::RunEngine(asio::yield_context yield) {
+  time_point now = clock::now();
+  while (true) {
+    const step_outcome step = engine_.Step();
+    if (step.duration_ms <= 0) {
+      WaitOn(work_, clock::now() + kForever, yield);
+      now = clock::now();
+      continue;
+    }
+    // Sleeps are made up for, so that the modelled speed holds on average.
+    now += std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(step.duration_ms *
+                                                  settings_.time_scale));
+    if (now > clock::now())
+      WaitOn(work_, now, yield);
+    while (clock::now() < now)
+      WaitOn(work_, now, yield);
+    for (std::uint64_t id : step.tokens) {
+      const auto it = generations_.find(id);
+      if (it == generations_.end())
+        continue;
+      ++it->second->ready_tokens;
+      it->second->timer.cancel();
+    }
+    for (std::uint64_t id : step.finished) {
+      const auto it = generations_.find(id);
+      if (it != generations_.end())
+        it->second->finished = true;
+    }
+  }
+}
+
+std::string runner_standin::LoadMetrics() {
+  const time_point now = clock::now();
+  history_.push_back({now, engine_.Load()});
+  while (history_.size() > 1 && history_[1].at <= now - settings_.report_lag)
+    history_.pop_front();
+  const lagged_load& shown = history_.front();
+  const auto lag =
+      std::chrono::duration_cast<milliseconds>(now - shown.at).count();
+  // Rates are in real time, so tokens are stated as they are.
+  return "JSON " + WriteJson({{"named_metrics",
+                               {{"waiting_tokens", shown.load.waiting_tokens},
+                                {"waiting_low_priority_tokens",
+                                 shown.load.waiting_low_priority_tokens},
+                                {"kv_used_tokens", shown.load.kv_used_tokens},
+                                {"leaving", faults_.leaving ? 1 : 0},
+                                {"lag_ms", lag}}}});
+}
+
+void runner_standin::Handle(http_exchange& exchange,
+                            asio::yield_context yield) {
+  const std::string path(exchange.Path());
+  exchange.SetHeader("endpoint-load-metrics", LoadMetrics());
+  if (path == "/v1/completions" || path == "/v1/chat/completions") {
+    Complete(exchange, path == "/v1/chat/completions", yield);
+  } else if (path == "/control") {
+    Control(exchange, yield);
+  } else if (path == "/record") {
+    const engine_load load = engine_.Load();
+    exchange.AnswerJson({{"runs", runs_},
+                         {"kv_used_tokens", load.kv_used_tokens},
+                         {"open", generations_.size()},
+                         {"processed_tokens", engine_.processed_tokens()}},
+                        yield);
+  } else {
+    exchange.AnswerJson({{"ok", true}}, yield);
+  }
+}
+
+void runner_standin::Control(http_exchange& exchange,
+                             asio::yield_context yield) {
+  const auto body = ParseJson(exchange.request().body());
+  if (!body || !body->is_object()) {
+    exchange.AnswerError(error_kind::kBadRequest, {}, yield);
+    return;
+  }
+  faults_.refuse = body->value("refuse", faults_.refuse);
+  faults_.cut = body->value("cut", faults_.cut);
+  faults_.garble = body->value("garble", faults_.garble);
+  faults_.cross = body->value("cross", faults_.cross);
+  faults_.duplicate = body->value("duplicate", faults_.duplicate);
+  faults_.leaving = body->value("leaving", faults_.leaving);
+  exchange.AnswerJson({{"ok", true}}, yield);
+}
+
+void runner_standin::Complete(http_exchange& exchange,
+                              bool chat,
+                              asio::yield_context yield) {
+  auto body = ParseJson(exchange.request().body());
+  if (!body || !body->is_object()) {
+    exchange.AnswerError(error_kind::kBadRequest, {}, yield);
+    return;
+  }
+  exchange.request().body() = std::string();
+  if (Take(&faults_.refuse)) {
+    exchange.AnswerError(error_kind::kQueueFull, {}, yield);
+    return;
+  }
+  const std::string text = TextOf(*body, chat);
+  if (!settings_.crash_marker.empty() &&
+      text.find(settings_.crash_marker) != std::string::npos)
+    std::_Exit(70);
+  const std::string request_id(exchange.Header("X-Request-Id"));
+  ++runs_[request_id];
+  engine_request request;
+  request.id = next_id_++;
+  request.prompt_tokens = EstimateTokens(text.size());
+  request.max_tokens = body->value("max_tokens", 16);
+  request.priority = body->value("priority", 0);
+  request.prefix_blocks = PrefixBlocks(text);
+  body.reset();
+  generation state(io_, text);
+  generations_[request.id] = &state;
+  engine_.Add(request);
+  work_.cancel();
+  exchange.OnHangUp([&state] {
+    state.gone = true;
+    state.timer.cancel();
+  });
+  Stream(exchange, state, chat, (chat ? "chatcmpl-" : "cmpl-") + request_id,
+         request.prompt_tokens, yield);
+  exchange.OnHangUp({});
+  generations_.erase(request.id);
+  engine_.Cancel(request.id);
+}
+
+std::string runner_standin::EventOf(const std::string& id,
+                                    bool chat,
+                                    const std::string& text,
+                                    bool last) const {
+  json choice = {{"index", 0}};
+  choice["finish_reason"] = last ? json("length") : json(nullptr);
+  if (chat)
+    choice["delta"] = {{"content", text}};
+  else
+    choice["text"] = text;
+  return "data: " +
+         WriteJson({{"id", id}, {"choices", json::array({choice})}}) + "\n\n";
+}
+
+void runner_standin::Stream(http_exchange& exchange,
+                            generation& state,
+                            bool chat,
+                            const std::string& id,
+                            std::int64_t prompt_tokens,
+                            asio::yield_context yield) {
+  const bool cut = Take(&faults_.cut);
+  const bool duplicate = Take(&faults_.duplicate);
+  const std::string shown_id = Take(&faults_.cross) ? id + "-other" : id;
+  const auto write = [&](const std::string& bytes) {
+    return exchange.WriteChunk(bytes, clock::now() + kWriteTimeout, yield);
+  };
+  int sent = 0;
+  while (!state.gone) {
+    while (state.ready_tokens == 0 && !state.finished && !state.gone)
+      WaitOn(state.timer, clock::now() + kForever, yield);
+    if (state.gone)
+      return;
+    if (sent == 0 && !exchange.BeginStream(200, "text/event-stream",
+                                           clock::now() + kWriteTimeout, yield))
+      return;
+    std::string bytes;
+    while (state.ready_tokens > 0) {
+      --state.ready_tokens;
+      ++sent;
+      const bool last = state.finished && state.ready_tokens == 0;
+      const std::string event =
+          EventOf(shown_id, chat, state.stream.Next(), last);
+      bytes += event;
+      if (duplicate && sent == 2)
+        bytes += event;
+    }
+    if (Take(&faults_.garble))
+      bytes += "data: {\"id\": not json\n\n";
+    if (cut && sent >= kCutAfterTokens) {
+      exchange.SetClose();
+      write(bytes);
+      return;
+    }
+    if (state.finished && state.ready_tokens == 0) {
+      bytes += "data: " +
+               WriteJson({{"id", shown_id},
+                          {"choices", json::array()},
+                          {"usage",
+                           {{"prompt_tokens", prompt_tokens},
+                            {"completion_tokens", sent}}}}) +
+               "\n\ndata: [DONE]\n\n";
+      if (write(bytes))
+        exchange.EndStream(clock::now() + kWriteTimeout, yield);
+      return;
+    }
+    if (!write(bytes))
+      return;
+  }
+}
+
+}  // namespace cactusward::model
--- /dev/null
+++ b/src/model/service_standin.h
@@ -0,0 +1,36 @@
+// A stand-in for a plain service that records every call it runs.
+#ifndef CACTUSWARD_SRC_MODEL_SERVICE_STANDIN_H_
+#define CACTUSWARD_SRC_MODEL_SERVICE_STANDIN_H_
+
+#include <map>
+#include <string>
+
+#include "src/edges/http_server.h"
+
+namespace cactusward::model {
+
+class service_standin : public http_handler {
+ public:
+  // @param run_time how long a call takes.
+  service_standin(asio::io_context& io, milliseconds run_time);
+
+  bool Listen(const std::string& address) { return server_.Listen(address); }
+  void Handle(http_exchange& exchange, asio::yield_context yield) override;
+
+ private:
+  void RunCall(http_exchange& exchange,
+               const std::string& call,
+               asio::yield_context yield);
+
+  asio::io_context& io_;
+  milliseconds run_time_;
+  http_server server_;
+  std::map<std::string, int> runs_;  // by Idempotency-Key, or by body
+  int lose_answers_ = 0;  // calls that run and whose connection then breaks
+  int refuse_ = 0;
+  bool leaving_ = false;
+};
+
+}  // namespace cactusward::model
+
+#endif  // CACTUSWARD_SRC_MODEL_SERVICE_STANDIN_H_
--- /dev/null
+++ b/tests/support/process_table.cc
@@ -0,0 +1,82 @@
+#include "tests/support/process_table.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace cactusward::test {
+namespace {
+
+constexpr int kSignalExit = 128;
+
+int CodeOf(int status) {
+  return WIFEXITED(status) ? WEXITSTATUS(status)
+                           : kSignalExit + WTERMSIG(status);
+}
+
+}  // namespace
+
+process_table::~process_table() {
+  KillAll();
+}
+
+pid_t process_table::Start(const std::vector<std::string>& arguments,
+                           const std::string& log_path) {
+  std::vector<char*> argv;
+  for (const std::string& argument : arguments)
+    argv.push_back(const_cast<char*>(argument.c_str()));
+  argv.push_back(nullptr);
+  const pid_t parent = getpid();
+  const pid_t pid = fork();
+  if (pid != 0) {
+    if (pid > 0)
+      processes_[pid] = std::nullopt;
+    return pid;
+  }
+  // Children do not outlive the scenario.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (getppid() != parent)
+    _exit(127);
+  const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2(log, STDOUT_FILENO);
+  dup2(log, STDERR_FILENO);
+  const int null = open("/dev/null", O_RDONLY);
+  dup2(null, STDIN_FILENO);
+  for (int fd = STDERR_FILENO + 1; fd < 1024; ++fd)
+    close(fd);
+  execv(argv[0], argv.data());
+  _exit(127);
+}
+
+bool process_table::Signal(pid_t pid, int signal) {
+  const auto it = processes_.find(pid);
+  if (it == processes_.end() || Poll(pid))
+    return false;
+  return kill(pid, signal) == 0;
+}
+
+std::optional<int> process_table::Poll(pid_t pid) {
+  const auto it = processes_.find(pid);
+  if (it == processes_.end())
+    return std::nullopt;
+  int status = 0;
+  if (!it->second && waitpid(pid, &status, WNOHANG) == pid)
+    it->second = CodeOf(status);
+  return it->second;
+}
+
+void process_table::KillAll() {
+  for (auto& [pid, code] : processes_) {
+    if (Poll(pid))
+      continue;
+    kill(pid, SIGKILL);
+    int status = 0;
+    waitpid(pid, &status, 0);
+    code = CodeOf(status);
+  }
+}
+
+}  // namespace cactusward::test
--- /dev/null
+++ b/tests/support/scenario_runner.cc
@@ -0,0 +1,357 @@
+// Runs scenarios written in Lua over real processes.
+//
+//   scenario_runner --bin=DIR --work=DIR [--seed=N] FILE...
+//
+// Functions that a scenario has, beside Lua's own:
+//   start(name, {program, arguments...}) -> id     program is a name in --bin
+//   signal(id, "KILL"|"TERM"|"STOP"|"CONT")        exited(id) -> code or nil
+//   call{method=, address=, path=, body=, headers=, timeout_ms=}
+//       -> {status=, body=, json=, headers=} or {error=}
+//   begin(same) -> handle      finish(handle) -> same    done(handle) -> bool
+//   relay(listen, target) -> handle      cut(handle, bool)
+//   sleep(ms)   now() -> ms   write_file(path, text)   read_file(path)
+//   to_json(value)   from_json(text)   sha256(text)   expected(prompt, tokens)
+//   check(condition, text)     note(text)     work, bin, seed
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <signal.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "cactusward/hash.h"
+#include "src/edges/http_client.h"
+#include "src/edges/json.h"
+#include "src/kernel/log.h"
+#include "src/model/token_stream.h"
+#include "tests/support/lua_json.h"
+#include "tests/support/process_table.h"
+#include "tests/support/relay.h"
+
+ABSL_FLAG(std::string, bin, "build", "folder of the programs");
+ABSL_FLAG(std::string, work, "", "folder for files and logs of the run");
+ABSL_FLAG(uint64_t, seed, 1, "seed given to the scenarios");
+ABSL_FLAG(std::string, options, "", "text given to the scenarios");
+
+namespace cactusward::test {
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds kDefaultTimeout{30'000};
+constexpr milliseconds kSlice{20};
+
+struct pending_call {
+  bool done = false;
+  json answer;
+};
+
+struct world {
+  asio::io_context io;
+  http_client client{io};
+  process_table processes;
+  std::vector<std::shared_ptr<pending_call>> calls;
+  std::vector<std::unique_ptr<relay>> relays;
+  std::string scenario;
+  int checks = 0;
+  int failures = 0;
+};
+
+world& The(lua_State* lua) {
+  return **static_cast<world**>(lua_getextraspace(lua));
+}
+
+// Lets relays and calls go on for `d`.
+void RunFor(world& world, duration d) {
+  const time_point end = clock::now() + d;
+  while (clock::now() < end) {
+    world.io.restart();
+    asio::steady_timer timer(world.io);
+    timer.expires_at(end);
+    timer.async_wait([&world](boost::system::error_code) { world.io.stop(); });
+    world.io.run();
+  }
+}
+
+void Perform(world& world,
+             const json& request,
+             const std::shared_ptr<pending_call>& call,
+             asio::yield_context yield) {
+  outgoing_request outgoing;
+  outgoing.method = http::string_to_verb(request.value("method", "GET"));
+  outgoing.target = request.value("path", "/");
+  outgoing.body = request.value("body", "");
+  const json headers = request.value("headers", json::object());
+  for (const auto& [name, value] : headers.items())
+    outgoing.headers.emplace_back(name, value.get<std::string>());
+  const milliseconds timeout(
+      request.value("timeout_ms", kDefaultTimeout.count()));
+  const time_point began = clock::now();
+  const time_point deadline = began + timeout;
+  call->answer = json::object();
+  const auto stream = world.client.Open(request.value("address", ""), outgoing,
+                                        deadline, yield);
+  if (!stream) {
+    call->answer["error"] = AnswerFor(stream.kind()).name;
+  } else {
+    std::string body;
+    while (true) {
+      const auto bytes = (*stream)->Read(deadline, yield);
+      if (!bytes)
+        call->answer["error"] = AnswerFor(bytes.kind()).name;
+      if (!bytes || bytes->empty())
+        break;
+      body.append(*bytes);
+    }
+    call->answer["status"] = (*stream)->status();
+    call->answer["served_by"] = (*stream)->Header("X-Served-By");
+    call->answer["replayed"] = (*stream)->Header("Idempotent-Replayed");
+    if (auto parsed = ParseJson(body))
+      call->answer["json"] = std::move(*parsed);
+    call->answer["body"] = std::move(body);
+  }
+  call->answer["took_ms"] = ToMilliseconds(clock::now() - began);
+  call->done = true;
+  world.io.stop();
+}
+
+std::shared_ptr<pending_call> Begin(world& world, const json& request) {
+  auto call = std::make_shared<pending_call>();
+  Spawn(world.io, "call", [&world, request, call](asio::yield_context yield) {
+    Perform(world, request, call, yield);
+  });
+  return call;
+}
+
+int LuaStart(lua_State* lua) {
+  world& world = The(lua);
+  const std::string name = luaL_checkstring(lua, 1);
+  std::vector<std::string> arguments;
+  for (const json& argument : ReadJson(lua, 2))
+    arguments.push_back(argument.get<std::string>());
+  arguments[0] = absl::GetFlag(FLAGS_bin) + "/" + arguments[0];
+  const pid_t pid = world.processes.Start(
+      arguments, absl::GetFlag(FLAGS_work) + "/" + name + ".log");
+  lua_pushinteger(lua, pid);
+  return 1;
+}
+
+int LuaSignal(lua_State* lua) {
+  const std::string name = luaL_checkstring(lua, 2);
+  const int signal = name == "KILL"   ? SIGKILL
+                     : name == "TERM" ? SIGTERM
+                     : name == "STOP" ? SIGSTOP
+                                      : SIGCONT;
+  const auto pid = static_cast<pid_t>(luaL_checkinteger(lua, 1));
+  lua_pushboolean(lua, The(lua).processes.Signal(pid, signal) ? 1 : 0);
+  return 1;
+}
+
+int LuaExited(lua_State* lua) {
+  const auto code =
+      The(lua).processes.Poll(static_cast<pid_t>(luaL_checkinteger(lua, 1)));
+  if (!code)
+    return 0;
+  lua_pushinteger(lua, *code);
+  return 1;
+}
+
+int LuaBegin(lua_State* lua) {
+  world& world = The(lua);
+  world.calls.push_back(Begin(world, ReadJson(lua, 1)));
+  lua_pushinteger(lua, static_cast<lua_Integer>(world.calls.size() - 1));
+  return 1;
+}
+
+int LuaDone(lua_State* lua) {
+  const auto handle = static_cast<std::size_t>(luaL_checkinteger(lua, 1));
+  lua_pushboolean(lua, The(lua).calls.at(handle)->done ? 1 : 0);
+  return 1;
+}
+
+int LuaFinish(lua_State* lua) {
+  world& world = The(lua);
+  const auto call =
+      world.calls.at(static_cast<std::size_t>(luaL_checkinteger(lua, 1)));
+  while (!call->done)
+    RunFor(world, kSlice);
+  PushJson(lua, call->answer);
+  call->answer.erase("body");
+  return 1;
+}
+
+int LuaCall(lua_State* lua) {
+  world& world = The(lua);
+  const auto call = Begin(world, ReadJson(lua, 1));
+  while (!call->done) {
+    world.io.restart();
+    world.io.run();
+  }
+  PushJson(lua, call->answer);
+  return 1;
+}
+
+int LuaRelay(lua_State* lua) {
+  world& world = The(lua);
+  world.relays.push_back(std::make_unique<relay>(
+      world.io, luaL_checkstring(lua, 1), luaL_checkstring(lua, 2)));
+  if (!world.relays.back()->Start())
+    return luaL_error(lua, "relay cannot listen");
+  lua_pushinteger(lua, static_cast<lua_Integer>(world.relays.size() - 1));
+  return 1;
+}
+
+int LuaCut(lua_State* lua) {
+  The(lua)
+      .relays.at(static_cast<std::size_t>(luaL_checkinteger(lua, 1)))
+      ->SetCut(lua_toboolean(lua, 2) != 0);
+  return 0;
+}
+
+int LuaSleep(lua_State* lua) {
+  RunFor(The(lua), milliseconds(luaL_checkinteger(lua, 1)));
+  return 0;
+}
+
+int LuaNow(lua_State* lua) {
+  lua_pushnumber(lua, ToMilliseconds(clock::now().time_since_epoch()));
+  return 1;
+}
+
+int LuaWriteFile(lua_State* lua) {
+  std::ofstream(luaL_checkstring(lua, 1), std::ios::binary)
+      << luaL_checkstring(lua, 2);
+  return 0;
+}
+
+int LuaReadFile(lua_State* lua) {
+  std::ifstream file(luaL_checkstring(lua, 1), std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  const std::string bytes = text.str();
+  lua_pushlstring(lua, bytes.data(), bytes.size());
+  return 1;
+}
+
+int LuaToJson(lua_State* lua) {
+  const std::string text = ReadJson(lua, 1).dump();
+  lua_pushlstring(lua, text.data(), text.size());
+  return 1;
+}
+
+int LuaFromJson(lua_State* lua) {
+  PushJson(lua, json::parse(luaL_checkstring(lua, 1), nullptr, false));
+  return 1;
+}
+
+int LuaSha256(lua_State* lua) {
+  lua_pushstring(lua, Sha256Hex(luaL_checkstring(lua, 1)).c_str());
+  return 1;
+}
+
+int LuaExpected(lua_State* lua) {
+  lua_pushstring(
+      lua, model::ExpectedText(luaL_checkstring(lua, 1),
+                               static_cast<int>(luaL_checkinteger(lua, 2)))
+               .c_str());
+  return 1;
+}
+
+int LuaCheck(lua_State* lua) {
+  world& world = The(lua);
+  ++world.checks;
+  if (lua_toboolean(lua, 1) != 0)
+    return 0;
+  ++world.failures;
+  std::cout << "  FAILED " << world.scenario << ": " << luaL_checkstring(lua, 2)
+            << '\n';
+  return 0;
+}
+
+int LuaNote(lua_State* lua) {
+  std::cout << "  " << luaL_checkstring(lua, 1) << '\n' << std::flush;
+  return 0;
+}
+
+void Register(lua_State* lua) {
+  const luaL_Reg functions[] = {{"start", LuaStart},
+                                {"signal", LuaSignal},
+                                {"exited", LuaExited},
+                                {"begin", LuaBegin},
+                                {"finish", LuaFinish},
+                                {"done", LuaDone},
+                                {"call", LuaCall},
+                                {"relay", LuaRelay},
+                                {"cut", LuaCut},
+                                {"sleep", LuaSleep},
+                                {"now", LuaNow},
+                                {"write_file", LuaWriteFile},
+                                {"read_file", LuaReadFile},
+                                {"to_json", LuaToJson},
+                                {"from_json", LuaFromJson},
+                                {"sha256", LuaSha256},
+                                {"expected", LuaExpected},
+                                {"check", LuaCheck},
+                                {"note", LuaNote}};
+  for (const luaL_Reg& function : functions)
+    lua_register(lua, function.name, function.func);
+  lua_pushstring(lua, absl::GetFlag(FLAGS_work).c_str());
+  lua_setglobal(lua, "work");
+  lua_pushstring(lua, absl::GetFlag(FLAGS_bin).c_str());
+  lua_setglobal(lua, "bin");
+  lua_pushinteger(lua, static_cast<lua_Integer>(absl::GetFlag(FLAGS_seed)));
+  lua_setglobal(lua, "seed");
+  lua_pushstring(lua, absl::GetFlag(FLAGS_options).c_str());
+  lua_setglobal(lua, "options");
+}
+
+// @return whether every check of the scenario held.
+bool RunScenario(const std::string& path) {
+  world world;
+  world.scenario = std::filesystem::path(path).stem().string();
+  lua_State* lua = luaL_newstate();
+  *static_cast<test::world**>(lua_getextraspace(lua)) = &world;
+  luaL_openlibs(lua);
+  Register(lua);
+  const std::string folder = std::filesystem::path(path).parent_path().string();
+  luaL_dostring(lua, ("package.path = '" + folder + "/?.lua'").c_str());
+  std::cout << "scenario " << world.scenario << '\n' << std::flush;
+  if (luaL_dofile(lua, path.c_str()) != LUA_OK) {
+    std::cout << "  FAILED " << world.scenario << ": " << lua_tostring(lua, -1)
+              << '\n';
+    ++world.failures;
+  }
+  world.processes.KillAll();
+  lua_close(lua);
+  std::cout << "  " << world.checks << " checks, " << world.failures
+            << " failed\n"
+            << std::flush;
+  return world.failures == 0 && world.checks > 0;
+}
+
+}  // namespace
+}  // namespace cactusward::test
+
+int main(int argc, char** argv) {
+  const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+  if (absl::GetFlag(FLAGS_work).empty())
+    absl::SetFlag(&FLAGS_work, std::filesystem::temp_directory_path().string() +
+                                   "/cactusward." + std::to_string(getpid()));
+  std::filesystem::create_directories(absl::GetFlag(FLAGS_work));
+  cactusward::InitLog("scenario", cactusward::log_level::kError);
+  int passed = 0;
+  std::vector<std::string> failed;
+  for (std::size_t i = 1; i < rest.size(); ++i) {
+    if (cactusward::test::RunScenario(rest[i]))
+      ++passed;
+    else
+      failed.emplace_back(rest[i]);
+  }
+  for (const std::string& path : failed)
+    std::cout << "failed: " << path << '\n';
+  std::cout << passed << " passed, " << failed.size() << " failed\n";
+  return failed.empty() ? 0 : 1;
+}
--- /dev/null
+++ b/tools/cactuswardctl.cc
@@ -0,0 +1,442 @@
+// The operators' tool.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "src/edges/http_client.h"
+#include "src/edges/json.h"
+#include "tools/ctl_output.h"
+
+ABSL_FLAG(std::string,
+          instance,
+          "127.0.0.1:7101",
+          "HTTP address of any instance");
+ABSL_FLAG(std::string,
+          key,
+          "",
+          "operators' key; or the variable CACTUSWARD_OPERATOR_KEY");
+ABSL_FLAG(bool, json, false, "print JSON instead of tables");
+ABSL_FLAG(int64_t, base, -1, "revision that the edit is based on (apply)");
+ABSL_FLAG(std::string, author, "", "who edits (apply)");
+ABSL_FLAG(std::string, out, "", "file to write the document to (config get)");
+ABSL_FLAG(std::string, html, "", "file to write a page to (burn)");
+ABSL_FLAG(int,
+          wait_ms,
+          3000,
+          "how long to wait until every instance has the revision (apply)");
+
+namespace {
+
+using cactusward::http_answer;
+using cactusward::milliseconds;
+using cactusward::ctl::text_table;
+using nlohmann::json;
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitInvalid = 3;
+constexpr int kExitConflict = 4;
+constexpr int kExitUnreachable = 5;
+constexpr int kExitNotEverywhere = 6;
+constexpr milliseconds kCallTimeout{12'000};
+constexpr milliseconds kPollPause{20};
+
+constexpr char kUsage[] =
+    "Operates a fleet of cactusward instances.\n\n"
+    "  cactuswardctl config get [--out=FILE]   the configuration in force\n"
+    "  cactuswardctl config check FILE         validate a document\n"
+    "  cactuswardctl config diff FILE          what FILE would change\n"
+    "  cactuswardctl config apply FILE --author=NAME [--base=N]\n"
+    "  cactuswardctl config status             revision at each instance\n"
+    "  cactuswardctl fleet                     instances and upstreams\n"
+    "  cactuswardctl queues                    what waits, and how long\n"
+    "  cactuswardctl burn [--html=FILE]        service-level burn\n"
+    "  cactuswardctl drain                     planned stop of --instance\n\n"
+    "'config get --out=F' also writes F.base, which 'config apply F' uses to\n"
+    "show both sides when somebody else was first.\n"
+    "Exit codes: 0 done, 1 refused, 2 usage, 3 invalid document, 4 conflict,\n"
+    "5 instance unreachable, 6 accepted but not yet in force everywhere.";
+
+class fleet_client {
+ public:
+  fleet_client() : client_(io_) {}
+
+  // Calls one instance; prints the error and gives no answer when it cannot.
+  std::optional<http_answer> Call(cactusward::http::verb method,
+                                  const std::string& target,
+                                  const std::string& body = {}) {
+    cactusward::outgoing_request request;
+    request.method = method;
+    request.target = target;
+    request.body = body;
+    request.headers = {{"Authorization", "Bearer " + Key()}};
+    std::optional<http_answer> answer;
+    cactusward::Spawn(io_, "call", [&](cactusward::asio::yield_context yield) {
+      auto got = client_.Call(absl::GetFlag(FLAGS_instance), request,
+                              cactusward::clock::now() + kCallTimeout, yield);
+      if (got)
+        answer = std::move(*got);
+      else
+        std::cerr << absl::GetFlag(FLAGS_instance) << ": "
+                  << got.error().message() << " " << got.detail() << '\n';
+    });
+    io_.restart();
+    io_.run();
+    return answer;
+  }
+
+  std::optional<json> Get(const std::string& target) {
+    const auto answer = Call(cactusward::http::verb::get, target);
+    if (!answer)
+      return std::nullopt;
+    auto parsed = cactusward::ParseJson(answer->body);
+    if (answer->status == 200 && parsed)
+      return parsed;
+    std::cerr << answer->body << '\n';
+    return std::nullopt;
+  }
+
+ private:
+  static std::string Key() {
+    const std::string key = absl::GetFlag(FLAGS_key);
+    if (!key.empty())
+      return key;
+    const char* variable = std::getenv("CACTUSWARD_OPERATOR_KEY");
+    return variable ? variable : "";
+  }
+
+  cactusward::asio::io_context io_;
+  cactusward::http_client client_;
+};
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    std::cerr << "cannot read " << path << '\n';
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+int FailWith(const http_answer& answer) {
+  const auto body = cactusward::ParseJson(answer.body);
+  if (!body || !body->contains("error")) {
+    std::cerr << "status " << answer.status << '\n';
+    return kExitFailed;
+  }
+  const json& error = (*body)["error"];
+  std::cerr << error.value("kind", "") << ": " << error.value("message", "")
+            << '\n'
+            << error.value("detail", "") << '\n';
+  if (error.value("kind", "") == "config_invalid")
+    return kExitInvalid;
+  return error.value("kind", "") == "config_conflict" ? kExitConflict
+                                                      : kExitFailed;
+}
+
+int ConfigGet(fleet_client& fleet) {
+  const auto config = fleet.Get("/v1/admin/config");
+  if (!config)
+    return kExitUnreachable;
+  const std::string out = absl::GetFlag(FLAGS_out);
+  if (!out.empty()) {
+    std::ofstream(out) << config->value("document", "");
+    std::ofstream(out + ".base") << config->dump();
+    std::cout << "revision " << config->value("revision", 0) << " written to "
+              << out << '\n';
+  } else if (absl::GetFlag(FLAGS_json)) {
+    std::cout << config->dump(2) << '\n';
+  } else {
+    std::cout << config->value("document", "") << '\n';
+  }
+  return 0;
+}
+
+int ConfigCheck(fleet_client& fleet, const std::string& path) {
+  const auto document = ReadFile(path);
+  if (!document)
+    return kExitUsage;
+  const auto answer = fleet.Call(cactusward::http::verb::post,
+                                 "/v1/admin/config/check", *document);
+  if (!answer)
+    return kExitUnreachable;
+  if (answer->status != 200)
+    return FailWith(*answer);
+  std::cout << "valid\n";
+  return 0;
+}
+
+int ConfigDiff(fleet_client& fleet, const std::string& path) {
+  const auto document = ReadFile(path);
+  const auto config = fleet.Get("/v1/admin/config");
+  if (!document)
+    return kExitUsage;
+  if (!config)
+    return kExitUnreachable;
+  const auto before = cactusward::ParseJson(config->value("document", ""));
+  const auto after = cactusward::ParseJson(*document);
+  if (!after) {
+    std::cerr << path << ": not JSON\n";
+    return kExitInvalid;
+  }
+  std::cout << "against revision " << config->value("revision", 0) << ":\n"
+            << cactusward::ctl::Difference(before.value_or(json::object()),
+                                           *after);
+  return 0;
+}
+
+// Shows the loser of a race what the other changed.
+void ShowConflict(fleet_client& fleet,
+                  const json& base,
+                  const std::string& document) {
+  const auto current = fleet.Get("/v1/admin/config");
+  if (!current)
+    return;
+  const auto theirs = cactusward::ParseJson(current->value("document", ""));
+  const auto mine = cactusward::ParseJson(document);
+  const auto before = cactusward::ParseJson(base.value("document", ""));
+  std::cerr << "revision " << current->value("revision", 0) << " by "
+            << current->value("author", "") << " is in force\n";
+  if (before && theirs)
+    std::cerr << "changed meanwhile:\n"
+              << cactusward::ctl::Difference(*before, *theirs);
+  if (before && mine)
+    std::cerr << "your change:\n"
+              << cactusward::ctl::Difference(*before, *mine);
+  else if (mine && theirs)
+    std::cerr << "your document against the one in force:\n"
+              << cactusward::ctl::Difference(*theirs, *mine);
+}
+
+int WaitEverywhere(fleet_client& fleet, std::int64_t revision) {
+  const auto began = cactusward::clock::now();
+  const milliseconds limit(absl::GetFlag(FLAGS_wait_ms));
+  while (true) {
+    const auto status = fleet.Get("/v1/admin/status");
+    std::size_t behind = 0;
+    if (status) {
+      for (const auto& [instance, report] : status->items())
+        behind += report.value("revision", 0) < revision ? 1 : 0;
+    }
+    const auto waited = cactusward::clock::now() - began;
+    if (status && behind == 0) {
+      std::cout << "in force at " << status->size() << " instances after "
+                << static_cast<int>(cactusward::ToMilliseconds(waited))
+                << " ms\n";
+      return 0;
+    }
+    if (waited >= limit) {
+      std::cerr << behind << " instances do not have it yet\n";
+      return kExitNotEverywhere;
+    }
+    cactusward::asio::io_context io;
+    cactusward::asio::steady_timer(io, kPollPause).wait();
+  }
+}
+
+int ConfigApply(fleet_client& fleet, const std::string& path) {
+  const auto document = ReadFile(path);
+  if (!document)
+    return kExitUsage;
+  json base = json::object();
+  std::ifstream base_file(path + ".base");
+  if (base_file)
+    base = json::parse(base_file, nullptr, false);
+  if (!base.is_object())
+    base = json::object();
+  std::int64_t number = absl::GetFlag(FLAGS_base);
+  if (number < 0)
+    number = base.value("revision", std::int64_t{-1});
+  if (number < 0) {
+    std::cerr << "--base is required: " << path << ".base was not found\n";
+    return kExitUsage;
+  }
+  const auto answer =
+      fleet.Call(cactusward::http::verb::put,
+                 "/v1/admin/config?base=" + std::to_string(number) +
+                     "&author=" + absl::GetFlag(FLAGS_author),
+                 *document);
+  if (!answer)
+    return kExitUnreachable;
+  if (answer->status != 200) {
+    const int code = FailWith(*answer);
+    if (code == kExitConflict)
+      ShowConflict(fleet, base, *document);
+    return code;
+  }
+  const auto accepted = cactusward::ParseJson(answer->body);
+  const std::int64_t revision = accepted->value("revision", 0);
+  std::cout << "accepted as revision " << revision << '\n';
+  return WaitEverywhere(fleet, revision);
+}
+
+int ConfigStatus(fleet_client& fleet) {
+  const auto status = fleet.Get("/v1/admin/status");
+  if (!status)
+    return kExitUnreachable;
+  if (absl::GetFlag(FLAGS_json)) {
+    std::cout << status->dump(2) << '\n';
+    return 0;
+  }
+  text_table table({"instance", "zone", "revision", "confirmed", "ready",
+                    "draining", "in flight", "queued", "members"});
+  for (const auto& [instance, report] : status->items()) {
+    if (report.contains("error")) {
+      table.Add({instance, "-", report.value("error", "")});
+      continue;
+    }
+    table.Add({instance, report.value("availability_zone", ""),
+               report["revision"].dump(),
+               report["confirmed_age_ms"].dump() + " ms ago",
+               report["ready"].dump(), report["draining"].dump(),
+               report["in_flight"].dump(), report["queued"].dump(),
+               report["live_members"].dump()});
+  }
+  std::cout << table.Text();
+  return 0;
+}
+
+int Fleet(fleet_client& fleet) {
+  const auto members = fleet.Get("/v1/admin/members");
+  const auto upstreams = fleet.Get("/v1/admin/upstreams?scope=instance");
+  if (!members || !upstreams)
+    return kExitUnreachable;
+  if (absl::GetFlag(FLAGS_json)) {
+    std::cout
+        << json({{"members", *members}, {"upstreams", *upstreams}}).dump(2)
+        << '\n';
+    return 0;
+  }
+  text_table instances({"instance", "state", "zone", "address"});
+  for (const json& m : *members)
+    instances.Add({m.value("instance", ""), m.value("state", ""),
+                   m.value("availability_zone", ""), m.value("address", "")});
+  text_table rows({"service", "upstream", "zone", "accepting", "leaving",
+                   "reachable", "in flight", "backlog", "kv"});
+  for (const json& u : *upstreams)
+    rows.Add({u.value("service", ""), u.value("address", ""),
+              u.value("availability_zone", ""), u["accepting"].dump(),
+              u["leaving"].dump(), u["reachable"].dump(), u["in_flight"].dump(),
+              u["backlog_tokens"].dump(), u["kv_reserved"].dump()});
+  std::cout << instances.Text() << '\n' << rows.Text();
+  return 0;
+}
+
+int Queues(fleet_client& fleet) {
+  const auto queues = fleet.Get("/v1/admin/queues");
+  if (!queues)
+    return kExitUnreachable;
+  if (absl::GetFlag(FLAGS_json)) {
+    std::cout << queues->dump(2) << '\n';
+    return 0;
+  }
+  text_table table({"instance", "class", "organisation", "depth", "oldest"});
+  for (const auto& [instance, rows] : queues->items()) {
+    if (!rows.is_array())
+      continue;
+    for (const json& row : rows)
+      table.Add({instance, row.value("class", ""),
+                 row.value("organisation", ""), row["depth"].dump(),
+                 row["oldest_ms"].dump() + " ms"});
+  }
+  std::cout << table.Text();
+  return 0;
+}
+
+std::string OldestQueued(const json& queues) {
+  std::int64_t oldest = 0;
+  std::string shown = "none";
+  for (const auto& [instance, rows] : queues.items()) {
+    if (!rows.is_array())
+      continue;
+    for (const json& row : rows) {
+      if (row.value("oldest_ms", std::int64_t{0}) < oldest)
+        continue;
+      oldest = row.value("oldest_ms", std::int64_t{0});
+      shown = row.value("class", "") + " of " + row.value("organisation", "") +
+              " at " + instance + ", " + std::to_string(oldest) + " ms";
+    }
+  }
+  return shown;
+}
+
+int Burn(fleet_client& fleet) {
+  const auto config = fleet.Get("/v1/admin/config");
+  const auto burn = fleet.Get("/v1/admin/burn");
+  const auto queues = fleet.Get("/v1/admin/queues");
+  if (!config || !burn || !queues)
+    return kExitUnreachable;
+  const auto parsed =
+      cactusward::ParseFleetConfig(config->value("document", ""));
+  if (!parsed)
+    return kExitInvalid;
+  const auto lines = cactusward::MeasureObjectives(
+      parsed->objectives, cactusward::ctl::ReadBurnRows(*burn));
+  const std::string oldest = OldestQueued(*queues);
+  const std::string html = absl::GetFlag(FLAGS_html);
+  if (!html.empty())
+    std::ofstream(html) << cactusward::ctl::BurnPage(lines, oldest);
+  if (absl::GetFlag(FLAGS_json))
+    std::cout << json({{"objectives", cactusward::ctl::BurnJson(lines)},
+                       {"oldest_queued", oldest}})
+                     .dump(2)
+              << '\n';
+  else
+    std::cout << cactusward::ctl::BurnTable(lines)
+              << "oldest queued: " << oldest << '\n';
+  return 0;
+}
+
+int Drain(fleet_client& fleet) {
+  const auto answer =
+      fleet.Call(cactusward::http::verb::post, "/v1/admin/drain");
+  if (!answer)
+    return kExitUnreachable;
+  if (answer->status != 200)
+    return FailWith(*answer);
+  std::cout << "draining\n";
+  return 0;
+}
+
+int Run(const std::vector<std::string>& words) {
+  fleet_client fleet;
+  const std::string command = words.empty() ? "" : words[0];
+  const std::string sub = words.size() > 1 ? words[1] : "";
+  if (command == "config" && sub == "get")
+    return ConfigGet(fleet);
+  if (command == "config" && sub == "status")
+    return ConfigStatus(fleet);
+  if (command == "config" && words.size() == 3) {
+    if (sub == "check")
+      return ConfigCheck(fleet, words[2]);
+    if (sub == "diff")
+      return ConfigDiff(fleet, words[2]);
+    if (sub == "apply")
+      return ConfigApply(fleet, words[2]);
+  }
+  if (command == "fleet")
+    return Fleet(fleet);
+  if (command == "queues")
+    return Queues(fleet);
+  if (command == "burn")
+    return Burn(fleet);
+  if (command == "drain")
+    return Drain(fleet);
+  std::cerr << kUsage << '\n';
+  return kExitUsage;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(kUsage);
+  const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+  return Run(std::vector<std::string>(rest.begin() + 1, rest.end()));
+}
--- /dev/null
+++ b/tools/ctl_output.cc
@@ -0,0 +1,176 @@
+#include "tools/ctl_output.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <sstream>
+
+namespace cactusward::ctl {
+namespace {
+
+using nlohmann::json;
+
+std::string Fixed(double value, int digits) {
+  char text[40];
+  std::snprintf(text, sizeof(text), "%.*f", digits, value);
+  return text;
+}
+
+std::string WindowName(std::size_t window) {
+  const auto minutes = kBurnWindows[window].count();
+  return minutes < 60 ? std::to_string(minutes) + "m"
+                      : std::to_string(minutes / 60) + "h";
+}
+
+std::string Escape(const std::string& text) {
+  std::string escaped;
+  for (char c : text) {
+    if (c == '<')
+      escaped += "&lt;";
+    else if (c == '&')
+      escaped += "&amp;";
+    else
+      escaped.push_back(c);
+  }
+  return escaped;
+}
+
+// A bar whose full width is a burn rate of two.
+std::string Bar(double rate) {
+  constexpr double kFullRate = 2;
+  constexpr double kWidth = 160;
+  const double width = std::min(rate / kFullRate, 1.0) * kWidth;
+  const char* colour = rate > 1 ? "#c0392b" : "#27ae60";
+  return "<svg width=\"160\" height=\"12\"><rect width=\"160\" height=\"12\" "
+         "fill=\"#eee\"/><rect width=\"" +
+         Fixed(width, 1) + "\" height=\"12\" fill=\"" + colour +
+         "\"/><line x1=\"80\" x2=\"80\" y1=\"0\" y2=\"12\" "
+         "stroke=\"#333\"/></svg> " +
+         Fixed(rate, 2);
+}
+
+}  // namespace
+
+text_table::text_table(std::vector<std::string> header) {
+  rows_.push_back(std::move(header));
+}
+
+void text_table::Add(std::vector<std::string> row) {
+  rows_.push_back(std::move(row));
+}
+
+std::string text_table::Text() const {
+  std::vector<std::size_t> widths(rows_.front().size(), 0);
+  for (const auto& row : rows_) {
+    for (std::size_t i = 0; i < row.size() && i < widths.size(); ++i)
+      widths[i] = std::max(widths[i], row[i].size());
+  }
+  std::string text;
+  for (const auto& row : rows_) {
+    std::string line;
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      line += row[i];
+      if (i + 1 < row.size())
+        line += std::string(widths[i] - row[i].size() + 2, ' ');
+    }
+    text += line + "\n";
+  }
+  return text;
+}
+
+std::string Difference(const json& before, const json& after) {
+  std::string text;
+  for (const json& step : json::diff(before, after)) {
+    const std::string path = step["path"].get<std::string>();
+    const std::string op = step["op"].get<std::string>();
+    const json::json_pointer pointer(path);
+    if (op == "replace")
+      text += "  " + path + ": " + before[pointer].dump() + " -> " +
+              step["value"].dump() + "\n";
+    else if (op == "add")
+      text += "  " + path + ": added " + step["value"].dump() + "\n";
+    else
+      text += "  " + path + ": removed " + before[pointer].dump() + "\n";
+  }
+  return text;
+}
+
+std::vector<burn_row> ReadBurnRows(const json& answer) {
+  std::vector<std::vector<burn_row>> all;
+  for (const auto& [instance, rows] : answer.items()) {
+    std::vector<burn_row> list;
+    if (!rows.is_array())
+      continue;
+    for (const json& row : rows) {
+      burn_row next{row.value("class", ""), row.value("organisation", ""), {}};
+      const json windows = row.value("windows", json::array());
+      for (std::size_t w = 0; w < kBurnWindows.size() && w < windows.size();
+           ++w)
+        next.windows[w] = {windows[w][0].get<std::int64_t>(),
+                           windows[w][1].get<std::int64_t>()};
+      list.push_back(std::move(next));
+    }
+    all.push_back(std::move(list));
+  }
+  return MergeBurnRows(all);
+}
+
+std::string BurnTable(const std::vector<burn_line>& lines) {
+  std::vector<std::string> header = {"class", "organisation", "target",
+                                     "requests"};
+  for (std::size_t w = 0; w < kBurnWindows.size(); ++w)
+    header.push_back("burn " + WindowName(w));
+  header.push_back("budget left");
+  text_table table(header);
+  for (const burn_line& line : lines) {
+    std::vector<std::string> row = {line.goal.length_class,
+                                    line.goal.organisation,
+                                    Fixed(line.goal.target * 100, 1) + "%",
+                                    std::to_string(line.windows.back().total)};
+    for (double rate : line.burn_rate)
+      row.push_back(Fixed(rate, 2));
+    row.push_back(Fixed(line.budget_left * 100, 0) + "%");
+    table.Add(std::move(row));
+  }
+  return table.Text();
+}
+
+json BurnJson(const std::vector<burn_line>& lines) {
+  json list = json::array();
+  for (const burn_line& line : lines)
+    list.push_back({{"class", line.goal.length_class},
+                    {"organisation", line.goal.organisation},
+                    {"target", line.goal.target},
+                    {"requests", line.windows.back().total},
+                    {"bad", line.windows.back().bad},
+                    {"burn_rate", line.burn_rate},
+                    {"budget_left", line.budget_left}});
+  return list;
+}
+
+std::string BurnPage(const std::vector<burn_line>& lines,
+                     const std::string& oldest_queue) {
+  std::ostringstream page;
+  page << "<!doctype html><meta charset=\"utf-8\"><title>Burn</title>"
+          "<style>body{font:14px sans-serif}td,th{padding:4px 10px;"
+          "text-align:left}</style><h1>Service-level burn</h1>"
+          "<p>The line in each bar is a burn rate of 1: the budget is spent "
+          "as fast as it is earned.</p><p>Oldest queued request: "
+       << Escape(oldest_queue) << "</p><table><tr><th>class<th>organisation"
+       << "<th>target<th>requests";
+  for (std::size_t w = 0; w < kBurnWindows.size(); ++w)
+    page << "<th>" << WindowName(w);
+  page << "<th>budget left</tr>";
+  for (const burn_line& line : lines) {
+    page << "<tr><td>" << Escape(line.goal.length_class) << "<td>"
+         << Escape(line.goal.organisation) << "<td>"
+         << Fixed(line.goal.target * 100, 1) << "%<td>"
+         << line.windows.back().total;
+    for (double rate : line.burn_rate)
+      page << "<td>" << Bar(rate);
+    page << "<td>" << Fixed(line.budget_left * 100, 0) << "%</tr>";
+  }
+  page << "</table>\n";
+  return page.str();
+}
+
+}  // namespace cactusward::ctl
