--- a/include/cactusward/membership.h
+++ b/include/cactusward/membership.h
@@ -65,6 +65,16 @@
   }
 };
 
+// An upstream said that it leaves.
+struct leaving_report {
+  std::uint32_t upstream = 0;  // UpstreamKey
+  std::int64_t age_ms = 0;     // since it said so
+
+  friend bool operator==(const leaving_report& a, const leaving_report& b) {
+    return a.upstream == b.upstream && a.age_ms == b.age_ms;
+  }
+};
+
 enum class gossip_kind : std::uint8_t { kPing, kAck, kPingRequest, kNews };
 
 // One datagram between instances.
@@ -80,6 +90,7 @@
   std::vector<member> members;
   std::vector<suspect_report> suspects;
   std::vector<in_flight_report> in_flight;
+  std::vector<leaving_report> leaving;
 
   friend bool operator==(const gossip_message& a, const gossip_message& b) {
     return a.kind == b.kind && a.sequence == b.sequence &&
@@ -87,7 +98,8 @@
            a.target_address == b.target_address &&
            a.config_number == b.config_number &&
            a.confirmed_age_ms == b.confirmed_age_ms && a.members == b.members &&
-           a.suspects == b.suspects && a.in_flight == b.in_flight;
+           a.suspects == b.suspects && a.in_flight == b.in_flight &&
+           a.leaving == b.leaving;
   }
 };
 
--- a/include/cactusward/upstreams.h
+++ b/include/cactusward/upstreams.h
@@ -94,6 +94,15 @@
   void RecordReport(const std::string& address,
                     const load_report& report,
                     time_point now);
+  // A peer heard at `said_at` that an upstream leaves. @return whether that
+  // was news. It holds for kLeavingLife, and gives way to a later report of
+  // the upstream's own.
+  bool LearnLeaving(std::uint32_t upstream, time_point said_at, time_point now);
+  // Upstreams that said, themselves or through peers, that they leave.
+  std::vector<leaving_report> LeavingReports(time_point now) const;
+
+  static constexpr milliseconds kLeavingLife{6'000};
+
   // Replaces what peers together have in flight, by UpstreamKey.
   void SetPeerBacklog(std::unordered_map<std::uint32_t, std::int64_t> tokens) {
     peer_backlog_ = std::move(tokens);
@@ -147,6 +156,7 @@
     std::optional<load_report> report;
     time_point reported_at;
     std::optional<time_point> contact;
+    std::optional<time_point> said_leaving_at;
     int failures = 0;
     int ejections = 0;
     time_point ejected_until;
@@ -158,6 +168,7 @@
 
   entry* Find(const std::string& address);
   const entry* Find(const std::string& address) const;
+  static bool IsLeaving(const entry& entry, time_point now);
   entry* FindDispatch(std::uint64_t id);
   token_sums Unreported(const entry& entry) const;
   std::size_t EjectedCount(time_point now) const;
--- a/src/gateway/membership_service.cc
+++ b/src/gateway/membership_service.cc
@@ -109,6 +109,9 @@
     message->in_flight = directory_->InFlightReports();
     if (message->in_flight.size() > kMaxInFlightPerMessage)
       message->in_flight.resize(kMaxInFlightPerMessage);
+    message->leaving = directory_->LeavingReports();
+    if (message->leaving.size() > kMaxInFlightPerMessage)
+      message->leaving.resize(kMaxInFlightPerMessage);
   }
   std::size_t count = std::min(suspect_news_.size(), kMaxSuspectsPerMessage);
   while (count-- > 0) {
@@ -165,6 +168,8 @@
   if (config_)
     config_->OnPeerRevision(sender.peer_address, message->config_number,
                             message->confirmed_age_ms);
+  if (directory_ && directory_->LearnLeaving(message->leaving))
+    SpreadNews();
   peer_loads_[sender.name] = {message->in_flight, now};
   if (!recovery_)
     return;
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cactusward/hash.h"
 #include "src/gateway/config_service.h"
 #include "src/gateway/membership_service.h"
 #include "src/gateway/recovery_service.h"
@@ -18,8 +19,8 @@
 // An upstream with requests of this instance is probed when silent this long.
 constexpr milliseconds kSilence{700};
 constexpr milliseconds kUnreachablePeriod{500};
-// Idle upstreams are probed one after another.
-constexpr milliseconds kIdlePeriod{600};
+// Its home instance probes an upstream this often, for all instances.
+constexpr milliseconds kHomePeriod{900};
 constexpr int kUnreachableAfter = 2;
 
 }  // namespace
@@ -96,9 +97,16 @@
   }
 }
 
+bool upstream_directory::IsHomeOf(const std::string& address) {
+  return live_names_.empty() || live_names_[HomeOf(address, live_names_)] ==
+                                    runtime_.settings.instance;
+}
+
 void upstream_directory::Probe(time_point now) {
+  live_names_.clear();
+  for (const member& member : membership_->Live())
+    live_names_.push_back(member.name);
   std::vector<std::pair<std::string, std::string>> due;
-  std::vector<std::pair<std::string, std::string>> idle;
   for (auto& [name, pool] : pools_) {
     for (const upstream_pool::row& row : pool->Rows(now)) {
       probe_state& state = probes_[row.address];
@@ -107,14 +115,13 @@
       const auto contact = pool->LastContact(row.address);
       const bool silent =
           row.in_flight > 0 && (!contact || now - *contact > kSilence);
-      if (!row.reachable || silent || !contact || state.failures > 0)
+      const bool due_at_home =
+          contact && now - *contact > kHomePeriod && IsHomeOf(row.address);
+      if (!row.reachable || silent || !contact || state.failures > 0 ||
+          due_at_home)
         due.emplace_back(name, row.address);
-      else
-        idle.emplace_back(name, row.address);
     }
   }
-  if (!idle.empty() && ++rotation_ % (kIdlePeriod / kProbeTick) == 0)
-    due.push_back(idle[runtime_.random() % idle.size()]);
   for (const auto& [service, address] : due) {
     probes_[address].running = true;
     Spawn(
@@ -169,8 +176,12 @@
                                       const std::string& address,
                                       std::string_view load_metrics) {
   const time_point now = clock::now();
-  const auto report = ParseLoadMetrics(load_metrics);
-  pool->RecordReport(address, report.value_or(load_report()), now);
+  const load_report report =
+      ParseLoadMetrics(load_metrics).value_or(load_report());
+  const auto before = pool->LeavingReports(now).size();
+  pool->RecordReport(address, report, now);
+  if (pool->LeavingReports(now).size() > before)
+    membership_->SpreadNews();
   if (pool->SetReachable(address, true))
     Log(log_level::kInfo, "upstream_reachable", {{"upstream", address}});
   NotifyRoom();
@@ -219,6 +230,29 @@
   return all;
 }
 
+std::vector<leaving_report> upstream_directory::LeavingReports() const {
+  std::vector<leaving_report> all;
+  for (const auto& [name, pool] : pools_) {
+    const auto reports = pool->LeavingReports(clock::now());
+    all.insert(all.end(), reports.begin(), reports.end());
+  }
+  return all;
+}
+
+bool upstream_directory::LearnLeaving(
+    const std::vector<leaving_report>& reports) {
+  const time_point now = clock::now();
+  bool news = false;
+  for (const leaving_report& report : reports) {
+    if (report.age_ms < 0)
+      continue;
+    for (auto& [name, pool] : pools_)
+      news |= pool->LearnLeaving(report.upstream,
+                                 now - milliseconds(report.age_ms), now);
+  }
+  return news;
+}
+
 void upstream_directory::SetPeerBacklog(
     const std::unordered_map<std::uint32_t, std::int64_t>& tokens) {
   for (auto& [name, pool] : pools_)
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -62,6 +62,9 @@
                 asio::yield_context yield);
 
   std::vector<in_flight_report> InFlightReports() const;
+  std::vector<leaving_report> LeavingReports() const;
+  // @return whether any of it was news.
+  bool LearnLeaving(const std::vector<leaving_report>& reports);
   void SetPeerBacklog(
       const std::unordered_map<std::uint32_t, std::int64_t>& tokens);
   // Calls `listener` whenever room may have appeared at some upstream.
@@ -73,6 +76,7 @@
   void ApplyConfig();
   void PollList(asio::yield_context yield);
   void Probe(time_point now);
+  bool IsHomeOf(const std::string& address);
   void ProbeOne(const std::string& service,
                 const std::string& address,
                 asio::yield_context yield);
@@ -99,8 +103,8 @@
   std::map<std::string, probe_state> probes_;
   std::map<std::pair<upstream_pool*, std::uint64_t>, open_dispatch> open_;
   std::function<void()> room_listener_;
+  std::vector<std::string> live_names_;
   std::unique_ptr<timer_subscription> probe_timer_;
-  std::size_t rotation_ = 0;
 };
 
 }  // namespace cactusward
--- a/src/membership/gossip_codec.cc
+++ b/src/membership/gossip_codec.cc
@@ -9,7 +9,7 @@
 using nlohmann::json;
 
 constexpr int kVersion = 1;
-constexpr std::size_t kMessageFields = 11;
+constexpr std::size_t kMessageFields = 12;
 constexpr std::size_t kMemberFields = 6;
 constexpr std::size_t kMaxItems = 512;
 
@@ -78,6 +78,18 @@
   return true;
 }
 
+bool ReadLeaving(const json& value, std::vector<leaving_report>* out) {
+  if (!IsList(value))
+    return false;
+  for (const json& item : value) {
+    if (!item.is_array() || item.size() != 2 || !item[0].is_number_unsigned() ||
+        !IsInteger(item[1]))
+      return false;
+    out->push_back({item[0].get<std::uint32_t>(), item[1].get<std::int64_t>()});
+  }
+  return true;
+}
+
 bool HasHeader(const json& value) {
   return value.is_array() && value.size() == kMessageFields &&
          value[0] == kVersion && value[1].is_number_unsigned() &&
@@ -100,11 +112,14 @@
   json in_flight = json::array();
   for (const in_flight_report& item : message.in_flight)
     in_flight.push_back(json::array({item.upstream, item.prefill_tokens}));
+  json leaving = json::array();
+  for (const leaving_report& item : message.leaving)
+    leaving.push_back(json::array({item.upstream, item.age_ms}));
   const json encoded = json::array(
       {kVersion, static_cast<int>(message.kind), message.sequence,
        MemberToJson(message.sender), message.target, message.target_address,
        message.config_number, message.confirmed_age_ms, std::move(members),
-       std::move(suspects), std::move(in_flight)});
+       std::move(suspects), std::move(in_flight), std::move(leaving)});
   std::string bytes;
   json::to_cbor(encoded, bytes);
   return bytes;
@@ -126,7 +141,8 @@
   if (!ReadMember(value[3], &message.sender) ||
       !ReadMembers(value[8], &message.members) ||
       !ReadSuspects(value[9], &message.suspects) ||
-      !ReadInFlight(value[10], &message.in_flight))
+      !ReadInFlight(value[10], &message.in_flight) ||
+      !ReadLeaving(value[11], &message.leaving))
     return malformed;
   return message;
 }
--- a/src/routing/upstream_pool.cc
+++ b/src/routing/upstream_pool.cc
@@ -82,6 +82,10 @@
   entry->report = report;
   entry->reported_at = now;
   entry->contact = now;
+  if (report.leaving)
+    entry->said_leaving_at = now - report.lag;
+  else if (entry->said_leaving_at && *entry->said_leaving_at < now - report.lag)
+    entry->said_leaving_at.reset();
   const time_point covered = now - report.lag - kReportMargin;
   while (!entry->unreported.empty()) {
     const auto it = entry->dispatches.find(entry->unreported.front());
@@ -91,6 +95,44 @@
   }
 }
 
+bool upstream_pool::IsLeaving(const entry& entry, time_point now) {
+  return entry.listing.leaving ||
+         (entry.said_leaving_at && now - *entry.said_leaving_at < kLeavingLife);
+}
+
+bool upstream_pool::LearnLeaving(std::uint32_t upstream,
+                                 time_point said_at,
+                                 time_point now) {
+  for (entry* entry : order_) {
+    if (UpstreamKey(entry->listing.address) != upstream)
+      continue;
+    const bool own_report_is_later =
+        entry->report && !entry->report->leaving &&
+        entry->reported_at - entry->report->lag > said_at;
+    if (own_report_is_later ||
+        (entry->said_leaving_at && *entry->said_leaving_at >= said_at))
+      return false;
+    const bool news = !IsLeaving(*entry, now);
+    entry->said_leaving_at = said_at;
+    return news;
+  }
+  return false;
+}
+
+std::vector<leaving_report> upstream_pool::LeavingReports(
+    time_point now) const {
+  std::vector<leaving_report> reports;
+  for (const entry* entry : order_) {
+    if (!entry->said_leaving_at ||
+        now - *entry->said_leaving_at >= kLeavingLife)
+      continue;
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(now - *entry->said_leaving_at);
+    reports.push_back({UpstreamKey(entry->listing.address), age.count()});
+  }
+  return reports;
+}
+
 bool upstream_pool::SetReachable(const std::string& address, bool reachable) {
   entry* entry = Find(address);
   if (!entry || entry->reachable == reachable)
@@ -202,8 +244,7 @@
 upstream_view upstream_pool::ViewAt(std::size_t index, time_point now) const {
   const entry& entry = *order_[index];
   upstream_view view;
-  view.accepting = entry.listed && entry.reachable && !entry.listing.leaving &&
-                   !(entry.report && entry.report->leaving) &&
+  view.accepting = entry.listed && entry.reachable && !IsLeaving(entry, now) &&
                    entry.ejected_until <= now;
   view.has_suspect = entry.suspects > 0;
   view.same_zone = entry.listing.availability_zone == own_zone_;
@@ -291,11 +332,10 @@
   for (std::size_t i = 0; i < order_.size(); ++i) {
     const entry& entry = *order_[i];
     const upstream_view view = ViewAt(i, now);
-    rows.push_back(
-        {entry.listing.address, entry.listing.availability_zone, view.accepting,
-         entry.listing.leaving || (entry.report && entry.report->leaving),
-         entry.ejected_until > now, entry.reachable, view.in_flight,
-         view.backlog_tokens, view.kv_reserved});
+    rows.push_back({entry.listing.address, entry.listing.availability_zone,
+                    view.accepting, IsLeaving(entry, now),
+                    entry.ejected_until > now, entry.reachable, view.in_flight,
+                    view.backlog_tokens, view.kv_reserved});
   }
   return rows;
 }
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -6,7 +6,7 @@
 fleet.peer_secret = "peer-secret-for-tests"
 
 -- Ports are spread by the seed of the run so that leftovers do not collide.
-local next_port = 20000 + (seed % 40) * 500
+local next_port = 10000 + (seed % 44) * 500
 function fleet.address()
   next_port = next_port + 1
   return "127.0.0.1:" .. next_port
--- /dev/null
+++ b/tests/scenarios/leaving.lua
@@ -0,0 +1,88 @@
+-- An upstream that leaves gets no new work after 2 s; replacing every instance
+-- under load loses and cuts nothing.
+local fleet = require("fleet")
+local f = fleet.start{ instances = 3, runners = 3, services = 1 }
+
+local function total_runs(upstream)
+  local count = 0
+  for _ in pairs(fleet.record(upstream).runs) do count = count + 1 end
+  return count
+end
+
+local function send_some(count)
+  local handles = {}
+  for n = 1, count do
+    local i = f.instances[n % #f.instances + 1]
+    handles[n] = begin(fleet.completion(i.address, "leaving " .. n, 4))
+  end
+  local good = 0
+  for _, h in ipairs(handles) do
+    if finish(h).status == 200 then good = good + 1 end
+  end
+  return good
+end
+
+local listed, reported = f.upstreams[1], f.upstreams[2]
+check(send_some(60) == 60, "all requests are answered")
+check(total_runs(listed) > 0, "the upstream had work before")
+
+-- The platform says that it leaves.
+listed.leaving = true
+f:list()
+sleep(2000)
+local before = total_runs(listed)
+check(send_some(60) == 60, "all requests are answered meanwhile")
+check(total_runs(listed) == before, "a leaving upstream gets no new work")
+
+-- The upstream itself says that it leaves.
+fleet.control(reported, { leaving = true })
+sleep(2000)
+before = total_runs(reported)
+check(send_some(60) == 60, "all requests are answered by the last")
+check(total_runs(reported) == before, "an upstream that says so gets none")
+fleet.control(reported, { leaving = false })
+listed.leaving = false
+f:list()
+
+-- Every instance is replaced, one after another, under load. The balancer is
+-- a list of ready instances, a second old.
+local until_ms = now() + 9000
+local ready, next_look, sent, turn = {}, 0, {}, 0
+local replaced, replacing = 0, nil
+while now() < until_ms do
+  if now() >= next_look then
+    ready = {}
+    for _, i in ipairs(f.instances) do
+      if fleet.ready(i) then ready[#ready + 1] = i.address end
+    end
+    next_look = now() + 250
+  end
+  if not replacing and replaced < 3 then
+    replacing = f.instances[replaced + 1]
+    signal(replacing.pid, "TERM")
+  elseif replacing and exited(replacing.pid) then
+    check(exited(replacing.pid) == 0, replacing.name .. " stops as planned")
+    f:restart(replacing)
+    replaced = replaced + 1
+    replacing = nil
+    fleet.wait(3000, function() return fleet.ready(f.instances[replaced]) end)
+  end
+  turn = turn + 1
+  local address = ready[turn % #ready + 1]
+  sent[#sent + 1] = { begin(fleet.completion(address, "rolling " .. turn, 30)),
+                      "rolling " .. turn }
+  sleep(15)
+end
+local lost = 0
+for _, s in ipairs(sent) do
+  local answer = finish(s[1])
+  local whole = answer.status == 200 and
+                answer.json.choices[1].text == expected(s[2], 30)
+  if not whole then
+    lost = lost + 1
+    if lost < 4 then note(to_json(answer)) end
+  end
+end
+note(#sent .. " requests, " .. replaced .. " instances replaced")
+check(replaced == 3, "every instance was replaced")
+check(lost == 0, "a rolling replacement loses nothing, lost " .. lost)
--- /dev/null
+++ b/tests/scenarios/membership.lua
@@ -0,0 +1,61 @@
+-- Instances learn of deaths, pauses, cuts and replacements.
+local fleet = require("fleet")
+local f = fleet.start{ instances = 5, runners = 1, services = 1 }
+local a = f.instances[1]
+
+local function state_of(observer, name)
+  for _, m in ipairs(fleet.admin("GET", observer.address, "members").json or {}) do
+    if m.instance == name then return m.state, m.incarnation end
+  end
+  return "unknown", 0
+end
+
+local function all_say(name, state, limit_ms)
+  return fleet.wait(limit_ms, function()
+    for _, i in ipairs(f.instances) do
+      if i.name ~= name and state_of(i, name) ~= state then return false end
+    end
+    return true
+  end)
+end
+
+-- A killed instance is dead at all others, and its successor is another.
+local victim = f.instances[5]
+local _, before = state_of(a, victim.name)
+signal(victim.pid, "KILL")
+check(all_say(victim.name, "dead", 6000), "a killed instance is dead everywhere")
+f:restart(victim)
+check(all_say(victim.name, "alive", 6000), "its successor is alive everywhere")
+local _, after = state_of(a, victim.name)
+check(after > before, "its successor has a higher incarnation")
+
+-- A stopped process is dead; it refutes that when it wakes.
+signal(victim.pid, "STOP")
+check(all_say(victim.name, "dead", 6000), "a stopped instance is dead everywhere")
+signal(victim.pid, "CONT")
+check(all_say(victim.name, "alive", 8000), "it is alive again after waking")
+
+-- One instance cannot reach another, but others can reach both.
+local advertised = fleet.address()
+local partly = f:add_instance{ advertise = advertised }
+local handle = relay(advertised, partly.listen_peer)
+f:list()
+check(all_say(partly.name, "alive", 6000), "an instance behind a relay joins")
+cut(handle, true)
+check(all_say(partly.name, "dead", 8000), "an instance that is cut off is dead")
+cut(handle, false)
+check(all_say(partly.name, "alive", 8000), "it is alive when the cut ends")
+
+-- Datagrams and calls without the shared secret change nothing.
+local stranger = f:add_instance{ name = "stranger",
+                                 peer_secret = "another-secret-altogether" }
+f.instances[#f.instances] = nil
+sleep(2000)
+for _, i in ipairs(f.instances) do
+  check(state_of(i, "stranger") == "unknown",
+        i.name .. " does not take in a stranger")
+end
+
+-- A planned stop is known at once.
+signal(partly.pid, "TERM")
+check(all_say(partly.name, "left", 3000), "an instance that leaves has left")
--- /dev/null
+++ b/tests/scenarios/memory.lua
@@ -0,0 +1,28 @@
+-- After callers hang up and instances die, no runner keeps memory.
+local fleet = require("fleet")
+local f = fleet.start{ instances = 3, runners = 2, services = 1 }
+local prompt = string.rep("a long contract ", 2000)
+
+local function memory_held()
+  local held = 0
+  for i = 1, 2 do held = held + fleet.record(f.upstreams[i]).kv_used_tokens end
+  return held
+end
+
+local handles = {}
+for n = 1, 12 do
+  local request = fleet.completion(f.instances[n % 3 + 1].address,
+                                   prompt .. n, 3000, { stream = true })
+  request.timeout_ms = n % 2 == 0 and 400 or 20000
+  handles[n] = begin(request)
+end
+sleep(300)
+check(memory_held() > 0, "the runners hold memory for the requests")
+signal(f.instances[1].pid, "KILL")
+signal(f.instances[2].pid, "STOP")
+sleep(1000)
+signal(f.instances[2].pid, "KILL")
+signal(f.instances[3].pid, "KILL")
+for _, h in ipairs(handles) do finish(h) end
+check(fleet.wait(3000, function() return memory_held() == 0 end),
+      "no runner keeps memory after hang-ups and kills")
