--- a/include/cactusward/config.h
+++ b/include/cactusward/config.h
@@ -14,6 +14,9 @@
 
 namespace cactusward {
 
+// The class under which calls of plain services are measured.
+inline constexpr std::string_view kPlainCallClass = "call";
+
 // Limits of one class of prompt length.
 struct length_class {
   std::string name;
--- a/include/cactusward/suspects.h
+++ b/include/cactusward/suspects.h
@@ -68,7 +68,7 @@
            time_point now);
   // Whether a refused request explains a death of `upstream` at `at`.
   bool IsExplained(std::uint32_t upstream, time_point at) const;
-  // Lifts the blame for a death from all but `culprit`.
+  // Lifts the blame for a death from all but `culprit` and refused requests.
   void Exonerate(std::uint64_t culprit, std::uint32_t upstream, time_point at);
 
   std::size_t refuse_after_;
--- a/src/admission/request_queue.cc
+++ b/src/admission/request_queue.cc
@@ -94,6 +94,7 @@
     row.oldest = std::max(row.oldest, age);
   }
   std::vector<queue_row> list;
+  list.reserve(rows.size());
   for (auto& [key, row] : rows)
     list.push_back(std::move(row));
   return list;
--- a/src/claims/direct_claim_store.cc
+++ b/src/claims/direct_claim_store.cc
@@ -47,8 +47,8 @@
 
 result<claim_record> DecodeClaim(std::string_view text) {
   const auto json = nlohmann::json::from_cbor(text, true, false);
-  const result<claim_record> malformed(error_kind::kInternal,
-                                       "malformed claim record");
+  result<claim_record> malformed(error_kind::kInternal,
+                                 "malformed claim record");
   if (!json.is_object())
     return malformed;
   const auto is = [&json](const char* name, auto check) {
@@ -98,7 +98,7 @@
     return lease_;
   const auto ttl =
       std::chrono::duration_cast<milliseconds>(retention_ + period);
-  const auto granted = store_->GrantLease(ttl, deadline, yield);
+  auto granted = store_->GrantLease(ttl, deadline, yield);
   if (!granted)
     return granted;
   lease_ = *granted;
--- a/src/config/parse_fleet_config.cc
+++ b/src/config/parse_fleet_config.cc
@@ -82,7 +82,7 @@
   limits->max_prompt_tokens =
       reader.Integer("max_prompt_tokens", 1'000'000, 1, kMaxTokens);
   limits->max_body_bytes =
-      reader.Integer("max_body_bytes", 8 * 1024 * 1024, 1024, kMaxBodyBytes);
+      reader.Integer("max_body_bytes", 8LL * 1024 * 1024, 1024, kMaxBodyBytes);
   limits->max_output_tokens =
       static_cast<int>(reader.Integer("max_output_tokens", 8192, 1, kMaxCount));
   limits->min_deadline = Milliseconds(reader, "min_deadline_ms", 10);
@@ -233,13 +233,14 @@
   for (const objective& objective : config.objectives) {
     const bool known_class =
         objective.length_class == "*" ||
+        objective.length_class == kPlainCallClass ||
         std::any_of(config.classes.begin(), config.classes.end(),
                     [&objective](const length_class& c) {
                       return c.name == objective.length_class;
                     });
     if (!known_class)
       root.Fault("objectives", "class \"" + objective.length_class + "\"",
-                 "a configured class or *");
+                 "a configured class, call or *");
   }
 }
 
--- a/src/edges/etcd_store.cc
+++ b/src/edges/etcd_store.cc
@@ -12,7 +12,7 @@
 constexpr milliseconds kWatchOpenTimeout{2'000};
 // A watch that is silent for longer is opened anew.
 constexpr std::chrono::minutes kWatchLife{10};
-constexpr std::size_t kMaxWatchLine = 4 * 1024 * 1024;
+constexpr std::size_t kMaxWatchLine = 4ULL * 1024 * 1024;
 
 // The protocol writes 64-bit integers as texts.
 std::int64_t IntegerOf(const json& object, const char* name) {
--- a/src/edges/gossip_socket.h
+++ b/src/edges/gossip_socket.h
@@ -40,7 +40,7 @@
   handler handler_;
   udp::socket socket_;
   counters counters_;
-  std::array<char, 64 * 1024> buffer_;
+  std::array<char, 64ULL * 1024> buffer_;
 };
 
 }  // namespace cactusward
--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -6,7 +6,7 @@
 namespace cactusward {
 namespace {
 
-constexpr std::size_t kReadBytes = 8 * 1024;
+constexpr std::size_t kReadBytes = 8ULL * 1024;
 constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr milliseconds kMaxIdleTime{10'000};
 constexpr milliseconds kConnectTimeout{1'000};
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -95,7 +95,7 @@
                            std::size_t max_body = kDefaultMaxBody,
                            cancel_token* cancel = nullptr);
 
-  static constexpr std::size_t kDefaultMaxBody = 16 * 1024 * 1024;
+  static constexpr std::size_t kDefaultMaxBody = 16ULL * 1024 * 1024;
 
  private:
   friend class http_stream;
--- a/src/edges/http_server.h
+++ b/src/edges/http_server.h
@@ -102,7 +102,7 @@
 };
 
 struct http_server_limits {
-  std::uint32_t max_header_bytes = 16 * 1024;
+  std::uint32_t max_header_bytes = 16ULL * 1024;
   std::uint64_t max_body_bytes = 64ULL * 1024 * 1024;
   milliseconds header_timeout{15'000};  // idle time between requests included
   milliseconds body_timeout{30'000};
--- a/src/edges/net.cc
+++ b/src/edges/net.cc
@@ -8,7 +8,7 @@
 namespace cactusward {
 namespace {
 
-constexpr std::size_t kCoroutineStackBytes = 256 * 1024;
+constexpr std::size_t kCoroutineStackBytes = 256ULL * 1024;
 
 }  // namespace
 
--- a/src/edges/peer_link.cc
+++ b/src/edges/peer_link.cc
@@ -17,7 +17,7 @@
 using ws_client = websocketpp::client<websocketpp::config::asio_client>;
 
 constexpr std::size_t kMacBytes = 16;
-constexpr std::size_t kMaxFrameBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxFrameBytes = 4ULL * 1024 * 1024;
 constexpr std::size_t kFrameFields = 3;
 
 // A frame is [is_reply, id, body] behind its authentication code.
@@ -133,7 +133,7 @@
     const auto raw = client_.get_connection("ws://" + address, error);
     if (error)
       return nullptr;
-    const auto link = std::make_shared<connection>();
+    auto link = std::make_shared<connection>();
     link->hdl = raw->get_handle();
     raw->set_open_handler([this, link](const connection_hdl&) {
       link->open = true;
--- a/src/gateway/call_run.cc
+++ b/src/gateway/call_run.cc
@@ -13,8 +13,7 @@
 constexpr std::string_view kIdempotencyHeader = "Idempotency-Key";
 constexpr milliseconds kAnswerTimeout{10'000};
 constexpr milliseconds kRetryPause{20};
-constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;
-constexpr std::string_view kPlainClass = "call";
+constexpr std::size_t kMaxAnswerBytes = 4ULL * 1024 * 1024;
 
 bool IsRefusal(int status) {
   return status == 429 || status == 503;
@@ -40,11 +39,11 @@
   call_ = FindCall(*service, call_name_);
   if (!call_)
     return {error_kind::kUnknownCall, service_name_ + "/" + call_name_};
-  context_.record().length_class = kPlainClass;
+  context_.record().length_class = kPlainCallClass;
   if (context_.exchange().request().body().size() >
       static_cast<std::size_t>(config.limits.max_body_bytes))
     return error_kind::kBodyTooLarge;
-  const auto deadline = context_.SetDeadline(call_->time_limit);
+  auto deadline = context_.SetDeadline(call_->time_limit);
   if (!deadline)
     return deadline;
   const auto verdict = services_.recovery->Judge(context_.fingerprint());
@@ -120,6 +119,7 @@
   placement.organisation = context_.caller().name;
   placement.routing.prompt_tokens = 1;
   placement.routing.alone = alone_;
+  placement.routing.fingerprint = context_.fingerprint();
   placement.fingerprint = context_.fingerprint();
   placement.deadline = context_.deadline();
   const auto place = services_.dispatch->Place(placement, cancel_.get(), yield);
--- a/src/gateway/claim_service.cc
+++ b/src/gateway/claim_service.cc
@@ -15,7 +15,7 @@
 constexpr milliseconds kFirstPause{100};
 constexpr milliseconds kLongestPause{5'000};
 constexpr std::chrono::minutes kPersistLimit{30};
-constexpr std::size_t kMaxKeptBody = 64 * 1024;
+constexpr std::size_t kMaxKeptBody = 64ULL * 1024;
 constexpr milliseconds kDefaultRetention{3'600'000};
 
 }  // namespace
--- a/src/gateway/completion_run.cc
+++ b/src/gateway/completion_run.cc
@@ -70,7 +70,7 @@
   const length_class& length_class = config.classes[class_index_];
   context_.record().length_class = length_class.name;
   context_.record().prompt_tokens = request_.prompt_tokens;
-  const auto deadline = context_.SetDeadline(length_class.time_limit);
+  auto deadline = context_.SetDeadline(length_class.time_limit);
   if (!deadline)
     return deadline;
   const auto verdict = services_.recovery->Judge(context_.fingerprint());
@@ -122,6 +122,7 @@
   placement.routing.kv_tokens = request_.prompt_tokens + request_.max_tokens;
   placement.routing.is_long = length_class.is_long;
   placement.routing.alone = alone_;
+  placement.routing.fingerprint = context_.fingerprint();
   placement.fingerprint = context_.fingerprint();
   placement.deadline = context_.deadline();
   placement.least_run_time = kLeastRunTime;
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -61,8 +61,11 @@
     return nullptr;
   }
   const time_point now = clock::now();
+  const pool_view view(pool, now);
   const auto chosen =
-      policy_->Choose(request.routing, pool_view(pool, now), runtime_.random());
+      request.routing.alone
+          ? PlaceAlone(request.routing, view, policy_settings_.max_in_flight)
+          : policy_->Choose(request.routing, view, runtime_.random());
   if (!chosen)
     return nullptr;
   const time_point expected_end =
--- a/src/gateway/request_context.cc
+++ b/src/gateway/request_context.cc
@@ -101,7 +101,7 @@
 }
 
 result<bool> request_context::Admit(std::int64_t tokens) {
-  const auto admitted =
+  auto admitted =
       services_.dispatch->ledger().Admit(*organisation_, tokens, clock::now());
   admitted_ = admitted.ok();
   return admitted;
--- a/src/recovery/suspects.cc
+++ b/src/recovery/suspects.cc
@@ -65,7 +65,8 @@
                               std::uint32_t upstream,
                               time_point at) {
   for (auto& [fingerprint, known] : suspects_) {
-    if (fingerprint == culprit)
+    // Two that ran wherever upstreams died cannot be told apart.
+    if (fingerprint == culprit || known.size() >= refuse_after_)
       continue;
     const auto same = [upstream, at](const death& death) {
       return IsSame(death.upstream, death.at, upstream, at);
@@ -99,9 +100,6 @@
   if (report.age_ms < 0 || milliseconds(report.age_ms) > period_)
     return false;
   const time_point at = now - milliseconds(report.age_ms);
-  const bool known_culprit = Deaths(report.fingerprint, now) >= refuse_after_;
-  if (!known_culprit && IsExplained(report.upstream, at))
-    return false;
   if (!Add(report.fingerprint, report.upstream, at, now))
     return false;
   if (Deaths(report.fingerprint, now) >= refuse_after_)
--- a/src/routing/routing_policies.cc
+++ b/src/routing/routing_policies.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <cmath>
 
+#include "cactusward/hash.h"
 #include "cactusward/routing.h"
 
 namespace cactusward {
@@ -225,6 +226,27 @@
 
 }  // namespace
 
+std::optional<placement> PlaceAlone(const routing_request& request,
+                                    const routing_view& view,
+                                    int max_in_flight) {
+  std::optional<placement> best;
+  std::uint64_t best_score = 0;
+  for (std::size_t i = 0; i < view.size(); ++i) {
+    const upstream_view next = view.At(i);
+    if (!CanTake(request, next, max_in_flight))
+      continue;
+    const std::uint64_t index = i;
+    const std::uint64_t score =
+        Hash64({reinterpret_cast<const char*>(&index), sizeof(index)},
+               request.fingerprint);
+    if (best && score <= best_score)
+      continue;
+    best_score = score;
+    best = placement{i, ExpectedFirstToken(request, next, true)};
+  }
+  return best;
+}
+
 milliseconds ExpectedFirstToken(const routing_request& request,
                                 const upstream_view& upstream,
                                 bool uses_priorities) {
--- /dev/null
+++ b/tests/unit/claims_test.cc
@@ -0,0 +1,160 @@
+// Claims over a key-value store whose answers can be lost.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "cactusward/claims.h"
+
+namespace cactusward {
+namespace {
+
+namespace asio = boost::asio;
+
+class fake_store : public key_value_store {
+ public:
+  int lose_before = 0;  // coming writes that do not take effect
+  int lose_after = 0;   // coming writes that take effect, unanswered
+  int writes = 0;
+
+  result<std::optional<stored_value>> Get(const std::string& key,
+                                          time_point,
+                                          asio::yield_context) override {
+    const auto it = values_.find(key);
+    if (it == values_.end())
+      return std::optional<stored_value>();
+    return std::optional<stored_value>(it->second);
+  }
+  result<std::vector<stored_value>> List(const std::string&,
+                                         time_point,
+                                         asio::yield_context) override {
+    return std::vector<stored_value>();
+  }
+  result<swap_outcome> CompareAndSwap(const std::string& key,
+                                      std::int64_t expected,
+                                      const std::vector<key_write>& batch,
+                                      time_point,
+                                      asio::yield_context) override {
+    if (lose_before > 0) {
+      --lose_before;
+      return {error_kind::kStoreUnavailable, ""};
+    }
+    swap_outcome outcome;
+    const auto it = values_.find(key);
+    const std::int64_t found =
+        it == values_.end() ? 0 : it->second.mod_revision;
+    outcome.applied = found == expected;
+    if (outcome.applied) {
+      ++writes;
+      for (const key_write& write : batch) {
+        if (write.value)
+          values_[write.key] = {write.key, *write.value, ++revision_};
+        else
+          values_.erase(write.key);
+      }
+    } else if (it != values_.end()) {
+      outcome.current = it->second;
+    }
+    if (lose_after > 0) {
+      --lose_after;
+      return {error_kind::kStoreUnavailable, ""};
+    }
+    return outcome;
+  }
+  result<std::int64_t> GrantLease(milliseconds,
+                                  time_point,
+                                  asio::yield_context) override {
+    return std::int64_t{1};
+  }
+  std::error_code Watch(const std::string&,
+                        std::int64_t,
+                        const change_handler&,
+                        asio::yield_context) override {
+    return error_kind::kStoreUnavailable;
+  }
+
+ private:
+  std::map<std::string, stored_value> values_;
+  std::int64_t revision_ = 0;
+};
+
+void InCoroutine(const std::function<void(asio::yield_context)>& body) {
+  asio::io_context io;
+  bool ended = false;
+  asio::spawn(io, [&](asio::yield_context yield) {
+    body(yield);
+    ended = true;
+  });
+  io.run();
+  REQUIRE(ended);
+}
+
+claim_record Record(const std::string& nonce) {
+  claim_record record;
+  record.nonce = nonce;
+  record.instance = "i/1";
+  record.fingerprint = "f";
+  return record;
+}
+
+TEST_CASE("one claimant wins, whatever answers are lost") {
+  const int before = GENERATE(0, 1, 2);
+  const int after = GENERATE(0, 1, 2);
+  fake_store store;
+  direct_claim_store claims(&store, std::chrono::hours(1));
+  InCoroutine([&](asio::yield_context yield) {
+    store.lose_before = before;
+    store.lose_after = after;
+    const time_point deadline = clock::now() + std::chrono::seconds(30);
+    const auto mine = claims.Claim("k", Record("one"), deadline, yield);
+    REQUIRE(mine);
+    CHECK(mine->nonce == "one");
+    const auto theirs = claims.Claim("k", Record("two"), deadline, yield);
+    REQUIRE(theirs);
+    CHECK(theirs->nonce == "one");
+    CHECK(store.writes == 1);
+  });
+}
+
+TEST_CASE("outcomes and releases are the claimant's own") {
+  fake_store store;
+  direct_claim_store claims(&store, std::chrono::hours(1));
+  InCoroutine([&](asio::yield_context yield) {
+    const time_point deadline = clock::now() + std::chrono::seconds(30);
+    claims.Claim("k", Record("one"), deadline, yield);
+    claim_record done = Record("two");
+    done.state = claim_state::kDone;
+    CHECK(*claims.Complete("k", done, deadline, yield) == false);
+    CHECK(*claims.Release("k", "two", deadline, yield));
+    done.nonce = "one";
+    done.body = std::string("\x00\xff", 2);
+    CHECK(*claims.Complete("k", done, deadline, yield));
+    CHECK(*claims.Complete("k", done, deadline, yield));
+    // A finished claim is not released.
+    claims.Release("k", "one", deadline, yield);
+    const auto found = claims.Claim("k", Record("three"), deadline, yield);
+    REQUIRE(found);
+    CHECK(*found == done);
+  });
+}
+
+TEST_CASE("a released key can be claimed again") {
+  fake_store store;
+  direct_claim_store claims(&store, std::chrono::hours(1));
+  InCoroutine([&](asio::yield_context yield) {
+    const time_point deadline = clock::now() + std::chrono::seconds(30);
+    claims.Claim("k", Record("one"), deadline, yield);
+    CHECK(*claims.Release("k", "one", deadline, yield));
+    CHECK(claims.Claim("k", Record("two"), deadline, yield)->nonce == "two");
+  });
+}
+
+TEST_CASE("malformed claim records are refused") {
+  const std::string whole = EncodeClaim(Record("n"));
+  CHECK(*DecodeClaim(whole) == Record("n"));
+  for (std::size_t cut = 0; cut < whole.size(); ++cut)
+    CHECK_FALSE(DecodeClaim(std::string_view(whole).substr(0, cut)));
+}
+
+}  // namespace
+}  // namespace cactusward
--- /dev/null
+++ b/tests/unit/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/unit/membership_test.cc
@@ -0,0 +1,173 @@
+// The membership protocol over a network that the test controls.
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "cactusward/membership.h"
+
+namespace cactusward {
+namespace {
+
+// Members that exchange messages in lockstep; links can be cut one way.
+class small_network {
+ public:
+  explicit small_network(int size) {
+    for (int i = 0; i < size; ++i)
+      Add(i, 1);
+    for (auto& table : tables_)
+      Deliver({table.Greeting(Address(0))}, table.self().peer_address);
+  }
+  void Add(int i, std::uint64_t incarnation) {
+    member self;
+    self.name = "m" + std::to_string(i);
+    self.incarnation = incarnation;
+    self.peer_address = Address(i);
+    const auto seed = static_cast<std::uint64_t>(i) + 7;
+    if (i < static_cast<int>(tables_.size()))
+      tables_[static_cast<std::size_t>(i)] = member_table(self, {}, seed);
+    else
+      tables_.emplace_back(self, membership_settings(), seed);
+  }
+  static std::string Address(int i) { return "a" + std::to_string(i); }
+  member_table& at(int i) { return tables_[static_cast<std::size_t>(i)]; }
+  void Stop(int i) { stopped_.insert(Address(i)); }
+  void Wake(int i) { stopped_.erase(Address(i)); }
+  void Cut(int from, int to) { cuts_.insert({Address(from), Address(to)}); }
+  void Heal() { cuts_.clear(); }
+  void Run(int ms) {
+    for (int t = 0; t < ms; t += 50) {
+      now_ += milliseconds(50);
+      for (auto& table : tables_) {
+        if (stopped_.count(table.self().peer_address) == 0)
+          Deliver(table.Tick(now_), table.self().peer_address);
+      }
+    }
+  }
+  int Seeing(const std::string& name, member_state state) {
+    int count = 0;
+    for (auto& table : tables_) {
+      const auto known = table.Find(name);
+      if (table.self().name != name && known && known->state == state)
+        ++count;
+    }
+    return count;
+  }
+  void Deliver(const std::vector<outbound_message>& messages,
+               const std::string& from) {
+    for (const outbound_message& out : messages) {
+      if (cuts_.count({from, out.peer_address}) > 0 ||
+          stopped_.count(out.peer_address) > 0)
+        continue;
+      for (auto& table : tables_) {
+        if (table.self().peer_address != out.peer_address)
+          continue;
+        // Messages travel as bytes, as between processes.
+        const auto message = DecodeGossip(EncodeGossip(out.message));
+        REQUIRE(message);
+        REQUIRE(*message == out.message);
+        Deliver(table.Receive(*message, now_), out.peer_address);
+      }
+    }
+  }
+
+ private:
+  std::vector<member_table> tables_;
+  std::set<std::string> stopped_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  time_point now_ = time_point() + std::chrono::hours(1);
+};
+
+TEST_CASE("all members learn of all others") {
+  small_network network(9);
+  network.Run(6000);
+  for (int i = 0; i < 9; ++i)
+    CHECK(network.at(i).Live().size() == 9);
+}
+
+TEST_CASE("a stopped member is dead, and alive after waking") {
+  small_network network(9);
+  network.Run(6000);
+  network.Stop(4);
+  network.Run(8000);
+  CHECK(network.Seeing("m4", member_state::kDead) == 8);
+  network.Wake(4);
+  network.Run(1000);
+  network.Deliver({network.at(4).Greeting(small_network::Address(0))},
+                  small_network::Address(4));
+  network.Run(6000);
+  CHECK(network.Seeing("m4", member_state::kAlive) == 8);
+  CHECK(network.at(4).self().incarnation > 1);
+}
+
+TEST_CASE("a cut between two members makes neither dead") {
+  small_network network(7);
+  network.Run(6000);
+  const bool both_ways = GENERATE(true, false);
+  network.Cut(1, 2);
+  if (both_ways)
+    network.Cut(2, 1);
+  network.Run(20'000);
+  CHECK(network.Seeing("m1", member_state::kAlive) == 6);
+  CHECK(network.Seeing("m2", member_state::kAlive) == 6);
+}
+
+TEST_CASE("a new incarnation replaces the old one") {
+  small_network network(5);
+  network.Run(6000);
+  network.Add(3, 50);
+  network.Deliver({network.at(3).Greeting(small_network::Address(0))},
+                  small_network::Address(3));
+  network.Run(6000);
+  for (int i = 0; i < 5; ++i)
+    CHECK(network.at(i).Find("m3")->incarnation >= 50);
+}
+
+TEST_CASE("leaving is known everywhere") {
+  small_network network(6);
+  network.Run(6000);
+  network.Deliver(network.at(2).Leave(time_point()), small_network::Address(2));
+  network.Stop(2);
+  network.Run(3000);
+  CHECK(network.Seeing("m2", member_state::kLeft) == 5);
+}
+
+TEST_CASE("which knowledge replaces which") {
+  struct row {
+    std::uint64_t next_incarnation;
+    member_state next;
+    member_state known;
+    bool expected;
+  };
+  const row row = GENERATE(values<struct row>({
+      {1, member_state::kAlive, member_state::kAlive, false},
+      {1, member_state::kSuspect, member_state::kAlive, true},
+      {1, member_state::kAlive, member_state::kDead, false},
+      {2, member_state::kAlive, member_state::kDead, true},
+      {0, member_state::kDead, member_state::kAlive, false},
+      {1, member_state::kLeft, member_state::kDead, true},
+  }));
+  member known;
+  known.incarnation = 1;
+  known.state = row.known;
+  member next = known;
+  next.incarnation = row.next_incarnation;
+  next.state = row.next;
+  CHECK(Supersedes(next, known) == row.expected);
+}
+
+TEST_CASE("malformed gossip is refused") {
+  gossip_message message;
+  message.sender.name = "m";
+  message.suspects = {{1, 2, 3}};
+  message.in_flight = {{4, 5}};
+  message.leaving = {{6, 7}};
+  const std::string whole = EncodeGossip(message);
+  CHECK(*DecodeGossip(whole) == message);
+  for (std::size_t cut = 0; cut < whole.size(); ++cut)
+    CHECK_FALSE(DecodeGossip(std::string_view(whole).substr(0, cut)));
+  CHECK_FALSE(DecodeGossip(whole + "x"));
+  CHECK_FALSE(DecodeGossip(std::string(40, '\x9f')));
+  CHECK_FALSE(DecodeGossip(std::string(1'000, '\x81')));
+}
+
+}  // namespace
+}  // namespace cactusward
--- /dev/null
+++ b/tests/unit/recovery_test.cc
@@ -0,0 +1,205 @@
+// Suspects, retries, admission and burn.
+#include <catch2/catch.hpp>
+
+#include "cactusward/admission.h"
+#include "cactusward/burn.h"
+#include "cactusward/error.h"
+#include "cactusward/retry_budget.h"
+#include "cactusward/suspects.h"
+
+namespace cactusward {
+namespace {
+
+const time_point kT0 = time_point() + std::chrono::hours(10);
+constexpr milliseconds kPeriod{60'000};
+constexpr std::uint64_t kPoison = 1;
+constexpr std::uint64_t kInnocent = 2;
+constexpr std::uint64_t kOther = 3;
+
+TEST_CASE("the second death of a suspect is blamed on it alone") {
+  suspect_table table(2, kPeriod);
+  CHECK(table.RecordDeath(10, {kPoison, kInnocent}, kT0).size() == 2);
+  CHECK(table.Judge(kPoison, kT0) == suspect_verdict::kAlone);
+  CHECK(table.RecordDeath(11, {kPoison, kOther}, kT0 + milliseconds(900))
+            .size() == 1);
+  CHECK(table.Judge(kPoison, kT0) == suspect_verdict::kRefuse);
+  CHECK(table.Judge(kOther, kT0) == suspect_verdict::kClear);
+  CHECK(table.Judge(kInnocent, kT0) == suspect_verdict::kAlone);
+  table.RecordFinish(kInnocent);
+  table.RecordFinish(kPoison);
+  CHECK(table.Judge(kInnocent, kT0) == suspect_verdict::kClear);
+  CHECK(table.Judge(kPoison, kT0) == suspect_verdict::kRefuse);
+  CHECK(table.Judge(kPoison, kT0 + 2 * kPeriod) == suspect_verdict::kClear);
+}
+
+TEST_CASE("deaths seen by two instances add up, one death does not") {
+  suspect_table table(2, kPeriod);
+  table.RecordDeath(10, {kPoison}, kT0);
+  CHECK_FALSE(table.Learn({kPoison, 10, 20}, kT0));
+  CHECK(table.Judge(kPoison, kT0) == suspect_verdict::kAlone);
+  CHECK(table.Learn({kPoison, 11, 0}, kT0));
+  CHECK(table.Judge(kPoison, kT0) == suspect_verdict::kRefuse);
+}
+
+TEST_CASE("a death that a peer explains is blamed on nobody else") {
+  const bool report_first = GENERATE(true, false);
+  suspect_table table(2, kPeriod);
+  table.Learn({kPoison, 10, 0}, kT0);
+  if (report_first) {
+    table.Learn({kPoison, 11, 0}, kT0);
+    CHECK(table.RecordDeath(11, {kInnocent}, kT0).empty());
+  } else {
+    CHECK(table.RecordDeath(11, {kInnocent}, kT0).size() == 1);
+    CHECK(table.Judge(kInnocent, kT0) == suspect_verdict::kAlone);
+    table.Learn({kPoison, 11, 0}, kT0);
+  }
+  CHECK(table.Judge(kInnocent, kT0) == suspect_verdict::kClear);
+  CHECK(table.Judge(kPoison, kT0) == suspect_verdict::kRefuse);
+}
+
+TEST_CASE("requests that the evidence cannot tell apart are all refused") {
+  suspect_table table(2, kPeriod);
+  table.RecordDeath(10, {kInnocent}, kT0);
+  table.Learn({kPoison, 10, 0}, kT0);
+  table.RecordDeath(11, {kInnocent}, kT0);
+  CHECK(table.Learn({kPoison, 11, 0}, kT0));
+  CHECK(table.Judge(kInnocent, kT0) == suspect_verdict::kRefuse);
+  CHECK(table.Judge(kPoison, kT0) == suspect_verdict::kRefuse);
+}
+
+TEST_CASE("suspicions expire and absurd reports are ignored") {
+  suspect_table table(2, kPeriod);
+  const std::int64_t age = GENERATE(-1, 60'001, INT64_MAX);
+  CHECK_FALSE(table.Learn({kPoison, 10, age}, kT0));
+  table.RecordDeath(10, {kPoison}, kT0);
+  table.Expire(kT0 + 2 * kPeriod);
+  CHECK(table.size() == 0);
+}
+
+TEST_CASE("retries are a share of first attempts") {
+  retry_budget budget(0.1, 2);
+  CHECK(budget.TrySpend());
+  CHECK(budget.TrySpend());
+  CHECK_FALSE(budget.TrySpend());
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.RecordAttempt();
+    retries += budget.TrySpend() ? 1 : 0;
+  }
+  CHECK(retries >= 98);
+  CHECK(retries <= 100);
+}
+
+organisation Org(int concurrent, std::int64_t rate) {
+  organisation result;
+  result.name = "svaz";
+  result.limits = {concurrent, 100, rate};
+  return result;
+}
+
+TEST_CASE("an organisation's concurrency is shared among instances") {
+  struct row {
+    int instances;
+    int expected;
+  };
+  const row row = GENERATE(values<struct row>({{1, 16}, {4, 6}, {100, 1}}));
+  organisation_ledger ledger;
+  ledger.SetInstances(row.instances);
+  int admitted = 0;
+  while (admitted < 50 && ledger.Admit(Org(16, 1'000'000'000), 1, kT0))
+    ++admitted;
+  CHECK(admitted == row.expected);
+  ledger.Release("svaz");
+  CHECK(ledger.Admit(Org(16, 1'000'000'000), 1, kT0));
+}
+
+TEST_CASE("an organisation's tokens come back with time") {
+  organisation_ledger ledger;
+  const organisation org = Org(1000, 100);
+  CHECK(ledger.Admit(org, 1000, kT0));
+  CHECK(ledger.Admit(org, 1, kT0).kind() == error_kind::kOrganisationLimit);
+  CHECK(ledger.Admit(org, 100, kT0 + std::chrono::seconds(1)));
+  CHECK_FALSE(ledger.Admit(org, 100, kT0 + std::chrono::seconds(1)));
+  // A prompt larger than the whole allowance can still run.
+  CHECK(ledger.Admit(org, 50'000, kT0 + std::chrono::hours(1)));
+}
+
+queued_request Queued(std::uint64_t id,
+                      std::size_t length_class,
+                      const std::string& org,
+                      int age_ms,
+                      int life_ms) {
+  queued_request request;
+  request.id = id;
+  request.length_class = length_class;
+  request.organisation = org;
+  request.queued_at = kT0 - milliseconds(age_ms);
+  request.deadline = request.queued_at + milliseconds(life_ms);
+  return request;
+}
+
+TEST_CASE("the queue orders by class, turn and urgency") {
+  request_queue queue;
+  length_class limits;
+  limits.max_queued = 10;
+  queue.Push(Queued(1, 1, "large", 50, 60'000), limits, 10);
+  queue.Push(Queued(2, 0, "large", 40, 60'000), limits, 10);
+  queue.Push(Queued(3, 0, "large", 30, 60'000), limits, 10);
+  queue.Push(Queued(4, 0, "small", 10, 60'000), limits, 10);
+  CHECK(queue.Order(kT0) == std::vector<std::uint64_t>{2, 4, 3, 1});
+  // Beyond half of its life long work counts as the shortest class.
+  CHECK(queue.Order(kT0 + milliseconds(29'960)).front() == 1);
+  CHECK(queue.Remove(2));
+  CHECK_FALSE(queue.Remove(2));
+  CHECK(queue.size() == 3);
+}
+
+TEST_CASE("the queue is bounded by class and by organisation") {
+  request_queue queue;
+  length_class limits;
+  limits.max_queued = 3;
+  CHECK(queue.Push(Queued(1, 0, "a", 0, 100), limits, 2));
+  CHECK(queue.Push(Queued(2, 0, "a", 0, 100), limits, 2));
+  CHECK(queue.Push(Queued(3, 0, "a", 0, 100), limits, 2).kind() ==
+        error_kind::kOrganisationLimit);
+  CHECK(queue.Push(Queued(4, 0, "b", 0, 100), limits, 2));
+  CHECK(queue.Push(Queued(5, 0, "c", 0, 100), limits, 2).kind() ==
+        error_kind::kQueueFull);
+  const auto rows = queue.Rows({limits}, kT0 + milliseconds(5));
+  REQUIRE(rows.size() == 2);
+  CHECK(rows[0].depth == 2);
+  CHECK(rows[0].oldest == milliseconds(5));
+}
+
+TEST_CASE("burn over several windows and instances") {
+  burn_tracker here;
+  burn_tracker there;
+  for (int i = 0; i < 90; ++i)
+    here.Record("short", "svaz", true, kT0);
+  for (int i = 0; i < 10; ++i)
+    there.Record("short", "svaz", false, kT0);
+  there.Record("short", "svaz", false, kT0 - std::chrono::minutes(40));
+  there.Record("long", "svaz", false, kT0 - std::chrono::hours(7));
+  const auto lines =
+      MeasureObjectives({{"short", "*", 0.95}, {"long", "*", 0.5}},
+                        MergeBurnRows({here.Rows(kT0), there.Rows(kT0)}));
+  REQUIRE(lines.size() == 2);
+  CHECK(lines[0].windows[0] == burn_count{100, 10});
+  CHECK(lines[0].windows[2] == burn_count{101, 11});
+  CHECK(lines[0].burn_rate[0] == Approx(2.0));
+  CHECK(lines[0].budget_left == Approx(1 - (11.0 / 101) / 0.05));
+  CHECK(lines[1].windows[3] == burn_count{0, 0});
+}
+
+TEST_CASE("the table of errors has a row for every kind") {
+  const int value =
+      GENERATE(range(0, static_cast<int>(error_kind::kInternal) + 1));
+  const auto kind = static_cast<error_kind>(value);
+  CHECK(AnswerFor(kind).kind == kind);
+  CHECK_FALSE(AnswerFor(kind).name.empty());
+  CHECK(KindOf(make_error_code(kind)) == kind);
+  CHECK(AnswerFor(static_cast<error_kind>(9999)).kind == error_kind::kInternal);
+}
+
+}  // namespace
+}  // namespace cactusward
--- /dev/null
+++ b/tests/unit/routing_test.cc
@@ -0,0 +1,239 @@
+// Placement, the pool behind it, and the estimate of the first token.
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "cactusward/upstreams.h"
+
+namespace cactusward {
+namespace {
+
+constexpr std::int64_t kCapacity = 450'000;
+
+upstream_view Idle() {
+  upstream_view view;
+  view.prefill_rate = 20'000;
+  view.kv_capacity = kCapacity;
+  return view;
+}
+
+routing_settings Settings(const std::string& policy) {
+  routing_settings settings;
+  settings.policy = policy;
+  settings.long_share = 0.25;
+  settings.candidates = 4;
+  settings.max_in_flight = 8;
+  return settings;
+}
+
+routing_request Request(std::int64_t tokens, bool is_long) {
+  routing_request request;
+  request.prompt_tokens = tokens;
+  request.kv_tokens = tokens + 100;
+  request.is_long = is_long;
+  return request;
+}
+
+// Every upstream chosen over many decisions.
+std::set<std::size_t> Chosen(const routing_policy& policy,
+                             const routing_request& request,
+                             const std::vector<upstream_view>& upstreams) {
+  std::set<std::size_t> chosen;
+  const fixed_view view(upstreams);
+  for (std::uint64_t random = 1; random <= 400; ++random) {
+    const auto placement =
+        policy.Choose(request, view, random * 0x9e3779b97f4a7c15);
+    if (placement)
+      chosen.insert(placement->upstream);
+  }
+  return chosen;
+}
+
+TEST_CASE("every policy refuses upstreams that cannot take the request") {
+  const std::string name = GENERATE(from_range(RoutingPolicyNames()));
+  const auto policy = MakeRoutingPolicy(Settings(name));
+  REQUIRE(policy);
+  CHECK(policy->name() == name);
+  std::vector<upstream_view> upstreams(5, Idle());
+  upstreams[0].accepting = false;
+  upstreams[1].kv_reserved = kCapacity;
+  upstreams[2].in_flight = 8;
+  upstreams[3].has_suspect = true;
+  routing_request request = Request(1000, false);
+  request.alone = true;
+  CHECK(Chosen(*policy, request, upstreams) == std::set<std::size_t>{4});
+  upstreams.resize(3);
+  CHECK(Chosen(*policy, request, upstreams).empty());
+  CHECK(Chosen(*policy, request, {}).empty());
+}
+
+TEST_CASE("an unknown policy gives none") {
+  CHECK(MakeRoutingPolicy(Settings("best")) == nullptr);
+}
+
+TEST_CASE("long work stays in its share of the upstreams") {
+  const auto policy = MakeRoutingPolicy(Settings("first_token"));
+  const std::vector<upstream_view> upstreams(8, Idle());
+  CHECK(Chosen(*policy, Request(300'000, true), upstreams) ==
+        std::set<std::size_t>{0, 1});
+}
+
+TEST_CASE("short work borrows from the share for long work when pressed") {
+  const auto policy = MakeRoutingPolicy(Settings("first_token"));
+  std::vector<upstream_view> upstreams(8, Idle());
+  CHECK(Chosen(*policy, Request(1000, false), upstreams).count(0) == 0);
+  for (std::size_t i = 2; i < 8; ++i)
+    upstreams[i].backlog_tokens = 100'000;
+  CHECK(Chosen(*policy, Request(1000, false), upstreams) ==
+        std::set<std::size_t>{0, 1});
+}
+
+TEST_CASE("equal candidates are spread, so that instances do not herd") {
+  const auto policy = MakeRoutingPolicy(Settings("first_token"));
+  const std::vector<upstream_view> upstreams(12, Idle());
+  CHECK(Chosen(*policy, Request(1000, false), upstreams).size() == 9);
+}
+
+TEST_CASE("expected first token, by hand") {
+  struct row {
+    std::int64_t backlog;
+    std::int64_t long_backlog;
+    bool is_long;
+    bool priorities;
+    int expected_ms;
+  };
+  // 20 tokens a millisecond, a prompt of 2,000, a step of 30 ms.
+  const row row = GENERATE(values<struct row>({
+      {0, 0, false, true, 130},
+      {20'000, 0, false, true, 1130},
+      {20'000, 20'000, false, true, 130},
+      {20'000, 20'000, false, false, 1130},
+      {20'000, 20'000, true, true, 1130},
+      {20'000, 15'000, false, true, 380},
+  }));
+  upstream_view upstream = Idle();
+  upstream.backlog_tokens = row.backlog;
+  upstream.long_backlog_tokens = row.long_backlog;
+  CHECK(ExpectedFirstToken(Request(2'000, row.is_long), upstream,
+                           row.priorities) == milliseconds(row.expected_ms));
+}
+
+class pool_fixture {
+ protected:
+  pool_fixture() : pool_(Service(), "brno", ejection_settings()) {
+    std::vector<upstream_listing> listings;
+    for (int i = 0; i < 4; ++i)
+      listings.push_back({Address(i), "poradna", "brno", false});
+    listings.push_back({"127.0.0.1:99", "other", "brno", false});
+    pool_.SetListings(listings);
+    listings_ = listings;
+  }
+  static std::string Address(int i) {
+    return "127.0.0.1:" + std::to_string(9000 + i);
+  }
+  static upstream_service Service() {
+    upstream_service service;
+    service.name = "poradna";
+    service.prefill_tokens_per_second = 10'000;
+    service.kv_capacity_tokens = kCapacity;
+    return service;
+  }
+  upstream_view ViewOf(const std::string& address, time_point now) const {
+    for (std::size_t i = 0; i < pool_.size(); ++i) {
+      if (pool_.AddressAt(i) == address)
+        return pool_.ViewAt(i, now);
+    }
+    return {};
+  }
+  std::uint64_t Send(int upstream, std::int64_t tokens, time_point at) {
+    dispatch sent;
+    sent.address = Address(upstream);
+    sent.prompt_tokens = tokens;
+    sent.kv_tokens = tokens + 10;
+    sent.fingerprint = static_cast<std::uint64_t>(tokens);
+    sent.sent_at = at;
+    return pool_.Begin(sent);
+  }
+
+  upstream_pool pool_;
+  std::vector<upstream_listing> listings_;
+  time_point t0_ = time_point() + std::chrono::hours(1);
+};
+
+TEST_CASE_METHOD(pool_fixture, "a pool accounts for its dispatches") {
+  const auto id = Send(0, 5'000, t0_);
+  Send(0, 1'000, t0_);
+  CHECK(ViewOf(Address(0), t0_).backlog_tokens == 6'000);
+  CHECK(ViewOf(Address(0), t0_).kv_reserved == 6'020);
+  CHECK(pool_.InFlightAt(Address(0)).size() == 2);
+  pool_.FirstToken(id);
+  pool_.FirstToken(id);
+  CHECK(ViewOf(Address(0), t0_).backlog_tokens == 1'000);
+  pool_.End(id);
+  pool_.End(id);
+  CHECK(ViewOf(Address(0), t0_).kv_reserved == 1'010);
+  CHECK(ViewOf(Address(0), t0_).in_flight == 1);
+}
+
+TEST_CASE_METHOD(pool_fixture, "a lagging report is corrected by later work") {
+  load_report report;
+  report.waiting_tokens = 8'000;
+  report.lag = milliseconds(200);
+  Send(0, 500, t0_ - milliseconds(900));
+  pool_.RecordReport(Address(0), report, t0_);
+  // 200 ms old at 10 tokens a millisecond: 6,000 are left.
+  CHECK(ViewOf(Address(0), t0_).backlog_tokens == 6'000);
+  CHECK(ViewOf(Address(0), t0_ + milliseconds(500)).backlog_tokens == 1'000);
+  Send(0, 700, t0_);
+  CHECK(ViewOf(Address(0), t0_).backlog_tokens == 6'700);
+}
+
+TEST_CASE_METHOD(pool_fixture, "peers' requests count as waiting") {
+  pool_.SetPeerBacklog({{UpstreamKey(Address(1)), 3'000}});
+  Send(1, 500, t0_);
+  CHECK(ViewOf(Address(1), t0_).backlog_tokens == 3'500);
+  CHECK(ViewOf(Address(0), t0_).backlog_tokens == 0);
+}
+
+TEST_CASE_METHOD(pool_fixture, "ejection stays within its share") {
+  for (int i = 0; i < 4; ++i) {
+    for (int failure = 0; failure < 3; ++failure)
+      pool_.RecordFailure(Address(i), t0_);
+  }
+  int ejected = 0;
+  for (const auto& row : pool_.Rows(t0_))
+    ejected += row.ejected ? 1 : 0;
+  CHECK(ejected == 1);
+  CHECK(ViewOf(Address(0), t0_ + milliseconds(600)).accepting);
+}
+
+TEST_CASE_METHOD(pool_fixture, "an upstream that leaves is not accepting") {
+  const bool by_platform = GENERATE(true, false);
+  if (by_platform) {
+    listings_[2].leaving = true;
+    pool_.SetListings(listings_);
+    CHECK_FALSE(ViewOf(Address(2), t0_).accepting);
+    return;
+  }
+  CHECK(pool_.LearnLeaving(UpstreamKey(Address(2)), t0_, t0_));
+  CHECK_FALSE(pool_.LearnLeaving(UpstreamKey(Address(2)), t0_, t0_));
+  CHECK_FALSE(ViewOf(Address(2), t0_ + milliseconds(5'000)).accepting);
+  CHECK(pool_.LeavingReports(t0_).size() == 1);
+  // Its own later report wins over what peers said.
+  pool_.RecordReport(Address(2), load_report(), t0_ + milliseconds(500));
+  CHECK(ViewOf(Address(2), t0_ + milliseconds(500)).accepting);
+  CHECK_FALSE(pool_.LearnLeaving(UpstreamKey(Address(2)), t0_,
+                                 t0_ + milliseconds(600)));
+}
+
+TEST_CASE_METHOD(pool_fixture, "an unlisted upstream stays while in use") {
+  const auto id = Send(3, 100, t0_);
+  listings_.erase(listings_.begin() + 3);
+  pool_.SetListings(listings_);
+  CHECK(pool_.size() == 4);
+  CHECK_FALSE(ViewOf(Address(3), t0_).accepting);
+  pool_.End(id);
+  CHECK(pool_.size() == 3);
+}
+
+}  // namespace
+}  // namespace cactusward
--- a/tools/cactusward_load.cc
+++ b/tools/cactusward_load.cc
@@ -34,6 +34,11 @@
 ABSL_FLAG(uint64_t, seed, 1, "seed of the arrivals");
 ABSL_FLAG(int, timeout_ms, 120'000, "a request without an answer is lost");
 ABSL_FLAG(bool, json, false, "print JSON instead of a table");
+ABSL_FLAG(std::string,
+          put,
+          "",
+          "instead of a load: PUT --body to this address and path");
+ABSL_FLAG(std::string, body, "", "body of --put");
 ABSL_FLAG(bool, list, false, "print one line a request as well");
 
 namespace {
@@ -315,6 +320,26 @@
   std::vector<sample> samples_;
 };
 
+// Sends one document, for scripts that set up a deployment.
+int Put(const std::string& target) {
+  const auto slash = std::min(target.find('/'), target.size());
+  outgoing_request request;
+  request.method = http::verb::put;
+  request.target = target.substr(slash);
+  request.body = absl::GetFlag(FLAGS_body);
+  bool done = false;
+  asio::io_context io;
+  http_client client(io);
+  Spawn(io, "put", [&](asio::yield_context yield) {
+    const auto answer =
+        client.Call(target.substr(0, slash), request,
+                    clock::now() + std::chrono::seconds(5), yield);
+    done = answer && answer->status == 200;
+  });
+  io.run();
+  return done ? 0 : 1;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -324,5 +349,7 @@
       "wrong, 2 usage.");
   absl::ParseCommandLine(argc, argv);
   InitLog("load", log_level::kWarning);
+  if (!absl::GetFlag(FLAGS_put).empty())
+    return Put(absl::GetFlag(FLAGS_put));
   return load_driver().Run();
 }
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,45 @@
+#!/usr/bin/env bash
+# Builds and runs all tests and scenarios. Scenarios listed in KNOWN-RED.txt
+# are run and shown, and do not count.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+folder=${BUILD_FOLDER:-build}
+tools/build.sh "$folder" ${CMAKE_OPTIONS:-} || exit 1
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+passed=0
+failed=0
+
+run() {  # name, command...
+  local name=$1
+  shift
+  if timeout 300 "$@" >"$work/$name.txt" 2>&1; then
+    passed=$((passed + 1))
+    echo "ok      $name"
+  elif grep -qsx "scenario: $name" KNOWN-RED.txt; then
+    echo "known   $name (KNOWN-RED.txt)"
+    grep FAILED "$work/$name.txt"
+  else
+    failed=$((failed + 1))
+    echo "FAILED  $name"
+    tail -n 40 "$work/$name.txt"
+  fi
+}
+
+run unit_tests "$folder/unit_tests"
+run embed_routing "$folder/examples/embed_routing"
+for settings in examples/*/instance-*.json; do
+  run "settings_$(basename "$(dirname "$settings")")_$(basename "$settings" .json)" \
+    "$folder/cactuswardd" --settings="$settings" --check
+done
+# Each scenario has its own range of ports, chosen by the seed.
+seed=1
+for scenario in tests/scenarios/*.lua; do
+  name=$(basename "$scenario" .lua)
+  [ "$name" = fleet ] && continue
+  run "$name" "$folder/scenario_runner" --bin="$folder" \
+    --work="$work/$name" --seed="$seed" "$scenario"
+  seed=$((seed + 1))
+done
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
