--- a/benchmark/claims.lua
+++ b/benchmark/claims.lua
@@ -1,5 +1,5 @@
 -- Claims gathered at the home of their bucket against a write for each claim.
--- options: "rate=2000 seconds=6 instances=8 buckets=2 writes=290"
+-- options: "rate=2000 seconds=6 instances=8 buckets=1 writes=290"
 package.path = package.path .. ";" ..
     package.path:gsub("benchmark", "tests/scenarios")
 local fleet = require("fleet")
@@ -48,6 +48,6 @@
 note(string.format("%d bookings/s for %d s at %d instances", rate, seconds,
                    instances))
 run("a write for each claim", 0, 250)
-run(option("buckets", 2) .. " buckets", option("buckets", 2),
+run(option("buckets", 1) .. " bucket(s)", option("buckets", 1),
     option("writes", 290))
 check(true, "measured")
--- a/benchmark/control_cost.lua
+++ b/benchmark/control_cost.lua
@@ -1,10 +1,11 @@
 -- What an idle instance spends on control, from 3 to 60 instances.
--- options: "sizes=3,9,20,40,60 seconds=10"
+-- options: "sizes=3,9,20,40,60 seconds=10 settle=25"
 package.path = package.path .. ";" ..
     package.path:gsub("benchmark", "tests/scenarios")
 local fleet = require("fleet")
 local measure = require("measure")
 local sizes = options:match("sizes=(%S+)") or "3,9,20,40,60"
+local settle = tonumber(options:match("settle=(%d+)") or 25)
 local seconds = tonumber(options:match("seconds=(%d+)") or 10)
 
 note("instances  cpu %  RSS MiB  gossip sent B/s  received B/s  store calls/s"
@@ -25,7 +26,8 @@
   f:list()
   fleet.wait(5000, function() return f:put_config(fleet.config()).status == 200 end)
   check(f:wait_ready(60000), size .. " instances are ready")
-  sleep(3000)
+  -- News of so many that joined at once travels for a while.
+  sleep(settle * 1000)
   local function totals()
     local t = { cpu = 0, rss = 0, sent = 0, received = 0, calls = 0, at = now() }
     for _, i in ipairs(f.instances) do
--- a/benchmark/path_cost.lua
+++ b/benchmark/path_cost.lua
@@ -63,6 +63,7 @@
 for i = 1, 4 do f.upstreams[i].unlisted = true end
 for i = 1, 4 do table.remove(f.upstreams, 1) end
 f:list()
+sleep(1500)
 check(f:wait_ready(), "only the slow runner is listed")
 local rss = measure.rss_kib(instance.pid)
 local handles = {}
--- a/include/cactusward/claim_bucket.h
+++ b/include/cactusward/claim_bucket.h
@@ -16,7 +16,7 @@
   duration retention{std::chrono::hours(1)};
   // Least time between two writes of the bucket; a write after a longer pause
   // is made at once.
-  milliseconds write_interval{10};
+  duration write_interval{milliseconds(10)};
   // Completions and releases wait this long for a claim to travel with.
   milliseconds lazy_delay{50};
 };
--- a/src/config/parse_fleet_config.cc
+++ b/src/config/parse_fleet_config.cc
@@ -105,7 +105,7 @@
   recovery->claim_retention =
       Milliseconds(reader, "claim_retention_ms", 3'600'000, 1000);
   recovery->claim_buckets =
-      static_cast<int>(reader.Integer("claim_buckets", 2, 0, kMaxBuckets));
+      static_cast<int>(reader.Integer("claim_buckets", 1, 0, kMaxBuckets));
   recovery->claim_writes_per_second = static_cast<int>(
       reader.Integer("claim_writes_per_second", 250, 1, kMaxCount));
   reader.Finish();
--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -236,6 +236,7 @@
   answer.content_type = (*stream)->Header("Content-Type");
   answer.load_metrics = (*stream)->Header("endpoint-load-metrics");
   answer.request_id = (*stream)->Header("X-Request-Id");
+  answer.entity_tag = (*stream)->Header("ETag");
   while (true) {
     const auto bytes = (*stream)->Read(deadline, yield);
     if (!bytes)
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -33,6 +33,7 @@
   std::string body;
   std::string load_metrics;  // the endpoint-load-metrics header
   std::string request_id;    // the X-Request-Id header
+  std::string entity_tag;    // the ETag header
 };
 
 class http_client;
--- a/src/gateway/completion_run.cc
+++ b/src/gateway/completion_run.cc
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr milliseconds kAnswerTimeout{10'000};
+// An upstream that does not end its answer after the end marker is not waited
+// for; its connection is not kept.
+constexpr milliseconds kEndTimeout{50};
 // Time between tokens assumed when judging whether a deadline can be met.
 constexpr milliseconds kLeastRunTime{20};
 
@@ -41,7 +44,8 @@
         yield);
     if (outcome.kind == error_kind::kOk || IsWhole(outcome))
       return Finish(yield);
-    if (!attempts_.MayRetry(outcome, true, yield))
+    // Going on from a text that may be wrong would make the whole wrong.
+    if (text_doubtful_ || !attempts_.MayRetry(outcome, true, yield))
       return FailRun(outcome, yield);
   }
 }
@@ -164,7 +168,7 @@
       return {error_kind::kCallerGone, {}, true};
   }
   // Reads the end of the body, so that the connection can be kept.
-  stream.Read(context_.deadline(), yield);
+  stream.Read(std::min(context_.deadline(), clock::now() + kEndTimeout), yield);
   return {};
 }
 
@@ -187,20 +191,19 @@
   if (event.id != StreamId())
     return {error_kind::kUpstreamGarbled, "answer to another request"};
   if (event.kind == event_kind::kUsage) {
-    if (attempt_tokens_ > event.completion_tokens)
+    text_doubtful_ = attempt_tokens_ > event.completion_tokens;
+    if (text_doubtful_)
       return {error_kind::kUpstreamGarbled, "more events than tokens"};
     if (tokens_ == attempt_tokens_)
       engine_prompt_tokens_ = event.prompt_tokens;
     return false;
   }
-  if (tokens_ == 0) {
-    place.FirstToken();
-    context_.record().first_token = clock::now() - context_.began();
-  } else if (attempt_tokens_ == 0) {
-    place.FirstToken();
-  }
   if (!finish_reason_.empty())
     return {error_kind::kUpstreamGarbled, "tokens after the end"};
+  if (attempt_tokens_ == 0)
+    place.FirstToken();
+  if (tokens_ == 0)
+    context_.record().first_token = clock::now() - context_.began();
   if (!event.text.empty()) {
     ++tokens_;
     ++attempt_tokens_;
@@ -239,8 +242,10 @@
   const std::int64_t prompt_tokens = engine_prompt_tokens_ > 0
                                          ? engine_prompt_tokens_
                                          : request_.prompt_tokens;
-  const std::string whole = WholeAnswer(request_, StreamId(), text_,
-                                        finish_reason_, prompt_tokens, tokens_);
+  std::string whole;
+  if (!request_.stream || attempts_.claimed())
+    whole = WholeAnswer(request_, StreamId(), text_, finish_reason_,
+                        prompt_tokens, tokens_);
   attempts_.Succeed(200, "application/json", whole);
   if (attempts_.caller_gone())
     return;
--- a/src/gateway/completion_run.h
+++ b/src/gateway/completion_run.h
@@ -46,6 +46,7 @@
   int tokens_ = 0;
   int attempt_tokens_ = 0;
   std::string finish_reason_;
+  bool text_doubtful_ = false;
   std::int64_t engine_prompt_tokens_ = 0;
   std::string pending_;  // bytes for the caller
 };
--- a/src/gateway/homed_claim_store.cc
+++ b/src/gateway/homed_claim_store.cc
@@ -9,7 +9,7 @@
 using nlohmann::json;
 
 constexpr milliseconds kPeerTimeout{700};
-constexpr int kMillisecondsPerSecond = 1000;
+constexpr duration kSecond = std::chrono::seconds(1);
 
 json BinaryOf(const std::string& bytes) {
   return json::binary({bytes.begin(), bytes.end()});
@@ -35,8 +35,7 @@
       buckets_(settings.claim_buckets) {
   settings_.retention = settings.claim_retention;
   settings_.write_interval =
-      milliseconds(settings.claim_buckets * kMillisecondsPerSecond /
-                   settings.claim_writes_per_second);
+      settings.claim_buckets * kSecond / settings.claim_writes_per_second;
 }
 
 void homed_claim_store::SetRetention(duration retention) {
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -71,32 +71,42 @@
 }
 
 void upstream_directory::PollList(asio::yield_context yield) {
+  std::string entity_tag;
   while (true) {
     outgoing_request request;
     request.target = "/v1/instances";
+    // An unchanged list is not sent again.
+    if (!entity_tag.empty())
+      request.headers = {{"If-None-Match", entity_tag}};
     const auto answer =
         runtime_.client.Call(runtime_.settings.instance_list, request,
                              clock::now() + kListTimeout, yield);
-    std::vector<std::string> peers;
-    const auto listings = answer && answer->status == 200
-                              ? ParseInstanceList(answer->body, &peers)
-                              : std::nullopt;
     // The last list stays in use while the platform does not answer.
-    if (listings) {
-      membership_->SetListedPeers(std::move(peers));
-      if (*listings != listings_) {
-        listings_ = *listings;
-        for (auto& [name, pool] : pools_) {
-          if (config_->Current()->config.FindService(name))
-            pool->SetListings(listings_);
-        }
-        NotifyRoom();
-      }
+    if (answer && answer->status == 200) {
+      entity_tag = answer->entity_tag;
+      TakeList(answer->body);
     }
     Sleep(runtime_.io, kListPeriod, yield);
   }
 }
 
+void upstream_directory::TakeList(const std::string& body) {
+  std::vector<std::string> peers;
+  const auto listings = ParseInstanceList(body, &peers);
+  if (!listings) {
+    Log(log_level::kWarning, "instance_list_malformed");
+    return;
+  }
+  membership_->SetListedPeers(std::move(peers));
+  listings_ = *listings;
+  const auto active = config_->Current();
+  for (auto& [name, pool] : pools_) {
+    if (active->config.FindService(name))
+      pool->SetListings(listings_);
+  }
+  NotifyRoom();
+}
+
 bool upstream_directory::IsHomeOf(const std::string& address) {
   return live_names_.empty() || live_names_[HomeOf(address, live_names_)] ==
                                     runtime_.settings.instance;
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -75,6 +75,7 @@
  private:
   void ApplyConfig();
   void PollList(asio::yield_context yield);
+  void TakeList(const std::string& body);
   void Probe(time_point now);
   bool IsHomeOf(const std::string& address);
   void ProbeOne(const std::string& service,
--- a/src/model/platform_standin.cc
+++ b/src/model/platform_standin.cc
@@ -1,5 +1,6 @@
 #include "src/model/platform_standin.h"
 
+#include "cactusward/hash.h"
 #include "src/edges/etcd_store.h"
 #include "src/edges/json.h"
 
@@ -49,7 +50,10 @@
   if (faults_.slow_ms > 0)
     Sleep(io_, milliseconds(faults_.slow_ms), yield);
   if (path == "/v1/instances") {
-    exchange.Answer(200, "application/json", list_,
+    const std::string tag = "\"" + std::to_string(Hash64(list_)) + "\"";
+    const bool same = exchange.Header("If-None-Match") == tag;
+    exchange.SetHeader("ETag", tag);
+    exchange.Answer(same ? 304 : 200, "application/json", same ? "" : list_,
                     clock::now() + kWriteTimeout, yield);
     return;
   }
--- a/tools/cactuswardctl.cc
+++ b/tools/cactuswardctl.cc
@@ -6,10 +6,9 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
-#include <sstream>
 
-#include "src/edges/http_client.h"
 #include "src/edges/json.h"
+#include "tools/ctl_client.h"
 #include "tools/ctl_output.h"
 
 ABSL_FLAG(std::string,
@@ -32,18 +31,10 @@
 
 namespace {
 
-using cactusward::http_answer;
 using cactusward::milliseconds;
-using cactusward::ctl::text_table;
+using namespace cactusward::ctl;  // NOLINT
 using nlohmann::json;
 
-constexpr int kExitFailed = 1;
-constexpr int kExitUsage = 2;
-constexpr int kExitInvalid = 3;
-constexpr int kExitConflict = 4;
-constexpr int kExitUnreachable = 5;
-constexpr int kExitNotEverywhere = 6;
-constexpr milliseconds kCallTimeout{12'000};
 constexpr milliseconds kPollPause{20};
 
 constexpr char kUsage[] =
@@ -62,83 +53,12 @@
     "Exit codes: 0 done, 1 refused, 2 usage, 3 invalid document, 4 conflict,\n"
     "5 instance unreachable, 6 accepted but not yet in force everywhere.";
 
-class fleet_client {
- public:
-  fleet_client() : client_(io_) {}
-
-  // Calls one instance; prints the error and gives no answer when it cannot.
-  std::optional<http_answer> Call(cactusward::http::verb method,
-                                  const std::string& target,
-                                  const std::string& body = {}) {
-    cactusward::outgoing_request request;
-    request.method = method;
-    request.target = target;
-    request.body = body;
-    request.headers = {{"Authorization", "Bearer " + Key()}};
-    std::optional<http_answer> answer;
-    cactusward::Spawn(io_, "call", [&](cactusward::asio::yield_context yield) {
-      auto got = client_.Call(absl::GetFlag(FLAGS_instance), request,
-                              cactusward::clock::now() + kCallTimeout, yield);
-      if (got)
-        answer = std::move(*got);
-      else
-        std::cerr << absl::GetFlag(FLAGS_instance) << ": "
-                  << got.error().message() << " " << got.detail() << '\n';
-    });
-    io_.restart();
-    io_.run();
-    return answer;
-  }
-
-  std::optional<json> Get(const std::string& target) {
-    const auto answer = Call(cactusward::http::verb::get, target);
-    if (!answer)
-      return std::nullopt;
-    auto parsed = cactusward::ParseJson(answer->body);
-    if (answer->status == 200 && parsed)
-      return parsed;
-    std::cerr << answer->body << '\n';
-    return std::nullopt;
-  }
-
- private:
-  static std::string Key() {
-    std::string key = absl::GetFlag(FLAGS_key);
-    if (!key.empty())
-      return key;
-    const char* variable = std::getenv("CACTUSWARD_OPERATOR_KEY");
-    return variable ? variable : "";
-  }
-
-  cactusward::asio::io_context io_;
-  cactusward::http_client client_;
-};
-
-std::optional<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    std::cerr << "cannot read " << path << '\n';
-    return std::nullopt;
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
-int FailWith(const http_answer& answer) {
-  const auto body = cactusward::ParseJson(answer.body);
-  if (!body || !body->contains("error")) {
-    std::cerr << "status " << answer.status << '\n';
-    return kExitFailed;
-  }
-  const json& error = (*body)["error"];
-  std::cerr << error.value("kind", "") << ": " << error.value("message", "")
-            << '\n'
-            << error.value("detail", "") << '\n';
-  if (error.value("kind", "") == "config_invalid")
-    return kExitInvalid;
-  return error.value("kind", "") == "config_conflict" ? kExitConflict
-                                                      : kExitFailed;
+std::string OperatorKey() {
+  std::string key = absl::GetFlag(FLAGS_key);
+  if (!key.empty())
+    return key;
+  const char* variable = std::getenv("CACTUSWARD_OPERATOR_KEY");
+  return variable ? variable : "";
 }
 
 int ConfigGet(fleet_client& fleet) {
@@ -406,7 +326,7 @@
 }
 
 int Run(const std::vector<std::string>& words) {
-  fleet_client fleet;
+  fleet_client fleet(absl::GetFlag(FLAGS_instance), OperatorKey());
   const std::string command = words.empty() ? "" : words[0];
   const std::string sub = words.size() > 1 ? words[1] : "";
   if (command == "config" && sub == "get")
