--- a/src/membership/gossip_codec.cc
+++ b/src/membership/gossip_codec.cc
@@ -67,19 +67,9 @@
   return true;
 }
 
-bool ReadInFlight(const json& value, std::vector<in_flight_report>* out) {
-  if (!IsList(value))
-    return false;
-  for (const json& item : value) {
-    if (!item.is_array() || item.size() != 2 || !item[0].is_number_unsigned() ||
-        !IsInteger(item[1]))
-      return false;
-    out->push_back({item[0].get<std::uint32_t>(), item[1].get<std::int64_t>()});
-  }
-  return true;
-}
-
-bool ReadLeaving(const json& value, std::vector<leaving_report>* out) {
+// Reads [upstream, amount] pairs.
+template <typename Report>
+bool ReadPairs(const json& value, std::vector<Report>* out) {
   if (!IsList(value))
     return false;
   for (const json& item : value) {
@@ -142,8 +132,8 @@
   if (!ReadMember(value[3], &message.sender) ||
       !ReadMembers(value[8], &message.members) ||
       !ReadSuspects(value[9], &message.suspects) ||
-      !ReadInFlight(value[10], &message.in_flight) ||
-      !ReadLeaving(value[11], &message.leaving))
+      !ReadPairs(value[10], &message.in_flight) ||
+      !ReadPairs(value[11], &message.leaving))
     return malformed;
   return message;
 }
