Crossed answers carry another's text; deep nesting that is valid JSON

A crossed answer of the stand-in had a foreign id but the right text, and the deeply nested body was refused as unfinished JSON before its depth mattered. Change: the stand-in sends another request's text; a row with valid deep JSON.

--- a/src/model/runner_standin.cc
+++ b/src/model/runner_standin.cc
@@ -201,7 +201,10 @@
                             asio::yield_context yield) {
   const bool cut = Take(&faults_.cut);
   const bool duplicate = Take(&faults_.duplicate);
-  const std::string shown_id = Take(&faults_.cross) ? id + "-other" : id;
+  // A crossed answer is another request's, id and text.
+  const bool crossed = Take(&faults_.cross);
+  const std::string shown_id = crossed ? id + "-other" : id;
+  token_stream other(shown_id);
   const auto write = [&](const std::string& bytes) {
     return exchange.WriteChunk(bytes, clock::now() + kWriteTimeout, yield);
   };
@@ -219,8 +222,8 @@
       --state.ready_tokens;
       ++sent;
       const bool last = state.finished && state.ready_tokens == 0;
-      const std::string event =
-          EventOf(shown_id, chat, state.stream.Next(), last);
+      const std::string event = EventOf(
+          shown_id, chat, crossed ? other.Next() : state.stream.Next(), last);
       bytes += event;
       if (duplicate && sent == 2)
         bytes += event;
--- a/tests/scenarios/bad_input.lua
+++ b/tests/scenarios/bad_input.lua
@@ -17,6 +17,9 @@
   { "an empty body", "/v1/completions", "", nil, 400, "bad_request" },
   { "an array", "/v1/completions", "[]", nil, 400, "bad_request" },
   { "deep nesting", "/v1/completions", string.rep("[", 200000), nil, 400, "bad_request" },
+  { "deep nesting that is valid JSON", "/v1/completions",
+    '{"model":"poradna","prompt":"x","more":' .. string.rep("[", 100000) ..
+    string.rep("]", 100000) .. "}", nil, 400, "bad_request" },
   { "invalid UTF-8", "/v1/completions", '{"model":"poradna","prompt":"\xff"}', nil, 400, "bad_request" },
   { "no prompt", "/v1/completions", '{"model":"poradna"}', nil, 400, "bad_request" },
   { "no tokens", "/v1/completions", body{ max_tokens = 0 }, nil, 400, "bad_request" },
