--- a/fuzz/fuzz_parsers.cc
+++ b/fuzz/fuzz_parsers.cc
@@ -9,9 +9,9 @@
 #include "cactusward/membership.h"
 #include "src/edges/etcd_store.h"
 #include "src/edges/json.h"
-#include "src/gateway/completion_format.h"
-#include "src/gateway/settings.h"
-#include "src/gateway/upstream_directory.h"
+#include "src/formats/completion_format.h"
+#include "src/daemon/settings.h"
+#include "src/services/upstream_directory.h"
 
 namespace {
 
--- a/src/gateway/gateway.cc
+++ b/src/daemon/gateway.cc
@@ -1,8 +1,8 @@
-#include "src/gateway/gateway.h"
+#include "src/daemon/gateway.h"
 
-#include "src/gateway/call_run.h"
-#include "src/gateway/completion_run.h"
 #include "src/kernel/log.h"
+#include "src/request/call_run.h"
+#include "src/request/completion_run.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/gateway.h
+++ b/src/daemon/gateway.h
@@ -1,22 +1,22 @@
 // The daemon: builds the services, connects them, serves requests.
-#ifndef CACTUSWARD_SRC_GATEWAY_GATEWAY_H_
-#define CACTUSWARD_SRC_GATEWAY_GATEWAY_H_
+#ifndef CACTUSWARD_SRC_DAEMON_GATEWAY_H_
+#define CACTUSWARD_SRC_DAEMON_GATEWAY_H_
 
 #include <memory>
 
+#include "src/daemon/operator_api.h"
 #include "src/edges/asio_timer_service.h"
 #include "src/edges/etcd_store.h"
 #include "src/edges/http_server.h"
 #include "src/edges/peer_link.h"
-#include "src/gateway/claim_service.h"
-#include "src/gateway/config_service.h"
-#include "src/gateway/dispatcher.h"
-#include "src/gateway/lifecycle_service.h"
-#include "src/gateway/membership_service.h"
-#include "src/gateway/operator_api.h"
-#include "src/gateway/recovery_service.h"
-#include "src/gateway/report_service.h"
-#include "src/gateway/upstream_directory.h"
+#include "src/services/claim_service.h"
+#include "src/services/config_service.h"
+#include "src/services/dispatcher.h"
+#include "src/services/lifecycle_service.h"
+#include "src/services/membership_service.h"
+#include "src/services/recovery_service.h"
+#include "src/services/report_service.h"
+#include "src/services/upstream_directory.h"
 
 namespace cactusward {
 
@@ -60,4 +60,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_GATEWAY_H_
+#endif  // CACTUSWARD_SRC_DAEMON_GATEWAY_H_
--- a/src/gateway/names.h
+++ b/src/daemon/names.h
@@ -1,6 +1,6 @@
 // Names under which the daemon's services register, and shared constants.
-#ifndef CACTUSWARD_SRC_GATEWAY_NAMES_H_
-#define CACTUSWARD_SRC_GATEWAY_NAMES_H_
+#ifndef CACTUSWARD_SRC_DAEMON_NAMES_H_
+#define CACTUSWARD_SRC_DAEMON_NAMES_H_
 
 #include <string_view>
 
@@ -21,4 +21,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_NAMES_H_
+#endif  // CACTUSWARD_SRC_DAEMON_NAMES_H_
--- a/src/gateway/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -1,14 +1,14 @@
-#include "src/gateway/operator_api.h"
+#include "src/daemon/operator_api.h"
 
 #include <charconv>
 
 #include "cactusward/hash.h"
 #include "src/edges/json.h"
-#include "src/gateway/claim_service.h"
-#include "src/gateway/config_service.h"
-#include "src/gateway/lifecycle_service.h"
-#include "src/gateway/membership_service.h"
-#include "src/gateway/recovery_service.h"
+#include "src/services/claim_service.h"
+#include "src/services/config_service.h"
+#include "src/services/lifecycle_service.h"
+#include "src/services/membership_service.h"
+#include "src/services/recovery_service.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -1,14 +1,14 @@
 // What operators see and do, over HTTP.
-#ifndef CACTUSWARD_SRC_GATEWAY_OPERATOR_API_H_
-#define CACTUSWARD_SRC_GATEWAY_OPERATOR_API_H_
+#ifndef CACTUSWARD_SRC_DAEMON_OPERATOR_API_H_
+#define CACTUSWARD_SRC_DAEMON_OPERATOR_API_H_
 
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
+#include "src/daemon/runtime.h"
 #include "src/edges/http_server.h"
-#include "src/gateway/request_context.h"
-#include "src/gateway/runtime.h"
+#include "src/request/request_context.h"
 
 namespace cactusward {
 
@@ -42,4 +42,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_OPERATOR_API_H_
+#endif  // CACTUSWARD_SRC_DAEMON_OPERATOR_API_H_
--- a/src/gateway/runtime.h
+++ b/src/daemon/runtime.h
@@ -1,6 +1,6 @@
 // What every service of a daemon is built on.
-#ifndef CACTUSWARD_SRC_GATEWAY_RUNTIME_H_
-#define CACTUSWARD_SRC_GATEWAY_RUNTIME_H_
+#ifndef CACTUSWARD_SRC_DAEMON_RUNTIME_H_
+#define CACTUSWARD_SRC_DAEMON_RUNTIME_H_
 
 #include <cstdint>
 #include <random>
@@ -8,8 +8,8 @@
 #include "cactusward/key_value_store.h"
 #include "cactusward/service_registry.h"
 #include "cactusward/timer_service.h"
+#include "src/daemon/settings.h"
 #include "src/edges/http_client.h"
-#include "src/gateway/settings.h"
 
 namespace cactusward {
 
@@ -33,4 +33,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_RUNTIME_H_
+#endif  // CACTUSWARD_SRC_DAEMON_RUNTIME_H_
--- a/src/gateway/settings.cc
+++ b/src/daemon/settings.cc
@@ -1,4 +1,4 @@
-#include "src/gateway/settings.h"
+#include "src/daemon/settings.h"
 
 #include "src/config/json_reader.h"
 #include "src/edges/net.h"
--- a/src/gateway/settings.h
+++ b/src/daemon/settings.h
@@ -1,6 +1,6 @@
 // Settings of one instance, from a JSON file.
-#ifndef CACTUSWARD_SRC_GATEWAY_SETTINGS_H_
-#define CACTUSWARD_SRC_GATEWAY_SETTINGS_H_
+#ifndef CACTUSWARD_SRC_DAEMON_SETTINGS_H_
+#define CACTUSWARD_SRC_DAEMON_SETTINGS_H_
 
 #include <string>
 #include <string_view>
@@ -46,4 +46,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_SETTINGS_H_
+#endif  // CACTUSWARD_SRC_DAEMON_SETTINGS_H_
--- a/src/gateway/completion_format.cc
+++ b/src/formats/completion_format.cc
@@ -1,4 +1,4 @@
-#include "src/gateway/completion_format.h"
+#include "src/formats/completion_format.h"
 
 #include "src/edges/json.h"
 
--- a/src/gateway/completion_format.h
+++ b/src/formats/completion_format.h
@@ -1,6 +1,6 @@
 // The completion API: requests, event streams and answers.
-#ifndef CACTUSWARD_SRC_GATEWAY_COMPLETION_FORMAT_H_
-#define CACTUSWARD_SRC_GATEWAY_COMPLETION_FORMAT_H_
+#ifndef CACTUSWARD_SRC_FORMATS_COMPLETION_FORMAT_H_
+#define CACTUSWARD_SRC_FORMATS_COMPLETION_FORMAT_H_
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -88,4 +88,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_COMPLETION_FORMAT_H_
+#endif  // CACTUSWARD_SRC_FORMATS_COMPLETION_FORMAT_H_
--- a/src/gateway/upstream_formats.cc
+++ b/src/formats/upstream_formats.cc
@@ -1,7 +1,7 @@
 // Reads the platform's instance list and the upstreams' load metrics.
 #include <nlohmann/json.hpp>
 
-#include "src/gateway/upstream_directory.h"
+#include "src/services/upstream_directory.h"
 
 namespace cactusward {
 namespace {
--- a/src/model/runner_standin.cc
+++ b/src/model/runner_standin.cc
@@ -2,7 +2,7 @@
 
 #include "cactusward/hash.h"
 #include "src/edges/json.h"
-#include "src/gateway/completion_format.h"
+#include "src/formats/completion_format.h"
 
 namespace cactusward::model {
 namespace {
--- a/src/gateway/call_run.cc
+++ b/src/request/call_run.cc
@@ -1,7 +1,7 @@
-#include "src/gateway/call_run.h"
+#include "src/request/call_run.h"
 
-#include "src/gateway/completion_format.h"
-#include "src/gateway/config_service.h"
+#include "src/formats/completion_format.h"
+#include "src/services/config_service.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/call_run.h
+++ b/src/request/call_run.h
@@ -1,10 +1,10 @@
 // One call of a plain service.
-#ifndef CACTUSWARD_SRC_GATEWAY_CALL_RUN_H_
-#define CACTUSWARD_SRC_GATEWAY_CALL_RUN_H_
+#ifndef CACTUSWARD_SRC_REQUEST_CALL_RUN_H_
+#define CACTUSWARD_SRC_REQUEST_CALL_RUN_H_
 
 #include <string>
 
-#include "src/gateway/request_attempts.h"
+#include "src/request/request_attempts.h"
 
 namespace cactusward {
 
@@ -37,4 +37,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_CALL_RUN_H_
+#endif  // CACTUSWARD_SRC_REQUEST_CALL_RUN_H_
--- a/src/gateway/completion_run.cc
+++ b/src/request/completion_run.cc
@@ -1,7 +1,7 @@
-#include "src/gateway/completion_run.h"
+#include "src/request/completion_run.h"
 
 #include "src/edges/json.h"
-#include "src/gateway/config_service.h"
+#include "src/services/config_service.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/completion_run.h
+++ b/src/request/completion_run.h
@@ -1,12 +1,12 @@
 // One completion from admission to its last byte, over one or more upstreams.
-#ifndef CACTUSWARD_SRC_GATEWAY_COMPLETION_RUN_H_
-#define CACTUSWARD_SRC_GATEWAY_COMPLETION_RUN_H_
+#ifndef CACTUSWARD_SRC_REQUEST_COMPLETION_RUN_H_
+#define CACTUSWARD_SRC_REQUEST_COMPLETION_RUN_H_
 
 #include <string>
 #include <vector>
 
-#include "src/gateway/completion_format.h"
-#include "src/gateway/request_attempts.h"
+#include "src/formats/completion_format.h"
+#include "src/request/request_attempts.h"
 
 namespace cactusward {
 
@@ -53,4 +53,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_COMPLETION_RUN_H_
+#endif  // CACTUSWARD_SRC_REQUEST_COMPLETION_RUN_H_
--- a/src/gateway/request_attempts.cc
+++ b/src/request/request_attempts.cc
@@ -1,10 +1,10 @@
-#include "src/gateway/request_attempts.h"
+#include "src/request/request_attempts.h"
 
 #include "cactusward/hash.h"
-#include "src/gateway/claim_service.h"
-#include "src/gateway/config_service.h"
-#include "src/gateway/recovery_service.h"
 #include "src/kernel/log.h"
+#include "src/services/claim_service.h"
+#include "src/services/config_service.h"
+#include "src/services/recovery_service.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/request_attempts.h
+++ b/src/request/request_attempts.h
@@ -1,13 +1,13 @@
 // What completions and calls share: claims, attempts, and when to try again.
-#ifndef CACTUSWARD_SRC_GATEWAY_REQUEST_ATTEMPTS_H_
-#define CACTUSWARD_SRC_GATEWAY_REQUEST_ATTEMPTS_H_
+#ifndef CACTUSWARD_SRC_REQUEST_REQUEST_ATTEMPTS_H_
+#define CACTUSWARD_SRC_REQUEST_REQUEST_ATTEMPTS_H_
 
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "cactusward/claims.h"
-#include "src/gateway/request_context.h"
+#include "src/request/request_context.h"
 
 namespace cactusward {
 
@@ -78,4 +78,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_REQUEST_ATTEMPTS_H_
+#endif  // CACTUSWARD_SRC_REQUEST_REQUEST_ATTEMPTS_H_
--- a/src/gateway/request_context.cc
+++ b/src/request/request_context.cc
@@ -1,12 +1,12 @@
-#include "src/gateway/request_context.h"
+#include "src/request/request_context.h"
 
 #include <charconv>
 
 #include "cactusward/hash.h"
-#include "src/gateway/claim_service.h"
-#include "src/gateway/config_service.h"
-#include "src/gateway/lifecycle_service.h"
-#include "src/gateway/recovery_service.h"
+#include "src/services/claim_service.h"
+#include "src/services/config_service.h"
+#include "src/services/lifecycle_service.h"
+#include "src/services/recovery_service.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/request_context.h
+++ b/src/request/request_context.h
@@ -1,14 +1,14 @@
 // What every caller's request needs: who sent it, until when, at whose cost.
-#ifndef CACTUSWARD_SRC_GATEWAY_REQUEST_CONTEXT_H_
-#define CACTUSWARD_SRC_GATEWAY_REQUEST_CONTEXT_H_
+#ifndef CACTUSWARD_SRC_REQUEST_REQUEST_CONTEXT_H_
+#define CACTUSWARD_SRC_REQUEST_REQUEST_CONTEXT_H_
 
 #include <memory>
 #include <string>
 
 #include "cactusward/config_keeper.h"
 #include "src/edges/http_server.h"
-#include "src/gateway/dispatcher.h"
-#include "src/gateway/report_service.h"
+#include "src/services/dispatcher.h"
+#include "src/services/report_service.h"
 
 namespace cactusward {
 
@@ -76,4 +76,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_REQUEST_CONTEXT_H_
+#endif  // CACTUSWARD_SRC_REQUEST_REQUEST_CONTEXT_H_
--- a/src/gateway/claim_service.h
+++ b/src/services/claim_service.h
@@ -1,15 +1,15 @@
 // Claims of this instance, with outcomes and releases carried out to the end.
-#ifndef CACTUSWARD_SRC_GATEWAY_CLAIM_SERVICE_H_
-#define CACTUSWARD_SRC_GATEWAY_CLAIM_SERVICE_H_
+#ifndef CACTUSWARD_SRC_SERVICES_CLAIM_SERVICE_H_
+#define CACTUSWARD_SRC_SERVICES_CLAIM_SERVICE_H_
 
 #include <memory>
 #include <string>
 
 #include "cactusward/claims.h"
 #include "cactusward/config_keeper.h"
-#include "src/gateway/homed_claim_store.h"
-#include "src/gateway/names.h"
-#include "src/gateway/runtime.h"
+#include "src/daemon/names.h"
+#include "src/daemon/runtime.h"
+#include "src/services/homed_claim_store.h"
 
 namespace cactusward {
 
@@ -75,4 +75,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_CLAIM_SERVICE_H_
+#endif  // CACTUSWARD_SRC_SERVICES_CLAIM_SERVICE_H_
--- a/src/gateway/config_service.cc
+++ b/src/services/config_service.cc
@@ -1,8 +1,8 @@
-#include "src/gateway/config_service.h"
+#include "src/services/config_service.h"
 
 #include "cactusward/hash.h"
-#include "src/gateway/membership_service.h"
 #include "src/kernel/log.h"
+#include "src/services/membership_service.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/config_service.h
+++ b/src/services/config_service.h
@@ -1,15 +1,15 @@
 // Keeps the configuration in force: watch, confirmation, pull from peers, and
 // acceptance of edits.
-#ifndef CACTUSWARD_SRC_GATEWAY_CONFIG_SERVICE_H_
-#define CACTUSWARD_SRC_GATEWAY_CONFIG_SERVICE_H_
+#ifndef CACTUSWARD_SRC_SERVICES_CONFIG_SERVICE_H_
+#define CACTUSWARD_SRC_SERVICES_CONFIG_SERVICE_H_
 
 #include <optional>
 #include <string>
 
 #include "cactusward/config_keeper.h"
+#include "src/daemon/names.h"
+#include "src/daemon/runtime.h"
 #include "src/edges/peer_link.h"
-#include "src/gateway/names.h"
-#include "src/gateway/runtime.h"
 
 namespace cactusward {
 
@@ -79,4 +79,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_CONFIG_SERVICE_H_
+#endif  // CACTUSWARD_SRC_SERVICES_CONFIG_SERVICE_H_
--- a/src/gateway/dispatcher.cc
+++ b/src/services/dispatcher.cc
@@ -1,7 +1,7 @@
-#include "src/gateway/dispatcher.h"
+#include "src/services/dispatcher.h"
 
-#include "src/gateway/config_service.h"
-#include "src/gateway/membership_service.h"
+#include "src/services/config_service.h"
+#include "src/services/membership_service.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -1,6 +1,6 @@
 // Brings admitted requests to upstreams: queue, placement, refusal in time.
-#ifndef CACTUSWARD_SRC_GATEWAY_DISPATCHER_H_
-#define CACTUSWARD_SRC_GATEWAY_DISPATCHER_H_
+#ifndef CACTUSWARD_SRC_SERVICES_DISPATCHER_H_
+#define CACTUSWARD_SRC_SERVICES_DISPATCHER_H_
 
 #include <map>
 #include <memory>
@@ -9,9 +9,9 @@
 
 #include "cactusward/admission.h"
 #include "cactusward/routing.h"
-#include "src/gateway/names.h"
-#include "src/gateway/runtime.h"
-#include "src/gateway/upstream_directory.h"
+#include "src/daemon/names.h"
+#include "src/daemon/runtime.h"
+#include "src/services/upstream_directory.h"
 
 namespace cactusward {
 
@@ -109,4 +109,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_DISPATCHER_H_
+#endif  // CACTUSWARD_SRC_SERVICES_DISPATCHER_H_
--- a/src/gateway/homed_claim_store.cc
+++ b/src/services/homed_claim_store.cc
@@ -1,7 +1,7 @@
-#include "src/gateway/homed_claim_store.h"
+#include "src/services/homed_claim_store.h"
 
 #include "cactusward/hash.h"
-#include "src/gateway/membership_service.h"
+#include "src/services/membership_service.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/homed_claim_store.h
+++ b/src/services/homed_claim_store.h
@@ -1,6 +1,6 @@
 // Claims gathered at the home instance of their bucket.
-#ifndef CACTUSWARD_SRC_GATEWAY_HOMED_CLAIM_STORE_H_
-#define CACTUSWARD_SRC_GATEWAY_HOMED_CLAIM_STORE_H_
+#ifndef CACTUSWARD_SRC_SERVICES_HOMED_CLAIM_STORE_H_
+#define CACTUSWARD_SRC_SERVICES_HOMED_CLAIM_STORE_H_
 
 #include <map>
 #include <memory>
@@ -9,8 +9,8 @@
 
 #include "cactusward/claim_bucket.h"
 #include "cactusward/config.h"
+#include "src/daemon/runtime.h"
 #include "src/edges/peer_link.h"
-#include "src/gateway/runtime.h"
 
 namespace cactusward {
 
@@ -77,4 +77,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_HOMED_CLAIM_STORE_H_
+#endif  // CACTUSWARD_SRC_SERVICES_HOMED_CLAIM_STORE_H_
--- a/src/gateway/lifecycle_service.cc
+++ b/src/services/lifecycle_service.cc
@@ -1,9 +1,9 @@
-#include "src/gateway/lifecycle_service.h"
+#include "src/services/lifecycle_service.h"
 
-#include "src/gateway/claim_service.h"
-#include "src/gateway/config_service.h"
-#include "src/gateway/membership_service.h"
 #include "src/kernel/log.h"
+#include "src/services/claim_service.h"
+#include "src/services/config_service.h"
+#include "src/services/membership_service.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/lifecycle_service.h
+++ b/src/services/lifecycle_service.h
@@ -1,12 +1,12 @@
 // Readiness and the planned stop.
-#ifndef CACTUSWARD_SRC_GATEWAY_LIFECYCLE_SERVICE_H_
-#define CACTUSWARD_SRC_GATEWAY_LIFECYCLE_SERVICE_H_
+#ifndef CACTUSWARD_SRC_SERVICES_LIFECYCLE_SERVICE_H_
+#define CACTUSWARD_SRC_SERVICES_LIFECYCLE_SERVICE_H_
 
 #include <functional>
 #include <optional>
 
-#include "src/gateway/names.h"
-#include "src/gateway/runtime.h"
+#include "src/daemon/names.h"
+#include "src/daemon/runtime.h"
 
 namespace cactusward {
 
@@ -55,4 +55,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_LIFECYCLE_SERVICE_H_
+#endif  // CACTUSWARD_SRC_SERVICES_LIFECYCLE_SERVICE_H_
--- a/src/gateway/membership_service.cc
+++ b/src/services/membership_service.cc
@@ -1,11 +1,11 @@
-#include "src/gateway/membership_service.h"
+#include "src/services/membership_service.h"
 
 #include <algorithm>
 
-#include "src/gateway/config_service.h"
-#include "src/gateway/recovery_service.h"
-#include "src/gateway/upstream_directory.h"
 #include "src/kernel/log.h"
+#include "src/services/config_service.h"
+#include "src/services/recovery_service.h"
+#include "src/services/upstream_directory.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/membership_service.h
+++ b/src/services/membership_service.h
@@ -1,6 +1,6 @@
 // Runs the membership protocol over datagrams and carries other news with it.
-#ifndef CACTUSWARD_SRC_GATEWAY_MEMBERSHIP_SERVICE_H_
-#define CACTUSWARD_SRC_GATEWAY_MEMBERSHIP_SERVICE_H_
+#ifndef CACTUSWARD_SRC_SERVICES_MEMBERSHIP_SERVICE_H_
+#define CACTUSWARD_SRC_SERVICES_MEMBERSHIP_SERVICE_H_
 
 #include <deque>
 #include <memory>
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "cactusward/membership.h"
+#include "src/daemon/names.h"
+#include "src/daemon/runtime.h"
 #include "src/edges/gossip_socket.h"
-#include "src/gateway/names.h"
-#include "src/gateway/runtime.h"
 
 namespace cactusward {
 
@@ -85,4 +85,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_MEMBERSHIP_SERVICE_H_
+#endif  // CACTUSWARD_SRC_SERVICES_MEMBERSHIP_SERVICE_H_
--- a/src/gateway/recovery_service.cc
+++ b/src/services/recovery_service.cc
@@ -1,9 +1,9 @@
-#include "src/gateway/recovery_service.h"
+#include "src/services/recovery_service.h"
 
 #include "cactusward/upstreams.h"
-#include "src/gateway/config_service.h"
-#include "src/gateway/membership_service.h"
 #include "src/kernel/log.h"
+#include "src/services/config_service.h"
+#include "src/services/membership_service.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/recovery_service.h
+++ b/src/services/recovery_service.h
@@ -1,6 +1,6 @@
 // Suspected requests and the budget for retries.
-#ifndef CACTUSWARD_SRC_GATEWAY_RECOVERY_SERVICE_H_
-#define CACTUSWARD_SRC_GATEWAY_RECOVERY_SERVICE_H_
+#ifndef CACTUSWARD_SRC_SERVICES_RECOVERY_SERVICE_H_
+#define CACTUSWARD_SRC_SERVICES_RECOVERY_SERVICE_H_
 
 #include <memory>
 #include <string>
@@ -8,8 +8,8 @@
 
 #include "cactusward/retry_budget.h"
 #include "cactusward/suspects.h"
-#include "src/gateway/names.h"
-#include "src/gateway/runtime.h"
+#include "src/daemon/names.h"
+#include "src/daemon/runtime.h"
 
 namespace cactusward {
 
@@ -48,4 +48,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_RECOVERY_SERVICE_H_
+#endif  // CACTUSWARD_SRC_SERVICES_RECOVERY_SERVICE_H_
--- a/src/gateway/report_service.cc
+++ b/src/services/report_service.cc
@@ -1,13 +1,13 @@
-#include "src/gateway/report_service.h"
+#include "src/services/report_service.h"
 
 #include <sstream>
 
 #include "src/edges/etcd_store.h"
-#include "src/gateway/config_service.h"
-#include "src/gateway/dispatcher.h"
-#include "src/gateway/membership_service.h"
-#include "src/gateway/recovery_service.h"
 #include "src/kernel/log.h"
+#include "src/services/config_service.h"
+#include "src/services/dispatcher.h"
+#include "src/services/membership_service.h"
+#include "src/services/recovery_service.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/report_service.h
+++ b/src/services/report_service.h
@@ -1,6 +1,6 @@
 // Measurements: metrics for scrapers, burn of objectives, access records.
-#ifndef CACTUSWARD_SRC_GATEWAY_REPORT_SERVICE_H_
-#define CACTUSWARD_SRC_GATEWAY_REPORT_SERVICE_H_
+#ifndef CACTUSWARD_SRC_SERVICES_REPORT_SERVICE_H_
+#define CACTUSWARD_SRC_SERVICES_REPORT_SERVICE_H_
 
 #include <boost/histogram.hpp>
 #include <map>
@@ -9,8 +9,8 @@
 
 #include "cactusward/burn.h"
 #include "cactusward/error.h"
-#include "src/gateway/names.h"
-#include "src/gateway/runtime.h"
+#include "src/daemon/names.h"
+#include "src/daemon/runtime.h"
 
 namespace cactusward {
 
@@ -62,4 +62,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_REPORT_SERVICE_H_
+#endif  // CACTUSWARD_SRC_SERVICES_REPORT_SERVICE_H_
--- a/src/gateway/upstream_directory.cc
+++ b/src/services/upstream_directory.cc
@@ -1,12 +1,12 @@
-#include "src/gateway/upstream_directory.h"
+#include "src/services/upstream_directory.h"
 
 #include <nlohmann/json.hpp>
 
 #include "cactusward/hash.h"
-#include "src/gateway/config_service.h"
-#include "src/gateway/membership_service.h"
-#include "src/gateway/recovery_service.h"
 #include "src/kernel/log.h"
+#include "src/services/config_service.h"
+#include "src/services/membership_service.h"
+#include "src/services/recovery_service.h"
 
 namespace cactusward {
 namespace {
--- a/src/gateway/upstream_directory.h
+++ b/src/services/upstream_directory.h
@@ -1,6 +1,6 @@
 // The upstreams of every service: list, reports, reachability.
-#ifndef CACTUSWARD_SRC_GATEWAY_UPSTREAM_DIRECTORY_H_
-#define CACTUSWARD_SRC_GATEWAY_UPSTREAM_DIRECTORY_H_
+#ifndef CACTUSWARD_SRC_SERVICES_UPSTREAM_DIRECTORY_H_
+#define CACTUSWARD_SRC_SERVICES_UPSTREAM_DIRECTORY_H_
 
 #include <functional>
 #include <map>
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "cactusward/upstreams.h"
-#include "src/gateway/names.h"
-#include "src/gateway/runtime.h"
+#include "src/daemon/names.h"
+#include "src/daemon/runtime.h"
 
 namespace cactusward {
 
@@ -112,4 +112,4 @@
 
 }  // namespace cactusward
 
-#endif  // CACTUSWARD_SRC_GATEWAY_UPSTREAM_DIRECTORY_H_
+#endif  // CACTUSWARD_SRC_SERVICES_UPSTREAM_DIRECTORY_H_
--- a/tools/cactusward_load.cc
+++ b/tools/cactusward_load.cc
@@ -11,7 +11,7 @@
 
 #include "src/edges/http_client.h"
 #include "src/edges/json.h"
-#include "src/gateway/completion_format.h"
+#include "src/formats/completion_format.h"
 #include "src/kernel/log.h"
 #include "src/model/token_stream.h"
 #include "src/model/workload.h"
--- a/tools/cactuswardd.cc
+++ b/tools/cactuswardd.cc
@@ -8,7 +8,7 @@
 #include <iostream>
 #include <sstream>
 
-#include "src/gateway/gateway.h"
+#include "src/daemon/gateway.h"
 #include "src/kernel/log.h"
 
 ABSL_FLAG(std::string, settings, "", "path of the JSON settings file");
