--- a/fuzz/fuzz_parsers.cc
+++ b/fuzz/fuzz_parsers.cc
@@ -12,6 +12,7 @@
 #include "src/formats/completion_format.h"
 #include "src/daemon/settings.h"
 #include "src/services/upstream_directory.h"
+#include "src/kernel/base64.h"
 
 namespace {
 
--- a/include/cactusward/error.h
+++ b/include/cactusward/error.h
@@ -38,6 +38,7 @@
   kUpstreamGarbled,
   kTimedOut,
   kSuspectRefused,
+  kRepeatRefused,
   kStoreUnavailable,
   kConfigInvalid,
   kConfigConflict,
--- a/include/cactusward/membership.h
+++ b/include/cactusward/membership.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "cactusward/load_board.h"
 #include "cactusward/result.h"
 #include "cactusward/time.h"
 
@@ -92,6 +93,8 @@
   std::vector<suspect_report> suspects;
   std::vector<in_flight_report> in_flight;
   std::vector<leaving_report> leaving;
+  std::int64_t catalog_revision = 0;  // of the registry, known to the sender
+  std::vector<upstream_load> loads;   // the sender's requests
 
   friend bool operator==(const gossip_message& a, const gossip_message& b) {
     return a.kind == b.kind && a.sequence == b.sequence &&
@@ -100,7 +103,8 @@
            a.config_number == b.config_number &&
            a.confirmed_age_ms == b.confirmed_age_ms && a.members == b.members &&
            a.suspects == b.suspects && a.in_flight == b.in_flight &&
-           a.leaving == b.leaving;
+           a.leaving == b.leaving && a.catalog_revision == b.catalog_revision &&
+           a.loads == b.loads;
   }
 };
 
--- /dev/null
+++ b/include/cactusward/shared_retry_budget.h
@@ -0,0 +1,56 @@
+// One instance's part of a retry budget that the whole fleet shares.
+#ifndef CACTUSWARD_SHARED_RETRY_BUDGET_H_
+#define CACTUSWARD_SHARED_RETRY_BUDGET_H_
+
+#include <cstddef>
+#include <deque>
+
+#include "cactusward/time.h"
+
+namespace cactusward {
+
+// The fleet-wide rule: in any window of `window`, at most `ratio` repeats for
+// each first request, and `extra` more.
+struct shared_retry_settings {
+  double ratio = 0.1;
+  int extra = 10;
+  milliseconds window{10'000};
+
+  friend bool operator==(const shared_retry_settings& a,
+                         const shared_retry_settings& b) {
+    return a.ratio == b.ratio && a.extra == b.extra && a.window == b.window;
+  }
+};
+
+// Spends repeats so that the sum over all instances keeps the rule without
+// their talking to each other: an instance may repeat `ratio` of its own
+// requests, and an equal part of the extra. Not thread-safe.
+class shared_retry_budget {
+ public:
+  explicit shared_retry_budget(const shared_retry_settings& settings)
+      : settings_(settings) {}
+
+  // Instances among which the extra is shared out. A fall takes effect only
+  // after a window, since the others may be cut off and still spending.
+  void SetInstances(std::size_t count, time_point now);
+
+  void RecordRequest(time_point now);
+  // @return whether a repeat may be sent now; it is then accounted for.
+  bool TrySpend(time_point now);
+  // Repeats that may be sent now.
+  double Available(time_point now);
+
+ private:
+  void Expire(time_point now);
+
+  shared_retry_settings settings_;
+  std::size_t instances_ = 1;
+  std::size_t lower_instances_ = 1;
+  time_point lower_since_{};
+  std::deque<time_point> requests_;
+  std::deque<time_point> repeats_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SHARED_RETRY_BUDGET_H_
--- a/src/claims/claim_index.cc
+++ b/src/claims/claim_index.cc
@@ -1,4 +1,5 @@
 #include "cactusward/claim_index.h"
+#include "src/kernel/cbor.h"
 
 #include <nlohmann/json.hpp>
 
@@ -48,7 +49,7 @@
 }
 
 result<std::vector<claim_entry>> DecodeSegment(std::string_view bytes) {
-  const json list = json::from_cbor(bytes, true, false);
+  const json list = ParseCbor(bytes);
   result<std::vector<claim_entry>> malformed(error_kind::kInternal,
                                              "malformed claim segment");
   if (!list.is_array())
--- a/src/claims/direct_claim_store.cc
+++ b/src/claims/direct_claim_store.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cactusward/claims.h"
+#include "src/kernel/cbor.h"
 
 namespace cactusward {
 namespace {
@@ -46,7 +47,7 @@
 }
 
 result<claim_record> DecodeClaim(std::string_view text) {
-  const auto json = nlohmann::json::from_cbor(text, true, false);
+  const auto json = ParseCbor(text);
   result<claim_record> malformed(error_kind::kInternal,
                                  "malformed claim record");
   if (!json.is_object())
--- a/src/daemon/gateway.cc
+++ b/src/daemon/gateway.cc
@@ -30,7 +30,7 @@
       client_(io),
       store_(&client_, settings.key_value),
       runtime_{io,      settings, NewIncarnation(), timers_,
-               client_, store_,   registry_,        random_},
+               client_, &store_,  registry_,        random_},
       peers_(io, settings.peer_secret, this),
       config_(runtime_, &peers_),
       membership_(runtime_),
--- a/src/daemon/names.h
+++ b/src/daemon/names.h
@@ -14,6 +14,10 @@
 inline constexpr std::string_view kClaimServiceName = "claims";
 inline constexpr std::string_view kReportServiceName = "report";
 inline constexpr std::string_view kLifecycleServiceName = "lifecycle";
+inline constexpr std::string_view kCatalogServiceName = "catalog";
+inline constexpr std::string_view kFleetServiceName = "fleet";
+inline constexpr std::string_view kRelayDispatcherName = "relay_dispatcher";
+inline constexpr std::string_view kRelayStopName = "relay_stop";
 
 // The name under which the platform lists instances of this system.
 inline constexpr std::string_view kOwnServiceName = "cactusward";
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -20,7 +20,7 @@
   std::uint64_t incarnation;
   timer_service& timers;
   http_client& client;
-  key_value_store& store;
+  key_value_store* store;  // null: this daemon keeps nothing there
   service_registry& registry;
   std::mt19937_64& random;
 };
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -10,6 +10,9 @@
 using internal::object_reader;
 
 constexpr std::size_t kMinSecretBytes = 16;
+constexpr int kMaxRetryExtra = 1'000'000;
+constexpr int kMaxWindowSeconds = 3600;
+constexpr int kMillisecondsPerSecond = 1000;
 constexpr std::int64_t kMaxDrainMs = 24LL * 3600 * 1000;
 
 std::string ReadAddress(object_reader& reader, std::string_view name) {
@@ -29,6 +32,45 @@
   return level == "error" ? log_level::kError : log_level::kInfo;
 }
 
+forwarding_settings ReadForwarding(object_reader reader) {
+  forwarding_settings settings;
+  settings.protocol = reader.RequiredText("protocol");
+  settings.readiness_listen = ReadAddress(reader, "readiness_listen");
+  settings.metrics_listen = ReadAddress(reader, "metrics_listen");
+  settings.registry = ReadAddress(reader, "registry");
+  settings.retries.ratio =
+      reader.Number("retry_ratio", settings.retries.ratio, 0, 1);
+  settings.retries.extra = static_cast<int>(
+      reader.Integer("retry_extra", settings.retries.extra, 0, kMaxRetryExtra));
+  const double window_s =
+      reader.Number("retry_window_s",
+                    static_cast<double>(settings.retries.window.count()) /
+                        kMillisecondsPerSecond,
+                    1, kMaxWindowSeconds);
+  settings.retries.window = milliseconds(
+      static_cast<std::int64_t>(window_s * kMillisecondsPerSecond));
+  settings.registry_return_time = milliseconds(reader.Integer(
+      "registry_return_ms", settings.registry_return_time.count(), 0,
+      kMaxWindowSeconds * kMillisecondsPerSecond));
+  settings.max_reservation = milliseconds(
+      reader.Integer("max_reservation_ms", settings.max_reservation.count(), 0,
+                     kMaxWindowSeconds * kMillisecondsPerSecond));
+  reader.Finish();
+  return settings;
+}
+
+// Adds the peer address of each host: its IP number and this instance's port.
+void AddSeedHosts(const std::vector<std::string>& hosts,
+                  const std::string& peer_listen,
+                  std::vector<std::string>* peers) {
+  const auto own = ParseHostPort(peer_listen);
+  for (const std::string& host : hosts) {
+    const auto parsed = ParseHostPort(host);
+    if (own && parsed)
+      peers->push_back(parsed->host + ":" + std::to_string(own->port));
+  }
+}
+
 }  // namespace
 
 result<instance_settings> ParseSettings(std::string_view text) {
@@ -45,15 +87,21 @@
   settings.peer_advertise = root.Has("peer_advertise")
                                 ? ReadAddress(root, "peer_advertise")
                                 : settings.peer_listen;
-  object_reader platform = root.Object("platform");
-  settings.key_value = ReadAddress(platform, "key_value");
-  settings.instance_list = ReadAddress(platform, "instance_list");
-  platform.Finish();
+  if (root.Has("forwarding"))
+    settings.forwarding = ReadForwarding(root.Object("forwarding"));
   object_reader secrets = root.Object("secrets");
   settings.peer_secret = secrets.RequiredText("peers", kMinSecretBytes);
-  settings.operator_key = secrets.RequiredText("operators", kMinSecretBytes);
+  if (!settings.forwarding) {
+    object_reader platform = root.Object("platform");
+    settings.key_value = ReadAddress(platform, "key_value");
+    settings.instance_list = ReadAddress(platform, "instance_list");
+    platform.Finish();
+    settings.operator_key = secrets.RequiredText("operators", kMinSecretBytes);
+  }
   secrets.Finish();
   settings.seed_peers = root.Texts("seed_peers");
+  AddSeedHosts(root.Texts("seed_hosts"), settings.peer_listen,
+               &settings.seed_peers);
   for (const std::string& peer : settings.seed_peers) {
     if (!ParseHostPort(peer))
       root.Fault("seed_peers", "\"" + peer + "\"", "an IP number and a port");
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -2,16 +2,42 @@
 #ifndef CACTUSWARD_SRC_DAEMON_SETTINGS_H_
 #define CACTUSWARD_SRC_DAEMON_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "cactusward/result.h"
+#include "cactusward/shared_retry_budget.h"
 #include "cactusward/time.h"
 #include "src/kernel/log.h"
 
 namespace cactusward {
 
+// Settings of an instance that forwards requests unchanged.
+struct forwarding_settings {
+  std::string protocol;          // which adapter speaks to the outside
+  std::string readiness_listen;  // asked by the balancer
+  std::string metrics_listen;    // asked by scrapers
+  std::string registry;          // configuration and upstreams
+  shared_retry_settings retries;
+  // How long after the registry's return an upstream may take to register
+  // again.
+  milliseconds registry_return_time{2'200};
+  // Longest time for which memory of an upstream may be reserved.
+  milliseconds max_reservation{20'000};
+
+  friend bool operator==(const forwarding_settings& a,
+                         const forwarding_settings& b) {
+    return a.protocol == b.protocol &&
+           a.readiness_listen == b.readiness_listen &&
+           a.metrics_listen == b.metrics_listen && a.registry == b.registry &&
+           a.retries == b.retries &&
+           a.registry_return_time == b.registry_return_time &&
+           a.max_reservation == b.max_reservation;
+  }
+};
+
 struct instance_settings {
   std::string instance;
   std::string availability_zone;
@@ -26,6 +52,7 @@
   milliseconds drain_grace{2'000};  // the balancer's lag
   milliseconds drain_limit{600'000};
   log_level lowest_level = log_level::kInfo;
+  std::optional<forwarding_settings> forwarding;
 
   friend bool operator==(const instance_settings& a,
                          const instance_settings& b) {
@@ -36,7 +63,8 @@
            a.instance_list == b.instance_list &&
            a.peer_secret == b.peer_secret && a.operator_key == b.operator_key &&
            a.seed_peers == b.seed_peers && a.drain_grace == b.drain_grace &&
-           a.drain_limit == b.drain_limit && a.lowest_level == b.lowest_level;
+           a.drain_limit == b.drain_limit && a.lowest_level == b.lowest_level &&
+           a.forwarding == b.forwarding;
   }
 };
 
--- a/src/edges/etcd_store.h
+++ b/src/edges/etcd_store.h
@@ -10,11 +10,6 @@
 
 namespace cactusward {
 
-// Thread-safe.
-std::string EncodeBase64(std::string_view bytes);
-// @return nothing for text that is not base64. Thread-safe.
-std::optional<std::string> DecodeBase64(std::string_view text);
-
 class etcd_store : public key_value_store {
  public:
   // Precondition: `client` outlives the store.
--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -1,6 +1,10 @@
 #include "src/edges/http_client.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/write.hpp>
+#include <charconv>
 #include <limits>
 
 namespace cactusward {
@@ -10,6 +14,11 @@
 constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr milliseconds kMaxIdleTime{10'000};
 constexpr milliseconds kConnectTimeout{1'000};
+// How long before its announced end a kept connection is given up: a request
+// that is under way when the peer closes would be lost.
+constexpr milliseconds kKeepAliveMargin{500};
+constexpr int kKeepAliveProbes = 2;
+constexpr int kMillisecondsPerSecond = 1000;
 
 error_kind KindOfReadError(const boost::system::error_code& error,
                            bool expired) {
@@ -33,6 +42,37 @@
   return error != asio::error::would_block;
 }
 
+// Ends a connection whose peer fell silent, also while nothing is sent.
+void LimitSilence(tcp::socket& socket, milliseconds limit) {
+  if (limit.count() <= 0)
+    return;
+  const int handle = socket.native_handle();
+  const int limit_ms = static_cast<int>(limit.count());
+  const int probe_s =
+      std::max(1, limit_ms / kMillisecondsPerSecond / (kKeepAliveProbes + 1));
+  const int on = 1;
+  const int probes = kKeepAliveProbes;
+  ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s, sizeof(probe_s));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &probe_s, sizeof(probe_s));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
+               sizeof(limit_ms));
+}
+
+// How long the peer says that it keeps an idle connection.
+milliseconds KeepAliveTime(const http::response_header<>& header) {
+  const auto value = header[http::field::keep_alive];
+  const auto at = value.find("timeout=");
+  if (at == boost::beast::string_view::npos)
+    return kMaxIdleTime;
+  const auto digits = value.substr(at + std::string_view("timeout=").size());
+  int seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return std::min(kMaxIdleTime, milliseconds(seconds * kMillisecondsPerSecond) -
+                                    kKeepAliveMargin);
+}
+
 http::request<http::string_body> Build(const std::string& address,
                                        const outgoing_request& request) {
   http::request<http::string_body> message(request.method, request.target, 11);
@@ -66,8 +106,10 @@
 http_stream::~http_stream() {
   if (cancel_)
     cancel_->OnCancel({});
-  if (finished_ && !cancelled() && parser_.keep_alive())
-    client_->GiveBack(address_, std::move(socket_));
+  // Bytes after a whole answer belong to no request.
+  if (finished_ && !cancelled() && !discard_ && parser_.keep_alive() &&
+      buffer_.size() == 0 && (!sending_ || sending_->done))
+    client_->GiveBack(address_, std::move(socket_), KeepAliveTime(header()));
 }
 
 int http_stream::status() const {
@@ -120,12 +162,14 @@
   return std::string_view();
 }
 
-std::unique_ptr<tcp::socket> http_client::TakeIdle(const std::string& address) {
+std::unique_ptr<tcp::socket> http_client::TakeIdle(const std::string& address,
+                                                   milliseconds max_idle) {
   auto& idle = idle_[address];
+  const time_point now = clock::now();
   while (!idle.empty()) {
     idle_connection connection = std::move(idle.back());
     idle.pop_back();
-    if (clock::now() - connection.since < kMaxIdleTime &&
+    if (now - connection.since < max_idle && now < connection.until &&
         !IsStale(*connection.socket))
       return std::move(connection.socket);
   }
@@ -133,13 +177,14 @@
 }
 
 void http_client::GiveBack(const std::string& address,
-                           std::unique_ptr<tcp::socket> socket) {
+                           std::unique_ptr<tcp::socket> socket,
+                           milliseconds keep_for) {
   auto& idle = idle_[address];
   const time_point now = clock::now();
-  while (!idle.empty() && now - idle.front().since >= kMaxIdleTime)
+  while (!idle.empty() && now >= idle.front().until)
     idle.pop_front();
-  if (idle.size() < kMaxIdlePerAddress)
-    idle.push_back({std::move(socket), now});
+  if (idle.size() < kMaxIdlePerAddress && keep_for.count() > 0)
+    idle.push_back({std::move(socket), now, now + keep_for});
 }
 
 result<std::unique_ptr<tcp::socket>> http_client::Connect(
@@ -167,6 +212,7 @@
     cancel->OnCancel({});
   if (error)
     return {error_kind::kUpstreamUnreachable, error.message()};
+  ++connections_opened_;
   socket->set_option(tcp::no_delay(true), error);
   return socket;
 }
@@ -182,6 +228,7 @@
       std::make_unique<http_stream>(this, address, std::move(socket), cancel);
   {
     const auto message = Build(address, request);
+    LimitSilence(*stream->socket_, request.silence_limit);
     deadline_guard guard(stream->socket_.get(), deadline);
     boost::system::error_code error;
     http::async_write(*stream->socket_, message, yield[error]);
@@ -202,7 +249,7 @@
     cancel_token* cancel) {
   bool maybe_sent = false;
   if (!request.fresh_connection) {
-    if (auto idle = TakeIdle(address)) {
+    if (auto idle = TakeIdle(address, kMaxIdleTime)) {
       auto stream =
           Exchange(address, request, std::move(idle), deadline, yield, cancel);
       const bool cancelled = cancel && cancel->cancelled();
@@ -222,6 +269,46 @@
                   cancel);
 }
 
+result<std::unique_ptr<http_stream>> http_client::Send(
+    const std::string& address,
+    http::request<http::string_body> message,
+    const send_options& options,
+    time_point deadline,
+    asio::yield_context yield,
+    cancel_token* cancel,
+    send_failure* failure) {
+  *failure = {};
+  std::unique_ptr<tcp::socket> socket;
+  if (!options.fresh_connection)
+    socket = TakeIdle(address, options.max_idle);
+  const bool reused = socket != nullptr;
+  if (!socket) {
+    auto connected = Connect(address, deadline, yield, cancel);
+    if (!connected)
+      return {connected.kind(), connected.detail()};
+    socket = std::move(*connected);
+  }
+  LimitSilence(*socket, options.silence_limit);
+  auto stream =
+      std::make_unique<http_stream>(this, address, std::move(socket), cancel);
+  stream->reused_ = reused;
+  stream->parser_.skip(message.method() == http::verb::head);
+  stream->sending_ = std::make_shared<http_stream::sending>(std::move(message));
+  failure->sent = true;
+  http::async_write(
+      *stream->socket_, stream->sending_->message,
+      [sending = stream->sending_](const boost::system::error_code& error,
+                                   std::size_t) { sending->done = !error; });
+  const auto header = stream->ReadHeader(deadline, yield);
+  if (!header) {
+    failure->reused = reused && header.kind() == error_kind::kUpstreamFailed &&
+                      !stream->parser_.got_some() &&
+                      stream->buffer_.size() == 0;
+    return {header.kind(), header.detail()};
+  }
+  return stream;
+}
+
 result<http_answer> http_client::Call(const std::string& address,
                                       const outgoing_request& request,
                                       time_point deadline,
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -25,6 +25,18 @@
   // A request that must not run twice goes on a fresh connection, so that a
   // failure to connect proves that it was not run.
   bool fresh_connection = false;
+  // Ends the connection when the peer is silent for so long, also while an
+  // answer is awaited; 0: only the deadline ends it.
+  milliseconds silence_limit{0};
+};
+
+// How a whole message is sent.
+struct send_options {
+  bool fresh_connection = false;
+  // A kept connection that was idle for longer is not used.
+  milliseconds max_idle{2'000};
+  // Unacknowledged bytes or a silent peer end the connection after this time.
+  milliseconds silence_limit{2'000};
 };
 
 struct http_answer {
@@ -50,6 +62,11 @@
   http_stream& operator=(const http_stream&) = delete;
 
   int status() const;
+  const http::response_header<>& header() const { return parser_.get().base(); }
+  // Whether the connection had carried other requests before this one.
+  bool reused() const { return reused_; }
+  // The connection is not used again.
+  void Discard() { discard_ = true; }
   std::string_view Header(std::string_view name) const;
   // Receives the next bytes of the body; empty at its end. The bytes are valid
   // until the next call.
@@ -70,6 +87,23 @@
   std::string chunk_;
   cancel_token* cancel_;
   bool finished_ = false;
+  bool reused_ = false;
+  bool discard_ = false;
+  // The request being sent while the answer is awaited.
+  struct sending {
+    explicit sending(http::request<http::string_body> m)
+        : message(std::move(m)) {}
+    http::request<http::string_body> message;
+    bool done = false;
+  };
+  std::shared_ptr<sending> sending_;
+  milliseconds silence_limit_{0};
+};
+
+// What became of a message that got no answer.
+struct send_failure {
+  bool sent = false;    // a byte may have reached the upstream
+  bool reused = false;  // a kept connection broke before any answer
 };
 
 // Not thread-safe.
@@ -88,6 +122,21 @@
                                             asio::yield_context yield,
                                             cancel_token* cancel = nullptr);
 
+  // Sends a whole message, its bytes unchanged, and receives the header of the
+  // answer, which may come before all of the message was taken.
+  // @param failure what became of the message when no answer came.
+  // @return as the other Open; a kept connection that broke is not replaced.
+  result<std::unique_ptr<http_stream>> Send(
+      const std::string& address,
+      http::request<http::string_body> message,
+      const send_options& options,
+      time_point deadline,
+      asio::yield_context yield,
+      cancel_token* cancel,
+      send_failure* failure);
+  // Connections opened since the start.
+  std::int64_t connections_opened() const { return connections_opened_; }
+
   // Sends `request` and receives the whole answer, of at most `max_body`.
   result<http_answer> Call(const std::string& address,
                            const outgoing_request& request,
@@ -103,11 +152,14 @@
   struct idle_connection {
     std::unique_ptr<tcp::socket> socket;
     time_point since;
+    time_point until;  // the peer may close it then
   };
 
-  std::unique_ptr<tcp::socket> TakeIdle(const std::string& address);
+  std::unique_ptr<tcp::socket> TakeIdle(const std::string& address,
+                                        milliseconds max_idle);
   void GiveBack(const std::string& address,
-                std::unique_ptr<tcp::socket> socket);
+                std::unique_ptr<tcp::socket> socket,
+                milliseconds keep_for);
   result<std::unique_ptr<tcp::socket>> Connect(const std::string& address,
                                                time_point deadline,
                                                asio::yield_context yield,
@@ -121,6 +173,7 @@
       cancel_token* cancel);
 
   asio::io_context& io_;
+  std::int64_t connections_opened_ = 0;
   std::map<std::string, std::deque<idle_connection>> idle_;
 };
 
--- a/src/edges/http_server.cc
+++ b/src/edges/http_server.cc
@@ -162,6 +162,45 @@
   return !error;
 }
 
+bool http_exchange::AnswerWith(http::response<http::string_body> response,
+                               time_point deadline,
+                               asio::yield_context yield) {
+  for (const auto& [name, value] : headers_)
+    response.set(name, value);
+  response.version(request_.version());
+  response.keep_alive(!close_);
+  status_ = static_cast<int>(response.result_int());
+  answered_ = true;
+  if (request_.method() == http::verb::head)
+    response.body().clear();
+  else
+    response.prepare_payload();
+  deadline_guard guard(socket_, deadline);
+  boost::system::error_code error;
+  http::async_write(*socket_, response, yield[error]);
+  failed_ = failed_ || error;
+  return !error;
+}
+
+bool http_exchange::BeginStreamWith(http::response<http::empty_body> response,
+                                    time_point deadline,
+                                    asio::yield_context yield) {
+  for (const auto& [name, value] : headers_)
+    response.set(name, value);
+  response.version(request_.version());
+  status_ = static_cast<int>(response.result_int());
+  answered_ = true;
+  response.keep_alive(!close_);
+  response.chunked(true);
+  streaming_ = true;
+  http::response_serializer<http::empty_body> serializer(response);
+  deadline_guard guard(socket_, deadline);
+  boost::system::error_code error;
+  http::async_write_header(*socket_, serializer, yield[error]);
+  failed_ = failed_ || error;
+  return !error;
+}
+
 bool http_exchange::AnswerJson(const nlohmann::json& json,
                                asio::yield_context yield) {
   return Answer(
@@ -248,6 +287,13 @@
   acceptor_.close(ignored);
 }
 
+void http_server::CloseIdle() {
+  closing_ = true;
+  boost::system::error_code ignored;
+  for (tcp::socket* socket : idle_)
+    socket->cancel(ignored);
+}
+
 void http_server::Accept(asio::yield_context yield) {
   while (acceptor_.is_open()) {
     auto socket = std::make_shared<tcp::socket>(io_);
@@ -285,6 +331,18 @@
   parser.body_limit(limits_.max_body_bytes);
   boost::system::error_code error;
   error_kind failure = error_kind::kOk;
+  if (buffer.size() == 0) {
+    if (closing_)
+      return false;
+    idle_.insert(&socket);
+    deadline_guard guard(&socket, clock::now() + limits_.idle_timeout);
+    socket.async_wait(tcp::socket::wait_read, yield[error]);
+    idle_.erase(&socket);
+    // A request that arrived while the wait was cancelled is still served.
+    if (error && socket.available(error) == 0)
+      return false;
+    error = {};
+  }
   {
     deadline_guard guard(&socket, clock::now() + limits_.header_timeout);
     http::async_read_header(socket, buffer, parser, yield[error]);
@@ -329,7 +387,13 @@
       exchange.SetClose();
   }
   --active_;
-  return !exchange.close() && !exchange.hung_up();
+  if (exchange.failed() && exchange.streaming()) {
+    // An unfinished stream ends without its last chunk.
+    boost::system::error_code ignored;
+    socket.close(ignored);
+    return false;
+  }
+  return !exchange.close() && !exchange.hung_up() && !closing_;
 }
 
 }  // namespace cactusward
--- a/src/edges/http_server.h
+++ b/src/edges/http_server.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -51,6 +52,18 @@
                    std::string_view detail,
                    asio::yield_context yield);
 
+  // Sends an answer whose fields are all given; only those that concern this
+  // connection are set here.
+  bool AnswerWith(http::response<http::string_body> response,
+                  time_point deadline,
+                  asio::yield_context yield);
+  // Begins a chunked answer whose fields are all given.
+  bool BeginStreamWith(http::response<http::empty_body> response,
+                       time_point deadline,
+                       asio::yield_context yield);
+  // Breaks the answer off, so that it cannot look complete.
+  void Abort() { failed_ = true; }
+
   // Begins a chunked answer.
   bool BeginStream(int status,
                    std::string_view content_type,
@@ -104,7 +117,8 @@
 struct http_server_limits {
   std::uint32_t max_header_bytes = 16ULL * 1024;
   std::uint64_t max_body_bytes = 64ULL * 1024 * 1024;
-  milliseconds header_timeout{15'000};  // idle time between requests included
+  milliseconds idle_timeout{15'000};    // from connecting to a first byte
+  milliseconds header_timeout{15'000};  // from the first byte of a request
   milliseconds body_timeout{30'000};
 };
 
@@ -126,6 +140,10 @@
   // Requests being handled now.
   int active() const { return active_; }
   void SetMaxBody(std::uint64_t bytes) { limits_.max_body_bytes = bytes; }
+  void SetLimits(const http_server_limits& limits) { limits_ = limits; }
+  // From now on connections are closed after their answer, and those that wait
+  // for a request at once.
+  void CloseIdle();
 
  private:
   void Accept(asio::yield_context yield);
@@ -139,6 +157,8 @@
   http_server_limits limits_;
   tcp::acceptor acceptor_;
   int active_ = 0;
+  bool closing_ = false;
+  std::set<tcp::socket*> idle_;  // waiting for the first byte of a request
 };
 
 }  // namespace cactusward
--- a/src/edges/peer_link.cc
+++ b/src/edges/peer_link.cc
@@ -7,6 +7,7 @@
 #include <websocketpp/server.hpp>
 
 #include "cactusward/hash.h"
+#include "src/kernel/cbor.h"
 
 namespace cactusward {
 namespace {
@@ -40,7 +41,7 @@
   const std::string_view bytes = sealed.substr(kMacBytes);
   if (!EqualConstantTime(sealed.substr(0, kMacBytes), Mac(secret, bytes)))
     return std::nullopt;
-  json value = json::from_cbor(bytes, true, false);
+  json value = ParseCbor(bytes);
   if (!value.is_array() || value.size() != kFrameFields ||
       !value[0].is_boolean() || !value[1].is_number_unsigned())
     return std::nullopt;
--- /dev/null
+++ b/src/forwarding/engine_cost.cc
@@ -0,0 +1,32 @@
+#include "cactusward/engine_cost.h"
+
+namespace cactusward {
+namespace {
+
+constexpr double kMillisecondsPerSecond = 1000;
+constexpr double kTokensPerContextUnit = 1000;
+constexpr double kPairsPerUnit = 1e6;
+
+}  // namespace
+
+double PrefillMs(const engine_parameters& engine,
+                 std::int64_t tokens,
+                 int parts) {
+  const auto count = static_cast<double>(tokens);
+  const double linear =
+      count / engine.prefill_per_second * kMillisecondsPerSecond;
+  // Each token attends to all tokens before it.
+  const double pairs = count * count / 2;
+  return (linear + pairs / kPairsPerUnit * engine.pairs_ms_per_million) / parts;
+}
+
+double WritePassMs(const engine_parameters& engine,
+                   int writers,
+                   std::int64_t context) {
+  const double step = engine.step_ms + engine.per_sequence_ms * writers +
+                      engine.context_ms_per_1k * static_cast<double>(context) /
+                          kTokensPerContextUnit;
+  return step * engine.stride;
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/forwarding/engine_placement.cc
@@ -0,0 +1,291 @@
+#include "cactusward/engine_placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cactusward {
+namespace {
+
+// Part of the strictest pause that reading one interactive prompt may take;
+// the rest is left for other prompts in the same pass.
+constexpr double kInteractiveShare = 0.8;
+// Part of a pause that a pass is planned to take; reports are late.
+constexpr double kPauseShare = 0.9;
+// Part of an engine's slots that interactive requests fill before they spread
+// to another engine; each more writer slows all of them.
+constexpr double kFillShare = 0.62;
+// Requests taken to be under way and not yet reported.
+constexpr int kUnreported = 2;
+// A prompt is read by so many engines that this part of its objective
+// suffices, if there are enough of them.
+constexpr double kPreferredShare = 0.5;
+// Part of an objective that a placement may use up by expectation.
+constexpr double kLatestShare = 0.88;
+// Part of an engine's memory that is planned with.
+constexpr double kMemoryShare = 0.96;
+
+struct candidate {
+  std::size_t index = 0;
+  const engine_view* view = nullptr;
+};
+
+std::int64_t FreeMemory(const engine_parameters& parameters,
+                        const engine_view& engine) {
+  return static_cast<std::int64_t>(static_cast<double>(parameters.kv_capacity) *
+                                   kMemoryShare) -
+         engine.load.memory_tokens;
+}
+
+double PassMs(const engine_parameters& parameters, const engine_view& engine) {
+  if (engine.load.running == 0)
+    return 0;
+  return WritePassMs(parameters, engine.load.running,
+                     engine.load.memory_tokens) *
+         engine.pace;
+}
+
+// Whether reading for `read_ms` keeps the pauses of all that write there.
+bool KeepsPauses(const engine_parameters& parameters,
+                 const engine_view& engine,
+                 double read_ms,
+                 double own_pause_ms) {
+  double pause = static_cast<double>(engine.load.pause_ms);
+  if (own_pause_ms > 0 && engine.load.read_ms > 0)
+    pause = pause > 0 ? std::min(pause, own_pause_ms) : own_pause_ms;
+  if (pause <= 0)
+    return true;
+  return static_cast<double>(engine.load.read_ms) + read_ms * engine.pace +
+             PassMs(parameters, engine) <=
+         pause * kPauseShare;
+}
+
+double FirstEventMs(const engine_parameters& parameters,
+                    const engine_view& engine,
+                    double read_ms) {
+  // A pass under way ends first; the first event ends a pass of its own.
+  return static_cast<double>(engine.load.read_ms) + read_ms * engine.pace +
+         PassMs(parameters, engine) +
+         WritePassMs(parameters, engine.load.running + 1,
+                     engine.load.memory_tokens) *
+             engine.pace;
+}
+
+std::optional<engine_placement> PlaceInteractive(
+    const engine_parameters& parameters,
+    const prompt_request& request,
+    const std::vector<engine_view>& engines,
+    std::uint64_t random) {
+  const double read_ms = PrefillMs(parameters, request.prompt_tokens);
+  const std::size_t wanted = InteractiveEngines(parameters, engines);
+  std::vector<candidate> front;
+  std::optional<candidate> spill;
+  std::optional<candidate> last_resort;
+  std::size_t seen = 0;
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    const engine_view& engine = engines[i];
+    if (!engine.usable)
+      continue;
+    ++seen;
+    if (engine.load.running >= parameters.slots ||
+        FreeMemory(parameters, engine) <
+            request.prompt_tokens + request.answer_tokens)
+      continue;
+    if (!last_resort ||
+        FirstEventMs(parameters, engine, read_ms) <
+            FirstEventMs(parameters, *last_resort->view, read_ms))
+      last_resort = candidate{i, &engine};
+    if (!KeepsPauses(parameters, engine, read_ms, request.pause_ms))
+      continue;
+    if (seen <= wanted)
+      front.push_back({i, &engine});
+    else if (!spill)
+      spill = candidate{i, &engine};
+  }
+  std::optional<candidate> chosen;
+  if (!front.empty()) {
+    const candidate& a = front[random % front.size()];
+    const candidate& b = front[(random >> 32) % front.size()];
+    const bool a_first = a.view->load.running * a.view->pace <=
+                         b.view->load.running * b.view->pace;
+    chosen = a_first ? a : b;
+    // Above the fill share the next engine takes over.
+    if (spill &&
+        chosen->view->load.running > parameters.slots * (1 + kFillShare) / 2)
+      chosen = spill;
+  } else if (spill) {
+    chosen = spill;
+  } else {
+    chosen = last_resort;
+  }
+  if (!chosen)
+    return std::nullopt;
+  const double first = FirstEventMs(parameters, *chosen->view, read_ms);
+  if (!request.may_be_late && first > request.objective_ms)
+    return std::nullopt;
+  return engine_placement{chosen->index, {}, read_ms, first};
+}
+
+// Engines for one number of parts, best first; empty when there are too few.
+std::vector<candidate> EnginesForParts(const engine_parameters& parameters,
+                                       const prompt_request& request,
+                                       const std::vector<engine_view>& engines,
+                                       std::size_t reserved,
+                                       int parts,
+                                       double read_ms,
+                                       std::uint64_t random) {
+  std::vector<candidate> fit;
+  std::size_t seen = 0;
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    const engine_view& engine = engines[i];
+    if (!engine.usable)
+      continue;
+    if (++seen <= reserved || engine.load.running >= parameters.slots ||
+        engine.load.interactive > 0 ||
+        !KeepsPauses(parameters, engine, read_ms, request.pause_ms))
+      continue;
+    fit.push_back({i, &engine});
+  }
+  if (fit.size() < static_cast<std::size_t>(parts))
+    return {};
+  // Reading ahead counts most; then engines that are in use already, so that
+  // idle ones stay whole; then the back of the order. Instances start at
+  // different places, so that they seldom meet on one engine.
+  const std::size_t shift = random % fit.size();
+  std::vector<std::pair<double, candidate>> ranked;
+  for (std::size_t i = 0; i < fit.size(); ++i) {
+    const engine_view& engine = *fit[i].view;
+    const std::size_t turn = (i + shift) % fit.size();
+    ranked.emplace_back(
+        FirstEventMs(parameters, engine, read_ms) +
+            static_cast<double>(turn) / static_cast<double>(fit.size()),
+        fit[i]);
+  }
+  std::stable_sort(
+      ranked.begin(), ranked.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<candidate> chosen;
+  for (int i = 0; i < parts; ++i)
+    chosen.push_back(ranked[static_cast<std::size_t>(i)].second);
+  return chosen;
+}
+
+// Shares out the memory of a prompt that does not fit its first engine.
+// @return whether it fits.
+bool ShareMemory(const engine_parameters& parameters,
+                 const prompt_request& request,
+                 const std::vector<engine_view>& engines,
+                 engine_placement* placement) {
+  const std::int64_t needed = request.prompt_tokens + request.answer_tokens;
+  const std::int64_t first = FreeMemory(parameters, engines[placement->engine]);
+  if (needed <= first)
+    return true;
+  std::int64_t left = needed - first;
+  for (prompt_helper& helper : placement->helpers) {
+    const std::int64_t free = FreeMemory(parameters, engines[helper.engine]);
+    if (free <= 0 || left <= 0)
+      continue;
+    helper.held_tokens = std::min(free, left);
+    left -= helper.held_tokens;
+  }
+  // Engines fill the memory of helpers in their order.
+  std::stable_sort(placement->helpers.begin(), placement->helpers.end(),
+                   [](const prompt_helper& a, const prompt_helper& b) {
+                     return (a.held_tokens > 0) > (b.held_tokens > 0);
+                   });
+  return left <= 0;
+}
+
+std::optional<engine_placement> PlaceInParts(
+    const engine_parameters& parameters,
+    const prompt_request& request,
+    const std::vector<engine_view>& engines,
+    std::size_t reserved,
+    int parts,
+    std::uint64_t random) {
+  const double read_ms = PrefillMs(parameters, request.prompt_tokens, parts);
+  const auto chosen = EnginesForParts(parameters, request, engines, reserved,
+                                      parts, read_ms, random);
+  if (chosen.empty())
+    return std::nullopt;
+  engine_placement placement;
+  placement.read_ms = read_ms;
+  // The engine with the most memory left writes.
+  const auto first =
+      std::max_element(chosen.begin(), chosen.end(),
+                       [&](const candidate& a, const candidate& b) {
+                         return FreeMemory(parameters, *a.view) <
+                                FreeMemory(parameters, *b.view);
+                       });
+  placement.engine = first->index;
+  for (const candidate& each : chosen) {
+    placement.first_event_ms =
+        std::max(placement.first_event_ms,
+                 FirstEventMs(parameters, *each.view, read_ms));
+    if (each.index != placement.engine)
+      placement.helpers.push_back({each.index, 0});
+  }
+  if (!ShareMemory(parameters, request, engines, &placement))
+    return std::nullopt;
+  return placement;
+}
+
+}  // namespace
+
+bool IsInteractive(const engine_parameters& parameters,
+                   const placement_settings& settings,
+                   std::int64_t prompt_tokens) {
+  return PrefillMs(parameters, prompt_tokens) <=
+         settings.strictest_pause_ms * kInteractiveShare;
+}
+
+std::size_t InteractiveEngines(const engine_parameters& parameters,
+                               const std::vector<engine_view>& engines) {
+  int interactive = 0;
+  std::size_t usable = 0;
+  for (const engine_view& engine : engines) {
+    interactive += engine.load.interactive;
+    usable += engine.usable ? 1 : 0;
+  }
+  if (usable == 0)
+    return 0;
+  const double wanted =
+      std::ceil((interactive + kUnreported) / (parameters.slots * kFillShare));
+  return std::min(usable, static_cast<std::size_t>(std::max(wanted, 1.0)));
+}
+
+std::optional<engine_placement> PlacePrompt(
+    const engine_parameters& parameters,
+    const placement_settings& settings,
+    const prompt_request& request,
+    const std::vector<engine_view>& engines,
+    std::uint64_t random) {
+  if (IsInteractive(parameters, settings, request.prompt_tokens))
+    return PlaceInteractive(parameters, request, engines, random);
+  const std::size_t reserved = InteractiveEngines(parameters, engines);
+  const double preferred = request.objective_ms * kPreferredShare;
+  const double latest =
+      request.may_be_late ? 1e12 : request.objective_ms * kLatestShare;
+  std::optional<engine_placement> best;
+  const int most = settings.max_helpers + 1;
+  for (int parts = 1; parts <= most; ++parts) {
+    auto placement =
+        PlaceInParts(parameters, request, engines, reserved, parts, random);
+    if (!placement || placement->first_event_ms > latest)
+      continue;
+    if (!best || placement->first_event_ms < best->first_event_ms)
+      best = placement;
+    if (best->first_event_ms <= preferred)
+      break;
+  }
+  return best;
+}
+
+bool IsServable(const engine_parameters& parameters,
+                const placement_settings& settings,
+                const prompt_request& request,
+                std::size_t usable_engines) {
+  std::vector<engine_view> idle(usable_engines);
+  return PlacePrompt(parameters, settings, request, idle, 0).has_value();
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/forwarding/load_board.cc
@@ -0,0 +1,118 @@
+#include "cactusward/load_board.h"
+
+#include <algorithm>
+
+namespace cactusward {
+namespace {
+
+// Part of a request's reading that counts as left while its first token is
+// overdue: the engine is then slower than expected, and not done.
+constexpr double kOverdueShare = 0.15;
+
+}  // namespace
+
+void AddLoad(const upstream_load& part, upstream_load* total) {
+  total->running += part.running;
+  total->interactive += part.interactive;
+  if (part.pause_ms > 0)
+    total->pause_ms = total->pause_ms > 0
+                          ? std::min(total->pause_ms, part.pause_ms)
+                          : part.pause_ms;
+  total->read_ms += part.read_ms;
+  total->memory_tokens += part.memory_tokens;
+}
+
+std::uint64_t load_board::Begin(const board_entry& entry) {
+  const std::uint64_t id = next_id_++;
+  entries_[id] = {entry, entry.read_ms > 0};
+  return id;
+}
+
+void load_board::EndReading(std::uint64_t id) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end())
+    found->second.reading = false;
+}
+
+void load_board::End(std::uint64_t id) {
+  entries_.erase(id);
+}
+
+void load_board::SetPeer(const std::string& peer,
+                         std::vector<upstream_load> loads,
+                         time_point now) {
+  peers_[peer] = {std::move(loads), now};
+}
+
+void load_board::Expire(time_point now) {
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    if (now - it->second.heard_at > kPeerLife)
+      it = peers_.erase(it);
+    else
+      ++it;
+  }
+}
+
+upstream_load load_board::LoadOfEntry(const own_entry& own, time_point now) {
+  const board_entry& entry = own.entry;
+  upstream_load load;
+  load.upstream = entry.upstream;
+  load.memory_tokens = entry.memory_tokens;
+  if (!entry.reads_only) {
+    load.running = 1;
+    load.interactive = entry.interactive ? 1 : 0;
+    load.pause_ms = entry.pause_ms;
+  }
+  if (!own.reading)
+    return load;
+  const double left =
+      entry.expected_first_ms - ToMilliseconds(now - entry.sent_at);
+  load.read_ms = static_cast<std::int64_t>(
+      std::clamp(left, entry.read_ms * (entry.reads_only ? 0 : kOverdueShare),
+                 entry.read_ms));
+  return load;
+}
+
+upstream_load load_board::LoadOf(std::uint32_t upstream, time_point now) const {
+  const auto loads = Loads(now);
+  const auto found = loads.find(upstream);
+  if (found != loads.end())
+    return found->second;
+  upstream_load none;
+  none.upstream = upstream;
+  return none;
+}
+
+std::unordered_map<std::uint32_t, upstream_load> load_board::Loads(
+    time_point now) const {
+  std::unordered_map<std::uint32_t, upstream_load> loads;
+  for (const upstream_load& own : OwnLoads(now))
+    loads[own.upstream] = own;
+  for (const auto& [name, peer] : peers_) {
+    const auto age =
+        static_cast<std::int64_t>(ToMilliseconds(now - peer.heard_at));
+    for (upstream_load load : peer.loads) {
+      load.read_ms = std::max<std::int64_t>(load.read_ms - age, 0);
+      upstream_load& total = loads[load.upstream];
+      total.upstream = load.upstream;
+      AddLoad(load, &total);
+    }
+  }
+  return loads;
+}
+
+std::vector<upstream_load> load_board::OwnLoads(time_point now) const {
+  std::unordered_map<std::uint32_t, upstream_load> loads;
+  for (const auto& [id, own] : entries_) {
+    upstream_load& total = loads[own.entry.upstream];
+    total.upstream = own.entry.upstream;
+    AddLoad(LoadOfEntry(own, now), &total);
+  }
+  std::vector<upstream_load> list;
+  list.reserve(loads.size());
+  for (const auto& [upstream, load] : loads)
+    list.push_back(load);
+  return list;
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/forwarding/shared_retry_budget.cc
@@ -0,0 +1,56 @@
+#include "cactusward/shared_retry_budget.h"
+
+#include <algorithm>
+
+namespace cactusward {
+namespace {
+
+// Part of the extra that is spent: requests are recorded here before their
+// repeats, but the fleet's windows are not aligned with each other.
+constexpr double kUsedShareOfExtra = 0.8;
+
+}  // namespace
+
+void shared_retry_budget::SetInstances(std::size_t count, time_point now) {
+  count = std::max<std::size_t>(count, 1);
+  if (count >= instances_) {
+    instances_ = count;
+    lower_instances_ = count;
+    return;
+  }
+  if (lower_instances_ != count) {
+    lower_instances_ = count;
+    lower_since_ = now;
+  } else if (now - lower_since_ > settings_.window) {
+    instances_ = count;
+  }
+}
+
+void shared_retry_budget::Expire(time_point now) {
+  while (!requests_.empty() && now - requests_.front() >= settings_.window)
+    requests_.pop_front();
+  while (!repeats_.empty() && now - repeats_.front() >= settings_.window)
+    repeats_.pop_front();
+}
+
+void shared_retry_budget::RecordRequest(time_point now) {
+  Expire(now);
+  requests_.push_back(now);
+}
+
+double shared_retry_budget::Available(time_point now) {
+  Expire(now);
+  const double allowed =
+      settings_.ratio * static_cast<double>(requests_.size()) +
+      kUsedShareOfExtra * settings_.extra / static_cast<double>(instances_);
+  return allowed - static_cast<double>(repeats_.size());
+}
+
+bool shared_retry_budget::TrySpend(time_point now) {
+  if (Available(now) < 1)
+    return false;
+  repeats_.push_back(now);
+  return true;
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/forwarding/upstream_catalog.cc
@@ -0,0 +1,90 @@
+#include "cactusward/upstream_catalog.h"
+
+#include <set>
+
+namespace cactusward {
+
+void upstream_catalog::RecordOutage(time_point now) {
+  last_outage_ = now;
+}
+
+bool upstream_catalog::IsForgiving(time_point now) const {
+  return last_outage_ && now - *last_outage_ < return_time_;
+}
+
+bool upstream_catalog::Put(const upstream_entry& entry,
+                           std::int64_t revision,
+                           time_point now) {
+  (void)now;
+  const auto known = entries_.find(entry.id);
+  if (known == entries_.end()) {
+    entries_[entry.id] = {entry, revision};
+    return true;
+  }
+  registered_upstream& held = known->second;
+  if (revision < held.revision)
+    return false;
+  if (entry.started_at_ms != 0 &&
+      entry.started_at_ms < held.entry.started_at_ms)
+    return false;
+  missing_.erase(entry.id);
+  const bool changed = !(held.entry == entry);
+  held = {entry, revision};
+  return changed;
+}
+
+bool upstream_catalog::Remove(const std::string& id,
+                              std::int64_t revision,
+                              time_point now) {
+  const auto known = entries_.find(id);
+  if (known == entries_.end() || revision < known->second.revision)
+    return false;
+  if (IsForgiving(now) && !known->second.entry.leaving) {
+    missing_.emplace(id, *last_outage_ + return_time_);
+    return false;
+  }
+  entries_.erase(known);
+  missing_.erase(id);
+  return true;
+}
+
+bool upstream_catalog::Replace(const std::vector<registered_upstream>& all,
+                               std::int64_t revision,
+                               time_point now) {
+  bool changed = false;
+  std::set<std::string> present;
+  for (const registered_upstream& item : all) {
+    present.insert(item.entry.id);
+    changed = Put(item.entry, item.revision, now) || changed;
+  }
+  std::vector<std::string> absent;
+  for (const auto& [id, held] : entries_) {
+    if (present.count(id) == 0)
+      absent.push_back(id);
+  }
+  for (const std::string& id : absent)
+    changed = Remove(id, revision, now) || changed;
+  return changed;
+}
+
+bool upstream_catalog::Expire(time_point now) {
+  bool changed = false;
+  for (auto it = missing_.begin(); it != missing_.end();) {
+    if (now < it->second) {
+      ++it;
+      continue;
+    }
+    // A longer outage gives the upstream more time.
+    if (IsForgiving(now)) {
+      it->second = *last_outage_ + return_time_;
+      ++it;
+      continue;
+    }
+    entries_.erase(it->first);
+    it = missing_.erase(it);
+    changed = true;
+  }
+  return changed;
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/kernel/cbor.cc
@@ -0,0 +1,15 @@
+#include "src/kernel/cbor.h"
+
+namespace cactusward {
+
+nlohmann::json ParseCbor(std::string_view bytes) {
+  // The library throws for lengths that exceed what a container can hold, even
+  // when it is asked not to throw.
+  try {
+    return nlohmann::json::from_cbor(bytes, true, false);
+  } catch (const std::exception&) {
+    return nlohmann::json(nlohmann::json::value_t::discarded);
+  }
+}
+
+}  // namespace cactusward
--- a/src/kernel/error.cc
+++ b/src/kernel/error.cc
@@ -12,7 +12,7 @@
 constexpr int kLaterMs = 1000;
 constexpr int kMuchLaterMs = 5000;
 
-constexpr std::array<error_answer, 33> kAnswers = {{
+constexpr std::array<error_answer, 34> kAnswers = {{
     {error_kind::kOk, "ok", 200, kNo, 0, "success"},
     {error_kind::kBadRequest, "bad_request", 400, kNo, 0,
      "the request is malformed"},
@@ -67,6 +67,8 @@
      "the request did not finish within its time limit"},
     {error_kind::kSuspectRefused, "suspect_refused", 422, kUnknown, 0,
      "upstreams failed while they ran this request"},
+    {error_kind::kRepeatRefused, "repeat_refused", 503, kNo, 0,
+     "requests like this one made upstreams fail; this one was not run"},
     {error_kind::kStoreUnavailable, "store_unavailable", 503, kNo, kMuchLaterMs,
      "the key-value service did not answer"},
     {error_kind::kConfigInvalid, "config_invalid", 422, kNo, 0,
--- a/src/membership/gossip_codec.cc
+++ b/src/membership/gossip_codec.cc
@@ -2,14 +2,15 @@
 #include <nlohmann/json.hpp>
 
 #include "cactusward/membership.h"
+#include "src/kernel/cbor.h"
 
 namespace cactusward {
 namespace {
 
 using nlohmann::json;
 
-constexpr int kVersion = 1;
-constexpr std::size_t kMessageFields = 12;
+constexpr int kVersion = 2;
+constexpr std::size_t kMessageFields = 14;
 constexpr std::size_t kMemberFields = 6;
 constexpr std::size_t kMaxItems = 512;
 
@@ -81,13 +82,33 @@
   return true;
 }
 
+bool ReadLoads(const json& value, std::vector<upstream_load>* out) {
+  constexpr std::size_t kLoadFields = 6;
+  if (!IsList(value))
+    return false;
+  for (const json& item : value) {
+    if (!item.is_array() || item.size() != kLoadFields ||
+        !item[0].is_number_unsigned())
+      return false;
+    for (std::size_t i = 1; i < kLoadFields; ++i) {
+      if (!item[i].is_number_unsigned())
+        return false;
+    }
+    out->push_back({item[0].get<std::uint32_t>(), item[1].get<int>(),
+                    item[2].get<int>(), item[3].get<std::int64_t>(),
+                    item[4].get<std::int64_t>(), item[5].get<std::int64_t>()});
+  }
+  return true;
+}
+
 bool HasHeader(const json& value) {
   return value.is_array() && value.size() == kMessageFields &&
          value[0] == kVersion && value[1].is_number_unsigned() &&
          value[1].get<std::uint64_t>() <=
              static_cast<std::uint64_t>(gossip_kind::kNews) &&
          value[2].is_number_unsigned() && value[4].is_string() &&
-         value[5].is_string() && IsInteger(value[6]) && IsInteger(value[7]);
+         value[5].is_string() && IsInteger(value[6]) && IsInteger(value[7]) &&
+         IsInteger(value[12]);
 }
 
 }  // namespace
@@ -106,18 +127,24 @@
   json leaving = json::array();
   for (const leaving_report& item : message.leaving)
     leaving.push_back(json::array({item.upstream, item.age_ms}));
+  json loads = json::array();
+  for (const upstream_load& item : message.loads)
+    loads.push_back(
+        json::array({item.upstream, item.running, item.interactive,
+                     item.pause_ms, item.read_ms, item.memory_tokens}));
   const json encoded = json::array(
       {kVersion, static_cast<int>(message.kind), message.sequence,
        MemberToJson(message.sender), message.target, message.target_address,
        message.config_number, message.confirmed_age_ms, std::move(members),
-       std::move(suspects), std::move(in_flight), std::move(leaving)});
+       std::move(suspects), std::move(in_flight), std::move(leaving),
+       message.catalog_revision, std::move(loads)});
   std::string bytes;
   json::to_cbor(encoded, bytes);
   return bytes;
 }
 
 result<gossip_message> DecodeGossip(std::string_view bytes) {
-  const json value = json::from_cbor(bytes, true, false);
+  const json value = ParseCbor(bytes);
   result<gossip_message> malformed(error_kind::kBadRequest,
                                    "malformed gossip message");
   if (!HasHeader(value))
@@ -129,11 +156,13 @@
   message.target_address = value[5].get<std::string>();
   message.config_number = value[6].get<std::int64_t>();
   message.confirmed_age_ms = value[7].get<std::int64_t>();
+  message.catalog_revision = value[12].get<std::int64_t>();
   if (!ReadMember(value[3], &message.sender) ||
       !ReadMembers(value[8], &message.members) ||
       !ReadSuspects(value[9], &message.suspects) ||
       !ReadPairs(value[10], &message.in_flight) ||
-      !ReadPairs(value[11], &message.leaving))
+      !ReadPairs(value[11], &message.leaving) ||
+      !ReadLoads(value[13], &message.loads))
     return malformed;
   return message;
 }
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -74,7 +74,12 @@
 void member_table::Refute(const member& news) {
   if (news.incarnation < self_.incarnation)
     return;
-  if (news.state == member_state::kAlive || self_.state == member_state::kLeft)
+  if (self_.state == member_state::kLeft)
+    return;
+  // An earlier process of this name had a higher incarnation, or this one is
+  // taken for dead: either way a higher incarnation takes over.
+  if (news.state == member_state::kAlive &&
+      news.incarnation == self_.incarnation)
     return;
   self_.incarnation = news.incarnation + 1;
 }
--- a/src/model/platform_standin.cc
+++ b/src/model/platform_standin.cc
@@ -3,6 +3,7 @@
 #include "cactusward/hash.h"
 #include "src/edges/etcd_store.h"
 #include "src/edges/json.h"
+#include "src/kernel/base64.h"
 
 namespace cactusward::model {
 namespace {
--- /dev/null
+++ b/src/relay/catalog_service.cc
@@ -0,0 +1,303 @@
+#include "src/relay/catalog_service.h"
+
+#include <algorithm>
+
+#include "src/kernel/log.h"
+
+namespace cactusward {
+namespace {
+
+constexpr milliseconds kExpiryPeriod{200};
+// First pause after a failure of the registry; doubled with each more.
+constexpr milliseconds kFirstPause{50};
+constexpr milliseconds kLongestPause{800};
+// A watch may be cut at any time; only failures in a row are an outage.
+constexpr int kOutageAfterFailures = 2;
+// How long the registry's own news may be behind a peer's before the peer is
+// asked: a watch delivers within some round trips.
+constexpr milliseconds kPeerLead{250};
+constexpr milliseconds kPullPeriod{400};
+constexpr milliseconds kPullTimeout{1'500};
+// Entries removed at once, and their share of all, that no planned change
+// explains: they lapsed while the registry was away.
+constexpr std::size_t kMassRemoval = 3;
+constexpr double kMassRemovalShare = 0.34;
+
+}  // namespace
+
+catalog_service::catalog_service(runtime& runtime,
+                                 catalog_source* source,
+                                 peer_link* peers)
+    : runtime_(runtime),
+      source_(source),
+      peers_(peers),
+      upstreams_(runtime.settings.forwarding->registry_return_time) {}
+
+void catalog_service::Start() {
+  Spawn(runtime_.io, "catalog",
+        [this](asio::yield_context yield) { Run(yield); });
+  expiry_ = runtime_.timers.Every(kExpiryPeriod, [this](time_point now) {
+    if (upstreams_.Expire(now))
+      Notify();
+  });
+}
+
+void catalog_service::Run(asio::yield_context yield) {
+  while (true) {
+    if (!needs_read_) {
+      WatchOnce(yield);
+      continue;
+    }
+    const auto batch = source_->ReadAll(yield);
+    if (!batch) {
+      RecordFailure(batch, "read", yield);
+      continue;
+    }
+    RecordContact();
+    needs_read_ = false;
+    watched_ = batch->revision;
+    ApplyAll(*batch, "registry");
+  }
+}
+
+bool catalog_service::WatchOnce(asio::yield_context yield) {
+  const auto batch = source_->WaitForChanges(watched_, yield);
+  if (!batch && batch.kind() == error_kind::kNotFound) {
+    Log(log_level::kInfo, "registry_history_lost", {{"after", watched_}});
+    needs_read_ = true;
+    return false;
+  }
+  if (!batch) {
+    RecordFailure(batch, "watch", yield);
+    return false;
+  }
+  RecordContact();
+  ApplyChanges(*batch);
+  watched_ = std::max(watched_, batch->revision);
+  return true;
+}
+
+void catalog_service::RecordFailure(const result<catalog_batch>& failed,
+                                    const char* what,
+                                    asio::yield_context yield) {
+  ++failures_;
+  if (failures_ >= kOutageAfterFailures)
+    upstreams_.RecordOutage(clock::now());
+  if (failures_ == kOutageAfterFailures)
+    Log(log_level::kWarning, "registry_lost",
+        {{"during", what},
+         {"detail", failed.detail()},
+         {"known_revision", revision_}});
+  const auto pause =
+      std::min(kLongestPause, kFirstPause * (1 << std::min(failures_ - 1, 4)));
+  // Spread, so that instances do not return all at once.
+  const auto jitter = milliseconds(runtime_.random() % (pause.count() + 1));
+  Sleep(runtime_.io, (pause + jitter) / 2, yield);
+}
+
+void catalog_service::RecordContact() {
+  if (failures_ >= kOutageAfterFailures)
+    Log(log_level::kInfo, "registry_regained",
+        {{"failures", failures_}, {"known_revision", revision_}});
+  failures_ = 0;
+}
+
+bool catalog_service::ApplyConfig(const catalog_item& item,
+                                  const char* origin) {
+  if (!item.document)
+    return false;
+  const auto decoded = source_->DecodeConfig(*item.document);
+  if (!decoded) {
+    Log(log_level::kError, "config_rejected",
+        {{"revision", item.revision}, {"detail", decoded.detail()}});
+    return false;
+  }
+  const std::int64_t before = config_ ? config_->version() : 0;
+  if ((*decoded)->version() <= before)
+    return false;
+  config_ = *decoded;
+  config_document_ = *item.document;
+  config_revision_ = item.revision;
+  Log(log_level::kInfo, "config_in_force",
+      {{"version", config_->version()},
+       {"before", before},
+       {"revision", item.revision},
+       {"origin", origin},
+       {"routes", config_->routes().size()}});
+  return true;
+}
+
+bool catalog_service::ApplyUpstream(const catalog_item& item, time_point now) {
+  if (item.document) {
+    const auto entry = source_->DecodeUpstream(item.id, *item.document);
+    if (entry) {
+      raw_upstreams_[item.id] = {*item.document, item.revision};
+      const bool changed = upstreams_.Put(*entry, item.revision, now);
+      if (changed)
+        Log(log_level::kInfo, "upstream_listed",
+            {{"upstream", item.id},
+             {"service", entry->service},
+             {"leaving", entry->leaving},
+             {"revision", item.revision}});
+      return changed;
+    }
+    Log(log_level::kWarning, "upstream_entry_rejected",
+        {{"upstream", item.id}, {"detail", entry.detail()}});
+  }
+  raw_upstreams_.erase(item.id);
+  const bool changed = upstreams_.Remove(item.id, item.revision, now);
+  Log(log_level::kInfo, "upstream_unlisted",
+      {{"upstream", item.id},
+       {"in_force", changed},
+       {"revision", item.revision}});
+  return changed;
+}
+
+void catalog_service::ApplyAll(const catalog_batch& batch, const char* origin) {
+  const time_point now = clock::now();
+  bool changed = false;
+  std::vector<registered_upstream> all;
+  std::map<std::string, raw_upstream> raw;
+  for (const catalog_item& item : batch.items) {
+    if (item.kind == catalog_item_kind::kConfig) {
+      changed = ApplyConfig(item, origin) || changed;
+    } else if (item.kind == catalog_item_kind::kUpstream && item.document) {
+      const auto entry = source_->DecodeUpstream(item.id, *item.document);
+      if (!entry) {
+        Log(log_level::kWarning, "upstream_entry_rejected",
+            {{"upstream", item.id}, {"detail", entry.detail()}});
+        continue;
+      }
+      all.push_back({*entry, item.revision});
+      raw[item.id] = {*item.document, item.revision};
+    }
+  }
+  if (batch.revision >= revision_) {
+    changed = upstreams_.Replace(all, batch.revision, now) || changed;
+    raw_upstreams_ = std::move(raw);
+    revision_ = batch.revision;
+  }
+  Log(log_level::kInfo, "catalog_read",
+      {{"origin", origin},
+       {"revision", batch.revision},
+       {"upstreams", upstreams_.entries().size()}});
+  if (changed)
+    Notify();
+}
+
+void catalog_service::ApplyChanges(const catalog_batch& batch) {
+  const time_point now = clock::now();
+  std::size_t removals = 0;
+  for (const catalog_item& item : batch.items) {
+    const auto known = upstreams_.entries().find(item.id);
+    if (item.kind == catalog_item_kind::kUpstream && !item.document &&
+        known != upstreams_.entries().end() && !known->second.entry.leaving)
+      ++removals;
+  }
+  if (removals >= kMassRemoval &&
+      static_cast<double>(removals) >
+          kMassRemovalShare *
+              static_cast<double>(upstreams_.entries().size())) {
+    Log(log_level::kWarning, "upstreams_lapsed_together",
+        {{"removed", removals}, {"listed", upstreams_.entries().size()}});
+    upstreams_.RecordOutage(now);
+  }
+  bool changed = false;
+  for (const catalog_item& item : batch.items) {
+    // A peer's snapshot may have told of it already.
+    if (item.revision <= revision_ && item.kind == catalog_item_kind::kUpstream)
+      continue;
+    if (item.kind == catalog_item_kind::kConfig)
+      changed = ApplyConfig(item, "registry") || changed;
+    else if (item.kind == catalog_item_kind::kUpstream)
+      changed = ApplyUpstream(item, now) || changed;
+  }
+  revision_ = std::max(revision_, batch.revision);
+  if (changed)
+    Notify();
+}
+
+nlohmann::json catalog_service::Snapshot() const {
+  nlohmann::json upstreams = nlohmann::json::array();
+  for (const auto& [id, raw] : raw_upstreams_)
+    upstreams.push_back(
+        nlohmann::json::array({id, raw.document, raw.revision}));
+  return {{"revision", revision_},
+          {"config", config_document_},
+          {"config_revision", config_revision_},
+          {"upstreams", std::move(upstreams)}};
+}
+
+void catalog_service::Fill(gossip_message* message, time_point) {
+  message->catalog_revision = revision_;
+  message->config_number = config_ ? config_->version() : 0;
+}
+
+void catalog_service::Take(const gossip_message& message, time_point now) {
+  const bool behind =
+      message.catalog_revision > revision_ ||
+      message.config_number > (config_ ? config_->version() : 0);
+  if (!behind) {
+    return;
+  }
+  // The registry's own answer is usually under way.
+  if (!behind_since_ || now - *behind_since_ > kPullTimeout)
+    behind_since_ = now;
+  if (now - *behind_since_ < kPeerLead && config_)
+    return;
+  if (pulling_ || now - last_pull_ < kPullPeriod)
+    return;
+  pulling_ = true;
+  last_pull_ = now;
+  Spawn(runtime_.io, "catalog_pull",
+        [this, peer = message.sender.peer_address](asio::yield_context yield) {
+          PullFrom(peer, yield);
+          pulling_ = false;
+        });
+}
+
+void catalog_service::PullFrom(const std::string& peer,
+                               asio::yield_context yield) {
+  const auto answer = peers_->Call(peer, {{"op", "catalog_get"}},
+                                   clock::now() + kPullTimeout, yield);
+  if (!answer || !answer->is_object()) {
+    Log(log_level::kWarning, "catalog_pull_failed",
+        {{"peer", peer}, {"detail", answer.detail()}});
+    return;
+  }
+  const auto revision = answer->find("revision");
+  const auto config = answer->find("config");
+  const auto config_revision = answer->find("config_revision");
+  const auto upstreams = answer->find("upstreams");
+  if (revision == answer->end() || !revision->is_number_integer() ||
+      config == answer->end() || !config->is_string() ||
+      config_revision == answer->end() ||
+      !config_revision->is_number_integer() || upstreams == answer->end() ||
+      !upstreams->is_array()) {
+    Log(log_level::kWarning, "catalog_pull_malformed", {{"peer", peer}});
+    return;
+  }
+  catalog_batch batch;
+  batch.revision = revision->get<std::int64_t>();
+  if (!config->get_ref<const std::string&>().empty())
+    batch.items.push_back({catalog_item_kind::kConfig, "",
+                           config_revision->get<std::int64_t>(),
+                           config->get<std::string>()});
+  for (const auto& item : *upstreams) {
+    if (!item.is_array() || item.size() != 3 || !item[0].is_string() ||
+        !item[1].is_string() || !item[2].is_number_integer())
+      continue;
+    batch.items.push_back(
+        {catalog_item_kind::kUpstream, item[0].get<std::string>(),
+         item[2].get<std::int64_t>(), item[1].get<std::string>()});
+  }
+  behind_since_.reset();
+  ApplyAll(batch, "peer");
+}
+
+void catalog_service::Notify() {
+  for (const listener& listener : listeners_)
+    listener();
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/relay/catalog_service.h
@@ -0,0 +1,89 @@
+// Keeps the configuration and the list of upstreams in force: reads and
+// watches the registry, and takes from peers what the registry does not tell.
+#ifndef CACTUSWARD_SRC_RELAY_CATALOG_SERVICE_H_
+#define CACTUSWARD_SRC_RELAY_CATALOG_SERVICE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cactusward/upstream_catalog.h"
+#include "src/daemon/names.h"
+#include "src/daemon/runtime.h"
+#include "src/edges/peer_link.h"
+#include "src/relay/catalog_source.h"
+#include "src/services/membership_service.h"
+
+namespace cactusward {
+
+class catalog_service : public service, public peer_news {
+ public:
+  using listener = std::function<void()>;
+
+  // Precondition: all outlive the service.
+  catalog_service(runtime& runtime, catalog_source* source, peer_link* peers);
+
+  std::string_view service_name() const override { return kCatalogServiceName; }
+  void Start() override;
+
+  // The configuration in force; null before the first.
+  std::shared_ptr<const forward_config> Config() const { return config_; }
+  const upstream_catalog& upstreams() const { return upstreams_; }
+  std::int64_t revision() const { return revision_; }
+  // Calls `listener` after each change.
+  void Subscribe(listener listener) {
+    listeners_.push_back(std::move(listener));
+  }
+  // Everything known, for a peer that asks.
+  nlohmann::json Snapshot() const;
+
+  void Fill(gossip_message* message, time_point now) override;
+  void Take(const gossip_message& message, time_point now) override;
+
+ private:
+  struct raw_upstream {
+    std::string document;
+    std::int64_t revision = 0;
+  };
+
+  void Run(asio::yield_context yield);
+  // @return whether the watch may go on.
+  bool WatchOnce(asio::yield_context yield);
+  void RecordFailure(const result<catalog_batch>& failed,
+                     const char* what,
+                     asio::yield_context yield);
+  void RecordContact();
+  // Applies everything that the registry held.
+  void ApplyAll(const catalog_batch& batch, const char* origin);
+  void ApplyChanges(const catalog_batch& batch);
+  bool ApplyConfig(const catalog_item& item, const char* origin);
+  bool ApplyUpstream(const catalog_item& item, time_point now);
+  void PullFrom(const std::string& peer, asio::yield_context yield);
+  void Notify();
+
+  runtime& runtime_;
+  catalog_source* source_;
+  peer_link* peers_;
+  std::shared_ptr<const forward_config> config_;
+  std::string config_document_;
+  std::int64_t config_revision_ = 0;
+  upstream_catalog upstreams_;
+  std::map<std::string, raw_upstream> raw_upstreams_;
+  // The registry's revision up to which everything is known.
+  std::int64_t revision_ = 0;
+  // Where the watch stands; behind `revision_` after news from a peer.
+  std::int64_t watched_ = 0;
+  bool needs_read_ = true;
+  int failures_ = 0;
+  bool pulling_ = false;
+  time_point last_pull_{};
+  std::optional<time_point> behind_since_;
+  std::vector<listener> listeners_;
+  std::unique_ptr<timer_subscription> expiry_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_RELAY_CATALOG_SERVICE_H_
--- /dev/null
+++ b/src/relay/catalog_source.h
@@ -0,0 +1,68 @@
+// Where the configuration and the list of upstreams come from.
+#ifndef CACTUSWARD_SRC_RELAY_CATALOG_SOURCE_H_
+#define CACTUSWARD_SRC_RELAY_CATALOG_SOURCE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cactusward/forward_config.h"
+#include "cactusward/result.h"
+#include "cactusward/upstream_catalog.h"
+#include "src/edges/net.h"
+
+namespace cactusward {
+
+enum class catalog_item_kind { kConfig, kUpstream, kOther };
+
+// One value as the registry holds it.
+struct catalog_item {
+  catalog_item_kind kind = catalog_item_kind::kOther;
+  std::string id;                       // of the upstream; empty for others
+  std::int64_t revision = 0;            // of its last change
+  std::optional<std::string> document;  // none: it was removed
+
+  friend bool operator==(const catalog_item& a, const catalog_item& b) {
+    return a.kind == b.kind && a.id == b.id && a.revision == b.revision &&
+           a.document == b.document;
+  }
+};
+
+struct catalog_batch {
+  std::vector<catalog_item> items;
+  std::int64_t revision = 0;  // the registry's, up to which this is known
+
+  friend bool operator==(const catalog_batch& a, const catalog_batch& b) {
+    return a.items == b.items && a.revision == b.revision;
+  }
+};
+
+// Not thread-safe; call from the coroutine that owns `yield`.
+class catalog_source {
+ public:
+  virtual ~catalog_source() = default;
+
+  // Everything that the registry holds. Changes after the batch's revision may
+  // be in it or not.
+  // @return kStoreUnavailable when it did not answer or refused.
+  virtual result<catalog_batch> ReadAll(asio::yield_context yield) = 0;
+  // Waits for changes after `revision`; an empty batch when there were none.
+  // @return kStoreUnavailable; kNotFound when the registry's history does not
+  //     reach back to `revision`, so that all must be read.
+  virtual result<catalog_batch> WaitForChanges(std::int64_t revision,
+                                               asio::yield_context yield) = 0;
+
+  // @return kConfigInvalid for anything but a configuration. Thread-safe.
+  virtual result<std::shared_ptr<const forward_config>> DecodeConfig(
+      const std::string& document) const = 0;
+  // @return kBadRequest for anything but an upstream's entry. Thread-safe.
+  virtual result<upstream_entry> DecodeUpstream(
+      const std::string& id,
+      const std::string& document) const = 0;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_RELAY_CATALOG_SOURCE_H_
--- /dev/null
+++ b/src/relay/fleet_service.cc
@@ -0,0 +1,148 @@
+#include "src/relay/fleet_service.h"
+
+#include <algorithm>
+
+#include "cactusward/hash.h"
+#include "cactusward/upstreams.h"
+#include "src/kernel/log.h"
+#include "src/relay/catalog_service.h"
+
+namespace cactusward {
+namespace {
+
+// Loads are repeated this often while there are any: a third of the time after
+// which peers forget them.
+constexpr milliseconds kRefreshPeriod{1'000};
+// Long work is told at once, the rest is gathered.
+constexpr milliseconds kUrgentDelay{1};
+constexpr milliseconds kGatherDelay{60};
+// In large fleets the gathering time grows, so that the messages that one
+// instance receives do not.
+constexpr milliseconds kGatherDelayPerPeer{4};
+// Peers that one broadcast reaches; the other peers hear of it when chosen
+// the next time.
+constexpr std::size_t kMaxBroadcast = 128;
+// Upstreams told of in one datagram.
+constexpr std::size_t kMaxLoads = 100;
+// At most this share of a service's upstreams is avoided: beyond it the fault
+// is more likely on this side, or everywhere.
+constexpr double kMaxAvoidedShare = 0.5;
+
+}  // namespace
+
+void fleet_service::Start() {
+  catalog_ = runtime_.registry.Find<catalog_service>(kCatalogServiceName);
+  membership_ =
+      runtime_.registry.Find<membership_service>(kMembershipServiceName);
+  broadcast_timer_ = std::make_unique<asio::steady_timer>(runtime_.io);
+  catalog_->Subscribe([this] { Rebuild(); });
+  Rebuild();
+  refresh_ = runtime_.timers.Every(kRefreshPeriod, [this](time_point now) {
+    board_.Expire(now);
+    if (board_.own_requests() > 0)
+      LoadChanged(false);
+  });
+}
+
+void fleet_service::Rebuild() {
+  std::map<std::string, std::shared_ptr<fleet_upstream>> by_id;
+  by_service_.clear();
+  for (const auto& [id, registered] : catalog_->upstreams().entries()) {
+    const upstream_entry& entry = registered.entry;
+    auto& upstream = by_id[id];
+    const auto known = by_id_.find(id);
+    // A later life under the same id starts with a clean record.
+    if (known != by_id_.end() &&
+        known->second->entry.started_at_ms == entry.started_at_ms)
+      upstream = known->second;
+    else
+      upstream = std::make_shared<fleet_upstream>();
+    upstream->entry = entry;
+    upstream->key = UpstreamKey(id);
+    upstream->rank = Hash64(id);
+    by_service_[entry.service].push_back(upstream);
+  }
+  for (auto& [id, upstream] : by_id_) {
+    if (by_id.count(id) == 0)
+      upstream->listed = false;
+  }
+  by_id_ = std::move(by_id);
+  for (auto& [service, upstreams] : by_service_)
+    std::sort(upstreams.begin(), upstreams.end(),
+              [](const auto& a, const auto& b) { return a->rank < b->rank; });
+  NotifyRoom();
+}
+
+const std::vector<std::shared_ptr<fleet_upstream>>& fleet_service::Upstreams(
+    const std::string& service) const {
+  static const std::vector<std::shared_ptr<fleet_upstream>> none;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? none : found->second;
+}
+
+bool fleet_service::IsUsable(const fleet_upstream& upstream,
+                             time_point now) const {
+  if (!upstream.listed || upstream.entry.leaving)
+    return false;
+  if (!upstream.health.IsAvoided(now))
+    return true;
+  const auto& all = Upstreams(upstream.entry.service);
+  const auto avoided = std::count_if(
+      all.begin(), all.end(),
+      [now](const auto& other) { return other->health.IsAvoided(now); });
+  return static_cast<double>(avoided) >
+         kMaxAvoidedShare * static_cast<double>(all.size());
+}
+
+void fleet_service::LoadChanged(bool urgent) {
+  changed_ = true;
+  const auto gather =
+      kGatherDelay +
+      kGatherDelayPerPeer * static_cast<int>(membership_->LiveCount());
+  ScheduleBroadcast(urgent ? duration(kUrgentDelay) : duration(gather));
+}
+
+void fleet_service::ScheduleBroadcast(duration delay) {
+  const time_point at = clock::now() + delay;
+  if (broadcast_at_ && *broadcast_at_ <= at)
+    return;
+  broadcast_at_ = at;
+  broadcast_timer_->expires_at(at);
+  broadcast_timer_->async_wait([this](const boost::system::error_code& error) {
+    if (error)
+      return;
+    broadcast_at_.reset();
+    if (!changed_)
+      return;
+    changed_ = false;
+    membership_->Broadcast(kMaxBroadcast);
+  });
+}
+
+void fleet_service::NotifyRoom() {
+  if (room_listener_)
+    room_listener_();
+}
+
+void fleet_service::Fill(gossip_message* message, time_point now) {
+  message->loads = board_.OwnLoads(now);
+  // What cannot be told is the lightest.
+  if (message->loads.size() > kMaxLoads) {
+    std::sort(message->loads.begin(), message->loads.end(),
+              [](const upstream_load& a, const upstream_load& b) {
+                return a.read_ms > b.read_ms;
+              });
+    message->loads.resize(kMaxLoads);
+  }
+}
+
+void fleet_service::Take(const gossip_message& message, time_point now) {
+  if (message.sender.state == member_state::kLeft) {
+    board_.RemovePeer(message.sender.name);
+  } else {
+    board_.SetPeer(message.sender.name, message.loads, now);
+  }
+  NotifyRoom();
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/relay/memory_reservation.cc
@@ -0,0 +1,101 @@
+#include "src/relay/memory_reservation.h"
+
+#include "src/kernel/log.h"
+
+namespace cactusward {
+namespace {
+
+// Memory is lost for no longer than this when its holder dies.
+constexpr milliseconds kHold{3'500};
+constexpr milliseconds kRenewPeriod{1'200};
+constexpr milliseconds kOrderTimeout{400};
+constexpr milliseconds kReleaseRetryPause{150};
+constexpr int kReleaseTries = 4;
+constexpr int kStatusOk = 200;
+constexpr int kStatusAccepted = 202;
+
+}  // namespace
+
+memory_reservation::memory_reservation(runtime& runtime,
+                                       const relay_protocol& protocol)
+    : runtime_(runtime),
+      protocol_(protocol),
+      state_(std::make_shared<state>(runtime.io)) {}
+
+bool memory_reservation::Order(runtime& runtime,
+                               const std::string& address,
+                               const outgoing_request& order,
+                               asio::yield_context yield) {
+  const auto answer =
+      runtime.client.Call(address, order, clock::now() + kOrderTimeout, yield);
+  return answer &&
+         (answer->status == kStatusOk || answer->status == kStatusAccepted);
+}
+
+result<bool> memory_reservation::Acquire(const std::string& name,
+                                         std::vector<part> parts,
+                                         time_point deadline,
+                                         asio::yield_context yield) {
+  const milliseconds hold =
+      std::min(kHold, runtime_.settings.forwarding->max_reservation);
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    part& next = parts[i];
+    next.id = name + "-" + std::to_string(i);
+    // An order that got no answer may have been carried out, so its part is
+    // given back as well.
+    state_->parts.push_back(next);
+    if (clock::now() >= deadline ||
+        !Order(runtime_, next.address,
+               protocol_.Reserve({next.id, next.tokens, hold}), yield)) {
+      Log(log_level::kInfo, "reservation_refused",
+          {{"reservation", next.id},
+           {"upstream_address", next.address},
+           {"tokens", next.tokens}});
+      return {error_kind::kUpstreamRefused, "memory was not granted"};
+    }
+  }
+  if (!state_->parts.empty())
+    KeepRenewed();
+  return true;
+}
+
+void memory_reservation::KeepRenewed() {
+  Spawn(runtime_.io, "reservation",
+        [&runtime = runtime_, &protocol = protocol_, state = state_,
+         hold = std::min(kHold, runtime_.settings.forwarding->max_reservation)](
+            asio::yield_context yield) {
+          while (state->active) {
+            WaitOn(state->timer, clock::now() + kRenewPeriod, yield);
+            for (std::size_t i = 0; state->active && i < state->parts.size();
+                 ++i) {
+              const part& held = state->parts[i];
+              if (!Order(runtime, held.address,
+                         protocol.Reserve({held.id, held.tokens, hold}), yield))
+                Log(log_level::kWarning, "reservation_not_renewed",
+                    {{"reservation", held.id}});
+            }
+          }
+        });
+}
+
+memory_reservation::~memory_reservation() {
+  state_->active = false;
+  state_->timer.cancel();
+  for (const part& held : state_->parts) {
+    Spawn(
+        runtime_.io, "release",
+        [&runtime = runtime_, &protocol = protocol_,
+         held](asio::yield_context yield) {
+          for (int i = 0; i < kReleaseTries; ++i) {
+            if (Order(runtime, held.address, protocol.Release(held.id), yield))
+              return;
+            Sleep(runtime.io, kReleaseRetryPause, yield);
+          }
+          // It expires at the end of its hold.
+          Log(log_level::kWarning, "reservation_not_released",
+              {{"reservation", held.id}});
+        });
+  }
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/relay/relay_gateway.cc
@@ -0,0 +1,145 @@
+#include "src/relay/relay_gateway.h"
+
+#include <sstream>
+
+#include "src/kernel/log.h"
+
+namespace cactusward {
+namespace {
+
+constexpr milliseconds kTextTimeout{2'000};
+constexpr milliseconds kMembersPeriod{1'000};
+// Membership numbers start here; a process learns from its peers what an
+// earlier process of its name had reached.
+constexpr std::uint64_t kFirstIncarnation = 1;
+
+}  // namespace
+
+relay_gateway::relay_gateway(asio::io_context& io,
+                             instance_settings* settings,
+                             const adapter_factory& make_adapter)
+    : io_(io),
+      settings_(settings),
+      random_(std::random_device{}()),
+      timers_(io),
+      client_(io),
+      runtime_{io,      *settings, kFirstIncarnation, timers_,
+               client_, nullptr,   registry_,         random_},
+      adapter_(make_adapter(*settings->forwarding, &client_)),
+      peers_(io, settings->peer_secret, this),
+      catalog_(runtime_, adapter_.catalog.get(), &peers_),
+      membership_(runtime_),
+      recovery_(runtime_),
+      fleet_(runtime_),
+      dispatcher_(runtime_),
+      report_(runtime_),
+      monitor_(this),
+      server_(io, this, http_server_limits()),
+      readiness_server_(io, &monitor_, http_server_limits()),
+      metrics_server_(io, &monitor_, http_server_limits()),
+      stop_(runtime_, &server_),
+      retries_(settings->forwarding->retries),
+      run_services_{runtime_, *adapter_.protocol, catalog_,
+                    fleet_,   dispatcher_,        recovery_,
+                    report_,  retries_,           longest_deadlines_} {
+  for (service* part :
+       {static_cast<service*>(&catalog_), static_cast<service*>(&membership_),
+        static_cast<service*>(&recovery_), static_cast<service*>(&fleet_),
+        static_cast<service*>(&dispatcher_), static_cast<service*>(&report_),
+        static_cast<service*>(&stop_)})
+    registry_.Add(part);
+  membership_.Attach(static_cast<peer_news*>(&catalog_));
+  membership_.Attach(static_cast<peer_news*>(&fleet_));
+  catalog_.Subscribe([this] { ApplyLimits(); });
+}
+
+bool relay_gateway::Start() {
+  const forwarding_settings& forwarding = *settings_->forwarding;
+  if (!server_.Listen(settings_->listen) ||
+      !readiness_server_.Listen(forwarding.readiness_listen) ||
+      !metrics_server_.Listen(forwarding.metrics_listen) ||
+      !peers_.Listen(settings_->peer_listen) || !membership_.Listen())
+    return false;
+  registry_.StartAll();
+  members_timer_ = timers_.Every(kMembersPeriod, [this](time_point now) {
+    retries_.SetInstances(membership_.LiveCount(), now);
+  });
+  Log(log_level::kInfo, "started",
+      {{"listen", settings_->listen},
+       {"peer_listen", settings_->peer_listen},
+       {"registry", forwarding.registry},
+       {"availability_zone", settings_->availability_zone},
+       {"seeds", settings_->seed_peers}});
+  return true;
+}
+
+void relay_gateway::Stop() {
+  stop_.Begin([this] { io_.stop(); });
+}
+
+void relay_gateway::Reload(const instance_settings& next) {
+  settings_->seed_peers = next.seed_peers;
+  settings_->drain_grace = next.drain_grace;
+  settings_->drain_limit = next.drain_limit;
+  const bool needs_restart = settings_->listen != next.listen ||
+                             settings_->peer_listen != next.peer_listen ||
+                             !(settings_->forwarding == next.forwarding);
+  Log(log_level::kInfo, "settings_reloaded",
+      {{"needs_restart", needs_restart}});
+}
+
+void relay_gateway::ApplyLimits() {
+  const auto config = catalog_.Config();
+  if (!config)
+    return;
+  const caller_limits& limits = config->limits();
+  http_server_limits applied;
+  applied.max_header_bytes = limits.max_header_bytes;
+  applied.max_body_bytes = limits.max_body_bytes;
+  applied.header_timeout = limits.header_timeout;
+  applied.idle_timeout = limits.idle_timeout;
+  server_.SetLimits(applied);
+}
+
+void relay_gateway::Handle(http_exchange& exchange, asio::yield_context yield) {
+  if (stop_.stopping())
+    exchange.SetClose();
+  relay_run(run_services_, exchange).Run(yield);
+}
+
+void relay_gateway::monitor::Handle(http_exchange& exchange,
+                                    asio::yield_context yield) {
+  const time_point deadline = clock::now() + kTextTimeout;
+  if (exchange.Path() == "/metrics") {
+    exchange.Answer(200, "text/plain; version=0.0.4", gateway_->MetricsText(),
+                    deadline, yield);
+    return;
+  }
+  const bool ready = gateway_->stop_.IsReady();
+  exchange.Answer(ready ? 200 : 503, "text/plain",
+                  ready ? "ready\n" : "not ready\n", deadline, yield);
+}
+
+std::string relay_gateway::MetricsText() const {
+  std::ostringstream out;
+  const auto config = catalog_.Config();
+  out << report_.MetricsText() << "cactusward_config_version "
+      << (config ? config->version() : 0) << '\n'
+      << "cactusward_catalog_revision " << catalog_.revision() << '\n'
+      << "cactusward_upstreams " << catalog_.upstreams().entries().size()
+      << '\n'
+      << "cactusward_in_progress " << server_.active() << '\n'
+      << "cactusward_waiting_for_upstream " << dispatcher_.waiting() << '\n'
+      << "cactusward_connections_opened " << client_.connections_opened()
+      << '\n';
+  return out.str();
+}
+
+void relay_gateway::OnPeerCall(const nlohmann::json& request, reply reply) {
+  const auto op = request.is_object() ? request.find("op") : request.end();
+  if (op != request.end() && *op == "catalog_get")
+    return reply(catalog_.Snapshot());
+  reply({{"error", AnswerFor(error_kind::kBadRequest).name}});
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/relay/relay_gateway.h
@@ -0,0 +1,85 @@
+// The daemon that forwards requests unchanged: builds its services and
+// connects them to an adapter of the outside.
+#ifndef CACTUSWARD_SRC_RELAY_RELAY_GATEWAY_H_
+#define CACTUSWARD_SRC_RELAY_RELAY_GATEWAY_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "src/edges/asio_timer_service.h"
+#include "src/relay/relay_run.h"
+#include "src/relay/relay_stop.h"
+
+namespace cactusward {
+
+// What an outside speaks.
+struct outside_adapter {
+  std::unique_ptr<relay_protocol> protocol;
+  std::unique_ptr<catalog_source> catalog;
+};
+
+class relay_gateway : public http_handler, public peer_handler {
+ public:
+  using adapter_factory =
+      std::function<outside_adapter(const forwarding_settings&, http_client*)>;
+
+  // Precondition: `io` and `settings` outlive the gateway;
+  // `settings.forwarding` is set.
+  relay_gateway(asio::io_context& io,
+                instance_settings* settings,
+                const adapter_factory& make_adapter);
+
+  // @return false when an address cannot be had.
+  bool Start();
+  // Begins the planned stop; `io` is stopped when it has ended.
+  void Stop();
+  // Takes over what may change while the process runs.
+  void Reload(const instance_settings& next);
+
+  void Handle(http_exchange& exchange, asio::yield_context yield) override;
+  void OnPeerCall(const nlohmann::json& request, reply reply) override;
+
+ private:
+  // Answers the balancer and scrapers.
+  class monitor : public http_handler {
+   public:
+    explicit monitor(relay_gateway* gateway) : gateway_(gateway) {}
+    void Handle(http_exchange& exchange, asio::yield_context yield) override;
+
+   private:
+    relay_gateway* gateway_;
+  };
+
+  void ApplyLimits();
+  std::string MetricsText() const;
+
+  asio::io_context& io_;
+  instance_settings* settings_;
+  std::mt19937_64 random_;
+  asio_timer_service timers_;
+  http_client client_;
+  service_registry registry_;
+  runtime runtime_;
+  outside_adapter adapter_;
+  peer_link peers_;
+  catalog_service catalog_;
+  membership_service membership_;
+  recovery_service recovery_;
+  fleet_service fleet_;
+  relay_dispatcher dispatcher_;
+  report_service report_;
+  monitor monitor_;
+  http_server server_;
+  http_server readiness_server_;
+  http_server metrics_server_;
+  relay_stop stop_;
+  shared_retry_budget retries_;
+  std::map<std::string, milliseconds> longest_deadlines_;
+  relay_services run_services_;
+  std::unique_ptr<timer_subscription> members_timer_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_RELAY_RELAY_GATEWAY_H_
--- /dev/null
+++ b/src/relay/relay_run.cc
@@ -0,0 +1,551 @@
+#include "src/relay/relay_run.h"
+
+#include <algorithm>
+
+#include "cactusward/hash.h"
+#include "src/kernel/log.h"
+#include "src/relay/memory_reservation.h"
+
+namespace cactusward {
+namespace {
+
+constexpr milliseconds kDefaultDeadline{30'000};
+constexpr milliseconds kAnswerTimeout{5'000};
+// The answer leaves before the caller's deadline, not at it.
+constexpr milliseconds kDeadlineMargin{20};
+constexpr std::size_t kMaxBufferedAnswer = 8ULL * 1024 * 1024;
+// An answer on a kept connection that was idle for longer may meet the
+// upstream's close.
+constexpr milliseconds kMaxIdleConnection{1'500};
+constexpr milliseconds kUpstreamSilence{2'000};
+// Part of its objective that a request waits for a place.
+constexpr double kWaitShare = 0.8;
+// A first event that takes so many times as long as expected, and this much
+// more, is not waited for when another upstream can be asked.
+constexpr double kFirstEventFactor = 2;
+constexpr milliseconds kFirstEventSlack{900};
+// Callers abandon a stream after a gap of two seconds; another upstream must
+// go on before that.
+constexpr milliseconds kShortestSilence{1'300};
+constexpr int kSilentPauses = 4;
+constexpr int kSilentObjectives = 3;
+constexpr milliseconds kCheckTimeout{300};
+constexpr int kServerError = 500;
+constexpr int kMaxStaleRetries = 2;
+constexpr double kMillisecondsPerSecond = 1000;
+constexpr std::string_view kEventStream = "text/event-stream";
+
+std::string_view ToView(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+// The host without a port.
+std::string_view HostOf(const http_request& request) {
+  const std::string_view host = ToView(request[http::field::host]);
+  return host.substr(0, host.find(':'));
+}
+
+}  // namespace
+
+relay_run::relay_run(const relay_services& services, http_exchange& exchange)
+    : services_(services),
+      exchange_(exchange),
+      config_(services.catalog.Config()),
+      caller_(services.protocol.ReadRequest(exchange.request())),
+      began_(clock::now()) {
+  deadline_ = began_ + caller_.deadline.value_or(kDefaultDeadline);
+  end_ = deadline_ - kDeadlineMargin;
+  record_.request_id = caller_.attempt_id;
+  record_.prompt_tokens = caller_.prompt_tokens;
+  last_event_ = caller_.last_event_id;
+}
+
+error_kind relay_run::Admit() {
+  if (!config_)
+    return error_kind::kNotReady;
+  route_ = config_->Match(HostOf(exchange_.request()), exchange_.Path());
+  if (!route_)
+    return error_kind::kNotFound;
+  record_.target = route_->name;
+  record_.length_class = route_->name;
+  if (config_->NeedsKeys()) {
+    holder_ = config_->FindKey(caller_.key);
+    if (!holder_ && !route_->is_public)
+      return error_kind::kUnauthenticated;
+    if (holder_)
+      record_.organisation = holder_->organisation;
+  }
+  if (route_->timeout.count() > 0)
+    end_ = std::min(end_, began_ + route_->timeout);
+  // A caller's second attempt carries what is left of its first deadline; its
+  // objective counts from the first.
+  milliseconds spent{0};
+  if (caller_.deadline) {
+    auto& longest = services_.longest_deadlines[route_->name];
+    longest = std::max(longest, *caller_.deadline);
+    spent = longest - *caller_.deadline;
+  }
+  objective_at_ = began_ + route_->objective - spent;
+  service_ = std::string(ChooseService(*route_, services_.daemon.random()));
+  const std::string identity = std::string(exchange_.request().target()) +
+                               "\n" + caller_.key + "\n" +
+                               exchange_.request().body();
+  fingerprint_ = Hash64(identity);
+  if (services_.recovery.Judge(fingerprint_) == suspect_verdict::kRefuse)
+    return error_kind::kRepeatRefused;
+  return service_.empty() ? error_kind::kNoUpstream : error_kind::kOk;
+}
+
+void relay_run::Run(asio::yield_context yield) {
+  const error_kind refusal = Admit();
+  if (refusal != error_kind::kOk) {
+    Refuse(refusal, milliseconds(AnswerFor(refusal).retry_after_ms), yield);
+  } else {
+    services_.retries.RecordRequest(began_);
+    exchange_.OnHangUp([this] { cancel_.Cancel(); });
+    RunAttempts(yield);
+    exchange_.OnHangUp({});
+  }
+  record_.attempts = attempts_;
+  record_.status = exchange_.status();
+  record_.total = clock::now() - began_;
+  services_.report.Record(record_);
+}
+
+relay_demand relay_run::Demand() const {
+  relay_demand demand;
+  demand.service = service_;
+  demand.tried = tried_;
+  demand.priority =
+      holder_ && holder_->priority ? *holder_->priority : route_->priority;
+  const time_point now = clock::now();
+  const bool late = objective_at_ <= now || stream_began_;
+  demand.objective_at = late ? end_ : objective_at_;
+  if (IsPrompt()) {
+    prompt_request prompt;
+    prompt.prompt_tokens = caller_.prompt_tokens;
+    prompt.answer_tokens = caller_.answer_tokens;
+    prompt.pause_ms = static_cast<double>(route_->event_pause.count());
+    prompt.may_be_late = late;
+    demand.prompt = prompt;
+  }
+  demand.give_up_at =
+      std::min(end_, now + std::chrono::duration_cast<duration>(
+                               (demand.objective_at - now) * kWaitShare));
+  return demand;
+}
+
+void relay_run::RunAttempts(asio::yield_context yield) {
+  attempt last;
+  int stale_retries = 0;
+  while (true) {
+    no_place reason;
+    const relay_demand demand = Demand();
+    auto place = services_.dispatcher.Acquire(demand, &cancel_, &reason, yield);
+    if (cancel_.cancelled()) {
+      record_.kind = error_kind::kCallerGone;
+      return exchange_.Abort();
+    }
+    if (!place && attempts_ == 0)
+      return Refuse(reason.kind, reason.retry_after, yield);
+    if (!place)
+      return Fail(last, yield);
+    last = RunAttempt(*place, yield);
+    RecordOutcome(*place, last);
+    const std::string upstream = place->upstream()->entry.id;
+    place.reset();
+    if (last.end == attempt_end::kDone)
+      return;
+    if (last.end == attempt_end::kCallerGone || cancel_.cancelled()) {
+      record_.kind = error_kind::kCallerGone;
+      return exchange_.Abort();
+    }
+    // A kept connection says nothing about its upstream.
+    if (last.stale_connection && ++stale_retries <= kMaxStaleRetries)
+      --sends_;
+    else
+      tried_.insert(upstream);
+    if (!MayGoOn(last))
+      return Fail(last, yield);
+  }
+}
+
+bool relay_run::MayGoOn(const attempt& last) {
+  if (!HasTime() || cancel_.cancelled())
+    return false;
+  if (may_have_run_ && !route_->IsRepeatable())
+    return false;
+  if (sends_ >= route_->max_attempts)
+    return false;
+  if (services_.recovery.Judge(fingerprint_) == suspect_verdict::kRefuse)
+    return false;
+  // Only what reached an upstream counts against the budget.
+  if (last.end == attempt_end::kNotSent && !may_have_run_)
+    return true;
+  const bool granted = services_.retries.TrySpend(clock::now());
+  if (!granted)
+    Log(log_level::kInfo, "retry_budget_empty",
+        {{"request", caller_.attempt_id}});
+  return granted;
+}
+
+relay_run::attempt relay_run::RunAttempt(relay_place& place,
+                                         asio::yield_context yield) {
+  ++attempts_;
+  record_.upstream = place.upstream()->entry.id;
+  memory_reservation memory(services_.daemon, services_.protocol);
+  std::vector<memory_reservation::part> parts;
+  for (const relay_place::part& helper : place.helpers) {
+    if (helper.held_tokens > 0)
+      parts.push_back({helper.upstream->entry.address, helper.held_tokens, {}});
+  }
+  if (!parts.empty()) {
+    const std::string name =
+        caller_.attempt_id + "-" + std::to_string(attempts_);
+    const auto granted = memory.Acquire(name, parts, end_, yield);
+    if (!granted)
+      return {attempt_end::kNotSent, granted.detail(), false, std::nullopt};
+  }
+  std::vector<helper_address> helpers;
+  std::size_t reserved = 0;
+  for (const relay_place::part& helper : place.helpers) {
+    helper_address address{helper.upstream->entry.address, {}};
+    if (helper.held_tokens > 0)
+      address.reservation = memory.parts()[reserved++].id;
+    helpers.push_back(std::move(address));
+  }
+  Log(log_level::kInfo, "request_placed",
+      {{"request", caller_.attempt_id},
+       {"route", route_->name},
+       {"config_version", config_->version()},
+       {"catalog_revision", services_.catalog.revision()},
+       {"upstream", place.upstream()->entry.id},
+       {"helpers", helpers.size()},
+       {"reservations", reserved},
+       {"prompt_tokens", caller_.prompt_tokens},
+       {"expected_first_ms", place.expected_first_ms},
+       {"waited_ms", ToMilliseconds(clock::now() - began_)},
+       {"attempt", attempts_}});
+  auto& running = place.upstream()->running;
+  const std::uint64_t id = place.main.board_id;
+  running[id] = {fingerprint_, false};
+  const auto upstream = place.upstream();
+  attempt done = Exchange(place, helpers, yield);
+  if (done.end == attempt_end::kBroken && !done.stale_connection)
+    CheckUpstream(upstream);
+  upstream->running.erase(id);
+  return done;
+}
+
+// A broken exchange means that the upstream died if it takes no connection.
+void relay_run::CheckUpstream(const std::shared_ptr<fleet_upstream>& upstream) {
+  if (upstream->being_checked)
+    return;
+  upstream->being_checked = true;
+  std::vector<running_request> in_flight;
+  for (const auto& [id, request] : upstream->running)
+    in_flight.push_back(request);
+  Spawn(
+      services_.daemon.io, "check_upstream",
+      [&services = services_, upstream, in_flight](asio::yield_context yield) {
+        tcp::socket socket(services.daemon.io);
+        boost::system::error_code error;
+        const auto endpoint = ParseTcpEndpoint(upstream->entry.address);
+        {
+          deadline_guard guard(&socket, clock::now() + kCheckTimeout);
+          socket.async_connect(*endpoint, yield[error]);
+        }
+        upstream->being_checked = false;
+        if (error != asio::error::connection_refused)
+          return;
+        upstream->health.Record(exchange_outcome::kUnreachable, clock::now());
+        services.recovery.RecordDeath(upstream->entry.id, in_flight);
+      });
+}
+
+milliseconds relay_run::FirstSilence(const relay_place& place) const {
+  if (!IsPrompt())
+    return std::max(route_->objective * kSilentObjectives, milliseconds(250));
+  const auto expected = milliseconds(static_cast<std::int64_t>(
+                            place.expected_first_ms * kFirstEventFactor)) +
+                        kFirstEventSlack;
+  return std::max(expected, kShortestSilence);
+}
+
+milliseconds relay_run::EventSilence(const relay_place& place) const {
+  // Reading a long prompt again costs more than waiting.
+  return std::max({kShortestSilence, route_->event_pause * kSilentPauses,
+                   milliseconds(static_cast<std::int64_t>(place.read_ms))});
+}
+
+relay_run::attempt relay_run::Exchange(
+    relay_place& place,
+    const std::vector<helper_address>& helpers,
+    asio::yield_context yield) {
+  const time_point sent_at = clock::now();
+  const auto& upstream = place.upstream();
+  forward_fields fields;
+  fields.upstream_id = upstream->entry.id;
+  if (holder_)
+    fields.organisation = holder_->organisation;
+  fields.time_left =
+      std::max(std::chrono::duration_cast<milliseconds>(end_ - sent_at),
+               milliseconds(1));
+  fields.last_event_id = last_event_;
+  fields.helpers = helpers;
+  send_options options;
+  options.fresh_connection = !route_->IsRepeatable();
+  options.max_idle = kMaxIdleConnection;
+  options.silence_limit = kUpstreamSilence;
+  const bool can_repeat =
+      route_->IsRepeatable() && sends_ + 1 < route_->max_attempts;
+  const time_point first_by =
+      can_repeat ? std::min(end_, sent_at + FirstSilence(place)) : end_;
+  send_failure failure;
+  auto stream = services_.daemon.client.Send(
+      upstream->entry.address,
+      services_.protocol.Forwarded(exchange_.request(), fields), options,
+      first_by, yield, &cancel_, &failure);
+  if (cancel_.cancelled())
+    return {attempt_end::kCallerGone, {}, false, std::nullopt};
+  if (!failure.sent)
+    return {attempt_end::kNotSent, stream.detail(), false, std::nullopt};
+  ++sends_;
+  if (!stream) {
+    may_have_run_ = true;
+    const bool silent = stream.kind() == error_kind::kTimedOut;
+    return {silent ? attempt_end::kSilent : attempt_end::kBroken,
+            stream.detail(), failure.reused, std::nullopt};
+  }
+  const upstream_reply reply =
+      services_.protocol.ReadReply((*stream)->status(), (*stream)->header());
+  // An answer to an earlier request arrived late.
+  if (!reply.attempt_id.empty() && reply.attempt_id != caller_.attempt_id) {
+    (*stream)->Discard();
+    may_have_run_ = true;
+    return {attempt_end::kBroken, "answer to another request", false,
+            std::nullopt};
+  }
+  if (reply.not_executed) {
+    if (reply.wrong_upstream)
+      (*stream)->Discard();
+    return {attempt_end::kNotExecuted,
+            "status " + std::to_string((*stream)->status()), false,
+            std::nullopt};
+  }
+  may_have_run_ = true;
+  const bool success = (*stream)->status() / 100 == 2;
+  if (success && (!reply.signed_by_upstream || reply.encoded)) {
+    (*stream)->Discard();
+    return {attempt_end::kBroken, "unsigned or encoded answer", false,
+            std::nullopt};
+  }
+  const std::string_view type = (*stream)->Header("Content-Type");
+  if (success && route_->kind == route_kind::kStreaming &&
+      type.substr(0, kEventStream.size()) == kEventStream)
+    return RelayEvents(**stream, place, sent_at, yield);
+  return RelayBody(**stream, yield);
+}
+
+relay_run::attempt relay_run::RelayBody(http_stream& stream,
+                                        asio::yield_context yield) {
+  std::string body;
+  while (true) {
+    const auto bytes = stream.Read(end_, yield);
+    if (cancel_.cancelled())
+      return {attempt_end::kCallerGone, {}, false, std::nullopt};
+    if (!bytes)
+      return {bytes.kind() == error_kind::kTimedOut ? attempt_end::kSilent
+                                                    : attempt_end::kBroken,
+              bytes.detail(), false, std::nullopt};
+    if (bytes->empty())
+      break;
+    body.append(*bytes);
+    if (body.size() > kMaxBufferedAnswer) {
+      stream.Discard();
+      return {attempt_end::kBroken, "answer exceeds the limit", false,
+              std::nullopt};
+    }
+  }
+  http::response<http::string_body> answer{
+      http::response_header<>(stream.header())};
+  RemoveConnectionFields(&answer);
+  answer.erase(http::field::content_length);
+  answer.body() = std::move(body);
+  // Once events were passed on, nothing else may follow in the same answer.
+  if (stream_began_)
+    return {attempt_end::kFailed, "failure in place of a stream's rest", false,
+            std::nullopt};
+  if (stream.status() >= kServerError)
+    return {attempt_end::kFailed, "status " + std::to_string(stream.status()),
+            false, std::move(answer)};
+  record_.good = true;
+  services_.recovery.RecordFinish(fingerprint_);
+  record_.first_token = clock::now() - began_;
+  exchange_.AnswerWith(std::move(answer), clock::now() + kAnswerTimeout, yield);
+  return {attempt_end::kDone, {}, false, std::nullopt};
+}
+
+relay_run::attempt relay_run::RelayEvents(http_stream& stream,
+                                          relay_place& place,
+                                          time_point sent_at,
+                                          asio::yield_context yield) {
+  event_stream_splitter splitter;
+  std::vector<stream_event> events;
+  bool any = false;
+  const bool can_repeat =
+      route_->IsRepeatable() && sends_ < route_->max_attempts;
+  while (true) {
+    const milliseconds silence =
+        any ? EventSilence(place) : FirstSilence(place);
+    const time_point base = any ? clock::now() : sent_at;
+    const time_point by = can_repeat ? std::min(end_, base + silence) : end_;
+    const auto bytes = stream.Read(by, yield);
+    if (cancel_.cancelled())
+      return {attempt_end::kCallerGone, {}, false, std::nullopt};
+    if (!bytes)
+      return {bytes.kind() == error_kind::kTimedOut ? attempt_end::kSilent
+                                                    : attempt_end::kBroken,
+              bytes.detail(), false, std::nullopt};
+    if (bytes->empty()) {
+      if (splitter.HasPartialEvent())
+        return {attempt_end::kBroken, "stream ended within an event", false,
+                std::nullopt};
+      break;
+    }
+    events.clear();
+    if (!splitter.Feed(*bytes, &events))
+      return {attempt_end::kBroken, "event exceeds the limit", false,
+              std::nullopt};
+    std::string out;
+    for (stream_event& event : events) {
+      if (event.id && last_event_ && *event.id <= *last_event_)
+        continue;
+      if (event.id && last_event_ && *event.id != *last_event_ + 1)
+        return {attempt_end::kBroken, "an event is missing", false,
+                std::nullopt};
+      if (event.id)
+        last_event_ = event.id;
+      out += event.bytes;
+    }
+    if (!out.empty() && !any) {
+      any = true;
+      place.EndReading();
+      const time_point now = clock::now();
+      const double seen = ToMilliseconds(now - sent_at);
+      place.upstream()->health.RecordPace(place.expected_first_ms, seen, now);
+      auto running = place.upstream()->running.find(place.main.board_id);
+      if (running != place.upstream()->running.end())
+        running->second.first_token_seen = true;
+      if (record_.first_token == duration(0))
+        record_.first_token = now - began_;
+    }
+    if (!out.empty() && !WriteEvents(stream.header(), out, yield))
+      return {attempt_end::kCallerGone, "caller takes no bytes", false,
+              std::nullopt};
+  }
+  if (!stream_began_ && !WriteEvents(stream.header(), {}, yield))
+    return {attempt_end::kCallerGone, "caller takes no bytes", false,
+            std::nullopt};
+  services_.recovery.RecordFinish(fingerprint_);
+  exchange_.EndStream(clock::now() + kAnswerTimeout, yield);
+  return {attempt_end::kDone, {}, false, std::nullopt};
+}
+
+bool relay_run::WriteEvents(const http::response_header<>& header,
+                            std::string_view bytes,
+                            asio::yield_context yield) {
+  if (!stream_began_) {
+    http::response<http::empty_body> begin{http::response_header<>(header)};
+    RemoveConnectionFields(&begin);
+    begin.erase(http::field::content_length);
+    if (!exchange_.BeginStreamWith(std::move(begin), end_, yield))
+      return false;
+    stream_began_ = true;
+  }
+  return bytes.empty() || exchange_.WriteChunk(bytes, end_, yield);
+}
+
+void relay_run::RecordOutcome(const relay_place& place, const attempt& last) {
+  const auto& upstream = place.upstream();
+  const time_point now = clock::now();
+  switch (last.end) {
+    case attempt_end::kDone:
+    case attempt_end::kNotExecuted:
+      upstream->health.Record(exchange_outcome::kAnswered, now);
+      break;
+    case attempt_end::kFailed:
+      upstream->health.Record(exchange_outcome::kFailed, now);
+      break;
+    case attempt_end::kBroken:
+      if (!last.stale_connection)
+        upstream->health.Record(exchange_outcome::kBroken, now);
+      break;
+    case attempt_end::kSilent:
+      if (HasTime())
+        upstream->health.Record(exchange_outcome::kSilent, now);
+      break;
+    case attempt_end::kNotSent:
+      if (place.helpers.empty())
+        upstream->health.Record(exchange_outcome::kUnreachable, now);
+      break;
+    case attempt_end::kCallerGone:
+      break;
+  }
+  if (last.end == attempt_end::kDone)
+    return;
+  Log(log_level::kInfo, "attempt_failed",
+      {{"request", caller_.attempt_id},
+       {"upstream", upstream->entry.id},
+       {"attempt", attempts_},
+       {"outcome", static_cast<int>(last.end)},
+       {"detail", last.detail},
+       {"stale_connection", last.stale_connection},
+       {"after_ms", ToMilliseconds(now - began_)},
+       {"avoided_ms",
+        std::max(0.0, ToMilliseconds(upstream->health.avoided_until() - now))},
+       {"last_event", last_event_.value_or(-1)}});
+}
+
+void relay_run::Refuse(error_kind kind,
+                       milliseconds retry_after,
+                       asio::yield_context yield) {
+  record_.kind = kind;
+  record_.good = false;
+  // A caller that was refused comes back within its time or not at all.
+  if (retry_after.count() > 0) {
+    char text[32];
+    std::snprintf(
+        text, sizeof(text), "%.3f",
+        static_cast<double>(retry_after.count()) / kMillisecondsPerSecond);
+    exchange_.SetHeader("Retry-After", text);
+  }
+  http::response<http::string_body> answer;
+  answer.result(static_cast<unsigned>(AnswerFor(kind).http_status));
+  answer.set(http::field::content_type, "application/json");
+  answer.body() = ErrorBody(kind, {});
+  exchange_.AnswerWith(std::move(answer), clock::now() + kAnswerTimeout, yield);
+}
+
+void relay_run::Fail(const attempt& last, asio::yield_context yield) {
+  record_.good = false;
+  if (stream_began_) {
+    record_.kind = error_kind::kUpstreamFailed;
+    return exchange_.Abort();
+  }
+  if (last.end == attempt_end::kFailed && last.answer) {
+    record_.kind = error_kind::kUpstreamFailed;
+    exchange_.AnswerWith(*last.answer, clock::now() + kAnswerTimeout, yield);
+    return;
+  }
+  // Nothing ran, and nothing will.
+  if (!may_have_run_)
+    return Refuse(HasTime() ? error_kind::kUpstreamRefused
+                            : error_kind::kDeadlineInfeasible,
+                  milliseconds(AnswerFor(error_kind::kDraining).retry_after_ms),
+                  yield);
+  Refuse(HasTime() ? error_kind::kUpstreamFailed : error_kind::kTimedOut,
+         milliseconds(0), yield);
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/relay/relay_run.h
@@ -0,0 +1,114 @@
+// What one forwarded request goes through: checks, places, attempts, answer.
+#ifndef CACTUSWARD_SRC_RELAY_RELAY_RUN_H_
+#define CACTUSWARD_SRC_RELAY_RELAY_RUN_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "cactusward/event_stream.h"
+#include "cactusward/forward_config.h"
+#include "cactusward/shared_retry_budget.h"
+#include "src/relay/catalog_service.h"
+#include "src/relay/relay_dispatcher.h"
+#include "src/relay/relay_protocol.h"
+#include "src/services/recovery_service.h"
+#include "src/services/report_service.h"
+
+namespace cactusward {
+
+// Everything that a forwarded request needs of the daemon.
+struct relay_services {
+  runtime& daemon;
+  const relay_protocol& protocol;
+  catalog_service& catalog;
+  fleet_service& fleet;
+  relay_dispatcher& dispatcher;
+  recovery_service& recovery;
+  report_service& report;
+  shared_retry_budget& retries;
+  // Longest deadline seen on each route: what a first attempt carries.
+  std::map<std::string, milliseconds>& longest_deadlines;
+};
+
+// Not thread-safe; lives within its handler.
+class relay_run {
+ public:
+  relay_run(const relay_services& services, http_exchange& exchange);
+
+  void Run(asio::yield_context yield);
+
+ private:
+  // What one attempt at one upstream came to.
+  enum class attempt_end {
+    kDone,         // the answer was passed on
+    kNotSent,      // no byte was sent
+    kNotExecuted,  // the upstream says that it did not run the request
+    kBroken,       // the exchange broke; the request may have run
+    kSilent,       // nothing came in time; the request may be running
+    kFailed,       // a whole answer that says that the upstream failed
+    kCallerGone,
+  };
+  struct attempt {
+    attempt_end end = attempt_end::kBroken;
+    std::string detail;
+    bool stale_connection = false;  // a kept connection broke before an answer
+    std::optional<http::response<http::string_body>> answer;  // of kFailed
+  };
+
+  // Finds route and organisation. @return kOk or why the request is refused.
+  error_kind Admit();
+  relay_demand Demand() const;
+  void RunAttempts(asio::yield_context yield);
+  attempt RunAttempt(relay_place& place, asio::yield_context yield);
+  attempt Exchange(relay_place& place,
+                   const std::vector<helper_address>& helpers,
+                   asio::yield_context yield);
+  attempt RelayBody(http_stream& stream, asio::yield_context yield);
+  attempt RelayEvents(http_stream& stream,
+                      relay_place& place,
+                      time_point sent_at,
+                      asio::yield_context yield);
+  bool WriteEvents(const http::response_header<>& header,
+                   std::string_view bytes,
+                   asio::yield_context yield);
+  // Whether another attempt may follow; spends the budget for it.
+  bool MayGoOn(const attempt& last);
+  void RecordOutcome(const relay_place& place, const attempt& last);
+  void CheckUpstream(const std::shared_ptr<fleet_upstream>& upstream);
+  void Refuse(error_kind kind,
+              milliseconds retry_after,
+              asio::yield_context yield);
+  void Fail(const attempt& last, asio::yield_context yield);
+  // How long an upstream may be silent before another is tried.
+  milliseconds FirstSilence(const relay_place& place) const;
+  milliseconds EventSilence(const relay_place& place) const;
+  bool HasTime() const { return clock::now() < end_; }
+  bool IsPrompt() const { return caller_.prompt_tokens > 0; }
+
+  const relay_services& services_;
+  http_exchange& exchange_;
+  std::shared_ptr<const forward_config> config_;
+  const forward_route* route_ = nullptr;
+  const key_holder* holder_ = nullptr;
+  caller_request caller_;
+  std::string service_;
+  time_point began_;
+  time_point deadline_;  // of the caller
+  time_point end_;       // the deadline or the route's timeout
+  time_point objective_at_;
+  std::uint64_t fingerprint_ = 0;
+  cancel_token cancel_;
+  std::set<std::string> tried_;
+  bool may_have_run_ = false;
+  int sends_ = 0;
+  int attempts_ = 0;
+  std::optional<std::int64_t> last_event_;
+  bool stream_began_ = false;
+  access_record record_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_RELAY_RELAY_RUN_H_
--- /dev/null
+++ b/src/relay/relay_stop.cc
@@ -0,0 +1,50 @@
+#include "src/relay/relay_stop.h"
+
+#include "src/kernel/log.h"
+#include "src/relay/catalog_service.h"
+
+namespace cactusward {
+namespace {
+
+constexpr milliseconds kPoll{20};
+// Answers already written leave the process before it ends.
+constexpr milliseconds kLastWords{60};
+// The process ends by itself before it is ended.
+constexpr milliseconds kKillMargin{350};
+
+}  // namespace
+
+void relay_stop::Start() {
+  catalog_ = runtime_.registry.Find<catalog_service>(kCatalogServiceName);
+  membership_ =
+      runtime_.registry.Find<membership_service>(kMembershipServiceName);
+}
+
+bool relay_stop::IsReady() const {
+  return !stopping() && catalog_->Config() != nullptr;
+}
+
+void relay_stop::Begin(std::function<void()> on_end) {
+  if (stopping())
+    return;
+  began_ = clock::now();
+  on_end_ = std::move(on_end);
+  Log(log_level::kInfo, "stop_began", {{"in_progress", server_->active()}});
+  Spawn(runtime_.io, "stop",
+        [this](asio::yield_context yield) { WaitForEnd(yield); });
+}
+
+void relay_stop::WaitForEnd(asio::yield_context yield) {
+  const time_point limit =
+      *began_ + runtime_.settings.drain_limit - kKillMargin;
+  Sleep(runtime_.io, runtime_.settings.drain_grace, yield);
+  server_->CloseIdle();
+  while (server_->active() > 0 && clock::now() < limit)
+    Sleep(runtime_.io, kPoll, yield);
+  membership_->Leave();
+  Log(log_level::kInfo, "stopped", {{"in_progress", server_->active()}});
+  Sleep(runtime_.io, kLastWords, yield);
+  on_end_();
+}
+
+}  // namespace cactusward
--- /dev/null
+++ b/src/relay/relay_stop.h
@@ -0,0 +1,46 @@
+// Readiness and the planned stop of an instance that forwards requests.
+#ifndef CACTUSWARD_SRC_RELAY_RELAY_STOP_H_
+#define CACTUSWARD_SRC_RELAY_RELAY_STOP_H_
+
+#include <functional>
+#include <optional>
+
+#include "src/daemon/names.h"
+#include "src/daemon/runtime.h"
+#include "src/edges/http_server.h"
+
+namespace cactusward {
+
+class catalog_service;
+class membership_service;
+
+class relay_stop : public service {
+ public:
+  // Precondition: both outlive the service.
+  relay_stop(runtime& runtime, http_server* server)
+      : runtime_(runtime), server_(server) {}
+
+  std::string_view service_name() const override { return kRelayStopName; }
+  void Start() override;
+
+  // Whether the balancer may send new connections.
+  bool IsReady() const;
+  bool stopping() const { return began_.has_value(); }
+  // Begins the planned stop: not ready at once; requests are still served
+  // until the balancer has noticed and all in progress have ended.
+  void Begin(std::function<void()> on_end);
+
+ private:
+  void WaitForEnd(asio::yield_context yield);
+
+  runtime& runtime_;
+  http_server* server_;
+  catalog_service* catalog_ = nullptr;
+  membership_service* membership_ = nullptr;
+  std::optional<time_point> began_;
+  std::function<void()> on_end_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_SRC_RELAY_RELAY_STOP_H_
--- a/src/services/claim_service.cc
+++ b/src/services/claim_service.cc
@@ -23,7 +23,7 @@
 claim_service::claim_service(runtime& runtime, peer_link* peers)
     : runtime_(runtime),
       peers_(peers),
-      direct_(std::make_unique<direct_claim_store>(&runtime.store,
+      direct_(std::make_unique<direct_claim_store>(runtime.store,
                                                    kDefaultRetention)),
       store_(direct_.get()) {}
 
--- a/src/services/config_service.cc
+++ b/src/services/config_service.cc
@@ -53,7 +53,7 @@
   milliseconds pause = kShortestPause;
   while (true) {
     const time_point began = clock::now();
-    runtime_.store.Watch(
+    runtime_.store->Watch(
         std::string(kConfigKey), seen_mod_revision_,
         [this](const stored_value& change) {
           seen_mod_revision_ =
@@ -83,8 +83,8 @@
 void config_service::Confirm(asio::yield_context yield) {
   while (true) {
     const time_point asked_at = clock::now();
-    const auto value = runtime_.store.Get(std::string(kConfigKey),
-                                          asked_at + kStoreTimeout, yield);
+    const auto value = runtime_.store->Get(std::string(kConfigKey),
+                                           asked_at + kStoreTimeout, yield);
     if (value) {
       // The answer speaks for the moment of the question.
       confirmed_at_ = std::max(confirmed_at_.value_or(asked_at), asked_at);
@@ -168,7 +168,7 @@
   bool write_unanswered = false;
   while (clock::now() < deadline) {
     const time_point until = std::min(deadline, clock::now() + kStoreTimeout);
-    const auto current = runtime_.store.Get(key, until, yield);
+    const auto current = runtime_.store->Get(key, until, yield);
     if (!current) {
       Sleep(runtime_.io, kShortestPause, yield);
       continue;
@@ -199,7 +199,7 @@
                   std::to_string(std::max(found, keeper_.Number())) +
                   " is in force"};
     }
-    const auto swap = runtime_.store.CompareAndSwap(
+    const auto swap = runtime_.store->CompareAndSwap(
         key, mod_revision, {{key, encoded}}, until, yield);
     if (swap && swap->applied) {
       Take(encoded);
--- a/src/services/homed_claim_store.cc
+++ b/src/services/homed_claim_store.cc
@@ -54,7 +54,7 @@
   auto& bucket = open_[name];
   if (!bucket)
     bucket = std::make_unique<claim_bucket>(
-        runtime_.io, &runtime_.store, name,
+        runtime_.io, runtime_.store, name,
         runtime_.settings.instance + "-" + std::to_string(runtime_.incarnation),
         settings_);
   return *bucket;
--- a/src/services/membership_service.cc
+++ b/src/services/membership_service.cc
@@ -113,6 +113,8 @@
     if (message->leaving.size() > kMaxInFlightPerMessage)
       message->leaving.resize(kMaxInFlightPerMessage);
   }
+  for (peer_news* news : news_)
+    news->Fill(message, now);
   std::size_t count = std::min(suspect_news_.size(), kMaxSuspectsPerMessage);
   while (count-- > 0) {
     suspect_news news = suspect_news_.front();
@@ -140,6 +142,15 @@
   Send(std::move(messages));
 }
 
+void membership_service::Broadcast(std::size_t most) {
+  // One message serves all: what it carries is the same for each.
+  gossip_message message = table_.Compose(gossip_kind::kNews);
+  Attach(&message);
+  const std::string bytes = EncodeGossip(message);
+  for (const member& peer : table_.RandomPeers(most))
+    socket_.Send(peer.peer_address, bytes);
+}
+
 void membership_service::SpreadSuspects(
     const std::vector<suspect_report>& reports) {
   if (reports.empty())
@@ -165,6 +176,8 @@
   const member& sender = message->sender;
   if (sender.name == runtime_.settings.instance)
     return;
+  for (peer_news* news : news_)
+    news->Take(*message, now);
   if (config_)
     config_->OnPeerRevision(sender.peer_address, message->config_number,
                             message->confirmed_age_ms);
--- a/src/services/membership_service.h
+++ b/src/services/membership_service.h
@@ -19,6 +19,16 @@
 class upstream_directory;
 class recovery_service;
 
+// A part of the daemon that sends its own news with every datagram.
+class peer_news {
+ public:
+  virtual ~peer_news() = default;
+  // Adds this part's fields. Bounded: a datagram must not be fragmented.
+  virtual void Fill(gossip_message* message, time_point now) = 0;
+  // Takes in a message of another instance.
+  virtual void Take(const gossip_message& message, time_point now) = 0;
+};
+
 class membership_service : public service {
  public:
   explicit membership_service(runtime& runtime);
@@ -30,8 +40,13 @@
   // @return false when the peer address cannot be had.
   bool Listen();
 
+  // Precondition: `news` outlives the service.
+  void Attach(peer_news* news) { news_.push_back(news); }
   // Sends what is new to a few random peers at once.
   void SpreadNews();
+  // Sends what is new to up to `most` live peers at once; to random ones when
+  // there are more.
+  void Broadcast(std::size_t most);
   // Passes on a death blamed on a request.
   void SpreadSuspects(const std::vector<suspect_report>& reports);
   // Tells the fleet that this instance leaves.
@@ -75,6 +90,7 @@
   config_service* config_ = nullptr;
   upstream_directory* directory_ = nullptr;
   recovery_service* recovery_ = nullptr;
+  std::vector<peer_news*> news_;
   std::vector<std::string> listed_peers_;
   std::deque<suspect_news> suspect_news_;
   std::unordered_map<std::string, peer_load> peer_loads_;
--- a/src/services/recovery_service.cc
+++ b/src/services/recovery_service.cc
@@ -26,10 +26,11 @@
   membership_ =
       runtime_.registry.Find<membership_service>(kMembershipServiceName);
   auto* config = runtime_.registry.Find<config_service>(kConfigServiceName);
-  config->keeper().Subscribe([this](const active_config& active) {
-    suspects_.SetPeriod(active.config.recovery.suspect_period);
-    budget_.SetRatio(active.config.recovery.retry_ratio);
-  });
+  if (config)
+    config->keeper().Subscribe([this](const active_config& active) {
+      suspects_.SetPeriod(active.config.recovery.suspect_period);
+      budget_.SetRatio(active.config.recovery.retry_ratio);
+    });
   expiry_ = runtime_.timers.Every(
       kExpiryPeriod, [this](time_point now) { suspects_.Expire(now); });
 }
--- a/src/services/report_service.cc
+++ b/src/services/report_service.cc
@@ -114,7 +114,8 @@
   const auto* queue = registry.Find<dispatcher>(kDispatcherServiceName);
   WriteType(out, "cactusward_queue_depth", "gauge");
   WriteType(out, "cactusward_queue_oldest_milliseconds", "gauge");
-  for (const queue_row& row : queue->QueueRows()) {
+  const auto rows = queue ? queue->QueueRows() : std::vector<queue_row>();
+  for (const queue_row& row : rows) {
     const std::string labels = "{class=\"" + row.length_class +
                                "\",organisation=\"" + row.organisation + "\"} ";
     out << "cactusward_queue_depth" << labels << row.depth << '\n';
@@ -122,9 +123,11 @@
         << row.oldest.count() << '\n';
   }
   auto* config = registry.Find<config_service>(kConfigServiceName);
-  WriteGauge(out, "cactusward_config_revision", config->keeper().Number());
-  WriteGauge(out, "cactusward_config_confirmed_age_milliseconds",
-             config->ConfirmedAgeMs(clock::now()));
+  if (config) {
+    WriteGauge(out, "cactusward_config_revision", config->keeper().Number());
+    WriteGauge(out, "cactusward_config_confirmed_age_milliseconds",
+               config->ConfirmedAgeMs(clock::now()));
+  }
   const auto* membership =
       registry.Find<membership_service>(kMembershipServiceName);
   WriteGauge(out, "cactusward_live_members", membership->LiveCount());
@@ -134,7 +137,7 @@
   WriteGauge(out, "cactusward_gossip_refused", traffic.refused);
   WriteGauge(out, "cactusward_suspects",
              registry.Find<recovery_service>(kRecoveryServiceName)->suspects());
-  if (const auto* store = dynamic_cast<const etcd_store*>(&runtime_.store))
+  if (const auto* store = dynamic_cast<const etcd_store*>(runtime_.store))
     WriteGauge(out, "cactusward_store_calls", store->calls());
   return out.str();
 }
--- a/tests/unit/formats_test.cc
+++ b/tests/unit/formats_test.cc
@@ -8,6 +8,7 @@
 #include "src/services/upstream_directory.h"
 #include "src/model/engine_model.h"
 #include "src/model/token_stream.h"
+#include "src/kernel/base64.h"
 
 namespace cactusward {
 namespace {
--- a/tools/cactuswardd.cc
+++ b/tools/cactuswardd.cc
@@ -4,10 +4,12 @@
 #include <absl/flags/usage.h>
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
+#include "platform/make_adapter.h"
 #include "src/daemon/gateway.h"
 #include "src/kernel/log.h"
 
@@ -29,6 +31,90 @@
   return text.str();
 }
 
+// Reads the settings again on SIGHUP, and when the file was changed.
+class settings_watch {
+ public:
+  settings_watch(boost::asio::io_context& io,
+                 std::string path,
+                 std::function<void(const cactusward::instance_settings&)> take)
+      : timer_(io),
+        hang_ups_(io, SIGHUP),
+        path_(std::move(path)),
+        take_(std::move(take)),
+        text_(ReadFile(path_).value_or("")) {
+    WaitForSignal();
+    WaitForTimer();
+  }
+
+ private:
+  static constexpr std::chrono::seconds kPeriod{2};
+
+  void WaitForSignal() {
+    hang_ups_.async_wait([this](const boost::system::error_code& error, int) {
+      if (error)
+        return;
+      Check(true);
+      WaitForSignal();
+    });
+  }
+  void WaitForTimer() {
+    timer_.expires_after(kPeriod);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error)
+        return;
+      Check(false);
+      WaitForTimer();
+    });
+  }
+  void Check(bool asked) {
+    const auto text = ReadFile(path_);
+    if (!text || (!asked && *text == text_))
+      return;
+    text_ = *text;
+    const auto settings = cactusward::ParseSettings(*text);
+    if (settings)
+      take_(*settings);
+    else
+      cactusward::Log(cactusward::log_level::kError, "settings_rejected",
+                      {{"detail", settings.detail()}});
+  }
+
+  boost::asio::steady_timer timer_;
+  boost::asio::signal_set hang_ups_;
+  std::string path_;
+  std::function<void(const cactusward::instance_settings&)> take_;
+  std::string text_;
+};
+
+[[noreturn]] void Exit(int code) {
+  // Open coroutines hold references to services; leaving without unwinding
+  // them is safe because nothing is kept.
+  std::cout.flush();
+  std::_Exit(code);
+}
+
+int Forward(cactusward::instance_settings settings) {
+  cactusward::InitLog(settings.instance, settings.lowest_level);
+  boost::asio::io_context io(1);
+  cactusward::relay_gateway gateway(io, &settings,
+                                    cactusward::platform::MakeAdapter);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&gateway](const boost::system::error_code& error, int) {
+    if (!error)
+      gateway.Stop();
+  });
+  if (!gateway.Start()) {
+    std::cerr << "cannot listen on " << settings.listen << " and "
+              << settings.peer_listen << '\n';
+    return kExitNoAddress;
+  }
+  const settings_watch watch(
+      io, absl::GetFlag(FLAGS_settings),
+      [&gateway](const auto& next) { gateway.Reload(next); });
+  io.run();
+  Exit(0);
+}
+
 int Serve(const cactusward::instance_settings& settings) {
   cactusward::InitLog(settings.instance, settings.lowest_level);
   boost::asio::io_context io(1);
@@ -44,10 +130,7 @@
       gateway.Drain();
   });
   io.run();
-  // Open coroutines hold references to services; leaving without unwinding
-  // them is safe because nothing is kept.
-  std::cout.flush();
-  std::_Exit(0);
+  Exit(0);
 }
 
 }  // namespace
@@ -74,5 +157,13 @@
     std::cout << "settings are valid\n";
     return 0;
   }
-  return Serve(*settings);
+  if (!settings->forwarding)
+    return Serve(*settings);
+  if (settings->forwarding->protocol != cactusward::platform::kProtocolName) {
+    std::cerr << "forwarding.protocol: \"" << settings->forwarding->protocol
+              << "\" is not known; \"" << cactusward::platform::kProtocolName
+              << "\" is\n";
+    return kExitInvalid;
+  }
+  return Forward(*settings);
 }
