Confirm the registry's revision fleet-wide once a second

Change: when no instance heard from the registry for 0.7 s, one asks for its revision and tells the others; one that is behind reads anew. Ruled out: two watches (both are silent), stale reads (seconds old).

--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -7,7 +7,18 @@
 namespace cactusward {
 namespace {
 
-constexpr milliseconds kExpiryPeriod{200};
+constexpr milliseconds kTickPeriod{100};
+// Some instance asks the registry for its revision this often, for all; a
+// change must be in force everywhere within two seconds.
+constexpr milliseconds kConfirmPeriod{700};
+// Instances spread their turns over this time for each of them, so that one
+// asks and the others hear of it.
+constexpr milliseconds kConfirmSpreadPerInstance{25};
+constexpr milliseconds kLongestConfirmSpread{1'000};
+constexpr milliseconds kConfirmRetryPause{500};
+// A watch delivers a change within this time after it was made.
+constexpr milliseconds kWatchDelay{120};
+constexpr std::size_t kMaxBroadcast = 128;
 // First pause after a failure of the registry; doubled with each more.
 constexpr milliseconds kFirstPause{50};
 constexpr milliseconds kLongestPause{800};
@@ -36,12 +47,59 @@
 void catalog_service::Start() {
   Spawn(runtime_.io, "catalog",
         [this](asio::yield_context yield) { Run(yield); });
-  expiry_ = runtime_.timers.Every(kExpiryPeriod, [this](time_point now) {
+  membership_ =
+      runtime_.registry.Find<membership_service>(kMembershipServiceName);
+  tick_ = runtime_.timers.Every(kTickPeriod, [this](time_point now) {
     if (upstreams_.Expire(now))
       Notify();
+    ConfirmIfDue(now);
   });
 }
 
+void catalog_service::RecordConfirmation(time_point at) {
+  if (at <= confirmed_at_)
+    return;
+  confirmed_at_ = at;
+  const auto spread = std::min(
+      kLongestConfirmSpread,
+      kConfirmSpreadPerInstance * static_cast<int>(membership_->LiveCount()));
+  confirm_due_ = at + kConfirmPeriod +
+                 milliseconds(runtime_.random() % (spread.count() + 1));
+}
+
+void catalog_service::ConfirmIfDue(time_point now) {
+  if (confirming_ || needs_read_ || failures_ > 0 || now < confirm_due_)
+    return;
+  confirming_ = true;
+  Spawn(runtime_.io, "catalog_confirm", [this](asio::yield_context yield) {
+    Confirm(yield);
+    confirming_ = false;
+  });
+}
+
+void catalog_service::Confirm(asio::yield_context yield) {
+  const time_point asked_at = clock::now();
+  const auto newest = source_->ReadRevision(yield);
+  if (!newest) {
+    confirm_due_ = clock::now() + kConfirmRetryPause;
+    return;
+  }
+  if (*newest > revision_)
+    Sleep(runtime_.io, kWatchDelay, yield);
+  if (*newest > revision_) {
+    Log(log_level::kInfo, "watch_behind",
+        {{"known_revision", revision_}, {"newest", *newest}});
+    const auto batch = source_->ReadAll(yield);
+    if (!batch) {
+      confirm_due_ = clock::now() + kConfirmRetryPause;
+      return;
+    }
+    ApplyAll(*batch, "registry");
+  }
+  RecordConfirmation(asked_at);
+  membership_->Broadcast(kMaxBroadcast);
+}
+
 void catalog_service::Run(asio::yield_context yield) {
   while (true) {
     if (!needs_read_) {
@@ -54,6 +112,7 @@
       continue;
     }
     RecordContact();
+    RecordConfirmation(clock::now());
     needs_read_ = false;
     watched_ = batch->revision;
     ApplyAll(*batch, "registry");
@@ -72,6 +131,7 @@
     return false;
   }
   RecordContact();
+  RecordConfirmation(clock::now());
   ApplyChanges(*batch);
   watched_ = std::max(watched_, batch->revision);
   return true;
@@ -231,6 +291,11 @@
 void catalog_service::Fill(gossip_message* message, time_point) {
   message->catalog_revision = revision_;
   message->config_number = config_ ? config_->version() : 0;
+  message->confirmed_age_ms = confirmed_at_ == time_point()
+                                  ? -1
+                                  : std::chrono::duration_cast<milliseconds>(
+                                        clock::now() - confirmed_at_)
+                                        .count();
 }
 
 void catalog_service::Take(const gossip_message& message, time_point now) {
@@ -238,6 +303,8 @@
       message.catalog_revision > revision_ ||
       message.config_number > (config_ ? config_->version() : 0);
   if (!behind) {
+    if (message.catalog_revision == revision_ && message.confirmed_age_ms >= 0)
+      RecordConfirmation(now - milliseconds(message.confirmed_age_ms));
     return;
   }
   // The registry's own answer is usually under way.
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -60,6 +60,11 @@
   void ApplyChanges(const catalog_batch& batch);
   bool ApplyConfig(const catalog_item& item, const char* origin);
   bool ApplyUpstream(const catalog_item& item, time_point now);
+  // Asks the registry for its revision when no instance did lately: a watch
+  // may be silent for other reasons than that nothing changed.
+  void ConfirmIfDue(time_point now);
+  void Confirm(asio::yield_context yield);
+  void RecordConfirmation(time_point at);
   void PullFrom(const std::string& peer, asio::yield_context yield);
   void Notify();
 
@@ -78,10 +83,15 @@
   bool needs_read_ = true;
   int failures_ = 0;
   bool pulling_ = false;
+  bool confirming_ = false;
+  // When an instance last heard from the registry that nothing newer exists.
+  time_point confirmed_at_{};
+  time_point confirm_due_{};
   time_point last_pull_{};
   std::optional<time_point> behind_since_;
   std::vector<listener> listeners_;
-  std::unique_ptr<timer_subscription> expiry_;
+  membership_service* membership_ = nullptr;
+  std::unique_ptr<timer_subscription> tick_;
 };
 
 }  // namespace cactusward
