--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -101,16 +101,26 @@
     else if (!spill)
       spill = candidate{i, &engine};
   }
+  const auto first_event = [&](const candidate& each) {
+    return FirstEventMs(parameters, *each.view, read_ms);
+  };
   std::optional<candidate> chosen;
   if (!front.empty()) {
+    // The quicker of two at random, so that instances do not all choose the
+    // same.
     const candidate& a = front[random % front.size()];
     const candidate& b = front[(random >> 32) % front.size()];
-    const bool a_first = a.view->load.running * a.view->pace <=
-                         b.view->load.running * b.view->pace;
-    chosen = a_first ? a : b;
+    chosen = first_event(a) <= first_event(b) ? a : b;
+    const double limit = request.objective_ms * kLatestShare;
+    if (first_event(*chosen) > limit)
+      chosen = *std::min_element(front.begin(), front.end(),
+                                 [&](const candidate& x, const candidate& y) {
+                                   return first_event(x) < first_event(y);
+                                 });
     // Above the fill share the next engine takes over.
-    if (spill &&
-        chosen->view->load.running > parameters.slots * (1 + kFillShare) / 2)
+    if (spill && (first_event(*chosen) > limit ||
+                  chosen->view->load.running >
+                      parameters.slots * (1 + kFillShare) / 2))
       chosen = spill;
   } else if (spill) {
     chosen = spill;
@@ -119,10 +129,13 @@
   }
   if (!chosen)
     return std::nullopt;
-  const double first = FirstEventMs(parameters, *chosen->view, read_ms);
-  if (!request.may_be_late && first > request.objective_ms)
+  const double first = first_event(*chosen);
+  if (!request.may_be_late && first > request.objective_ms && last_resort)
+    chosen = last_resort;
+  const double expected = first_event(*chosen);
+  if (!request.may_be_late && expected > request.objective_ms)
     return std::nullopt;
-  return engine_placement{chosen->index, {}, read_ms, first};
+  return engine_placement{chosen->index, {}, read_ms, expected};
 }
 
 // Engines for one number of parts, best first; empty when there are too few.
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -240,6 +240,18 @@
   return nullptr;
 }
 
+std::unique_ptr<relay_place> relay_dispatcher::AcquireLate(
+    const relay_demand& demand) {
+  const engine_parameters* engine = Engine(demand.service);
+  if (!engine || !demand.prompt ||
+      !IsInteractive(*engine, Settings(demand.service),
+                     demand.prompt->prompt_tokens))
+    return nullptr;
+  relay_demand late = demand;
+  late.prompt->may_be_late = true;
+  return TryPlace(late, clock::now());
+}
+
 void relay_dispatcher::SchedulePump() {
   if (pump_scheduled_ || waiters_.empty())
     return;
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -77,6 +77,9 @@
                                        cancel_token* cancel,
                                        no_place* reason,
                                        asio::yield_context yield);
+  // A place for a prompt whose objective cannot be met any more, if it costs
+  // others little. @return null when it would cost them more.
+  std::unique_ptr<relay_place> AcquireLate(const relay_demand& demand);
   std::size_t waiting() const { return waiters_.size(); }
 
  private:
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr milliseconds kDefaultDeadline{30'000};
+// First attempts carry deadlines between this share of a route's longest and
+// all of it; less means that a first attempt has used some of it.
+constexpr double kImpatientShare = 0.85;
 constexpr milliseconds kAnswerTimeout{5'000};
 // The answer leaves before the caller's deadline, not at it.
 constexpr milliseconds kDeadlineMargin{20};
@@ -57,6 +60,7 @@
   end_ = deadline_ - kDeadlineMargin;
   record_.request_id = caller_.attempt_id;
   record_.prompt_tokens = caller_.prompt_tokens;
+  record_.deadline = caller_.deadline.value_or(kDefaultDeadline);
   last_event_ = caller_.last_event_id;
 }
 
@@ -83,7 +87,10 @@
   if (caller_.deadline) {
     auto& longest = services_.longest_deadlines[route_->name];
     longest = std::max(longest, *caller_.deadline);
-    spent = longest - *caller_.deadline;
+    spent = std::max(milliseconds(0),
+                     std::chrono::duration_cast<milliseconds>(
+                         longest * kImpatientShare) -
+                         *caller_.deadline);
   }
   objective_at_ = began_ + route_->objective - spent;
   service_ = std::string(ChooseService(*route_, services_.daemon.random()));
@@ -428,6 +435,11 @@
         last_event_ = event.id;
       out += event.bytes;
     }
+    if (!out.empty() && last_write_)
+      record_.longest_pause =
+          std::max(record_.longest_pause, clock::now() - *last_write_);
+    if (!out.empty())
+      last_write_ = clock::now();
     if (!out.empty() && !any) {
       any = true;
       place.EndReading();
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -106,6 +106,7 @@
   int attempts_ = 0;
   std::optional<std::int64_t> last_event_;
   bool stream_began_ = false;
+  std::optional<time_point> last_write_;  // of events
   access_record record_;
 };
 
--- a/src/services/report_service.cc
+++ b/src/services/report_service.cc
@@ -83,12 +83,14 @@
        {"class", length_class},
        {"target", record.target},
        {"upstream", record.upstream},
+       {"deadline_ms", record.deadline.count()},
        {"prompt_tokens", record.prompt_tokens},
        {"output_tokens", record.output_tokens},
        {"status", record.status},
        {"kind", kind},
        {"attempts", record.attempts},
        {"first_token_ms", ToMilliseconds(record.first_token)},
+       {"longest_pause_ms", ToMilliseconds(record.longest_pause)},
        {"total_ms", ToMilliseconds(record.total)}});
 }
 
--- a/src/services/report_service.h
+++ b/src/services/report_service.h
@@ -21,12 +21,14 @@
   std::string length_class;
   std::string target;
   std::string upstream;
+  milliseconds deadline{0};  // as the caller stated it
   std::int64_t prompt_tokens = 0;
   std::int64_t output_tokens = 0;
   int status = 0;
   error_kind kind = error_kind::kOk;
   int attempts = 0;
   duration first_token{0};  // zero: there was none
+  duration longest_pause{0};  // between events of a stream
   duration total{0};
   bool good = true;  // met the objective's bound
 };
