Long prompts go to engines that read nothing; late ones wait instead of being refused

Change: interactive prompts fill engines to 0.8 of their slots; long parts may share an engine with interactive ones only while they take less than 0.45 of the strictest pause; prompts whose objective has passed wait for idle engines. Ruled out: breaking pauses of the last writers of an engine.

--- a/include/cactusward/engine_placement.h
+++ b/include/cactusward/engine_placement.h
@@ -28,7 +28,9 @@
   std::int64_t answer_tokens = 0;  // longest
   double objective_ms = 0;         // left until the first event is late
   double pause_ms = 0;             // longest pause between events
-  bool may_be_late = false;        // the objective binds nothing any more
+  // The objective cannot be met any more: the prompt takes only what others
+  // leave, and `objective_ms` is the time after which its caller is gone.
+  bool may_be_late = false;
 
   friend bool operator==(const prompt_request& a, const prompt_request& b) {
     return a.prompt_tokens == b.prompt_tokens &&
--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -13,7 +13,7 @@
 constexpr double kPauseShare = 0.9;
 // Part of an engine's slots that interactive requests fill before they spread
 // to another engine; each more writer slows all of them.
-constexpr double kFillShare = 0.62;
+constexpr double kFillShare = 0.8;
 // Requests taken to be under way and not yet reported.
 constexpr int kUnreported = 2;
 // A prompt is read by so many engines that this part of its objective
@@ -21,6 +21,17 @@
 constexpr double kPreferredShare = 0.5;
 // Part of an objective that a placement may use up by expectation.
 constexpr double kLatestShare = 0.88;
+// Part of the strictest pause that a part of a long prompt may take on an
+// engine where interactive requests write.
+constexpr double kSharedReadShare = 0.45;
+// Reading under way, in milliseconds, beyond which no long prompt is added to
+// an engine: parts of other prompts are read ahead and would delay it.
+constexpr std::int64_t kMostReadMs = 100;
+// Preference, in milliseconds of the first event, for engines without
+// interactive requests.
+constexpr double kSharedPenaltyMs = 60;
+// Part of the engines that prompts which are late already leave idle.
+constexpr double kLateReserveShare = 0.05;
 // Part of an engine's memory that is planned with.
 constexpr double kMemoryShare = 0.96;
 
@@ -62,9 +73,10 @@
 double FirstEventMs(const engine_parameters& parameters,
                     const engine_view& engine,
                     double read_ms) {
-  // A pass under way ends first; the first event ends a pass of its own.
+  // On average half of a pass under way is left; the first event ends a pass
+  // of its own.
   return static_cast<double>(engine.load.read_ms) + read_ms * engine.pace +
-         PassMs(parameters, engine) +
+         PassMs(parameters, engine) / 2 +
          WritePassMs(parameters, engine.load.running + 1,
                      engine.load.memory_tokens) *
              engine.pace;
@@ -118,9 +130,9 @@
                                    return first_event(x) < first_event(y);
                                  });
     // Above the fill share the next engine takes over.
-    if (spill && (first_event(*chosen) > limit ||
-                  chosen->view->load.running >
-                      parameters.slots * (1 + kFillShare) / 2))
+    if (spill &&
+        (first_event(*chosen) > limit ||
+         chosen->view->load.running > parameters.slots * (1 + kFillShare) / 2))
       chosen = spill;
   } else if (spill) {
     chosen = spill;
@@ -140,6 +152,7 @@
 
 // Engines for one number of parts, best first; empty when there are too few.
 std::vector<candidate> EnginesForParts(const engine_parameters& parameters,
+                                       const placement_settings& settings,
                                        const prompt_request& request,
                                        const std::vector<engine_view>& engines,
                                        std::size_t reserved,
@@ -152,13 +165,26 @@
     const engine_view& engine = engines[i];
     if (!engine.usable)
       continue;
-    if (++seen <= reserved || engine.load.running >= parameters.slots ||
-        engine.load.interactive > 0 ||
+    if (engine.load.read_ms > kMostReadMs)
+      continue;
+    // A late prompt takes engines that nobody else waits for.
+    if (request.may_be_late &&
+        (engine.load.read_ms > 0 || engine.load.interactive > 0))
+      continue;
+    const bool shared = ++seen <= reserved || engine.load.interactive > 0;
+    if (shared && read_ms > settings.strictest_pause_ms * kSharedReadShare)
+      continue;
+    if (engine.load.running >= parameters.slots ||
         !KeepsPauses(parameters, engine, read_ms, request.pause_ms))
       continue;
     fit.push_back({i, &engine});
   }
-  if (fit.size() < static_cast<std::size_t>(parts))
+  const auto left_idle =
+      request.may_be_late
+          ? static_cast<std::size_t>(std::ceil(
+                kLateReserveShare * static_cast<double>(engines.size())))
+          : 0;
+  if (fit.size() < static_cast<std::size_t>(parts) + left_idle)
     return {};
   // Reading ahead counts most; then engines that are in use already, so that
   // idle ones stay whole; then the back of the order. Instances start at
@@ -210,14 +236,15 @@
 
 std::optional<engine_placement> PlaceInParts(
     const engine_parameters& parameters,
+    const placement_settings& settings,
     const prompt_request& request,
     const std::vector<engine_view>& engines,
     std::size_t reserved,
     int parts,
     std::uint64_t random) {
   const double read_ms = PrefillMs(parameters, request.prompt_tokens, parts);
-  const auto chosen = EnginesForParts(parameters, request, engines, reserved,
-                                      parts, read_ms, random);
+  const auto chosen = EnginesForParts(parameters, settings, request, engines,
+                                      reserved, parts, read_ms, random);
   if (chosen.empty())
     return std::nullopt;
   engine_placement placement;
@@ -275,14 +302,14 @@
   if (IsInteractive(parameters, settings, request.prompt_tokens))
     return PlaceInteractive(parameters, request, engines, random);
   const std::size_t reserved = InteractiveEngines(parameters, engines);
-  const double preferred = request.objective_ms * kPreferredShare;
-  const double latest =
-      request.may_be_late ? 1e12 : request.objective_ms * kLatestShare;
+  const double latest = request.objective_ms * kLatestShare;
+  const double preferred =
+      request.may_be_late ? latest : request.objective_ms * kPreferredShare;
   std::optional<engine_placement> best;
   const int most = settings.max_helpers + 1;
   for (int parts = 1; parts <= most; ++parts) {
-    auto placement =
-        PlaceInParts(parameters, request, engines, reserved, parts, random);
+    auto placement = PlaceInParts(parameters, settings, request, engines,
+                                  reserved, parts, random);
     if (!placement || placement->first_event_ms > latest)
       continue;
     if (!best || placement->first_event_ms < best->first_event_ms)
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -118,6 +118,7 @@
 std::unique_ptr<relay_place> relay_dispatcher::TryPrompt(
     const relay_demand& demand,
     const engine_parameters& engine,
+    bool late,
     time_point now) {
   const auto& upstreams = fleet_->Upstreams(demand.service);
   const auto loads = fleet_->board().Loads(now);
@@ -135,7 +136,9 @@
     engines.push_back(view);
   }
   prompt_request request = *demand.prompt;
-  request.objective_ms = MsUntil(demand.objective_at, now);
+  request.may_be_late = late;
+  request.objective_ms =
+      MsUntil(late ? demand.gone_at : demand.objective_at, now);
   const auto placement =
       PlacePrompt(engine, settings, request, engines, runtime_.random());
   if (!placement)
@@ -175,20 +178,25 @@
     const relay_demand& demand,
     time_point now) {
   const engine_parameters* engine = Engine(demand.service);
-  return engine && demand.prompt ? TryPrompt(demand, *engine, now)
-                                 : TryPlain(demand, now);
+  if (!engine || !demand.prompt)
+    return TryPlain(demand, now);
+  if (CanBeInTime(demand, now)) {
+    if (auto place = TryPrompt(demand, *engine, false, now))
+      return place;
+    // An interactive prompt costs the others little, late or not.
+    if (!IsInteractive(*engine, Settings(demand.service),
+                       demand.prompt->prompt_tokens))
+      return nullptr;
+  }
+  return TryPrompt(demand, *engine, true, now);
 }
 
-bool relay_dispatcher::MayBecomePossible(const relay_demand& demand,
-                                         time_point now) const {
-  const auto& upstreams = fleet_->Upstreams(demand.service);
-  const engine_parameters* engine = Engine(demand.service);
-  if (!engine || !demand.prompt)
-    return upstreams.empty();
+bool relay_dispatcher::CanBeInTime(const relay_demand& demand,
+                                   time_point now) const {
   prompt_request request = *demand.prompt;
   request.objective_ms = MsUntil(demand.objective_at, now);
-  return IsServable(*engine, Settings(demand.service), request,
-                    upstreams.size());
+  return IsServable(*Engine(demand.service), Settings(demand.service), request,
+                    fleet_->Upstreams(demand.service).size());
 }
 
 milliseconds relay_dispatcher::RetryAfter(const relay_demand& demand,
@@ -216,10 +224,6 @@
   *reason = {error_kind::kNoUpstream, RetryAfter(demand, now)};
   if (demand.give_up_at <= now)
     return nullptr;
-  if (!MayBecomePossible(demand, now)) {
-    reason->kind = error_kind::kDeadlineInfeasible;
-    return nullptr;
-  }
   waiter self(runtime_.io, &demand);
   waiters_.push_back(&self);
   cancel->OnCancel([&self] { self.timer.cancel(); });
@@ -240,18 +244,6 @@
   return nullptr;
 }
 
-std::unique_ptr<relay_place> relay_dispatcher::AcquireLate(
-    const relay_demand& demand) {
-  const engine_parameters* engine = Engine(demand.service);
-  if (!engine || !demand.prompt ||
-      !IsInteractive(*engine, Settings(demand.service),
-                     demand.prompt->prompt_tokens))
-    return nullptr;
-  relay_demand late = demand;
-  late.prompt->may_be_late = true;
-  return TryPlace(late, clock::now());
-}
-
 void relay_dispatcher::SchedulePump() {
   if (pump_scheduled_ || waiters_.empty())
     return;
@@ -269,9 +261,14 @@
   // Urgent requests first, then those whose objective ends first.
   std::vector<waiter*> order(waiters_.begin(), waiters_.end());
   std::stable_sort(order.begin(), order.end(),
-                   [](const waiter* a, const waiter* b) {
+                   [now](const waiter* a, const waiter* b) {
                      if (a->demand->priority != b->demand->priority)
                        return a->demand->priority < b->demand->priority;
+                     // Prompts that are late already come last.
+                     const bool a_late = a->demand->objective_at <= now;
+                     const bool b_late = b->demand->objective_at <= now;
+                     if (a_late != b_late)
+                       return b_late;
                      return a->demand->objective_at < b->demand->objective_at;
                    });
   for (waiter* waiting : order) {
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -20,7 +20,8 @@
   std::string service;
   std::optional<prompt_request> prompt;  // none: a plain call
   time_point objective_at;               // later than this the answer is late
-  time_point give_up_at;        // it does not wait for a place for longer
+  time_point gone_at;     // the caller waits for no first event for longer
+  time_point give_up_at;  // it does not wait for a place for longer
   std::set<std::string> tried;  // upstreams that it must not go to again
   int priority = 0;             // 0 is the most urgent
 };
@@ -77,9 +78,6 @@
                                        cancel_token* cancel,
                                        no_place* reason,
                                        asio::yield_context yield);
-  // A place for a prompt whose objective cannot be met any more, if it costs
-  // others little. @return null when it would cost them more.
-  std::unique_ptr<relay_place> AcquireLate(const relay_demand& demand);
   std::size_t waiting() const { return waiters_.size(); }
 
  private:
@@ -98,9 +96,10 @@
                                         time_point now);
   std::unique_ptr<relay_place> TryPrompt(const relay_demand& demand,
                                          const engine_parameters& engine,
+                                         bool late,
                                          time_point now);
-  // Whether waiting can help at all.
-  bool MayBecomePossible(const relay_demand& demand, time_point now) const;
+  // Whether idle upstreams would meet the objective.
+  bool CanBeInTime(const relay_demand& demand, time_point now) const;
   milliseconds RetryAfter(const relay_demand& demand, time_point now) const;
   placement_settings Settings(const std::string& service) const;
   const engine_parameters* Engine(const std::string& service) const;
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -21,8 +21,15 @@
 // upstream's close.
 constexpr milliseconds kMaxIdleConnection{1'500};
 constexpr milliseconds kUpstreamSilence{2'000};
-// Part of its objective that a request waits for a place.
-constexpr double kWaitShare = 0.8;
+// Part of its time that a request waits for a place.
+constexpr double kWaitShare = 0.4;
+// Callers abandon a stream after the longest of these gaps.
+constexpr milliseconds kLeastPatience{2'000};
+constexpr int kPatientObjectives = 4;
+constexpr int kPatientPauses = 8;
+// A process that has just started has its configuration soon.
+constexpr milliseconds kConfigWait{600};
+constexpr milliseconds kConfigPoll{10};
 // A first event that takes so many times as long as expected, and this much
 // more, is not waited for when another upstream can be asked.
 constexpr double kFirstEventFactor = 2;
@@ -87,10 +94,9 @@
   if (caller_.deadline) {
     auto& longest = services_.longest_deadlines[route_->name];
     longest = std::max(longest, *caller_.deadline);
-    spent = std::max(milliseconds(0),
-                     std::chrono::duration_cast<milliseconds>(
-                         longest * kImpatientShare) -
-                         *caller_.deadline);
+    spent = std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(
+                                          longest * kImpatientShare) -
+                                          *caller_.deadline);
   }
   objective_at_ = began_ + route_->objective - spent;
   service_ = std::string(ChooseService(*route_, services_.daemon.random()));
@@ -104,6 +110,10 @@
 }
 
 void relay_run::Run(asio::yield_context yield) {
+  while (!config_ && clock::now() < began_ + kConfigWait) {
+    Sleep(services_.daemon.io, kConfigPoll, yield);
+    config_ = services_.catalog.Config();
+  }
   const error_kind refusal = Admit();
   if (refusal != error_kind::kOk) {
     Refuse(refusal, milliseconds(AnswerFor(refusal).retry_after_ms), yield);
@@ -126,19 +136,22 @@
   demand.priority =
       holder_ && holder_->priority ? *holder_->priority : route_->priority;
   const time_point now = clock::now();
-  const bool late = objective_at_ <= now || stream_began_;
-  demand.objective_at = late ? end_ : objective_at_;
+  demand.objective_at = objective_at_;
+  const auto patience =
+      std::max({duration(kLeastPatience),
+                duration(route_->objective * kPatientObjectives),
+                duration(route_->event_pause * kPatientPauses)});
+  demand.gone_at = std::min(end_, now + patience);
   if (IsPrompt()) {
     prompt_request prompt;
     prompt.prompt_tokens = caller_.prompt_tokens;
     prompt.answer_tokens = caller_.answer_tokens;
     prompt.pause_ms = static_cast<double>(route_->event_pause.count());
-    prompt.may_be_late = late;
     demand.prompt = prompt;
   }
   demand.give_up_at =
-      std::min(end_, now + std::chrono::duration_cast<duration>(
-                               (demand.objective_at - now) * kWaitShare));
+      std::min(end_, began_ + std::chrono::duration_cast<duration>(
+                                  (deadline_ - began_) * kWaitShare));
   return demand;
 }
 
