--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -30,10 +30,9 @@
 // A process that has just started has its configuration soon.
 constexpr milliseconds kConfigWait{600};
 constexpr milliseconds kConfigPoll{10};
-// A first event that takes so many times as long as expected, and this much
-// more, is not waited for when another upstream can be asked.
-constexpr double kFirstEventFactor = 2;
-constexpr milliseconds kFirstEventSlack{900};
+// A first event is overdue when it comes later than expected by so many times
+// the time to read the prompt.
+constexpr double kRereadFactor = 4;
 // Callers abandon a stream after a gap of two seconds; another upstream must
 // go on before that.
 constexpr milliseconds kShortestSilence{1'300};
@@ -286,9 +285,9 @@
 milliseconds relay_run::FirstSilence(const relay_place& place) const {
   if (!IsPrompt())
     return std::max(route_->objective * kSilentObjectives, milliseconds(250));
+  // Another upstream would have to read the prompt anew.
   const auto expected = milliseconds(static_cast<std::int64_t>(
-                            place.expected_first_ms * kFirstEventFactor)) +
-                        kFirstEventSlack;
+      place.expected_first_ms + place.read_ms * kRereadFactor));
   return std::max(expected, kShortestSilence);
 }
 
