--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -124,15 +124,16 @@
     const candidate& b = front[(random >> 32) % front.size()];
     chosen = first_event(a) <= first_event(b) ? a : b;
     const double limit = request.objective_ms * kLatestShare;
-    if (first_event(*chosen) > limit)
+    const auto is_full = [&](const candidate& each) {
+      return first_event(each) > limit ||
+             each.view->load.running > parameters.slots * (1 + kFillShare) / 2;
+    };
+    if (is_full(*chosen))
       chosen = *std::min_element(front.begin(), front.end(),
                                  [&](const candidate& x, const candidate& y) {
                                    return first_event(x) < first_event(y);
                                  });
-    // Above the fill share the next engine takes over.
-    if (spill &&
-        (first_event(*chosen) > limit ||
-         chosen->view->load.running > parameters.slots * (1 + kFillShare) / 2))
+    if (spill && is_full(*chosen))
       chosen = spill;
   } else if (spill) {
     chosen = spill;
--- a/tests/unit/formats_test.cc
+++ b/tests/unit/formats_test.cc
@@ -1,14 +1,14 @@
 // What comes from outside: settings, requests, events, lists, load metrics.
 #include <catch2/catch.hpp>
 
+#include "src/daemon/settings.h"
 #include "src/edges/etcd_store.h"
 #include "src/edges/json.h"
 #include "src/formats/completion_format.h"
-#include "src/daemon/settings.h"
-#include "src/services/upstream_directory.h"
+#include "src/kernel/base64.h"
 #include "src/model/engine_model.h"
 #include "src/model/token_stream.h"
-#include "src/kernel/base64.h"
+#include "src/services/upstream_directory.h"
 
 namespace cactusward {
 namespace {
--- /dev/null
+++ b/tests/unit/forwarding_test.cc
@@ -0,0 +1,507 @@
+// Decisions of forwarding: routes, events, budgets, upstreams, placement.
+#include <catch2/catch.hpp>
+
+#include <numeric>
+
+#include "cactusward/engine_placement.h"
+#include "cactusward/event_stream.h"
+#include "cactusward/forward_config.h"
+#include "cactusward/load_board.h"
+#include "cactusward/shared_retry_budget.h"
+#include "cactusward/upstream_catalog.h"
+#include "cactusward/upstream_health.h"
+
+namespace cactusward {
+namespace {
+
+const time_point kStart{std::chrono::hours(1)};
+
+time_point At(int ms) {
+  return kStart + milliseconds(ms);
+}
+
+forward_route Route(const std::string& name, const std::string& prefix) {
+  forward_route route;
+  route.name = name;
+  route.host = "a.example";
+  route.path_prefix = prefix;
+  route.services = {{"s", 1}};
+  return route;
+}
+
+TEST_CASE("the longest prefix that begins the path selects the route") {
+  const forward_config config(
+      1, {Route("root", "/"), Route("one", "/a/"), Route("two", "/a/b/")}, {},
+      {}, {});
+  struct row {
+    const char* host;
+    const char* path;
+    const char* route;
+  };
+  const row rows[] = {
+      {"a.example", "/", "root"},       {"a.example", "/x", "root"},
+      {"a.example", "/a", "root"},      {"a.example", "/a/", "one"},
+      {"a.example", "/a/b", "one"},     {"a.example", "/a/b/", "two"},
+      {"a.example", "/a/b/c/d", "two"}, {"a.example", "/ab/", "root"},
+      {"b.example", "/a/", nullptr},    {"a.example", "", nullptr},
+      {"a.example", "x", nullptr},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.host, r.path);
+    const forward_route* found = config.Match(r.host, r.path);
+    if (r.route) {
+      REQUIRE(found);
+      CHECK(found->name == r.route);
+    } else {
+      CHECK_FALSE(found);
+    }
+  }
+}
+
+TEST_CASE("services are drawn by weight") {
+  forward_route route = Route("r", "/");
+  route.services = {{"most", 90}, {"few", 10}};
+  int few = 0;
+  constexpr int kDraws = 10'000;
+  for (int i = 0; i < kDraws; ++i)
+    few += ChooseService(route, static_cast<std::uint64_t>(i) * 7919) == "few";
+  CHECK(few > kDraws * 8 / 100);
+  CHECK(few < kDraws * 12 / 100);
+  route.services.clear();
+  CHECK(ChooseService(route, 0).empty());
+}
+
+TEST_CASE("what may be repeated follows from the route's kind") {
+  struct row {
+    route_kind kind;
+    bool resumable;
+    bool repeatable;
+  };
+  const row rows[] = {{route_kind::kIdempotent, false, true},
+                      {route_kind::kNonIdempotent, false, false},
+                      {route_kind::kNonIdempotent, true, false},
+                      {route_kind::kStreaming, false, false},
+                      {route_kind::kStreaming, true, true}};
+  for (const row& r : rows) {
+    forward_route route = Route("r", "/");
+    route.kind = r.kind;
+    route.resumable = r.resumable;
+    CHECK(route.IsRepeatable() == r.repeatable);
+  }
+}
+
+TEST_CASE("events are split whole, with their bytes unchanged") {
+  struct row {
+    std::vector<std::string> pieces;
+    std::vector<stream_event> events;
+    bool partial;
+  };
+  const row rows[] = {
+      {{"id: 1\ndata: x\n\n"}, {{"id: 1\ndata: x\n\n", 1}}, false},
+      {{"id: 1\ndata: x\n", "\nid:2\n", "\n"},
+       {{"id: 1\ndata: x\n\n", 1}, {"id:2\n\n", 2}},
+       false},
+      {{"id: 3\r\ndata: y\r\n\r\n"}, {{"id: 3\r\ndata: y\r\n\r\n", 3}}, false},
+      {{"version: 4\nid: 5\n\nid: 6\nda"},
+       {{"version: 4\nid: 5\n\n", 5}},
+       true},
+      {{"data: none\n\n"}, {{"data: none\n\n", std::nullopt}}, false},
+      {{"id: 1x\n\n"}, {{"id: 1x\n\n", std::nullopt}}, false},
+      {{"\n"}, {{"\n", std::nullopt}}, false},
+  };
+  for (const row& r : rows) {
+    event_stream_splitter splitter;
+    std::vector<stream_event> events;
+    for (const std::string& piece : r.pieces)
+      REQUIRE(splitter.Feed(piece, &events));
+    CHECK(events == r.events);
+    CHECK(splitter.HasPartialEvent() == r.partial);
+  }
+  event_stream_splitter splitter;
+  std::vector<stream_event> events;
+  CHECK_FALSE(splitter.Feed(
+      std::string(event_stream_splitter::kMaxEventBytes + 1, 'x'), &events));
+}
+
+TEST_CASE("instances together keep the fleet's retry budget") {
+  constexpr int kInstances = 7;
+  constexpr int kRequests = 40;
+  shared_retry_settings settings;
+  settings.ratio = 0.2;
+  settings.extra = 100;
+  int spent = 0;
+  for (int i = 0; i < kInstances; ++i) {
+    shared_retry_budget budget(settings);
+    budget.SetInstances(kInstances, kStart);
+    for (int n = 0; n < kRequests; ++n)
+      budget.RecordRequest(At(n));
+    while (budget.TrySpend(At(kRequests)))
+      ++spent;
+  }
+  CHECK(spent <= 0.2 * kInstances * kRequests + settings.extra);
+  CHECK(spent > settings.extra / 2);
+}
+
+TEST_CASE("a fall in the number of instances raises the budget late") {
+  shared_retry_settings settings;
+  settings.ratio = 0;
+  settings.extra = 100;
+  shared_retry_budget budget(settings);
+  budget.SetInstances(10, kStart);
+  const double among_ten = budget.Available(kStart);
+  budget.SetInstances(1, At(1'000));
+  budget.SetInstances(1, At(5'000));
+  CHECK(budget.Available(At(5'000)) == among_ten);
+  budget.SetInstances(1, At(12'000));
+  CHECK(budget.Available(At(12'000)) > 5 * among_ten);
+}
+
+TEST_CASE("spent repeats come back after a window") {
+  shared_retry_settings settings;
+  settings.ratio = 0;
+  settings.extra = 10;
+  shared_retry_budget budget(settings);
+  while (budget.TrySpend(kStart)) {
+  }
+  CHECK_FALSE(budget.TrySpend(At(9'999)));
+  CHECK(budget.TrySpend(At(10'000)));
+}
+
+upstream_entry Entry(const std::string& id, bool leaving = false) {
+  upstream_entry entry;
+  entry.id = id;
+  entry.service = "s";
+  entry.address = "127.0.0.1:1";
+  entry.leaving = leaving;
+  entry.started_at_ms = 1'000;
+  return entry;
+}
+
+TEST_CASE("an absent entry is gone at once, or after an outage in time") {
+  constexpr milliseconds kReturn{2'000};
+  struct row {
+    const char* name;
+    int outage_at;  // -1: none
+    int removed_at;
+    int checked_at;
+    bool leaving;
+    bool listed;
+  };
+  const row rows[] = {
+      {"no outage", -1, 0, 0, false, false},
+      {"just after an outage", 0, 100, 1'900, false, true},
+      {"time to return has passed", 0, 100, 2'001, false, false},
+      {"outage long ago", 0, 5'000, 5'000, false, false},
+      {"it was leaving anyway", 0, 100, 100, true, false},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    upstream_catalog catalog(kReturn);
+    catalog.Put(Entry("a", r.leaving), 1, kStart);
+    if (r.outage_at >= 0)
+      catalog.RecordOutage(At(r.outage_at));
+    catalog.Remove("a", 2, At(r.removed_at));
+    catalog.Expire(At(r.checked_at));
+    CHECK((catalog.entries().count("a") == 1) == r.listed);
+  }
+}
+
+TEST_CASE("an entry that returns in time is not removed") {
+  upstream_catalog catalog(milliseconds(2'000));
+  catalog.Put(Entry("a"), 1, kStart);
+  catalog.RecordOutage(kStart);
+  catalog.Remove("a", 2, At(10));
+  catalog.Put(Entry("a"), 3, At(500));
+  CHECK_FALSE(catalog.Expire(At(10'000)));
+  CHECK(catalog.entries().count("a") == 1);
+}
+
+TEST_CASE("neither older revisions nor earlier lives replace an entry") {
+  upstream_catalog catalog(milliseconds(2'000));
+  CHECK(catalog.Put(Entry("a", true), 5, kStart));
+  CHECK_FALSE(catalog.Put(Entry("a", false), 4, kStart));
+  upstream_entry earlier = Entry("a", false);
+  earlier.started_at_ms = 500;
+  CHECK_FALSE(catalog.Put(earlier, 6, kStart));
+  CHECK(catalog.entries().at("a").entry.leaving);
+  CHECK_FALSE(catalog.Remove("a", 4, kStart));
+}
+
+TEST_CASE("a list replaces what it does not hold") {
+  upstream_catalog catalog(milliseconds(2'000));
+  catalog.Put(Entry("a"), 1, kStart);
+  catalog.Put(Entry("b"), 2, kStart);
+  CHECK(catalog.Replace({{Entry("b"), 2}, {Entry("c"), 3}}, 3, kStart));
+  CHECK(catalog.entries().size() == 2);
+  CHECK(catalog.entries().count("a") == 0);
+}
+
+TEST_CASE("evidence decides whether an upstream is avoided") {
+  using outcome = exchange_outcome;
+  struct row {
+    std::vector<outcome> outcomes;
+    bool avoided;
+  };
+  const row rows[] = {
+      {{outcome::kAnswered}, false},
+      {{outcome::kFailed}, false},
+      {{outcome::kBroken, outcome::kAnswered}, false},
+      {{outcome::kUnreachable}, true},
+      {{outcome::kSilent}, true},
+      {{outcome::kFailed, outcome::kFailed, outcome::kFailed}, true},
+      {{outcome::kFailed, outcome::kAnswered, outcome::kFailed,
+        outcome::kFailed},
+       true},
+      {{outcome::kFailed, outcome::kAnswered, outcome::kAnswered,
+        outcome::kFailed},
+       false},
+  };
+  for (const row& r : rows) {
+    upstream_health health;
+    for (const outcome each : r.outcomes)
+      health.Record(each, kStart);
+    CHECK(health.IsAvoided(kStart) == r.avoided);
+    CHECK_FALSE(health.IsAvoided(At(10'000)));
+  }
+}
+
+TEST_CASE("a slow upstream is remembered for some seconds") {
+  upstream_health health;
+  CHECK(health.Pace(kStart) == 1);
+  for (int i = 0; i < 5; ++i)
+    health.RecordPace(100, 400, kStart);
+  CHECK(health.Pace(kStart) > 2.5);
+  CHECK(health.Pace(At(20'000)) < 1.1);
+}
+
+engine_parameters Engine() {
+  engine_parameters engine;
+  engine.slots = 16;
+  engine.kv_capacity = 315'000;
+  engine.stride = 51;
+  engine.step_ms = 0.85;
+  engine.per_sequence_ms = 0.00425;
+  engine.context_ms_per_1k = 0.00285;
+  engine.prefill_per_second = 177'000;
+  engine.pairs_ms_per_million = 0.184;
+  return engine;
+}
+
+prompt_request Prompt(std::int64_t tokens, double objective, double pause) {
+  prompt_request request;
+  request.prompt_tokens = tokens;
+  request.answer_tokens = 1'000;
+  request.objective_ms = objective;
+  request.pause_ms = pause;
+  return request;
+}
+
+const prompt_request kShort = Prompt(5'000, 300, 250);
+const prompt_request kMiddle = Prompt(45'000, 1'500, 600);
+const prompt_request kLong = Prompt(154'000, 3'000, 1'000);
+
+engine_view Busy(int interactive, std::int64_t read_ms = 0) {
+  engine_view view;
+  view.load.running = interactive;
+  view.load.interactive = interactive;
+  view.load.pause_ms = interactive > 0 ? 250 : 0;
+  view.load.read_ms = read_ms;
+  view.load.memory_tokens = interactive * 5'000;
+  return view;
+}
+
+// An engine where a long prompt is written.
+engine_view Writing(std::int64_t pause_ms) {
+  engine_view view;
+  view.load.running = 1;
+  view.load.pause_ms = pause_ms;
+  view.load.memory_tokens = 100'000;
+  return view;
+}
+
+TEST_CASE("reading takes the time that the service states") {
+  struct row {
+    std::int64_t tokens;
+    int parts;
+    double ms;
+  };
+  const row rows[] = {{5'000, 1, 30.5},
+                      {45'000, 1, 440.5},
+                      {154'000, 1, 3'052},
+                      {154'000, 2, 1'526},
+                      {700'000, 1, 49'035}};
+  for (const row& r : rows)
+    CHECK(PrefillMs(Engine(), r.tokens, r.parts) == Approx(r.ms).epsilon(0.01));
+}
+
+// Pattern: many short prompts at once.
+TEST_CASE("short prompts gather at the front of the order") {
+  std::vector<engine_view> engines(8);
+  const auto placed = PlacePrompt(Engine(), {}, kShort, engines, 1);
+  REQUIRE(placed);
+  CHECK(placed->engine == 0);
+  CHECK(placed->helpers.empty());
+  for (int i = 0; i < 3; ++i)
+    engines[static_cast<std::size_t>(i)] = Busy(12);
+  CHECK(InteractiveEngines(Engine(), engines) == 3);
+  // The engines in use are nearly full: the next one takes over.
+  for (int i = 0; i < 3; ++i)
+    engines[static_cast<std::size_t>(i)] = Busy(15);
+  const auto next = PlacePrompt(Engine(), {}, kShort, engines, 1);
+  REQUIRE(next);
+  CHECK(next->engine == 3);
+}
+
+// Pattern: a long prompt is read where short ones would be written.
+TEST_CASE("no short prompt is placed behind long reading") {
+  std::vector<engine_view> engines = {Busy(0, 1'500), Busy(0, 900), Busy(2),
+                                      Busy(0, 2'000)};
+  for (std::uint64_t random = 0; random < 50; ++random) {
+    const auto placed = PlacePrompt(Engine(), {}, kShort, engines, random);
+    REQUIRE(placed);
+    CHECK(placed->engine == 2);
+  }
+}
+
+// Pattern: the long prompts' wave meets the last short ones.
+TEST_CASE("long reading keeps the pauses of those who write") {
+  struct row {
+    const char* name;
+    prompt_request request;
+    std::vector<engine_view> engines;
+    std::vector<std::size_t> allowed;  // empty: it has to wait
+  };
+  const std::vector<row> rows = {
+      {"a long prompt beside short writers",
+       kLong,
+       {Busy(2), Busy(2), Busy(2)},
+       {}},
+      {"a middling one beside a writer that bears it",
+       kMiddle,
+       {Busy(2), Writing(1'000)},
+       {1}},
+      {"a middling one beside a writer that does not",
+       kMiddle,
+       {Busy(2), Writing(400)},
+       {}},
+      {"a long one takes idle engines",
+       kLong,
+       {Busy(2), Busy(0), Busy(0), Busy(0)},
+       {1, 2, 3}},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    for (std::uint64_t random = 0; random < 20; ++random) {
+      const auto placed =
+          PlacePrompt(Engine(), {}, r.request, r.engines, random);
+      REQUIRE(placed.has_value() == !r.allowed.empty());
+      if (!placed)
+        continue;
+      std::vector<std::size_t> used = {placed->engine};
+      for (const prompt_helper& helper : placed->helpers)
+        used.push_back(helper.engine);
+      for (const std::size_t engine : used)
+        CHECK(std::count(r.allowed.begin(), r.allowed.end(), engine) == 1);
+    }
+  }
+}
+
+// Pattern: prompts that one engine cannot read in time.
+TEST_CASE("a prompt is read by as many engines as its objective asks for") {
+  struct row {
+    std::int64_t tokens;
+    std::size_t engines;
+    bool placed;
+  };
+  const row rows[] = {{154'000, 20, true},
+                      {250'000, 20, true},
+                      {250'000, 3, false},
+                      {700'000, 20, false},
+                      {310'000, 20, true}};
+  for (const row& r : rows) {
+    CAPTURE(r.tokens, r.engines);
+    const std::vector<engine_view> engines(r.engines);
+    const prompt_request request = Prompt(r.tokens, 3'000, 1'000);
+    const auto placed = PlacePrompt(Engine(), {}, request, engines, 3);
+    REQUIRE(placed.has_value() == r.placed);
+    CHECK(IsServable(Engine(), {}, request, r.engines) == r.placed);
+    if (!placed)
+      continue;
+    CHECK(placed->first_event_ms <= 3'000);
+    CHECK(placed->helpers.size() <= 16);
+  }
+}
+
+// Pattern: prompts larger than one engine's memory.
+TEST_CASE("memory that one engine lacks is held by its helpers") {
+  const std::vector<engine_view> engines(23);
+  const prompt_request request = Prompt(400'000, 4'000, 1'000);
+  const auto placed = PlacePrompt(Engine(), {}, request, engines, 3);
+  REQUIRE(placed);
+  std::int64_t held = 0;
+  bool plain_seen = false;
+  for (const prompt_helper& helper : placed->helpers) {
+    // Helpers with memory are filled first.
+    CHECK_FALSE((plain_seen && helper.held_tokens > 0));
+    plain_seen = plain_seen || helper.held_tokens == 0;
+    held += helper.held_tokens;
+    CHECK(helper.held_tokens <= Engine().kv_capacity);
+  }
+  CHECK(held >= 401'000 - Engine().kv_capacity);
+  CHECK(held < 401'000);
+}
+
+// Pattern: more long prompts than the engines can read.
+TEST_CASE("a prompt that is late already leaves engines to others") {
+  prompt_request late = Prompt(154'000, 12'000, 1'000);
+  late.may_be_late = true;
+  const std::vector<engine_view> scarce = {Busy(2), Busy(2), Busy(0)};
+  CHECK_FALSE(PlacePrompt(Engine(), {}, late, scarce, 1));
+  const std::vector<engine_view> plenty(10);
+  CHECK(PlacePrompt(Engine(), {}, late, plenty, 1));
+}
+
+TEST_CASE("engines that are not usable take nothing") {
+  std::vector<engine_view> engines(3);
+  for (engine_view& engine : engines)
+    engine.usable = false;
+  CHECK_FALSE(PlacePrompt(Engine(), {}, kShort, engines, 1));
+  CHECK_FALSE(PlacePrompt(Engine(), {}, kLong, engines, 1));
+  CHECK(InteractiveEngines(Engine(), engines) == 0);
+}
+
+TEST_CASE("the board adds what instances say and ages it") {
+  load_board board;
+  board_entry entry;
+  entry.upstream = 1;
+  entry.read_ms = 500;
+  entry.expected_first_ms = 500;
+  entry.pause_ms = 1'000;
+  entry.memory_tokens = 100;
+  entry.sent_at = kStart;
+  const auto id = board.Begin(entry);
+  board.SetPeer("b", {{1, 2, 2, 250, 300, 50}}, kStart);
+  struct row {
+    int at;
+    std::int64_t read_ms;
+  };
+  const row rows[] = {{0, 800}, {100, 600}, {300, 200}, {2'000, 75}};
+  for (const row& r : rows) {
+    const upstream_load load = board.LoadOf(1, At(r.at));
+    CHECK(load.running == 3);
+    CHECK(load.interactive == 2);
+    CHECK(load.pause_ms == 250);
+    CHECK(load.memory_tokens == 150);
+    CHECK(load.read_ms == r.read_ms);
+  }
+  board.EndReading(id);
+  CHECK(board.LoadOf(1, At(2'000)).read_ms == 0);
+  board.End(id);
+  board.Expire(At(2'000));
+  CHECK(board.LoadOf(1, At(2'000)).running == 2);
+  board.Expire(At(3'001));
+  CHECK(board.LoadOf(1, At(3'001)).running == 0);
+}
+
+}  // namespace
+}  // namespace cactusward
--- /dev/null
+++ b/tests/unit/platform_test.cc
@@ -0,0 +1,228 @@
+// The platform's messages, decoded into this project's types.
+#include <catch2/catch.hpp>
+
+#include "platform/platform_catalog.h"
+#include "platform/platform_protocol.h"
+#include "src/kernel/base64.h"
+#include "src/kernel/cbor.h"
+
+namespace cactusward::platform {
+namespace {
+
+http_request Request() {
+  http_request request(http::verb::post, "/a/b?c=d", 11);
+  request.set(http::field::host, "h.example");
+  request.set("X-Attempt-Id", "9c41");
+  request.set("X-Model-Name", "m");
+  request.set("X-Token-Counts", "1460,80");
+  request.set("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410");
+  request.set("X-Deadline-Ms", "10000");
+  request.set("Authorization", "Token secret");
+  request.set("X-Other", "kept");
+  request.body() = "body";
+  request.prepare_payload();
+  return request;
+}
+
+TEST_CASE("a caller's request is read") {
+  const caller_request read = platform_protocol().ReadRequest(Request());
+  CHECK(read.attempt_id == "9c41");
+  CHECK(read.key == "secret");
+  CHECK(read.deadline == milliseconds(10'000));
+  CHECK(read.prompt_tokens == 1'460);
+  CHECK(read.answer_tokens == 80);
+  CHECK(read.model == "m");
+  CHECK_FALSE(read.last_event_id);
+}
+
+TEST_CASE("malformed fields read as absent") {
+  struct row {
+    const char* name;
+    const char* value;
+  };
+  const row rows[] = {{"X-Deadline-Ms", "soon"},
+                      {"X-Token-Counts", "many"},
+                      {"X-Token-Counts", ","},
+                      {"Last-Event-Id", "12x"},
+                      {"Authorization", "Basic abc"}};
+  for (const row& r : rows) {
+    CAPTURE(r.name, r.value);
+    http_request request(http::verb::get, "/", 11);
+    request.set(r.name, r.value);
+    const caller_request read = platform_protocol().ReadRequest(request);
+    CHECK(read == caller_request());
+  }
+}
+
+TEST_CASE("an upstream gets the caller's bytes and this system's fields") {
+  http_request request = Request();
+  request.set("X-Tenant-Name", "forged");
+  request.set("X-Expected-Instance", "forged");
+  request.set("X-Peer-Helpers", "forged");
+  request.set("Connection", "keep-alive, X-Hop");
+  request.set("X-Hop", "dropped");
+  request.set("Keep-Alive", "timeout=5");
+  forward_fields fields;
+  fields.upstream_id = "i-1";
+  fields.organisation = "org";
+  fields.time_left = milliseconds(9'000);
+  fields.last_event_id = 7;
+  fields.helpers = {{"10.0.0.1:8080", "t1"}, {"10.0.0.2:8080", ""}};
+  const http_request sent = platform_protocol().Forwarded(request, fields);
+  CHECK(sent.method() == http::verb::post);
+  CHECK(sent.target() == "/a/b?c=d");
+  CHECK(sent.body() == "body");
+  CHECK(sent[http::field::content_length] == "4");
+  struct row {
+    const char* name;
+    const char* value;  // empty: absent
+  };
+  const row rows[] = {
+      {"Host", "h.example"},
+      {"X-Attempt-Id", "9c41"},
+      {"X-Token-Counts", "1460,80"},
+      {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+      {"X-Other", "kept"},
+      {"X-Deadline-Ms", "9000"},
+      {"X-Expected-Instance", "i-1"},
+      {"X-Tenant-Name", "org"},
+      {"Last-Event-Id", "7"},
+      {"X-Peer-Helpers", "10.0.0.1:8080/t1,10.0.0.2:8080"},
+      {"Authorization", ""},
+      {"X-Hop", ""},
+      {"Keep-Alive", ""},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    CHECK(sent[r.name] == r.value);
+  }
+}
+
+TEST_CASE("an upstream's answer says whether the request ran") {
+  struct row {
+    int status;
+    std::vector<std::pair<std::string, std::string>> fields;
+    bool not_executed;
+    bool wrong_upstream;
+    bool is_signed;
+  };
+  const row rows[] = {
+      {200, {{"X-Response-Seal", "x"}}, false, false, true},
+      {200, {}, false, false, false},
+      {503, {{"X-Not-Executed", "1"}}, true, false, false},
+      {503, {}, false, false, false},
+      {429, {}, false, false, false},
+      {421, {{"X-Instance-Id", "i-2"}}, true, true, false},
+      {500, {{"X-Response-Seal", "x"}}, false, false, true},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.status);
+    http::response_header<> header;
+    for (const auto& [name, value] : r.fields)
+      header.set(name, value);
+    const upstream_reply reply =
+        platform_protocol().ReadReply(r.status, header);
+    CHECK(reply.not_executed == r.not_executed);
+    CHECK(reply.wrong_upstream == r.wrong_upstream);
+    CHECK(reply.signed_by_upstream == r.is_signed);
+  }
+}
+
+TEST_CASE("a configuration is decoded with its misleading names") {
+  const std::string document = R"({"version": 7, "unknown": 1,
+    "routes": [
+      {"name": "r", "host": "h", "path_prefix": "/a/", "kind": "streaming",
+       "timeout_ms": 10000, "target_latency_ms": 300, "priority": 1,
+       "weighted_services": [{"service": "s", "weight": 90},
+                             {"service": "t", "weight": 10}],
+       "max_attempts": 2, "resumable": true, "target_itl_ms": 250},
+      {"name": "q", "host": "h", "path_prefix": "/b/", "kind": "idempotent",
+       "service": "t", "public": true}],
+    "services": [
+      {"name": "s", "health_path": "/healthz", "max_connections": 364,
+       "backend": {"slots": 16, "kv_capacity": 315000, "stride": 51,
+                   "step_ms": 0.85, "read_per_s": 177000.0,
+                   "usual": {"prompt": 11104, "answer": 1622}}},
+      {"name": "t"}],
+    "limits": {"max_header_bytes": 1000, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "o", "api_keys": ["k1", "k2"], "priority": 0}]})";
+  http_client* none = nullptr;
+  const platform_catalog catalog(none, "127.0.0.1:1");
+  const auto decoded = catalog.DecodeConfig(document);
+  REQUIRE(decoded);
+  const forward_config& config = **decoded;
+  CHECK(config.version() == 7);
+  const forward_route* route = config.Match("h", "/a/x");
+  REQUIRE(route);
+  CHECK(route->kind == route_kind::kStreaming);
+  CHECK(route->objective == milliseconds(300));
+  CHECK(route->event_pause == milliseconds(250));
+  CHECK(route->services == std::vector<weighted_service>{{"s", 90}, {"t", 10}});
+  CHECK(config.Match("h", "/b/")->is_public);
+  REQUIRE(config.FindService("s")->engine);
+  CHECK(config.FindService("s")->engine->typical_answer == 1'622);
+  CHECK_FALSE(config.FindService("t")->engine);
+  CHECK(config.FindKey("k2")->organisation == "o");
+  CHECK(config.FindKey("k2")->priority == 0);
+  CHECK_FALSE(config.FindKey("k3"));
+  CHECK(config.limits().max_header_bytes == 1'000);
+}
+
+TEST_CASE("what is no configuration is refused") {
+  http_client* none = nullptr;
+  const platform_catalog catalog(none, "127.0.0.1:1");
+  for (const char* document :
+       {"", "[]", "{}", R"({"version": 0})", R"({"version": "7"})",
+        R"({"version": 7, "routes": [{"host": "h"}]})",
+        R"({"version": 7, "routes": [{"host": "h", "path_prefix": "/",
+            "kind": "new"}]})"}) {
+    CAPTURE(document);
+    CHECK_FALSE(catalog.DecodeConfig(document));
+  }
+}
+
+TEST_CASE("entries of other writers name no upstream") {
+  http_client* none = nullptr;
+  const platform_catalog catalog(none, "127.0.0.1:1");
+  struct row {
+    const char* document;
+    bool usable;
+  };
+  const row rows[] = {
+      {R"({"service": "s", "address": "10.0.0.1:80", "state": "ready",
+           "slots": 16, "zone": "z", "born": 1700000000000})",
+       true},
+      {R"({"service": "s", "address": "10.0.0.1:80", "state": "draining"})",
+       true},
+      {R"({"service": "s", "address": "10.0.0.1:80", "state": "odd"})", false},
+      {R"({"service": 3, "address": "10.0.0.1:80", "state": "ready"})", false},
+      {R"({"service": "s", "address": "nowhere", "state": "ready"})", false},
+      {R"({"service": "s", "state": "ready"})", false},
+      {R"({"service": "s", "address": "10.0.0.1:80", "state": "ready",
+           "slots": 0})",
+       false},
+      {"\xff\xfe", false},
+      {"", false},
+      {"null", false},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.document);
+    CHECK(catalog.DecodeUpstream("i-1", r.document).ok() == r.usable);
+  }
+  const auto entry = catalog.DecodeUpstream("i-1", rows[0].document);
+  CHECK(entry->id == "i-1");
+  CHECK(entry->started_at_ms == 1'700'000'000'000);
+  CHECK(catalog.DecodeUpstream("i-1", rows[1].document)->leaving);
+}
+
+// Found by the fuzzer: an array that claims more elements than can exist.
+TEST_CASE("CBOR that claims too much is refused without an exception") {
+  const auto bytes = DecodeBase64("AJsJIgf+J5vgAAk=");
+  REQUIRE(bytes);
+  CHECK(ParseCbor(bytes->substr(1)).is_discarded());
+  CHECK(ParseCbor("").is_discarded());
+  CHECK(ParseCbor("\x01") == 1);
+}
+
+}  // namespace
+}  // namespace cactusward::platform
