--- a/src/kernel/log.cc
+++ b/src/kernel/log.cc
@@ -2,6 +2,9 @@
 
 #include <easylogging++.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <chrono>
 #include <ctime>
@@ -45,8 +48,26 @@
   return text;
 }
 
+std::atomic<std::int64_t> g_dropped{0};
+
+// Writes whole lines to standard output and drops what it does not take: a
+// slow reader of logs must not delay requests.
+class line_writer : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    const std::string line = data->logMessage()->message() + "\n";
+    const auto written = ::write(STDOUT_FILENO, line.data(), line.size());
+    if (written != static_cast<ssize_t>(line.size()))
+      ++g_dropped;
+  }
+};
+
 }  // namespace
 
+std::int64_t DroppedLogLines() {
+  return g_dropped.load();
+}
+
 void InitLog(const std::string& instance, log_level lowest) {
   g_instance = instance;
   g_lowest = lowest;
@@ -56,6 +77,12 @@
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
   configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
   el::Loggers::reconfigureLogger("default", configuration);
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<line_writer>("line_writer");
+  const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0)
+    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
 void Log(log_level level,
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -2,6 +2,7 @@
 #ifndef CACTUSWARD_SRC_KERNEL_LOG_H_
 #define CACTUSWARD_SRC_KERNEL_LOG_H_
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -10,7 +11,8 @@
 
 enum class log_level { kDebug, kInfo, kWarning, kError };
 
-// Sets up logging to standard error. Call once, before Log.
+// Sets up logging to standard output, which is made non-blocking. Call once,
+// before Log.
 void InitLog(const std::string& instance, log_level lowest);
 
 // Writes one line with time, level, instance, `event` and `fields`.
@@ -19,6 +21,9 @@
          std::string_view event,
          const nlohmann::json& fields = nlohmann::json::object());
 
+// Lines that standard output did not take. Thread-safe.
+std::int64_t DroppedLogLines();
+
 }  // namespace cactusward
 
 #endif  // CACTUSWARD_SRC_KERNEL_LOG_H_
--- a/src/services/report_service.cc
+++ b/src/services/report_service.cc
@@ -136,6 +136,7 @@
   const auto& traffic = membership->traffic();
   WriteGauge(out, "cactusward_gossip_sent_bytes", traffic.sent_bytes);
   WriteGauge(out, "cactusward_gossip_received_bytes", traffic.received_bytes);
+  WriteGauge(out, "cactusward_log_lines_dropped", DroppedLogLines());
   WriteGauge(out, "cactusward_gossip_refused", traffic.refused);
   WriteGauge(out, "cactusward_suspects",
              registry.Find<recovery_service>(kRecoveryServiceName)->suspects());
--- /dev/null
+++ b/tests/unit/relay_test.cc
@@ -0,0 +1,276 @@
+// The whole path in one process: caller, instance, store and runners, with the
+// faults of runners and store.
+#include <catch2/catch.hpp>
+
+#include "platform/make_adapter.h"
+#include "src/relay/relay_gateway.h"
+#include "tests/support/platform_fakes.h"
+
+namespace cactusward {
+namespace {
+
+using testing::runner_fake;
+using testing::runner_fault;
+using testing::store_fake;
+
+constexpr milliseconds kCallTimeout{5'000};
+constexpr milliseconds kSettle{400};
+constexpr milliseconds kPoll{10};
+
+// One instance, a store, two engines and two plain runners.
+class small_fleet {
+ public:
+  small_fleet() : store(io), client(io) {
+    for (int i = 0; i < 2; ++i) {
+      engines.push_back(
+          std::make_unique<runner_fake>(io, "e" + std::to_string(i)));
+      plain.push_back(
+          std::make_unique<runner_fake>(io, "p" + std::to_string(i)));
+    }
+    settings.instance = "test";
+    settings.availability_zone = "z";
+    settings.listen = testing::FreeAddress();
+    settings.peer_listen = testing::FreeAddress();
+    settings.peer_advertise = settings.peer_listen;
+    settings.peer_secret = "0123456789abcdef";
+    settings.forwarding = forwarding_settings();
+    settings.forwarding->readiness_listen = testing::FreeAddress();
+    settings.forwarding->metrics_listen = testing::FreeAddress();
+    settings.forwarding->registry = store.address();
+    settings.forwarding->retries.extra = 20;
+  }
+
+  void List() {
+    for (const auto& runner : engines)
+      store.Put("servers/" + runner->id(), runner->Entry("engines"));
+    for (const auto& runner : plain)
+      store.Put("servers/" + runner->id(), runner->Entry("plain"));
+  }
+
+  // Runs `body` against the started instance.
+  void Run(const std::function<void(asio::yield_context)>& body) {
+    gateway =
+        std::make_unique<relay_gateway>(io, &settings, platform::MakeAdapter);
+    REQUIRE(gateway->Start());
+    Spawn(io, "test", [this, &body](asio::yield_context yield) {
+      Sleep(io, kSettle, yield);
+      body(yield);
+      io.stop();
+    });
+    io.run();
+  }
+
+  // Waits until `path` answers with `status`.
+  bool Becomes(const std::string& path, int status, asio::yield_context yield) {
+    const time_point until = clock::now() + kCallTimeout;
+    while (clock::now() < until) {
+      if (Call(path, "a", yield).status == status)
+        return true;
+      Sleep(io, kPoll, yield);
+    }
+    return false;
+  }
+
+  http_answer Call(const std::string& path,
+                   const std::string& attempt,
+                   asio::yield_context yield,
+                   const std::string& key = "key") {
+    outgoing_request request;
+    request.method = http::verb::post;
+    request.target = path;
+    request.headers = {{"Host", "h"},
+                       {"X-Attempt-Id", attempt},
+                       {"X-Token-Counts", "1000,100"},
+                       {"X-Deadline-Ms", "3000"},
+                       {"Authorization", "Token " + key}};
+    request.fresh_connection = true;
+    const auto answer = client.Call(settings.listen, request,
+                                    clock::now() + kCallTimeout, yield);
+    // No whole answer: status 0.
+    return answer ? *answer : http_answer();
+  }
+
+  int Runs() const {
+    int runs = 0;
+    for (const auto* group : {&engines, &plain}) {
+      for (const auto& runner : *group)
+        runs += runner->runs();
+    }
+    return runs;
+  }
+
+  asio::io_context io;
+  store_fake store;
+  http_client client;
+  std::vector<std::unique_ptr<runner_fake>> engines;
+  std::vector<std::unique_ptr<runner_fake>> plain;
+  instance_settings settings;
+  std::unique_ptr<relay_gateway> gateway;
+};
+
+std::string WholeStream() {
+  std::string all;
+  for (int i = 1; i <= runner_fake::kEvents; ++i)
+    all += "id: " + std::to_string(i) + "\ndata: " + std::to_string(i) + "\n\n";
+  return all;
+}
+
+TEST_CASE("requests are answered, refused or failed by what runners do") {
+  struct row {
+    const char* name;
+    const char* path;
+    runner_fault first;  // of every runner that a request may meet first
+    bool both;           // the second runner has the fault, too
+    int status;          // 0: cut off
+    int runs;            // at most
+  };
+  using fault = runner_fault;
+  const row rows[] = {
+      {"a stream is whole", "/stream/x", fault::kNone, true, 200, 1},
+      {"a booking is answered", "/once/x", fault::kNone, true, 200, 1},
+      {"a broken stream goes on elsewhere", "/stream/x", fault::kBreaksMidway,
+       false, 200, 2},
+      {"a stream that never began goes elsewhere", "/stream/x",
+       fault::kBreaksAtStart, false, 200, 2},
+      {"a stream that may not be resumed is cut", "/fixed/x",
+       fault::kBreaksMidway, true, 0, 1},
+      {"a stream refused everywhere was not run", "/stream/x", fault::kRefuses,
+       true, 503, 0},
+      {"a lost booking is not repeated", "/once/x", fault::kBreaksAtStart, true,
+       502, 1},
+      {"a broken booking is not repeated", "/once/x", fault::kBreaksMidway,
+       true, 502, 1},
+      {"a booking refused everywhere was not run", "/once/x", fault::kRefuses,
+       true, 503, 0},
+      {"a booking refused once goes elsewhere", "/once/x", fault::kRefuses,
+       false, 200, 1},
+      {"an address of another upstream", "/once/x", fault::kWrongInstance,
+       false, 200, 1},
+      {"a look-up is repeated", "/often/x", fault::kBreaksAtStart, false, 200,
+       2},
+      {"an unsigned answer is not passed on", "/often/x", fault::kUnsigned,
+       false, 200, 2},
+      {"an unsigned booking is not passed on", "/once/x", fault::kUnsigned,
+       true, 502, 1},
+      {"an answer to another request", "/often/x", fault::kCrossed, false, 200,
+       2},
+      {"a crossed booking", "/once/x", fault::kCrossed, true, 502, 1},
+      {"a failure of the runner's own", "/once/x", fault::kFails, true, 500, 1},
+      {"a silent runner and a look-up", "/often/x", fault::kSilent, false, 200,
+       2},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    small_fleet fleet;
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    fleet.List();
+    fleet.Run([&](asio::yield_context yield) {
+      // Which of the two is asked first is drawn, so that the fault moves to
+      // the one that is.
+      for (auto* group : {&fleet.engines, &fleet.plain}) {
+        (*group)[0]->SetFault(r.first);
+        if (r.both)
+          (*group)[1]->SetFault(r.first);
+      }
+      const http_answer answer = fleet.Call(r.path, "attempt", yield);
+      CHECK(answer.status == r.status);
+      CHECK(fleet.Runs() <= r.runs);
+      if (r.status == 200 && std::string(r.path) == "/stream/x")
+        CHECK(answer.body == WholeStream());
+      if (r.status == 200 && std::string(r.path) != "/stream/x")
+        CHECK(answer.body.substr(0, 9) == "answer of");
+    });
+  }
+}
+
+TEST_CASE("a request arrives unchanged, and without the key") {
+  small_fleet fleet;
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.List();
+  fleet.Run([&](asio::yield_context yield) {
+    CHECK(fleet.Call("/once/x?y=z", "attempt", yield).status == 200);
+    for (const auto& runner : fleet.plain) {
+      for (const http_request& seen : runner->seen()) {
+        CHECK(seen.target() == "/once/x?y=z");
+        CHECK(seen["X-Attempt-Id"] == "attempt");
+        CHECK(seen["X-Tenant-Name"] == "org");
+        CHECK(seen["X-Expected-Instance"] == runner->id());
+        CHECK(seen["Authorization"].empty());
+        CHECK(std::stoi(std::string(seen["X-Deadline-Ms"])) <= 3'000);
+      }
+    }
+  });
+}
+
+TEST_CASE("callers are refused by what the configuration allows") {
+  small_fleet fleet;
+  fleet.List();
+  fleet.Run([&](asio::yield_context yield) {
+    // No configuration is known: it is neither wrong nor denied.
+    CHECK(fleet.Call("/once/x", "a", yield).status == 503);
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    CHECK(fleet.Becomes("/once/x", 200, yield));
+    CHECK(fleet.Call("/none/x", "b", yield).status == 404);
+    CHECK(fleet.Call("/once/x", "c", yield, "unknown").status == 401);
+    fleet.store.Put("op/config", testing::ConfigDocument(5, "new"));
+    CHECK(fleet.Becomes("/new/x", 200, yield));
+    // An older version never replaces a newer one.
+    fleet.store.Put("op/config", testing::ConfigDocument(4));
+    Sleep(fleet.io, kSettle, yield);
+    CHECK(fleet.Call("/new/x", "d", yield).status == 200);
+  });
+}
+
+TEST_CASE("changes come into force whatever the store does") {
+  struct row {
+    const char* name;
+    std::function<void(store_fake&)> before;
+    std::function<void(store_fake&)> after;
+  };
+  const row rows[] = {
+      {"calm", [](store_fake&) {}, [](store_fake&) {}},
+      {"watches hear nothing", [](store_fake& s) { s.SetMute(true); },
+       [](store_fake&) {}},
+      {"history is dropped", [](store_fake&) {},
+       [](store_fake& s) { s.Compact(); }},
+      {"down for a while", [](store_fake& s) { s.SetDown(true); },
+       [](store_fake& s) { s.SetDown(false); }},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    small_fleet fleet;
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    fleet.List();
+    fleet.Run([&](asio::yield_context yield) {
+      REQUIRE(fleet.Becomes("/once/x", 200, yield));
+      r.before(fleet.store);
+      fleet.store.Put("op/config", testing::ConfigDocument(2, "new"));
+      fleet.store.Put("servers/p0", fleet.plain[0]->Entry("plain", true));
+      Sleep(fleet.io, milliseconds(50), yield);
+      r.after(fleet.store);
+      CHECK(fleet.Becomes("/new/x", 200, yield));
+      // The runner that leaves gets nothing more.
+      Sleep(fleet.io, milliseconds(100), yield);
+      const int before = fleet.plain[0]->arrivals();
+      for (int i = 0; i < 10; ++i)
+        CHECK(fleet.Call("/once/x", "a", yield).status == 200);
+      CHECK(fleet.plain[0]->arrivals() == before);
+    });
+  }
+}
+
+TEST_CASE("a store that is away takes nothing from the fleet") {
+  small_fleet fleet;
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.List();
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(fleet.Becomes("/once/x", 200, yield));
+    fleet.store.SetDown(true);
+    Sleep(fleet.io, milliseconds(500), yield);
+    for (int i = 0; i < 5; ++i)
+      CHECK(fleet.Call("/once/x", "a", yield).status == 200);
+  });
+}
+
+}  // namespace
+}  // namespace cactusward
