Few instances watch the registry; budgets of repeats hold per service and after a restart

Change: three instances watch, news travels with the datagrams and is applied where it follows on; who is behind asks a peer. Budgets per service; no extra until a count of instances has stood for a window.

--- a/include/cactusward/membership.h
+++ b/include/cactusward/membership.h
@@ -77,6 +77,17 @@
   }
 };
 
+// A change of one upstream's entry in the registry.
+struct catalog_change {
+  std::string id;
+  std::int64_t revision = 0;
+  std::optional<std::string> document;  // none: it was removed
+
+  friend bool operator==(const catalog_change& a, const catalog_change& b) {
+    return a.id == b.id && a.revision == b.revision && a.document == b.document;
+  }
+};
+
 enum class gossip_kind : std::uint8_t { kPing, kAck, kPingRequest, kNews };
 
 // One datagram between instances.
@@ -94,7 +105,11 @@
   std::vector<in_flight_report> in_flight;
   std::vector<leaving_report> leaving;
   std::int64_t catalog_revision = 0;  // of the registry, known to the sender
-  std::vector<upstream_load> loads;   // the sender's requests
+  // All changes of upstreams after `changes_after` up to `catalog_revision`;
+  // -1: not told.
+  std::int64_t changes_after = -1;
+  std::vector<catalog_change> changes;
+  std::vector<upstream_load> loads;  // the sender's requests
 
   friend bool operator==(const gossip_message& a, const gossip_message& b) {
     return a.kind == b.kind && a.sequence == b.sequence &&
--- a/include/cactusward/shared_retry_budget.h
+++ b/include/cactusward/shared_retry_budget.h
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 #include <deque>
+#include <map>
+#include <string>
 
 #include "cactusward/time.h"
 
@@ -31,7 +33,8 @@
       : settings_(settings) {}
 
   // Instances among which the extra is shared out. A fall takes effect only
-  // after a window, since the others may be cut off and still spending.
+  // after a window, since the others may be cut off and still spending; so
+  // does the first count, since an earlier process may have spent the share.
   void SetInstances(std::size_t count, time_point now);
 
   void RecordRequest(time_point now);
@@ -44,13 +47,31 @@
   void Expire(time_point now);
 
   shared_retry_settings settings_;
-  std::size_t instances_ = 1;
-  std::size_t lower_instances_ = 1;
+  // Before a count has stood for a window there is no extra to spend.
+  static constexpr std::size_t kUnknown = 1'000'000;
+  std::size_t instances_ = kUnknown;
+  std::size_t lower_instances_ = kUnknown;
   time_point lower_since_{};
   std::deque<time_point> requests_;
   std::deque<time_point> repeats_;
 };
 
+// The budgets of all services: the rule holds for each by itself. Not
+// thread-safe.
+class retry_budgets {
+ public:
+  explicit retry_budgets(const shared_retry_settings& settings)
+      : fresh_(settings) {}
+
+  void SetInstances(std::size_t count, time_point now);
+  // The budget of `service`, valid for the life of this object.
+  shared_retry_budget& Of(const std::string& service);
+
+ private:
+  shared_retry_budget fresh_;  // knows the instances, and spent nothing
+  std::map<std::string, shared_retry_budget> budgets_;
+};
+
 }  // namespace cactusward
 
 #endif  // CACTUSWARD_SHARED_RETRY_BUDGET_H_
--- a/src/forwarding/shared_retry_budget.cc
+++ b/src/forwarding/shared_retry_budget.cc
@@ -13,14 +13,17 @@
 
 void shared_retry_budget::SetInstances(std::size_t count, time_point now) {
   count = std::max<std::size_t>(count, 1);
-  if (count >= instances_) {
+  if (instances_ != kUnknown && count >= instances_) {
     instances_ = count;
     lower_instances_ = count;
     return;
   }
-  if (lower_instances_ != count) {
+  if (lower_instances_ == kUnknown || lower_instances_ < count ||
+      (instances_ != kUnknown && lower_instances_ != count)) {
+    // While the first count grows, the time runs from its first value.
+    if (instances_ != kUnknown || lower_instances_ == kUnknown)
+      lower_since_ = now;
     lower_instances_ = count;
-    lower_since_ = now;
   } else if (now - lower_since_ > settings_.window) {
     instances_ = count;
   }
@@ -53,4 +56,14 @@
   return true;
 }
 
+void retry_budgets::SetInstances(std::size_t count, time_point now) {
+  fresh_.SetInstances(count, now);
+  for (auto& [service, budget] : budgets_)
+    budget.SetInstances(count, now);
+}
+
+shared_retry_budget& retry_budgets::Of(const std::string& service) {
+  return budgets_.emplace(service, fresh_).first->second;
+}
+
 }  // namespace cactusward
--- a/src/membership/gossip_codec.cc
+++ b/src/membership/gossip_codec.cc
@@ -9,8 +9,8 @@
 
 using nlohmann::json;
 
-constexpr int kVersion = 2;
-constexpr std::size_t kMessageFields = 14;
+constexpr int kVersion = 3;
+constexpr std::size_t kMessageFields = 16;
 constexpr std::size_t kMemberFields = 6;
 constexpr std::size_t kMaxItems = 512;
 
@@ -101,6 +101,23 @@
   return true;
 }
 
+bool ReadChanges(const json& value, std::vector<catalog_change>* out) {
+  if (!IsList(value))
+    return false;
+  for (const json& item : value) {
+    if (!item.is_array() || item.size() != 3 || !item[0].is_string() ||
+        !IsInteger(item[1]) || (!item[2].is_string() && !item[2].is_null()))
+      return false;
+    catalog_change change;
+    change.id = item[0].get<std::string>();
+    change.revision = item[1].get<std::int64_t>();
+    if (item[2].is_string())
+      change.document = item[2].get<std::string>();
+    out->push_back(std::move(change));
+  }
+  return true;
+}
+
 bool HasHeader(const json& value) {
   return value.is_array() && value.size() == kMessageFields &&
          value[0] == kVersion && value[1].is_number_unsigned() &&
@@ -108,7 +125,7 @@
              static_cast<std::uint64_t>(gossip_kind::kNews) &&
          value[2].is_number_unsigned() && value[4].is_string() &&
          value[5].is_string() && IsInteger(value[6]) && IsInteger(value[7]) &&
-         IsInteger(value[12]);
+         IsInteger(value[12]) && IsInteger(value[14]);
 }
 
 }  // namespace
@@ -132,12 +149,18 @@
     loads.push_back(
         json::array({item.upstream, item.running, item.interactive,
                      item.pause_ms, item.read_ms, item.memory_tokens}));
+  json changes = json::array();
+  for (const catalog_change& item : message.changes)
+    changes.push_back(
+        json::array({item.id, item.revision,
+                     item.document ? json(*item.document) : json(nullptr)}));
   const json encoded = json::array(
       {kVersion, static_cast<int>(message.kind), message.sequence,
        MemberToJson(message.sender), message.target, message.target_address,
        message.config_number, message.confirmed_age_ms, std::move(members),
        std::move(suspects), std::move(in_flight), std::move(leaving),
-       message.catalog_revision, std::move(loads)});
+       message.catalog_revision, std::move(loads), message.changes_after,
+       std::move(changes)});
   std::string bytes;
   json::to_cbor(encoded, bytes);
   return bytes;
@@ -157,12 +180,14 @@
   message.config_number = value[6].get<std::int64_t>();
   message.confirmed_age_ms = value[7].get<std::int64_t>();
   message.catalog_revision = value[12].get<std::int64_t>();
+  message.changes_after = value[14].get<std::int64_t>();
   if (!ReadMember(value[3], &message.sender) ||
       !ReadMembers(value[8], &message.members) ||
       !ReadSuspects(value[9], &message.suspects) ||
       !ReadPairs(value[10], &message.in_flight) ||
       !ReadPairs(value[11], &message.leaving) ||
-      !ReadLoads(value[13], &message.loads))
+      !ReadLoads(value[13], &message.loads) ||
+      !ReadChanges(value[15], &message.changes))
     return malformed;
   return message;
 }
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "cactusward/hash.h"
 #include "src/kernel/log.h"
 
 namespace cactusward {
@@ -19,6 +20,15 @@
 // A watch delivers a change within this time after it was made.
 constexpr milliseconds kWatchDelay{120};
 constexpr std::size_t kMaxBroadcast = 128;
+// Instances that watch the registry: enough that one of them is neither cut
+// off nor stopped.
+constexpr std::size_t kWatchers = 3;
+constexpr milliseconds kWatcherPoll{200};
+// Changes are told to peers for this long; later ones ask for everything.
+constexpr milliseconds kChangeLife{3'000};
+constexpr std::size_t kMaxRecent = 64;
+// Bytes of changes in one datagram, so that it is not fragmented.
+constexpr std::size_t kMaxChangeBytes = 900;
 // First pause after a failure of the registry; doubled with each more.
 constexpr milliseconds kFirstPause{50};
 constexpr milliseconds kLongestPause{800};
@@ -102,6 +112,11 @@
 
 void catalog_service::Run(asio::yield_context yield) {
   while (true) {
+    if (!needs_read_ && !IsWatcher()) {
+      Sleep(runtime_.io, kWatcherPoll, yield);
+      watched_ = std::max(watched_, revision_);
+      continue;
+    }
     if (!needs_read_) {
       WatchOnce(yield);
       continue;
@@ -119,6 +134,24 @@
   }
 }
 
+bool catalog_service::IsWatcher() const {
+  const std::uint64_t own = Hash64(runtime_.settings.instance);
+  std::size_t before = 0;
+  for (const member& peer : membership_->Live()) {
+    if (peer.state == member_state::kAlive && Hash64(peer.name) < own)
+      ++before;
+  }
+  return before < kWatchers;
+}
+
+void catalog_service::RecordChange(const catalog_item& item) {
+  recent_.push_back({{item.id, item.revision, item.document}, clock::now()});
+  if (recent_.size() > kMaxRecent) {
+    recent_after_ = recent_.front().change.revision;
+    recent_.pop_front();
+  }
+}
+
 bool catalog_service::WatchOnce(asio::yield_context yield) {
   const auto batch = source_->WaitForChanges(watched_, yield);
   if (!batch && batch.kind() == error_kind::kNotFound) {
@@ -236,6 +269,8 @@
     changed = upstreams_.Replace(all, batch.revision, now) || changed;
     raw_upstreams_ = std::move(raw);
     revision_ = batch.revision;
+    recent_.clear();
+    recent_after_ = revision_;
   }
   Log(log_level::kInfo, "catalog_read",
       {{"origin", origin},
@@ -271,26 +306,53 @@
       changed = ApplyConfig(item, "registry") || changed;
     else if (item.kind == catalog_item_kind::kUpstream)
       changed = ApplyUpstream(item, now) || changed;
+    if (item.revision > revision_)
+      RecordChange(item.kind == catalog_item_kind::kUpstream
+                       ? item
+                       : catalog_item{item.kind, {}, item.revision, {}});
   }
+  const bool news = batch.revision > revision_;
   revision_ = std::max(revision_, batch.revision);
   if (changed)
     Notify();
+  if (news)
+    membership_->Broadcast(kMaxBroadcast);
 }
 
-nlohmann::json catalog_service::Snapshot() const {
+nlohmann::json catalog_service::Snapshot(std::int64_t known_version) const {
   nlohmann::json upstreams = nlohmann::json::array();
   for (const auto& [id, raw] : raw_upstreams_)
     upstreams.push_back(
         nlohmann::json::array({id, raw.document, raw.revision}));
   return {{"revision", revision_},
-          {"config", config_document_},
+          {"config", config_ && config_->version() > known_version
+                         ? config_document_
+                         : std::string()},
           {"config_revision", config_revision_},
           {"upstreams", std::move(upstreams)}};
 }
 
-void catalog_service::Fill(gossip_message* message, time_point) {
+void catalog_service::Fill(gossip_message* message, time_point now) {
   message->catalog_revision = revision_;
   message->config_number = config_ ? config_->version() : 0;
+  // The newest changes that fit.
+  std::size_t first = recent_.size();
+  std::size_t bytes = 0;
+  while (first > 0 && now - recent_[first - 1].at < kChangeLife) {
+    const catalog_change& change = recent_[first - 1].change;
+    bytes += change.id.size() + change.document.value_or("").size();
+    if (bytes > kMaxChangeBytes)
+      break;
+    --first;
+  }
+  if (first < recent_.size()) {
+    message->changes_after =
+        first > 0 ? recent_[first - 1].change.revision : recent_after_;
+    for (std::size_t i = first; i < recent_.size(); ++i) {
+      if (!recent_[i].change.id.empty())
+        message->changes.push_back(recent_[i].change);
+    }
+  }
   message->confirmed_age_ms = confirmed_at_ == time_point()
                                   ? -1
                                   : std::chrono::duration_cast<milliseconds>(
@@ -298,7 +360,30 @@
                                         .count();
 }
 
+bool catalog_service::TakeChanges(const gossip_message& message,
+                                  time_point now) {
+  if (message.changes_after < 0 || message.changes_after > revision_)
+    return false;
+  bool changed = false;
+  for (const catalog_change& change : message.changes) {
+    if (change.revision <= revision_)
+      continue;
+    const catalog_item item{catalog_item_kind::kUpstream, change.id,
+                            change.revision, change.document};
+    changed = ApplyUpstream(item, now) || changed;
+    RecordChange(item);
+  }
+  // What else changed up to there is the configuration's.
+  RecordChange({catalog_item_kind::kConfig, {}, message.catalog_revision, {}});
+  revision_ = message.catalog_revision;
+  if (changed)
+    Notify();
+  return true;
+}
+
 void catalog_service::Take(const gossip_message& message, time_point now) {
+  if (message.catalog_revision > revision_)
+    TakeChanges(message, now);
   const bool behind =
       message.catalog_revision > revision_ ||
       message.config_number > (config_ ? config_->version() : 0);
@@ -310,7 +395,10 @@
   // The registry's own answer is usually under way.
   if (!behind_since_ || now - *behind_since_ > kPullTimeout)
     behind_since_ = now;
-  if (now - *behind_since_ < kPeerLead && config_)
+  // Whoever does not watch hears of a new configuration only so.
+  const bool new_config =
+      message.config_number > (config_ ? config_->version() : 0);
+  if (now - *behind_since_ < kPeerLead && !(new_config && !IsWatcher()))
     return;
   if (pulling_ || now - last_pull_ < kPullPeriod)
     return;
@@ -325,8 +413,11 @@
 
 void catalog_service::PullFrom(const std::string& peer,
                                asio::yield_context yield) {
-  const auto answer = peers_->Call(peer, {{"op", "catalog_get"}},
-                                   clock::now() + kPullTimeout, yield);
+  const auto answer =
+      peers_->Call(peer,
+                   {{"op", "catalog_get"},
+                    {"config_version", config_ ? config_->version() : 0}},
+                   clock::now() + kPullTimeout, yield);
   if (!answer || !answer->is_object()) {
     Log(log_level::kWarning, "catalog_pull_failed",
         {{"peer", peer}, {"detail", answer.detail()}});
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -3,6 +3,7 @@
 #ifndef CACTUSWARD_SRC_RELAY_CATALOG_SERVICE_H_
 #define CACTUSWARD_SRC_RELAY_CATALOG_SERVICE_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -36,8 +37,9 @@
   void Subscribe(listener listener) {
     listeners_.push_back(std::move(listener));
   }
-  // Everything known, for a peer that asks.
-  nlohmann::json Snapshot() const;
+  // Everything known, for a peer that asks; the configuration only if it is
+  // newer than `known_version`.
+  nlohmann::json Snapshot(std::int64_t known_version) const;
 
   void Fill(gossip_message* message, time_point now) override;
   void Take(const gossip_message& message, time_point now) override;
@@ -48,7 +50,18 @@
     std::int64_t revision = 0;
   };
 
+  struct recent_change {
+    catalog_change change;  // without an id: of the configuration
+    time_point at;
+  };
+
   void Run(asio::yield_context yield);
+  // A few instances watch the registry; the others hear from them.
+  bool IsWatcher() const;
+  void RecordChange(const catalog_item& item);
+  // Applies changes that a peer tells of. @return whether they follow on what
+  // is known here.
+  bool TakeChanges(const gossip_message& message, time_point now);
   // @return whether the watch may go on.
   bool WatchOnce(asio::yield_context yield);
   void RecordFailure(const result<catalog_batch>& failed,
@@ -89,6 +102,9 @@
   time_point confirm_due_{};
   time_point last_pull_{};
   std::optional<time_point> behind_since_;
+  std::deque<recent_change> recent_;
+  // Revision before the first of `recent_`.
+  std::int64_t recent_after_ = 0;
   std::vector<listener> listeners_;
   membership_service* membership_ = nullptr;
   std::unique_ptr<timer_subscription> tick_;
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -137,8 +137,13 @@
 
 void relay_gateway::OnPeerCall(const nlohmann::json& request, reply reply) {
   const auto op = request.is_object() ? request.find("op") : request.end();
-  if (op != request.end() && *op == "catalog_get")
-    return reply(catalog_.Snapshot());
+  if (op != request.end() && *op == "catalog_get") {
+    const auto version = request.find("config_version");
+    return reply(catalog_.Snapshot(version != request.end() &&
+                                           version->is_number_integer()
+                                       ? version->get<std::int64_t>()
+                                       : 0));
+  }
   reply({{"error", AnswerFor(error_kind::kBadRequest).name}});
 }
 
--- a/src/relay/relay_gateway.h
+++ b/src/relay/relay_gateway.h
@@ -74,7 +74,7 @@
   http_server readiness_server_;
   http_server metrics_server_;
   relay_stop stop_;
-  shared_retry_budget retries_;
+  retry_budgets retries_;
   std::map<std::string, milliseconds> longest_deadlines_;
   relay_services run_services_;
   std::unique_ptr<timer_subscription> members_timer_;
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -117,7 +117,7 @@
   if (refusal != error_kind::kOk) {
     Refuse(refusal, milliseconds(AnswerFor(refusal).retry_after_ms), yield);
   } else {
-    services_.retries.RecordRequest(began_);
+    services_.retries.Of(service_).RecordRequest(began_);
     exchange_.OnHangUp([this] { cancel_.Cancel(); });
     RunAttempts(yield);
     exchange_.OnHangUp({});
@@ -201,7 +201,7 @@
   // Only what reached an upstream counts against the budget.
   if (last.end == attempt_end::kNotSent && !may_have_run_)
     return true;
-  const bool granted = services_.retries.TrySpend(clock::now());
+  const bool granted = services_.retries.Of(service_).TrySpend(clock::now());
   if (!granted)
     Log(log_level::kInfo, "retry_budget_empty",
         {{"request", caller_.attempt_id}});
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -27,7 +27,7 @@
   relay_dispatcher& dispatcher;
   recovery_service& recovery;
   report_service& report;
-  shared_retry_budget& retries;
+  retry_budgets& retries;
   // Longest deadline seen on each route: what a first attempt carries.
   std::map<std::string, milliseconds>& longest_deadlines;
 };
--- a/tests/unit/forwarding_test.cc
+++ b/tests/unit/forwarding_test.cc
@@ -132,6 +132,7 @@
   int spent = 0;
   for (int i = 0; i < kInstances; ++i) {
     shared_retry_budget budget(settings);
+    budget.SetInstances(kInstances, At(-20'000));
     budget.SetInstances(kInstances, kStart);
     for (int n = 0; n < kRequests; ++n)
       budget.RecordRequest(At(n));
@@ -147,6 +148,7 @@
   settings.ratio = 0;
   settings.extra = 100;
   shared_retry_budget budget(settings);
+  budget.SetInstances(10, At(-20'000));
   budget.SetInstances(10, kStart);
   const double among_ten = budget.Available(kStart);
   budget.SetInstances(1, At(1'000));
@@ -156,11 +158,43 @@
   CHECK(budget.Available(At(12'000)) > 5 * among_ten);
 }
 
+// An instance that was killed may have spent its share just before.
+TEST_CASE("an instance that has just started spends no extra") {
+  shared_retry_settings settings;
+  settings.ratio = 0.2;
+  settings.extra = 1'000;
+  shared_retry_budget budget(settings);
+  CHECK_FALSE(budget.TrySpend(kStart));
+  for (int i = 0; i < 5; ++i)
+    budget.RecordRequest(kStart);
+  CHECK(budget.TrySpend(kStart));
+  CHECK_FALSE(budget.TrySpend(kStart));
+  // Its count of instances grows while it meets them.
+  budget.SetInstances(1, kStart);
+  budget.SetInstances(50, At(1'000));
+  CHECK_FALSE(budget.TrySpend(At(1'000)));
+  budget.SetInstances(50, At(11'000));
+  CHECK(budget.Available(At(11'000)) == Approx(16));
+}
+
+TEST_CASE("each service has a budget of its own") {
+  shared_retry_settings settings;
+  settings.ratio = 0.5;
+  settings.extra = 0;
+  retry_budgets budgets(settings);
+  budgets.Of("a").RecordRequest(kStart);
+  budgets.Of("a").RecordRequest(kStart);
+  CHECK_FALSE(budgets.Of("b").TrySpend(kStart));
+  CHECK(budgets.Of("a").TrySpend(kStart));
+}
+
 TEST_CASE("spent repeats come back after a window") {
   shared_retry_settings settings;
   settings.ratio = 0;
   settings.extra = 10;
   shared_retry_budget budget(settings);
+  budget.SetInstances(1, At(-20'000));
+  budget.SetInstances(1, kStart);
   while (budget.TrySpend(kStart)) {
   }
   CHECK_FALSE(budget.TrySpend(At(9'999)));
--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -37,7 +37,7 @@
     settings.forwarding->readiness_listen = testing::FreeAddress();
     settings.forwarding->metrics_listen = testing::FreeAddress();
     settings.forwarding->registry = store.address();
-    settings.forwarding->retries.extra = 20;
+    settings.forwarding->retries.ratio = 1;
   }
 
   void List() {
