A stopping instance serves new connections, then refuses them

Change: only connections that had an answer are closed; new ones are served until 0.45 of the time to stop and then refused, which is true. The test failed before: the late call got no answer.

--- a/include/cactusward/upstream_health.h
+++ b/include/cactusward/upstream_health.h
@@ -8,6 +8,7 @@
 
 enum class exchange_outcome {
   kAnswered,     // a whole answer, whatever its status
+  kRefused,      // an answer that says that the request was not run
   kFailed,       // an answer that says that the upstream failed
   kBroken,       // the connection ended early, or the bytes were no answer
   kUnreachable,  // no connection
--- a/src/edges/http_server.cc
+++ b/src/edges/http_server.cc
@@ -315,7 +315,9 @@
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   boost::beast::flat_buffer buffer;
-  while (ServeOne(socket, buffer, yield)) {
+  bool is_first = true;
+  while (ServeOne(socket, buffer, is_first, yield)) {
+    is_first = false;
     // A large body must not keep its memory while the connection is idle.
     if (buffer.size() == 0)
       buffer.shrink_to_fit();
@@ -323,26 +325,34 @@
   socket.shutdown(tcp::socket::shutdown_both, ignored);
 }
 
+bool http_server::WaitForRequest(tcp::socket& socket,
+                                 bool is_first,
+                                 asio::yield_context yield) {
+  if (closing_ && !is_first)
+    return false;
+  if (!is_first)
+    idle_.insert(&socket);
+  boost::system::error_code error;
+  {
+    deadline_guard guard(&socket, clock::now() + limits_.idle_timeout);
+    socket.async_wait(tcp::socket::wait_read, yield[error]);
+  }
+  idle_.erase(&socket);
+  // A request that arrived while the wait was cancelled is still served.
+  return !error || socket.available(error) > 0;
+}
+
 bool http_server::ServeOne(tcp::socket& socket,
                            boost::beast::flat_buffer& buffer,
+                           bool is_first,
                            asio::yield_context yield) {
   http::request_parser<http::string_body> parser;
   parser.header_limit(limits_.max_header_bytes);
   parser.body_limit(limits_.max_body_bytes);
   boost::system::error_code error;
   error_kind failure = error_kind::kOk;
-  if (buffer.size() == 0) {
-    if (closing_)
-      return false;
-    idle_.insert(&socket);
-    deadline_guard guard(&socket, clock::now() + limits_.idle_timeout);
-    socket.async_wait(tcp::socket::wait_read, yield[error]);
-    idle_.erase(&socket);
-    // A request that arrived while the wait was cancelled is still served.
-    if (error && socket.available(error) == 0)
-      return false;
-    error = {};
-  }
+  if (buffer.size() == 0 && !WaitForRequest(socket, is_first, yield))
+    return false;
   {
     deadline_guard guard(&socket, clock::now() + limits_.header_timeout);
     http::async_read_header(socket, buffer, parser, yield[error]);
--- a/src/edges/http_server.h
+++ b/src/edges/http_server.h
@@ -141,16 +141,23 @@
   int active() const { return active_; }
   void SetMaxBody(std::uint64_t bytes) { limits_.max_body_bytes = bytes; }
   void SetLimits(const http_server_limits& limits) { limits_ = limits; }
-  // From now on connections are closed after their answer, and those that wait
-  // for a request at once.
+  // From now on connections are closed after an answer, and those that had one
+  // and wait for another request at once. New ones still get one answer.
   void CloseIdle();
 
  private:
   void Accept(asio::yield_context yield);
   void Serve(tcp::socket socket, asio::yield_context yield);
+  // @param is_first no request came on this connection before.
+  // @return whether another request may follow.
   bool ServeOne(tcp::socket& socket,
                 boost::beast::flat_buffer& buffer,
+                bool is_first,
                 asio::yield_context yield);
+  // @return whether a request begins to arrive in time.
+  bool WaitForRequest(tcp::socket& socket,
+                      bool is_first,
+                      asio::yield_context yield);
 
   asio::io_context& io_;
   http_handler* handler_;
@@ -158,7 +165,7 @@
   tcp::acceptor acceptor_;
   int active_ = 0;
   bool closing_ = false;
-  std::set<tcp::socket*> idle_;  // waiting for the first byte of a request
+  std::set<tcp::socket*> idle_;  // had an answer and wait for a request
 };
 
 }  // namespace cactusward
--- a/src/forwarding/upstream_health.cc
+++ b/src/forwarding/upstream_health.cc
@@ -14,6 +14,8 @@
 // a row up to the longest.
 constexpr milliseconds kFirstAvoidance{400};
 constexpr milliseconds kLongestAvoidance{4'000};
+// A place at a full upstream becomes free within about this time.
+constexpr milliseconds kRefusedAvoidance{150};
 constexpr milliseconds kFailingAvoidance{2'000};
 constexpr double kPaceWeight = 0.35;
 constexpr double kSlowestPace = 10;
@@ -24,6 +26,10 @@
 }  // namespace
 
 void upstream_health::Record(exchange_outcome outcome, time_point now) {
+  if (outcome == exchange_outcome::kRefused) {
+    avoided_until_ = std::max(avoided_until_, now + kRefusedAvoidance);
+    return;
+  }
   const bool failed = outcome != exchange_outcome::kAnswered;
   failure_share_ =
       failure_share_ * (1 - kLatestWeight) + (failed ? kLatestWeight : 0);
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -39,9 +39,9 @@
       metrics_server_(io, &monitor_, http_server_limits()),
       stop_(runtime_, &server_),
       retries_(settings->forwarding->retries),
-      run_services_{runtime_, *adapter_.protocol, catalog_,
-                    fleet_,   dispatcher_,        recovery_,
-                    report_,  retries_,           longest_deadlines_} {
+      run_services_{runtime_,    *adapter_.protocol, catalog_, fleet_,
+                    dispatcher_, recovery_,          report_,  retries_,
+                    stop_,       longest_deadlines_} {
   for (service* part :
        {static_cast<service*>(&catalog_), static_cast<service*>(&membership_),
         static_cast<service*>(&recovery_), static_cast<service*>(&fleet_),
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -71,6 +71,8 @@
 }
 
 error_kind relay_run::Admit() {
+  if (services_.stop.IsRefusing())
+    return error_kind::kDraining;
   if (!config_)
     return error_kind::kNotReady;
   route_ = config_->Match(HostOf(exchange_.request()), exchange_.Path());
@@ -495,9 +497,11 @@
   const time_point now = clock::now();
   switch (last.end) {
     case attempt_end::kDone:
-    case attempt_end::kNotExecuted:
       upstream->health.Record(exchange_outcome::kAnswered, now);
       break;
+    case attempt_end::kNotExecuted:
+      upstream->health.Record(exchange_outcome::kRefused, now);
+      break;
     case attempt_end::kFailed:
       upstream->health.Record(exchange_outcome::kFailed, now);
       break;
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -13,6 +13,7 @@
 #include "src/relay/catalog_service.h"
 #include "src/relay/relay_dispatcher.h"
 #include "src/relay/relay_protocol.h"
+#include "src/relay/relay_stop.h"
 #include "src/services/recovery_service.h"
 #include "src/services/report_service.h"
 
@@ -28,6 +29,7 @@
   recovery_service& recovery;
   report_service& report;
   retry_budgets& retries;
+  const relay_stop& stop;
   // Longest deadline seen on each route: what a first attempt carries.
   std::map<std::string, milliseconds>& longest_deadlines;
 };
--- a/src/relay/relay_stop.cc
+++ b/src/relay/relay_stop.cc
@@ -9,6 +9,9 @@
 constexpr milliseconds kPoll{20};
 // Answers already written leave the process before it ends.
 constexpr milliseconds kLastWords{60};
+// Part of the time to stop in which requests are still served: the balancer
+// may go on sending them when too few instances are left.
+constexpr double kAdmissionShare = 0.45;
 // The process ends by itself before it is ended.
 constexpr milliseconds kKillMargin{350};
 
@@ -24,6 +27,11 @@
   return !stopping() && catalog_->Config() != nullptr;
 }
 
+bool relay_stop::IsRefusing() const {
+  return began_ && clock::now() - *began_ >
+                       runtime_.settings.drain_limit * kAdmissionShare;
+}
+
 void relay_stop::Begin(std::function<void()> on_end) {
   if (stopping())
     return;
--- a/src/relay/relay_stop.h
+++ b/src/relay/relay_stop.h
@@ -26,6 +26,8 @@
   // Whether the balancer may send new connections.
   bool IsReady() const;
   bool stopping() const { return began_.has_value(); }
+  // Whether new requests are refused: the process ends before they would.
+  bool IsRefusing() const;
   // Begins the planned stop: not ready at once; requests are still served
   // until the balancer has noticed and all in progress have ended.
   void Begin(std::function<void()> on_end);
--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -74,7 +74,8 @@
   http_answer Call(const std::string& path,
                    const std::string& attempt,
                    asio::yield_context yield,
-                   const std::string& key = "key") {
+                   const std::string& key = "key",
+                   milliseconds timeout = kCallTimeout) {
     outgoing_request request;
     request.method = http::verb::post;
     request.target = path;
@@ -85,7 +86,7 @@
                        {"Authorization", "Token " + key}};
     request.fresh_connection = true;
     const auto answer = client.Call(settings.listen, request,
-                                    clock::now() + kCallTimeout, yield);
+                                    clock::now() + timeout, yield);
     // No whole answer: status 0.
     return answer ? *answer : http_answer();
   }
@@ -259,6 +260,31 @@
   }
 }
 
+// A balancer with few instances left goes on sending to one that stops.
+TEST_CASE("an instance that stops serves new connections, then refuses") {
+  small_fleet fleet;
+  fleet.settings.drain_grace = milliseconds(200);
+  fleet.settings.drain_limit = milliseconds(3'000);
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.List();
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(fleet.Becomes("/once/x", 200, yield));
+    for (const auto& runner : fleet.engines)
+      runner->SetFault(runner_fault::kSilent);
+    // A request in progress keeps the process alive.
+    Spawn(fleet.io, "held", [&fleet](asio::yield_context inner) {
+      fleet.Call("/fixed/x", "held", inner, "key", milliseconds(1'800));
+    });
+    Sleep(fleet.io, milliseconds(50), yield);
+    fleet.gateway->Stop();
+    Sleep(fleet.io, milliseconds(400), yield);
+    CHECK(fleet.Call("/once/x", "late", yield).status == 200);
+    Sleep(fleet.io, milliseconds(1'100), yield);
+    CHECK(fleet.Call("/once/x", "later", yield).status == 503);
+    Sleep(fleet.io, milliseconds(400), yield);
+  });
+}
+
 TEST_CASE("a store that is away takes nothing from the fleet") {
   small_fleet fleet;
   fleet.store.Put("op/config", testing::ConfigDocument(1));
