Instances that do not watch read a new configuration from the registry

Change: the configuration is read from the registry, from a peer only when the registry does not answer.

--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -395,22 +395,43 @@
   // The registry's own answer is usually under way.
   if (!behind_since_ || now - *behind_since_ > kPullTimeout)
     behind_since_ = now;
-  // Whoever does not watch hears of a new configuration only so.
   const bool new_config =
       message.config_number > (config_ ? config_->version() : 0);
-  if (now - *behind_since_ < kPeerLead && !(new_config && !IsWatcher()))
+  // Whoever does not watch hears of a new configuration only so.
+  const bool waits = !new_config || IsWatcher();
+  if (waits && now - *behind_since_ < kPeerLead)
     return;
   if (pulling_ || now - last_pull_ < kPullPeriod)
     return;
   pulling_ = true;
   last_pull_ = now;
   Spawn(runtime_.io, "catalog_pull",
-        [this, peer = message.sender.peer_address](asio::yield_context yield) {
-          PullFrom(peer, yield);
+        [this, new_config,
+         peer = message.sender.peer_address](asio::yield_context yield) {
+          if (new_config && failures_ == 0)
+            FetchConfig(peer, yield);
+          else
+            PullFrom(peer, yield);
           pulling_ = false;
         });
 }
 
+void catalog_service::FetchConfig(const std::string& peer,
+                                  asio::yield_context yield) {
+  // The registry has the widest link; a peer that all ask at once does not.
+  const std::int64_t before = config_ ? config_->version() : 0;
+  const auto batch = source_->ReadConfig(yield);
+  bool changed = false;
+  if (batch) {
+    for (const catalog_item& item : batch->items)
+      changed = ApplyConfig(item, "registry") || changed;
+  }
+  if (changed)
+    Notify();
+  if (!config_ || config_->version() <= before)
+    PullFrom(peer, yield);
+}
+
 void catalog_service::PullFrom(const std::string& peer,
                                asio::yield_context yield) {
   const auto answer =
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -78,6 +78,8 @@
   void ConfirmIfDue(time_point now);
   void Confirm(asio::yield_context yield);
   void RecordConfirmation(time_point at);
+  // Takes a newer configuration from the registry, or else from `peer`.
+  void FetchConfig(const std::string& peer, asio::yield_context yield);
   void PullFrom(const std::string& peer, asio::yield_context yield);
   void Notify();
 
--- a/src/relay/catalog_source.h
+++ b/src/relay/catalog_source.h
@@ -53,6 +53,9 @@
   //     reach back to `revision`, so that all must be read.
   virtual result<catalog_batch> WaitForChanges(std::int64_t revision,
                                                asio::yield_context yield) = 0;
+  // The configuration alone; an empty batch when there is none.
+  // @return kStoreUnavailable.
+  virtual result<catalog_batch> ReadConfig(asio::yield_context yield) = 0;
   // The registry's present revision. @return kStoreUnavailable.
   virtual result<std::int64_t> ReadRevision(asio::yield_context yield) = 0;
 
