--- a/fuzz/fuzz_parsers.cc
+++ b/fuzz/fuzz_parsers.cc
@@ -7,12 +7,12 @@
 #include "cactusward/claim_index.h"
 #include "cactusward/config.h"
 #include "cactusward/membership.h"
+#include "src/daemon/settings.h"
 #include "src/edges/etcd_store.h"
 #include "src/edges/json.h"
 #include "src/formats/completion_format.h"
-#include "src/daemon/settings.h"
-#include "src/services/upstream_directory.h"
 #include "src/kernel/base64.h"
+#include "src/services/upstream_directory.h"
 
 namespace {
 
--- a/include/cactusward/event_stream.h
+++ b/include/cactusward/event_stream.h
@@ -32,7 +32,7 @@
   // Drops a partial event, so that another stream can go on.
   void Reset() { pending_.clear(); }
 
-  static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+  static constexpr std::size_t kMaxEventBytes = 1024ULL * 1024;
 
  private:
   std::string pending_;
--- a/include/cactusward/forward_config.h
+++ b/include/cactusward/forward_config.h
@@ -86,7 +86,7 @@
 // What a caller may send, and how long it may take.
 struct caller_limits {
   std::uint32_t max_header_bytes = 16 * 1024;
-  std::uint64_t max_body_bytes = 4 * 1024 * 1024;
+  std::uint64_t max_body_bytes = 4ULL * 1024 * 1024;
   milliseconds header_timeout{3'000};
   milliseconds idle_timeout{15'000};
 
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -11,8 +11,8 @@
 
 constexpr std::size_t kMinSecretBytes = 16;
 constexpr int kMaxRetryExtra = 1'000'000;
-constexpr int kMaxWindowSeconds = 3600;
-constexpr int kMillisecondsPerSecond = 1000;
+constexpr std::int64_t kMaxWindowSeconds = 3600;
+constexpr std::int64_t kMillisecondsPerSecond = 1000;
 constexpr std::int64_t kMaxDrainMs = 24LL * 3600 * 1000;
 
 std::string ReadAddress(object_reader& reader, std::string_view name) {
--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -204,6 +204,7 @@
       ranked.begin(), ranked.end(),
       [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<candidate> chosen;
+  chosen.reserve(static_cast<std::size_t>(parts));
   for (int i = 0; i < parts; ++i)
     chosen.push_back(ranked[static_cast<std::size_t>(i)].second);
   return chosen;
--- a/src/services/report_service.h
+++ b/src/services/report_service.h
@@ -27,7 +27,7 @@
   int status = 0;
   error_kind kind = error_kind::kOk;
   int attempts = 0;
-  duration first_token{0};  // zero: there was none
+  duration first_token{0};    // zero: there was none
   duration longest_pause{0};  // between events of a stream
   duration total{0};
   bool good = true;  // met the objective's bound
--- a/tests/unit/formats_test.cc
+++ b/tests/unit/formats_test.cc
@@ -26,6 +26,45 @@
            {{"peers", "0123456789abcdef"}, {"operators", "0123456789abcdef"}}}};
 }
 
+json ValidForwarding() {
+  json settings = ValidSettings();
+  settings.erase("platform");
+  settings["secrets"].erase("operators");
+  settings["seed_hosts"] = {"10.0.0.1:9", "nowhere"};
+  settings["forwarding"] = {{"protocol", "platform"},
+                            {"readiness_listen", "127.0.0.1:5"},
+                            {"metrics_listen", "127.0.0.1:6"},
+                            {"registry", "127.0.0.1:7"},
+                            {"retry_ratio", 0.2},
+                            {"retry_window_s", 5}};
+  return settings;
+}
+
+TEST_CASE("settings of forwarding need neither claims nor operators") {
+  const auto settings = ParseSettings(ValidForwarding().dump());
+  REQUIRE(settings);
+  REQUIRE(settings->forwarding);
+  CHECK(settings->forwarding->registry == "127.0.0.1:7");
+  CHECK(settings->forwarding->retries.window == milliseconds(5'000));
+  // Peers are reached at the IP number of a seed and the own peer port.
+  CHECK(settings->seed_peers == std::vector<std::string>{"10.0.0.1:2"});
+  struct row {
+    const char* field;
+    json value;
+  };
+  const row rows[] = {{"registry", "nowhere"},
+                      {"retry_ratio", 2},
+                      {"retry_extra", -1},
+                      {"protocol", ""},
+                      {"unknown", 1}};
+  for (const row& r : rows) {
+    CAPTURE(r.field);
+    json broken = ValidForwarding();
+    broken["forwarding"][r.field] = r.value;
+    CHECK_FALSE(ParseSettings(broken.dump()));
+  }
+}
+
 TEST_CASE("settings are validated field by field") {
   REQUIRE(ParseSettings(ValidSettings().dump()));
   struct row {
--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -85,8 +85,8 @@
                        {"X-Deadline-Ms", "3000"},
                        {"Authorization", "Token " + key}};
     request.fresh_connection = true;
-    const auto answer = client.Call(settings.listen, request,
-                                    clock::now() + timeout, yield);
+    const auto answer =
+        client.Call(settings.listen, request, clock::now() + timeout, yield);
     // No whole answer: status 0.
     return answer ? *answer : http_answer();
   }
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -5,7 +5,7 @@
 git ls-files '*.h' '*.cc' | xargs clang-format --dry-run --Werror
 cmake -S . -B build-lint -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
 # The logging library is compiled into the project, not written by it.
-git ls-files 'src/*.cc' 'tools/*.cc' 'examples/*.cc' |
+git ls-files 'src/*.cc' 'platform/*.cc' 'tools/*.cc' 'examples/*.cc' |
   grep -v '^src/kernel/easylogging.cc$' |
   xargs -P "$(nproc)" -I{} clang-tidy -p build-lint --quiet {} 2>/dev/null
 echo "format and lint are clean"
