Peers follow a reread of the registry by their datagrams

Change: what a reread changes is recorded like a watch's news. Test: an instance that the registry turns away hears from its peers.

--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -1,6 +1,7 @@
 #include "src/relay/catalog_service.h"
 
 #include <algorithm>
+#include <set>
 
 #include "cactusward/hash.h"
 #include "src/kernel/log.h"
@@ -152,6 +153,35 @@
   }
 }
 
+void catalog_service::RecordDifference(const catalog_batch& batch) {
+  std::vector<catalog_item> changes;
+  std::set<std::string> present;
+  for (const catalog_item& item : batch.items) {
+    if (item.kind != catalog_item_kind::kUpstream)
+      continue;
+    present.insert(item.id);
+    if (item.revision > revision_)
+      changes.push_back(item);
+  }
+  for (const auto& [id, raw] : raw_upstreams_) {
+    if (present.count(id) == 0)
+      changes.push_back(
+          {catalog_item_kind::kUpstream, id, batch.revision, std::nullopt});
+  }
+  if (revision_ == 0 || changes.size() > kMaxRecent / 2) {
+    recent_.clear();
+    recent_after_ = batch.revision;
+    return;
+  }
+  std::stable_sort(changes.begin(), changes.end(),
+                   [](const catalog_item& a, const catalog_item& b) {
+                     return a.revision < b.revision;
+                   });
+  for (const catalog_item& item : changes)
+    RecordChange(item);
+  RecordChange({catalog_item_kind::kConfig, {}, batch.revision, std::nullopt});
+}
+
 bool catalog_service::WatchOnce(asio::yield_context yield) {
   const auto batch = source_->WaitForChanges(watched_, yield);
   if (!batch && batch.kind() == error_kind::kNotFound) {
@@ -267,10 +297,9 @@
   }
   if (batch.revision >= revision_) {
     changed = upstreams_.Replace(all, batch.revision, now) || changed;
+    RecordDifference(batch);
     raw_upstreams_ = std::move(raw);
     revision_ = batch.revision;
-    recent_.clear();
-    recent_after_ = revision_;
   }
   Log(log_level::kInfo, "catalog_read",
       {{"origin", origin},
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -59,6 +59,9 @@
   // A few instances watch the registry; the others hear from them.
   bool IsWatcher() const;
   void RecordChange(const catalog_item& item);
+  // Records what `batch` changes, so that peers can follow; forgets earlier
+  // changes when they cannot.
+  void RecordDifference(const catalog_batch& batch);
   // Applies changes that a peer tells of. @return whether they follow on what
   // is known here.
   bool TakeChanges(const gossip_message& message, time_point now);
--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -18,7 +18,7 @@
 constexpr milliseconds kGatherDelay{60};
 // In large fleets the gathering time grows, so that the messages that one
 // instance receives do not.
-constexpr milliseconds kGatherDelayPerPeer{1};
+constexpr milliseconds kGatherDelayPerPeer{2};
 // Peers that one broadcast reaches; the other peers hear of it when chosen
 // the next time.
 constexpr std::size_t kMaxBroadcast = 128;
