Stop test ends before its fleet does

Cause: the silent runner gives up after 2 s, the stopping instance ended then, and the test had expected refusals from 2.7 s on (seen failing once, traced). Change: the time to stop is 3 s again, so that refusals begin at 1.35 s.

--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -264,7 +264,7 @@
 TEST_CASE("an instance that stops serves new connections, then refuses") {
   small_fleet fleet;
   fleet.settings.drain_grace = milliseconds(200);
-  fleet.settings.drain_limit = milliseconds(6'000);
+  fleet.settings.drain_limit = milliseconds(3'000);
   fleet.store.Put("op/config", testing::ConfigDocument(1));
   fleet.List();
   fleet.Run([&](asio::yield_context yield) {
