--- a/fuzz/fuzz_parsers.cc
+++ b/fuzz/fuzz_parsers.cc
@@ -6,7 +6,10 @@
 
 #include "cactusward/claim_index.h"
 #include "cactusward/config.h"
+#include "cactusward/event_stream.h"
 #include "cactusward/membership.h"
+#include "platform/platform_catalog.h"
+#include "platform/platform_protocol.h"
 #include "src/daemon/settings.h"
 #include "src/edges/etcd_store.h"
 #include "src/edges/json.h"
@@ -65,6 +68,40 @@
   ParseLoadMetrics(bytes);
 }
 
+void FuzzPlatformCatalog(std::string_view bytes) {
+  const platform::platform_catalog catalog(nullptr, "127.0.0.1:1");
+  const auto config = catalog.DecodeConfig(std::string(bytes));
+  if (config)
+    (*config)->Match("h", bytes);
+  catalog.DecodeUpstream("id", std::string(bytes));
+}
+
+void FuzzPlatformRequest(std::string_view bytes) {
+  boost::system::error_code error;
+  http::request_parser<http::string_body> parser;
+  parser.put(asio::buffer(bytes.data(), bytes.size()), error);
+  if (error)
+    return;
+  const platform::platform_protocol protocol;
+  const caller_request read = protocol.ReadRequest(parser.get());
+  const http_request sent = protocol.Forwarded(parser.get(), {});
+  Require(sent.target() == parser.get().target());
+  Require(sent["Authorization"].empty());
+  Require(protocol.ReadRequest(sent).attempt_id == read.attempt_id);
+}
+
+// The bytes of whole events are those that came, however they are cut.
+void FuzzEventStream(std::string_view bytes) {
+  event_stream_splitter whole;
+  event_stream_splitter cut;
+  std::vector<stream_event> events;
+  std::vector<stream_event> cut_events;
+  whole.Feed(bytes, &events);
+  for (const char byte : bytes)
+    cut.Feed(std::string_view(&byte, 1), &cut_events);
+  Require(events == cut_events);
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
@@ -73,7 +110,7 @@
     return 0;
   const std::string_view bytes(reinterpret_cast<const char*>(data) + 1,
                                size - 1);
-  constexpr int kParsers = 8;
+  constexpr int kParsers = 11;
   switch (data[0] % kParsers) {
     case 0:
       FuzzGossip(bytes);
@@ -96,6 +133,15 @@
     case 6:
       FuzzList(bytes);
       break;
+    case 7:
+      FuzzPlatformCatalog(bytes);
+      break;
+    case 8:
+      FuzzPlatformRequest(bytes);
+      break;
+    case 9:
+      FuzzEventStream(bytes);
+      break;
     default:
       ParseSettings(bytes);
       DecodeRevision(bytes);
