Part the exchange with an upstream from the path of a request; one bound for broadcasts

Reading as a newcomer: relay_run.cc had two jobs, the bound on broadcasts stood twice, Put had an unused time. No behaviour changes.

--- a/include/cactusward/upstream_catalog.h
+++ b/include/cactusward/upstream_catalog.h
@@ -55,7 +55,7 @@
 
   // Adds or replaces an entry. Older revisions, and earlier lives under the
   // same id, are ignored. @return whether anything changed.
-  bool Put(const upstream_entry& entry, std::int64_t revision, time_point now);
+  bool Put(const upstream_entry& entry, std::int64_t revision);
   // The registry holds no usable entry for `id` any more.
   // @return whether anything changed.
   bool Remove(const std::string& id, std::int64_t revision, time_point now);
--- a/src/forwarding/upstream_catalog.cc
+++ b/src/forwarding/upstream_catalog.cc
@@ -12,10 +12,7 @@
   return last_outage_ && now - *last_outage_ < return_time_;
 }
 
-bool upstream_catalog::Put(const upstream_entry& entry,
-                           std::int64_t revision,
-                           time_point now) {
-  (void)now;
+bool upstream_catalog::Put(const upstream_entry& entry, std::int64_t revision) {
   const auto known = entries_.find(entry.id);
   if (known == entries_.end()) {
     entries_[entry.id] = {entry, revision};
@@ -55,7 +52,7 @@
   std::set<std::string> present;
   for (const registered_upstream& item : all) {
     present.insert(item.entry.id);
-    changed = Put(item.entry, item.revision, now) || changed;
+    changed = Put(item.entry, item.revision) || changed;
   }
   std::vector<std::string> absent;
   for (const auto& [id, held] : entries_) {
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -20,7 +20,6 @@
 constexpr milliseconds kConfirmRetryPause{500};
 // A watch delivers a change within this time after it was made.
 constexpr milliseconds kWatchDelay{120};
-constexpr std::size_t kMaxBroadcast = 128;
 // Instances that watch the registry: enough that one of them is neither cut
 // off nor stopped.
 constexpr std::size_t kWatchers = 3;
@@ -108,7 +107,7 @@
     ApplyAll(*batch, "registry");
   }
   RecordConfirmation(asked_at);
-  membership_->Broadcast(kMaxBroadcast);
+  membership_->Broadcast();
 }
 
 void catalog_service::Run(asio::yield_context yield) {
@@ -255,7 +254,7 @@
     const auto entry = source_->DecodeUpstream(item.id, *item.document);
     if (entry) {
       raw_upstreams_[item.id] = {*item.document, item.revision};
-      const bool changed = upstreams_.Put(*entry, item.revision, now);
+      const bool changed = upstreams_.Put(*entry, item.revision);
       if (changed)
         Log(log_level::kInfo, "upstream_listed",
             {{"upstream", item.id},
@@ -345,7 +344,7 @@
   if (changed)
     Notify();
   if (news)
-    membership_->Broadcast(kMaxBroadcast);
+    membership_->Broadcast();
 }
 
 nlohmann::json catalog_service::Snapshot(std::int64_t known_version) const {
--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -19,9 +19,6 @@
 // In large fleets the gathering time grows, so that the messages that one
 // instance receives do not.
 constexpr milliseconds kGatherDelayPerPeer{2};
-// Peers that one broadcast reaches; the other peers hear of it when chosen
-// the next time.
-constexpr std::size_t kMaxBroadcast = 128;
 // Upstreams told of in one datagram.
 constexpr std::size_t kMaxLoads = 100;
 // At most this share of a service's upstreams is avoided: beyond it the fault
@@ -115,7 +112,7 @@
     if (!changed_)
       return;
     changed_ = false;
-    membership_->Broadcast(kMaxBroadcast);
+    membership_->Broadcast();
   });
 }
 
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -87,7 +87,6 @@
     const relay_demand* demand;
     asio::steady_timer timer;
     std::unique_ptr<relay_place> place;
-    bool done = false;
   };
 
   std::unique_ptr<relay_place> TryPlace(const relay_demand& demand,
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "cactusward/event_stream.h"
 #include "cactusward/forward_config.h"
@@ -72,6 +73,11 @@
                       relay_place& place,
                       time_point sent_at,
                       asio::yield_context yield);
+  // The bytes of events that the caller has not had yet.
+  // @return nothing when one between them is missing.
+  std::optional<std::string> TakeEvents(
+      const std::vector<stream_event>& events);
+  void RecordFirstEvent(relay_place& place, time_point sent_at);
   bool WriteEvents(const http::response_header<>& header,
                    std::string_view bytes,
                    asio::yield_context yield);
--- a/src/services/membership_service.cc
+++ b/src/services/membership_service.cc
@@ -13,6 +13,8 @@
 constexpr milliseconds kTickPeriod{50};
 constexpr milliseconds kGreetPeriod{1'000};
 constexpr std::size_t kSpreadFanOut = 4;
+// Datagrams that one instance sends at a time without dropping its own.
+constexpr std::size_t kMaxBroadcast = 128;
 constexpr int kSuspectSends = 12;
 constexpr std::size_t kMaxSuspectsPerMessage = 8;
 constexpr std::size_t kMaxInFlightPerMessage = 32;
@@ -142,12 +144,12 @@
   Send(std::move(messages));
 }
 
-void membership_service::Broadcast(std::size_t most) {
+void membership_service::Broadcast() {
   // One message serves all: what it carries is the same for each.
   gossip_message message = table_.Compose(gossip_kind::kNews);
   Attach(&message);
   const std::string bytes = EncodeGossip(message);
-  for (const member& peer : table_.RandomPeers(most))
+  for (const member& peer : table_.RandomPeers(kMaxBroadcast))
     socket_.Send(peer.peer_address, bytes);
 }
 
--- a/src/services/membership_service.h
+++ b/src/services/membership_service.h
@@ -44,9 +44,9 @@
   void Attach(peer_news* news) { news_.push_back(news); }
   // Sends what is new to a few random peers at once.
   void SpreadNews();
-  // Sends what is new to up to `most` live peers at once; to random ones when
-  // there are more.
-  void Broadcast(std::size_t most);
+  // Sends what is new to all live peers at once; to random ones of them in
+  // fleets of more than kMaxBroadcast.
+  void Broadcast();
   // Passes on a death blamed on a request.
   void SpreadSuspects(const std::vector<suspect_report>& reports);
   // Tells the fleet that this instance leaves.
--- a/tests/unit/forwarding_test.cc
+++ b/tests/unit/forwarding_test.cc
@@ -231,7 +231,7 @@
   for (const row& r : rows) {
     CAPTURE(r.name);
     upstream_catalog catalog(kReturn);
-    catalog.Put(Entry("a", r.leaving), 1, kStart);
+    catalog.Put(Entry("a", r.leaving), 1);
     if (r.outage_at >= 0)
       catalog.RecordOutage(At(r.outage_at));
     catalog.Remove("a", 2, At(r.removed_at));
@@ -242,29 +242,29 @@
 
 TEST_CASE("an entry that returns in time is not removed") {
   upstream_catalog catalog(milliseconds(2'000));
-  catalog.Put(Entry("a"), 1, kStart);
+  catalog.Put(Entry("a"), 1);
   catalog.RecordOutage(kStart);
   catalog.Remove("a", 2, At(10));
-  catalog.Put(Entry("a"), 3, At(500));
+  catalog.Put(Entry("a"), 3);
   CHECK_FALSE(catalog.Expire(At(10'000)));
   CHECK(catalog.entries().count("a") == 1);
 }
 
 TEST_CASE("neither older revisions nor earlier lives replace an entry") {
   upstream_catalog catalog(milliseconds(2'000));
-  CHECK(catalog.Put(Entry("a", true), 5, kStart));
-  CHECK_FALSE(catalog.Put(Entry("a", false), 4, kStart));
+  CHECK(catalog.Put(Entry("a", true), 5));
+  CHECK_FALSE(catalog.Put(Entry("a", false), 4));
   upstream_entry earlier = Entry("a", false);
   earlier.started_at_ms = 500;
-  CHECK_FALSE(catalog.Put(earlier, 6, kStart));
+  CHECK_FALSE(catalog.Put(earlier, 6));
   CHECK(catalog.entries().at("a").entry.leaving);
   CHECK_FALSE(catalog.Remove("a", 4, kStart));
 }
 
 TEST_CASE("a list replaces what it does not hold") {
   upstream_catalog catalog(milliseconds(2'000));
-  catalog.Put(Entry("a"), 1, kStart);
-  catalog.Put(Entry("b"), 2, kStart);
+  catalog.Put(Entry("a"), 1);
+  catalog.Put(Entry("b"), 2);
   CHECK(catalog.Replace({{Entry("b"), 2}, {Entry("c"), 3}}, 3, kStart));
   CHECK(catalog.entries().size() == 2);
   CHECK(catalog.entries().count("a") == 0);
