--- a/src/edges/http_server.cc
+++ b/src/edges/http_server.cc
@@ -133,33 +133,16 @@
   headers_.emplace_back(std::move(name), std::move(value));
 }
 
-void http_exchange::PrepareHeader(http::response_header<>* header,
-                                  int status,
-                                  std::string_view content_type) {
-  header->result(static_cast<unsigned>(status));
-  header->version(request_.version());
-  header->set(http::field::content_type, ToBeast(content_type));
-  for (const auto& [name, value] : headers_)
-    header->set(name, value);
-  status_ = status;
-  answered_ = true;
-}
-
 bool http_exchange::Answer(int status,
                            std::string_view content_type,
                            std::string body,
                            time_point deadline,
                            asio::yield_context yield) {
   http::response<http::string_body> response;
-  PrepareHeader(&response, status, content_type);
+  response.result(static_cast<unsigned>(status));
+  response.set(http::field::content_type, ToBeast(content_type));
   response.body() = std::move(body);
-  response.keep_alive(!close_);
-  response.prepare_payload();
-  deadline_guard guard(socket_, deadline);
-  boost::system::error_code error;
-  http::async_write(*socket_, response, yield[error]);
-  failed_ = failed_ || error;
-  return !error;
+  return AnswerWith(std::move(response), deadline, yield);
 }
 
 bool http_exchange::AnswerWith(http::response<http::string_body> response,
@@ -227,16 +210,9 @@
                                 time_point deadline,
                                 asio::yield_context yield) {
   http::response<http::empty_body> response;
-  PrepareHeader(&response, status, content_type);
-  response.keep_alive(!close_);
-  response.chunked(true);
-  streaming_ = true;
-  http::response_serializer<http::empty_body> serializer(response);
-  deadline_guard guard(socket_, deadline);
-  boost::system::error_code error;
-  http::async_write_header(*socket_, serializer, yield[error]);
-  failed_ = failed_ || error;
-  return !error;
+  response.result(static_cast<unsigned>(status));
+  response.set(http::field::content_type, ToBeast(content_type));
+  return BeginStreamWith(std::move(response), deadline, yield);
 }
 
 bool http_exchange::WriteChunk(std::string_view bytes,
--- a/src/edges/http_server.h
+++ b/src/edges/http_server.h
@@ -92,9 +92,6 @@
     std::function<void()> handler;
   };
   void StartWatch();
-  void PrepareHeader(http::response_header<>* header,
-                     int status,
-                     std::string_view content_type);
 
   tcp::socket* socket_;
   http_request request_;
