A broken connection is looked into until it shows life or death

Its logs show that instance-1 got no death on record for the first runner: the connection broke, the probe that follows went to a port which the ending process still held, was accepted and reset, and a probe that breaks was taken for neither life nor death, so nothing was recorded. The prompt then ended a second runner as its first known death, and a third one.

Change: the probe after a broken connection is repeated until it is answered or refused, for 300 ms at most, and an undecided one is logged.

Ruled out: the spread of reports between instances (all three had them within 7 ms), the wait for an explanation (it ran its 300 ms), the budget of repeats.

--- a/src/model/runner_standin.cc
+++ b/src/model/runner_standin.cc
@@ -12,6 +12,7 @@
 constexpr std::chrono::hours kForever{24};
 constexpr milliseconds kWriteTimeout{60'000};
 constexpr int kCutAfterTokens = 3;
+constexpr int kCrashStatus = 70;
 constexpr std::size_t kBlockBytes = 1024;
 
 std::string TextOf(const json& body, bool chat) {
@@ -104,6 +105,8 @@
 
 void runner_standin::Handle(http_exchange& exchange,
                             asio::yield_context yield) {
+  if (crashing_)
+    return exchange.Abort();
   const std::string path(exchange.Path());
   exchange.SetHeader("endpoint-load-metrics", LoadMetrics());
   if (path == "/v1/completions" || path == "/v1/chat/completions") {
@@ -154,7 +157,7 @@
   const std::string text = TextOf(*body, chat);
   if (!settings_.crash_marker.empty() &&
       text.find(settings_.crash_marker) != std::string::npos)
-    std::_Exit(70);
+    return Crash(exchange);
   const std::string request_id(exchange.Header("X-Request-Id"));
   ++runs_[request_id];
   engine_request request;
@@ -174,11 +177,28 @@
   });
   Stream(exchange, state, chat, (chat ? "chatcmpl-" : "cmpl-") + request_id,
          request.prompt_tokens, yield);
+  if (crashing_)
+    exchange.Abort();
   exchange.OnHangUp({});
   generations_.erase(request.id);
   engine_.Cancel(request.id);
 }
 
+void runner_standin::Crash(http_exchange& exchange) {
+  if (settings_.crash_linger == milliseconds(0))
+    std::_Exit(kCrashStatus);
+  crashing_ = true;
+  for (const auto& [id, open] : generations_) {
+    open->gone = true;
+    open->timer.cancel();
+  }
+  exchange.Abort();
+  Spawn(io_, "crash", [this](asio::yield_context yield) {
+    Sleep(io_, settings_.crash_linger, yield);
+    std::_Exit(kCrashStatus);
+  });
+}
+
 std::string runner_standin::EventOf(const std::string& id,
                                     bool chat,
                                     const std::string& text,
--- a/src/model/runner_standin.h
+++ b/src/model/runner_standin.h
@@ -19,6 +19,9 @@
   milliseconds report_lag{100};
   // A prompt that contains this text ends the process; empty: none does.
   std::string crash_marker;
+  // How long the port of a process that ends still takes connections and
+  // resets them.
+  milliseconds crash_linger{0};
 };
 
 // Faults, each for a number of coming requests.
@@ -61,6 +64,8 @@
               const std::string& id,
               std::int64_t prompt_tokens,
               asio::yield_context yield);
+  // Ends the process, slowly if the settings say so.
+  void Crash(http_exchange& exchange);
   void Control(http_exchange& exchange, asio::yield_context yield);
   void RunEngine(asio::yield_context yield);
   std::string LoadMetrics();
@@ -79,6 +84,7 @@
   std::deque<lagged_load> history_;
   asio::steady_timer work_;
   std::uint64_t next_id_ = 1;
+  bool crashing_ = false;
 };
 
 }  // namespace cactusward::model
--- a/src/services/upstream_directory.cc
+++ b/src/services/upstream_directory.cc
@@ -15,7 +15,10 @@
 constexpr milliseconds kListTimeout{2'000};
 constexpr milliseconds kProbeTick{100};
 constexpr milliseconds kProbeTimeout{1'000};
+// How long a broken connection is looked into: as long as a retry waits for
+// its verdict (recovery_service.cc).
 constexpr milliseconds kBrokenProbeTimeout{300};
+constexpr milliseconds kBrokenProbePause{10};
 // An upstream with requests of this instance is probed when silent this long.
 constexpr milliseconds kSilence{700};
 constexpr milliseconds kUnreachablePeriod{500};
@@ -207,15 +210,25 @@
   outgoing_request request;
   request.target = "/health";
   request.fresh_connection = true;
-  const auto answer = runtime_.client.Call(
-      address, request, clock::now() + kBrokenProbeTimeout, yield);
-  if (answer) {
-    RecordAnswer(pool, address, answer->load_metrics);
-    return;
+  const time_point limit = clock::now() + kBrokenProbeTimeout;
+  while (clock::now() < limit) {
+    const auto answer = runtime_.client.Call(address, request, limit, yield);
+    if (answer) {
+      RecordAnswer(pool, address, answer->load_metrics);
+      return;
+    }
+    if (answer.kind() == error_kind::kUpstreamUnreachable) {
+      MarkUnreachable(pool, address, true);
+      return;
+    }
+    // A process that ends closes its connections before its port: one that
+    // breaks shows neither life nor death.
+    Sleep(runtime_.io, kBrokenProbePause, yield);
   }
-  if (answer.kind() != error_kind::kUpstreamUnreachable)
-    return;
-  MarkUnreachable(pool, address, true);
+  Log(log_level::kWarning, "upstream_undecided",
+      {{"upstream", address},
+       {"after_ms", kBrokenProbeTimeout.count()},
+       {"outcome", "its connections break; no death is recorded"}});
 }
 
 std::uint64_t upstream_directory::Begin(upstream_pool* pool,
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -110,6 +110,9 @@
   if options.crash_marker then
     arguments[#arguments + 1] = "--crash_marker=" .. options.crash_marker
   end
+  if options.crash_linger_ms then
+    arguments[#arguments + 1] = "--crash_linger_ms=" .. options.crash_linger_ms
+  end
   if options.kv_capacity then
     arguments[#arguments + 1] = "--kv_capacity=" .. options.kv_capacity
   end
--- a/tools/cactusward_standin.cc
+++ b/tools/cactusward_standin.cc
@@ -31,6 +31,10 @@
           crash_marker,
           "",
           "text whose presence in a prompt ends the process (runner)");
+ABSL_FLAG(int,
+          crash_linger_ms,
+          0,
+          "how long the port of a runner that ends resets connections");
 ABSL_FLAG(int, report_lag_ms, 100, "lag of load reports (runner)");
 ABSL_FLAG(int, run_time_ms, 10, "duration of a call (service)");
 ABSL_FLAG(int, list_lag_ms, 500, "lag of the instance list (platform)");
@@ -47,6 +51,7 @@
   settings.engine.honours_priorities = absl::GetFlag(FLAGS_priorities);
   settings.time_scale = absl::GetFlag(FLAGS_time_scale);
   settings.crash_marker = absl::GetFlag(FLAGS_crash_marker);
+  settings.crash_linger = milliseconds(absl::GetFlag(FLAGS_crash_linger_ms));
   settings.report_lag = milliseconds(absl::GetFlag(FLAGS_report_lag_ms));
   return settings;
 }
