A silent registry no longer holds up what peers know

Change: after half a second without an answer another peer is asked as well, three at most at a time; a registry that failed is not asked for a configuration within the next two seconds.

Stand-ins of store and runners also run as processes now (platform_standin) with their ports in order, no longer drawn at random; relays cut one way, delay, refuse and reset.

--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -45,6 +45,13 @@
 constexpr milliseconds kPullPeriod{400};
 // A snapshot of 200 KB takes 0.1 s at 20 Mbit/s; ten may be asked at once.
 constexpr milliseconds kPullTimeout{1'500};
+// After this time without an answer another peer is asked as well, so that
+// neither a silent registry nor a silent peer uses up the time for a change.
+constexpr milliseconds kPullPatience{500};
+constexpr int kMaxPulls = 3;
+// A registry that failed is not asked for a configuration for as long as an
+// outage is likely to go on; peers are.
+constexpr milliseconds kRegistryDoubt{2'000};
 // Entries removed at once, and their share of all, that no planned change
 // explains: they lapsed while the registry was away.
 constexpr std::size_t kMassRemoval = 3;
@@ -97,6 +104,7 @@
   const time_point asked_at = clock::now();
   const auto newest = source_->ReadRevision(yield);
   if (!newest) {
+    registry_failed_at_ = clock::now();
     confirm_due_ = clock::now() + kConfirmRetryPause;
     return;
   }
@@ -435,18 +443,21 @@
   const bool waits = !new_config || IsWatcher();
   if (waits && now - *behind_since_ < kPeerLead)
     return;
-  if (pulling_ || now - last_pull_ < kPullPeriod)
+  const milliseconds pause = pulls_ == 0 ? kPullPeriod : kPullPatience;
+  if (pulls_ >= kMaxPulls || now - last_pull_ < pause)
     return;
-  pulling_ = true;
+  const bool ask_registry = new_config && pulls_ == 0 && failures_ == 0 &&
+                            now - registry_failed_at_ > kRegistryDoubt;
+  ++pulls_;
   last_pull_ = now;
   Spawn(runtime_.io, "catalog_pull",
-        [this, new_config,
+        [this, ask_registry,
          peer = message.sender.peer_address](asio::yield_context yield) {
-          if (new_config && failures_ == 0)
+          if (ask_registry)
             FetchConfig(peer, yield);
           else
             PullFrom(peer, yield);
-          pulling_ = false;
+          --pulls_;
         });
 }
 
@@ -456,6 +467,8 @@
   const std::int64_t before = config_ ? config_->version() : 0;
   const auto batch = source_->ReadConfig(yield);
   bool changed = false;
+  if (!batch)
+    registry_failed_at_ = clock::now();
   if (batch) {
     for (const catalog_item& item : batch->items)
       changed = ApplyConfig(item, "registry") || changed;
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -100,12 +100,14 @@
   std::int64_t watched_ = 0;
   bool needs_read_ = true;
   int failures_ = 0;
-  bool pulling_ = false;
+  int pulls_ = 0;  // in progress
   bool confirming_ = false;
   // When an instance last heard from the registry that nothing newer exists.
   time_point confirmed_at_{};
   time_point confirm_due_{};
   time_point last_pull_{};
+  // When a read from the registry last failed.
+  time_point registry_failed_at_{};
   std::optional<time_point> behind_since_;
   std::deque<recent_change> recent_;
   // Revision before the first of `recent_`.
--- /dev/null
+++ b/tests/scenarios/platform_fleet.lua
@@ -0,0 +1,143 @@
+-- Builds fleets of real processes that serve the platform's protocol: a store,
+-- runners behind relays, instances with a relay each to the store and to their
+-- peers.
+local base = require("fleet")
+local fleet = { post = base.post, wait = base.wait }
+
+local kKey = "key-for-tests"
+
+local class = {}
+class.__index = class
+
+local function route(name, kind, service, resumable)
+  return { name = name, host = "h", path_prefix = "/" .. name .. "/",
+           kind = kind, service = service, timeout_ms = 3000,
+           target_latency_ms = 300, target_itl_ms = 250, priority = 1,
+           max_attempts = 2, resumable = resumable }
+end
+
+-- A configuration whose version can be told from outside: it has the routes
+-- /r1/ to /r<version>/, of which the last few are kept.
+local kKeptRoutes = 12
+function fleet.config(version)
+  local routes = { __array = true, route("stream", "streaming", "engines", true),
+                   route("fixed", "streaming", "engines", false),
+                   route("once", "non_idempotent", "plain", false),
+                   route("often", "idempotent", "plain", false) }
+  for v = math.max(1, version - kKeptRoutes), version do
+    routes[#routes + 1] = route("r" .. v, "idempotent", "plain", false)
+  end
+  return { version = version, routes = routes, services = {
+      { name = "engines", backend = { slots = 16, kv_capacity = 315000,
+          stride = 51, step_ms = 0.85, read_per_s = 177000, pairs_per_m = 0.184 } },
+      { name = "plain" } },
+    limits = { max_header_bytes = 16384, max_body_bytes = 100000,
+               header_timeout_ms = 3000, idle_timeout_ms = 15000 },
+    tenants = { { name = "org", api_keys = { kKey } } } }
+end
+
+function fleet.request(address, path, id, tokens)
+  return { method = "POST", address = address, path = path, timeout_ms = 20000,
+           headers = { Host = "h", Authorization = "Token " .. kKey,
+                       ["X-Attempt-Id"] = id, ["X-Deadline-Ms"] = "3000",
+                       ["X-Token-Counts"] = (tokens or 1000) .. ",100" } }
+end
+
+function class:store_control(faults)
+  return call{ method = "POST", address = self.store.address, path = "/control",
+               body = to_json(faults) }
+end
+
+function class:put_config(version)
+  return self:store_control{ put = {
+      ["op/config"] = to_json(fleet.config(version)) } }
+end
+
+function class:list(runner, leaving)
+  return self:store_control{ put = { ["servers/" .. runner.id] = to_json{
+      service = runner.service, address = runner.shown, zone = "z", slots = 16,
+      state = leaving and "draining" or "ready", born = 1 } } }
+end
+
+function class:add_runner(service)
+  local n = #self.runners + 1
+  local runner = { id = service .. "-" .. n, service = service,
+                   address = base.address(), shown = base.address(),
+                   record = work .. "/record-" .. n .. ".txt" }
+  runner.relay = relay(runner.shown, runner.address)
+  runner.arguments = { "platform_standin", "--role=runner",
+    "--address=" .. runner.address, "--id=" .. runner.id,
+    "--record=" .. runner.record }
+  write_file(runner.record, "")
+  self.runners[n] = runner
+  self:start(runner)
+end
+
+function class:add_instance()
+  local n = #self.instances + 1
+  local instance = { id = "instance-" .. n, address = base.address(),
+                     peer = base.address(), peer_shown = base.address(),
+                     registry = base.address(), ready = base.address(),
+                     metrics = base.address() }
+  instance.peer_relay = relay(instance.peer_shown, instance.peer)
+  instance.store_relay = relay(instance.registry, self.store.address)
+  self.instances[n] = instance
+end
+
+function class:write_settings(instance)
+  local seeds = { __array = true }
+  for _, other in ipairs(self.instances) do
+    if other ~= instance then seeds[#seeds + 1] = other.peer_shown end
+  end
+  instance.settings = work .. "/" .. instance.id .. ".json"
+  write_file(instance.settings, to_json{
+    instance = instance.id, availability_zone = "z", listen = instance.address,
+    peer_listen = instance.peer, peer_advertise = instance.peer_shown,
+    seed_peers = seeds, drain_grace_ms = 300, drain_limit_ms = 8000,
+    secrets = { peers = "peer-secret-for-tests" },
+    forwarding = { protocol = "platform", readiness_listen = instance.ready,
+      metrics_listen = instance.metrics, registry = instance.registry,
+      retry_ratio = 0.2, retry_extra = 200, retry_window_s = 10,
+      max_reservation_ms = 20000 } })
+  instance.arguments = { "cactuswardd", "--settings=" .. instance.settings }
+end
+
+function class:start(process)
+  process.pid = start(process.id, process.arguments)
+  process.paused = false
+end
+
+function class:ready(instance)
+  return call{ address = instance.ready, path = "/readyz",
+               timeout_ms = 500 }.status == 200
+end
+
+function class:wait_ready(limit_ms)
+  return fleet.wait(limit_ms, function()
+    for _, instance in ipairs(self.instances) do
+      if not self:ready(instance) then return false end
+    end
+    return true
+  end)
+end
+
+function fleet.start(options)
+  local self = setmetatable({ runners = {}, instances = {} }, class)
+  self.store = { id = "store", address = base.address() }
+  self.store.arguments = { "platform_standin", "--role=store",
+                           "--address=" .. self.store.address }
+  self:start(self.store)
+  for _ = 1, options.engines do self:add_runner("engines") end
+  for _ = 1, options.plain do self:add_runner("plain") end
+  for _ = 1, options.instances do self:add_instance() end
+  for _, instance in ipairs(self.instances) do
+    self:write_settings(instance)
+    self:start(instance)
+  end
+  fleet.wait(5000, function() return self:put_config(1).status == 200 end)
+  for _, runner in ipairs(self.runners) do self:list(runner) end
+  check(self:wait_ready(20000), "the fleet becomes ready")
+  return self
+end
+
+return fleet
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -1,7 +1,5 @@
 #include "tests/support/platform_fakes.h"
 
-#include <random>
-
 #include "src/edges/json.h"
 #include "src/kernel/base64.h"
 
@@ -12,15 +10,10 @@
 
 constexpr milliseconds kAnswerTimeout{2'000};
 constexpr milliseconds kWatchPoll{10};
+// Below the ports that the system gives to outgoing connections.
 constexpr int kFirstPort = 20'000;
-constexpr int kPorts = 20'000;
-constexpr int kTries = 200;
-
-std::string RandomAddress() {
-  static std::mt19937 random{std::random_device{}()};
-  return "127.0.0.1:" +
-         std::to_string(kFirstPort + static_cast<int>(random() % kPorts));
-}
+constexpr int kPorts = 12'000;
+constexpr std::int64_t kRunnerTokens = 315'000;
 
 http_server_limits Limits() {
   return {};
@@ -36,19 +29,12 @@
 
 }  // namespace
 
-std::string ListenAnywhere(http_server* server) {
-  for (int i = 0; i < kTries; ++i) {
-    const std::string address = RandomAddress();
-    if (server->Listen(address))
-      return address;
-  }
-  return {};
-}
-
 std::string FreeAddress() {
+  static int next = 0;
   asio::io_context io;
-  for (int i = 0; i < kTries; ++i) {
-    const std::string address = RandomAddress();
+  for (int i = 0; i < kPorts; ++i) {
+    const std::string address =
+        "127.0.0.1:" + std::to_string(kFirstPort + next++ % kPorts);
     tcp::acceptor acceptor(io);
     boost::system::error_code error;
     acceptor.open(tcp::v4(), error);
@@ -59,10 +45,28 @@
   return {};
 }
 
-store_fake::store_fake(asio::io_context& io)
-    : io_(io),
-      server_(io, this, Limits()),
-      address_(ListenAnywhere(&server_)) {}
+std::optional<runner_fault> ParseRunnerFault(std::string_view name) {
+  static const std::map<std::string_view, runner_fault> faults = {
+      {"none", runner_fault::kNone},
+      {"refuses", runner_fault::kRefuses},
+      {"wrong_instance", runner_fault::kWrongInstance},
+      {"breaks_at_start", runner_fault::kBreaksAtStart},
+      {"breaks_midway", runner_fault::kBreaksMidway},
+      {"unsigned", runner_fault::kUnsigned},
+      {"crossed", runner_fault::kCrossed},
+      {"fails", runner_fault::kFails},
+      {"silent", runner_fault::kSilent}};
+  const auto found = faults.find(name);
+  if (found == faults.end())
+    return std::nullopt;
+  return found->second;
+}
+
+store_fake::store_fake(asio::io_context& io, std::string address)
+    : io_(io), address_(std::move(address)), server_(io, this, Limits()) {
+  if (!server_.Listen(address_))
+    address_.clear();
+}
 
 void store_fake::Put(const std::string& key, const std::string& value) {
   items_[key] = {value, ++revision_, false};
@@ -89,6 +93,13 @@
 void store_fake::Handle(http_exchange& exchange, asio::yield_context yield) {
   ++calls_;
   const time_point deadline = clock::now() + kAnswerTimeout;
+  if (silent_) {
+    while (silent_ && !exchange.hung_up())
+      Sleep(io_, kWatchPoll, yield);
+    if (exchange.hung_up() && exchange.Path() != "/kv-watch")
+      ++abandoned_reads_;
+    return exchange.Abort();
+  }
   if (down_) {
     exchange.AnswerWith(Answer(503, "{}"), deadline, yield);
     return;
@@ -140,11 +151,59 @@
   exchange.Abort();
 }
 
-runner_fake::runner_fake(asio::io_context& io, std::string id)
+runner_fake::runner_fake(asio::io_context& io,
+                         std::string id,
+                         std::string address)
     : io_(io),
       id_(std::move(id)),
-      server_(io, this, Limits()),
-      address_(ListenAnywhere(&server_)) {}
+      address_(std::move(address)),
+      server_(io, this, Limits()) {
+  if (!server_.Listen(address_))
+    address_.clear();
+}
+
+runner_fault runner_fake::TakeFault() {
+  if (faulty_requests_ <= 0)
+    return runner_fault::kNone;
+  --faulty_requests_;
+  return fault_;
+}
+
+void runner_fake::Run(const http_exchange& exchange) {
+  ++runs_;
+  if (on_run_)
+    on_run_(exchange.request());
+}
+
+std::int64_t runner_fake::HeldTokens() const {
+  std::int64_t held = 0;
+  for (const auto& [id, hold] : holds_)
+    held += hold.until > clock::now() ? hold.tokens : 0;
+  return held;
+}
+
+void runner_fake::Order(http_exchange& exchange, asio::yield_context yield) {
+  const auto order = ParseJson(exchange.request().body());
+  const time_point deadline = clock::now() + kAnswerTimeout;
+  if (!order || !order->is_object()) {
+    exchange.AnswerWith(Answer(400, "{}"), deadline, yield);
+    return;
+  }
+  const std::string id = order->value("id", "");
+  if (order->value("operation", "") == "release") {
+    holds_.erase(id);
+  } else {
+    holds_.erase(id);
+    const std::int64_t tokens = order->value("token_count", 0);
+    if (HeldTokens() + tokens > kRunnerTokens) {
+      exchange.AnswerWith(Answer(503, "{}"), deadline, yield);
+      return;
+    }
+    holds_[id] = {tokens,
+                  clock::now() + milliseconds(order->value("hold_ms", 0))};
+  }
+  exchange.AnswerWith(Answer(200, "{}"), deadline, yield);
+}
 
 std::string runner_fake::Entry(const std::string& service, bool leaving) const {
   return WriteJson({{"service", service},
@@ -156,13 +215,16 @@
 }
 
 void runner_fake::Handle(http_exchange& exchange, asio::yield_context yield) {
+  if (exchange.Path() == "/order")
+    return Order(exchange, yield);
   ++arrivals_;
   seen_.push_back(exchange.request());
+  const runner_fault fault = TakeFault();
   const time_point deadline = clock::now() + kAnswerTimeout;
   auto answer = Answer(200, "answer of " + id_);
   answer.set("X-Attempt-Id", std::string(exchange.Header("X-Attempt-Id")));
   answer.set("X-Response-Seal", "seal-" + id_);
-  switch (fault_) {
+  switch (fault) {
     case runner_fault::kRefuses:
       answer = Answer(503, "{}");
       answer.set("X-Not-Executed", "1");
@@ -172,12 +234,12 @@
       exchange.AnswerWith(Answer(421, "{}"), deadline, yield);
       return;
     case runner_fault::kSilent:
-      ++runs_;
+      Run(exchange);
       while (!exchange.hung_up() && clock::now() < deadline)
         Sleep(io_, kWatchPoll, yield);
       return exchange.Abort();
     case runner_fault::kBreaksAtStart:
-      ++runs_;
+      Run(exchange);
       return exchange.Abort();
     case runner_fault::kUnsigned:
       answer.erase("X-Response-Seal");
@@ -192,11 +254,11 @@
     case runner_fault::kNone:
       break;
   }
-  ++runs_;
+  Run(exchange);
   if (exchange.Path().substr(0, 7) == "/stream" ||
       exchange.Path().substr(0, 6) == "/fixed")
-    return Stream(exchange, yield);
-  if (fault_ == runner_fault::kBreaksMidway) {
+    return Stream(exchange, fault, yield);
+  if (fault == runner_fault::kBreaksMidway) {
     http::response<http::empty_body> begin{
         http::response_header<>(answer.base())};
     exchange.BeginStreamWith(begin, deadline, yield);
@@ -206,16 +268,19 @@
   exchange.AnswerWith(answer, deadline, yield);
 }
 
-void runner_fake::Stream(http_exchange& exchange, asio::yield_context yield) {
-  const time_point deadline = clock::now() + kAnswerTimeout;
+void runner_fake::Stream(http_exchange& exchange,
+                         runner_fault fault,
+                         asio::yield_context yield) {
+  const time_point deadline =
+      clock::now() + kAnswerTimeout + kEvents * event_pause_;
   http::response<http::empty_body> begin;
   begin.set(http::field::content_type, "text/event-stream");
-  begin.set("X-Attempt-Id", fault_ == runner_fault::kCrossed
+  begin.set("X-Attempt-Id", fault == runner_fault::kCrossed
                                 ? "another"
                                 : std::string(exchange.Header("X-Attempt-Id")));
-  if (fault_ != runner_fault::kUnsigned)
+  if (fault != runner_fault::kUnsigned)
     begin.set("X-Response-Seal", "seal-" + id_);
-  if (fault_ == runner_fault::kFails)
+  if (fault == runner_fault::kFails)
     begin.result(500);
   exchange.BeginStreamWith(begin, deadline, yield);
   const std::string_view last = exchange.Header("Last-Event-Id");
@@ -223,11 +288,13 @@
   for (int i = first; i <= kEvents; ++i) {
     const std::string event =
         "id: " + std::to_string(i) + "\ndata: " + std::to_string(i) + "\n\n";
-    if (fault_ == runner_fault::kBreaksMidway && i == 3) {
+    if (fault == runner_fault::kBreaksMidway && i == 3) {
       exchange.WriteChunk(event.substr(0, 4), deadline, yield);
       return exchange.Abort();
     }
     exchange.WriteChunk(event, deadline, yield);
+    if (event_pause_ > milliseconds(0))
+      Sleep(io_, event_pause_, yield);
   }
   exchange.EndStream(deadline, yield);
 }
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -4,8 +4,10 @@
 #define CACTUSWARD_TESTS_SUPPORT_PLATFORM_FAKES_H_
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,16 +15,16 @@
 
 namespace cactusward::testing {
 
-// Listens on a free port of the loopback address.
-// @return the address; empty when there is none.
-std::string ListenAnywhere(http_server* server);
-// A free address of the loopback interface. Another process may take it.
+// A free address of the loopback interface; ports are tried in order. Another
+// process may take it.
 std::string FreeAddress();
 
 // The store: items, a revision, watches; may be down or silent.
 class store_fake : public http_handler {
  public:
-  explicit store_fake(asio::io_context& io);
+  // Listens on `address`.
+  explicit store_fake(asio::io_context& io,
+                      std::string address = FreeAddress());
   const std::string& address() const { return address_; }
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
@@ -30,6 +32,10 @@
   void SetDown(bool down) { down_ = down; }
   // Watches hear of nothing.
   void SetMute(bool mute) { mute_ = mute; }
+  // Takes requests and never answers.
+  void SetSilent(bool silent) { silent_ = silent; }
+  // Reads, not watches, that callers gave up while the store was silent.
+  int abandoned_reads() const { return abandoned_reads_; }
   // Forgets which changes led here; watches are cut.
   void Compact();
   int calls() const { return calls_; }
@@ -46,13 +52,15 @@
   void Watch(http_exchange& exchange, asio::yield_context yield);
 
   asio::io_context& io_;
-  http_server server_;
   std::string address_;
+  http_server server_;
   std::map<std::string, item> items_;
   std::int64_t revision_ = 1;
   std::int64_t compacted_ = 0;
   bool down_ = false;
   bool mute_ = false;
+  bool silent_ = false;
+  int abandoned_reads_ = 0;
   int calls_ = 0;
 };
 
@@ -68,16 +76,34 @@
   kFails,          // 500 of its own
   kSilent,         // runs it, says nothing
 };
+// @return nothing for a name that is no fault's.
+std::optional<runner_fault> ParseRunnerFault(std::string_view name);
 
 // A runner that counts what it ran.
 class runner_fake : public http_handler {
  public:
-  runner_fake(asio::io_context& io, std::string id);
+  // Listens on `address`.
+  runner_fake(asio::io_context& io,
+              std::string id,
+              std::string address = FreeAddress());
   const std::string& address() const { return address_; }
   const std::string& id() const { return id_; }
   // The store's entry of this runner.
   std::string Entry(const std::string& service, bool leaving = false) const;
-  void SetFault(runner_fault fault) { fault_ = fault; }
+  // Has the fault for the next `requests` requests.
+  void SetFault(runner_fault fault,
+                int requests = std::numeric_limits<int>::max()) {
+    fault_ = fault;
+    faulty_requests_ = requests;
+  }
+  // Called before a request runs.
+  void OnRun(std::function<void(const http_request&)> hook) {
+    on_run_ = std::move(hook);
+  }
+  // Time between the events of a stream.
+  void SetEventPause(milliseconds pause) { event_pause_ = pause; }
+  // Memory held for reservations, in tokens.
+  std::int64_t HeldTokens() const;
   // Events of a stream that it sends whole.
   static constexpr int kEvents = 5;
   int runs() const { return runs_; }
@@ -88,13 +114,26 @@
   void Handle(http_exchange& exchange, asio::yield_context yield) override;
 
  private:
-  void Stream(http_exchange& exchange, asio::yield_context yield);
+  struct hold {
+    std::int64_t tokens = 0;
+    time_point until;
+  };
+  runner_fault TakeFault();
+  void Run(const http_exchange& exchange);
+  void Order(http_exchange& exchange, asio::yield_context yield);
+  void Stream(http_exchange& exchange,
+              runner_fault fault,
+              asio::yield_context yield);
 
   asio::io_context& io_;
   std::string id_;
-  http_server server_;
   std::string address_;
+  http_server server_;
   runner_fault fault_ = runner_fault::kNone;
+  int faulty_requests_ = 0;
+  std::function<void(const http_request&)> on_run_;
+  milliseconds event_pause_{0};
+  std::map<std::string, hold> holds_;  // by the reservation's id
   int runs_ = 0;
   int arrivals_ = 0;
   std::vector<http_request> seen_;
--- /dev/null
+++ b/tests/support/platform_standin.cc
@@ -0,0 +1,152 @@
+// The stand-ins of the platform's store and runners as processes.
+//
+//   platform_standin --role=store --address=IP:PORT
+//   platform_standin --role=runner --address=IP:PORT --id=NAME --record=FILE
+//
+// A runner writes the id of each request to the record before it runs it, so
+// that the record outlives the process. POST /control:
+//   store:  {"put": {key: value}, "remove": [key], "down": bool, "mute": bool,
+//            "slow_ms": n, "compact": true}
+//   runner: {"fault": name, "requests": n}
+// GET /held of a runner answers the tokens held for reservations.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <fstream>
+#include <iostream>
+
+#include "src/edges/json.h"
+#include "src/kernel/log.h"
+#include "tests/support/platform_fakes.h"
+
+ABSL_FLAG(std::string, role, "", "store or runner");
+ABSL_FLAG(std::string, address, "", "address to listen on");
+ABSL_FLAG(std::string, id, "", "the runner's id");
+ABSL_FLAG(std::string, record, "", "file for the ids of requests that ran");
+ABSL_FLAG(int, event_pause_ms, 30, "time between events of a stream");
+
+namespace cactusward::testing {
+namespace {
+
+constexpr int kExitUsage = 2;
+constexpr int kExitNoAddress = 4;
+
+class store_process : public http_handler {
+ public:
+  store_process(asio::io_context& io, const std::string& address)
+      : io_(io), store_(io), server_(io, this, {}) {
+    listens_ = server_.Listen(address);
+  }
+  bool listens() const { return listens_; }
+
+  void Handle(http_exchange& exchange, asio::yield_context yield) override {
+    if (exchange.Path() == "/control")
+      return Control(exchange, yield);
+    if (slow_ > milliseconds(0))
+      Sleep(io_, slow_, yield);
+    store_.Handle(exchange, yield);
+  }
+
+ private:
+  void Control(http_exchange& exchange, asio::yield_context yield) {
+    const auto body = ParseJson(exchange.request().body());
+    if (!body || !body->is_object()) {
+      exchange.AnswerError(error_kind::kBadRequest, {}, yield);
+      return;
+    }
+    const auto put = body->value("put", nlohmann::json::object());
+    for (const auto& [key, value] : put.items())
+      store_.Put(key, value.get<std::string>());
+    for (const auto& key : body->value("remove", nlohmann::json::array()))
+      store_.Remove(key.get<std::string>());
+    if (body->contains("down"))
+      store_.SetDown(body->value("down", false));
+    if (body->contains("mute"))
+      store_.SetMute(body->value("mute", false));
+    if (body->value("compact", false))
+      store_.Compact();
+    slow_ = milliseconds(body->value("slow_ms", slow_.count()));
+    exchange.AnswerJson({{"ok", true}}, yield);
+  }
+
+  asio::io_context& io_;
+  store_fake store_;
+  http_server server_;
+  milliseconds slow_{0};
+  bool listens_ = false;
+};
+
+class runner_process : public http_handler {
+ public:
+  runner_process(asio::io_context& io, const std::string& address)
+      : runner_(io, absl::GetFlag(FLAGS_id)),
+        server_(io, this, {}),
+        record_(absl::GetFlag(FLAGS_record), std::ios::app) {
+    runner_.SetEventPause(milliseconds(absl::GetFlag(FLAGS_event_pause_ms)));
+    runner_.OnRun([this](const http_request& request) {
+      record_ << request["X-Attempt-Id"] << '\n' << std::flush;
+    });
+    listens_ = server_.Listen(address);
+  }
+  bool listens() const { return listens_; }
+
+  void Handle(http_exchange& exchange, asio::yield_context yield) override {
+    if (exchange.Path() == "/held") {
+      exchange.AnswerJson({{"tokens", runner_.HeldTokens()}}, yield);
+    } else if (exchange.Path() != "/control") {
+      runner_.Handle(exchange, yield);
+    } else {
+      Control(exchange, yield);
+    }
+  }
+
+ private:
+  void Control(http_exchange& exchange, asio::yield_context yield) {
+    const auto body = ParseJson(exchange.request().body());
+    const auto fault = body && body->is_object()
+                           ? ParseRunnerFault(body->value("fault", ""))
+                           : std::nullopt;
+    if (!fault) {
+      exchange.AnswerError(error_kind::kBadRequest, {}, yield);
+      return;
+    }
+    runner_.SetFault(*fault, body->value("requests", 1));
+    exchange.AnswerJson({{"ok", true}}, yield);
+  }
+
+  runner_fake runner_;
+  http_server server_;
+  std::ofstream record_;
+  bool listens_ = false;
+};
+
+template <typename Process>
+int Serve() {
+  asio::io_context io(1);
+  const std::string address = absl::GetFlag(FLAGS_address);
+  Process process(io, address);
+  if (!process.listens()) {
+    std::cerr << "cannot listen on " << address << '\n';
+    return kExitNoAddress;
+  }
+  io.run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace cactusward::testing
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "Stand-ins of the platform's store and runners.");
+  absl::ParseCommandLine(argc, argv);
+  const std::string role = absl::GetFlag(FLAGS_role);
+  cactusward::InitLog("standin-" + role, cactusward::log_level::kWarning);
+  if (role == "store")
+    return cactusward::testing::Serve<cactusward::testing::store_process>();
+  if (role == "runner")
+    return cactusward::testing::Serve<cactusward::testing::runner_process>();
+  std::cerr << "--role must be store or runner\n";
+  return cactusward::testing::kExitUsage;
+}
--- a/tests/support/relay.cc
+++ b/tests/support/relay.cc
@@ -1,5 +1,6 @@
 #include "tests/support/relay.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 
 namespace cactusward::test {
@@ -8,6 +9,13 @@
 constexpr milliseconds kCutPoll{10};
 constexpr std::size_t kBufferBytes = 64 * 1024;
 
+// Closes the connection as one that its peer lost.
+void ResetSocket(tcp::socket* socket) {
+  boost::system::error_code ignored;
+  socket->set_option(asio::socket_base::linger(true, 0), ignored);
+  socket->close(ignored);
+}
+
 }  // namespace
 
 relay::relay(asio::io_context& io, std::string listen, std::string target)
@@ -44,31 +52,43 @@
     acceptor_.async_accept(*inner, yield[error]);
     if (error)
       return;
+    if (faults_.refuse) {
+      ResetSocket(inner.get());
+      continue;
+    }
     Spawn(io_, "relay_connection", [this, inner](asio::yield_context y) {
-      while (cut_)
+      while (faults_.cut_to_target)
         Sleep(io_, kCutPoll, y);
       auto outer = std::make_shared<tcp::socket>(io_);
       boost::system::error_code failed;
       outer->async_connect(*ParseTcpEndpoint(target_), y[failed]);
       if (failed)
         return;
+      open_.erase(std::remove_if(open_.begin(), open_.end(),
+                                 [](const auto& w) { return w.expired(); }),
+                  open_.end());
+      open_.emplace_back(inner);
+      open_.emplace_back(outer);
       Spawn(io_, "relay_back", [this, inner, outer](asio::yield_context z) {
-        Pump(outer, inner, z);
+        Pump(outer, inner, &faults_.cut_to_caller, z);
       });
-      Pump(inner, outer, y);
+      Pump(inner, outer, &faults_.cut_to_target, y);
     });
   }
 }
 
 void relay::Pump(std::shared_ptr<tcp::socket> from,
                  std::shared_ptr<tcp::socket> to,
+                 const bool* cut,
                  asio::yield_context yield) {
   std::string buffer(kBufferBytes, '\0');
   boost::system::error_code error;
   while (true) {
     const std::size_t got =
         from->async_read_some(asio::buffer(buffer), yield[error]);
-    while (cut_)
+    if (faults_.delay > milliseconds(0))
+      Sleep(io_, faults_.delay, yield);
+    while (*cut)
       Sleep(io_, kCutPoll, yield);
     if (error)
       break;
@@ -79,6 +99,14 @@
   to->shutdown(tcp::socket::shutdown_send, error);
 }
 
+void relay::Reset() {
+  for (const auto& weak : open_) {
+    if (const auto socket = weak.lock())
+      ResetSocket(socket.get());
+  }
+  open_.clear();
+}
+
 void relay::ReceiveDatagrams(asio::yield_context yield) {
   std::string buffer(kBufferBytes, '\0');
   const auto target = ParseHostPort(target_);
@@ -90,7 +118,7 @@
                                                           sender, yield[error]);
     if (error == asio::error::operation_aborted)
       return;
-    if (!error && !cut_)
+    if (!error && !faults_.cut_to_target)
       datagrams_.send_to(asio::buffer(buffer.data(), got), to, 0, error);
   }
 }
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -6,24 +6,37 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "src/edges/net.h"
 
 namespace cactusward::test {
 
-// Passes TCP connections and datagrams from one address on to another. While
-// cut, bytes wait and datagrams vanish, as with a network that loses all.
+// What a relay does to the traffic that passes.
+struct relay_faults {
+  bool cut_to_target = false;  // bytes wait, datagrams vanish
+  bool cut_to_caller = false;
+  bool refuse = false;  // new connections are reset
+  milliseconds delay{0};
+};
+
+// Passes TCP connections and datagrams from one address on to another. A cut
+// is that of a network that loses all.
 class relay {
  public:
   relay(asio::io_context& io, std::string listen, std::string target);
 
   bool Start();
-  void SetCut(bool cut) { cut_ = cut; }
+  void SetCut(bool cut) { faults_.cut_to_target = faults_.cut_to_caller = cut; }
+  void SetFaults(const relay_faults& faults) { faults_ = faults; }
+  // Resets all connections.
+  void Reset();
 
  private:
   void Accept(asio::yield_context yield);
   void Pump(std::shared_ptr<tcp::socket> from,
             std::shared_ptr<tcp::socket> to,
+            const bool* cut,
             asio::yield_context yield);
   void ReceiveDatagrams(asio::yield_context yield);
 
@@ -32,7 +45,8 @@
   std::string target_;
   tcp::acceptor acceptor_;
   udp::socket datagrams_;
-  bool cut_ = false;
+  relay_faults faults_;
+  std::vector<std::weak_ptr<tcp::socket>> open_;
 };
 
 }  // namespace cactusward::test
--- a/tests/support/scenario_runner.cc
+++ b/tests/support/scenario_runner.cc
@@ -4,11 +4,15 @@
 //
 // Functions that a scenario has, beside Lua's own:
 //   start(name, {program, arguments...}) -> id     program is a name in --bin
-//   signal(id, "KILL"|"TERM"|"STOP"|"CONT")        exited(id) -> code or nil
+//   signal(id, "KILL"|"TERM"|"STOP"|"CONT"|"HUP")  exited(id) -> code or nil
 //   call{method=, address=, path=, body=, headers=, timeout_ms=}
-//       -> {status=, body=, json=, headers=} or {error=}
+//       -> {status=, body=, json=, headers=} or {error=}; with once=true the
+//       request is never sent again when a kept connection breaks, and
+//       reused= tells that it did
 //   begin(same) -> handle      finish(handle) -> same    done(handle) -> bool
 //   relay(listen, target) -> handle      cut(handle, bool)
+//   fault(handle, {cut="to_target"|"to_caller", refuse=, delay_ms=})
+//   reset(handle)                        ends all connections of a relay
 //   raw(address, bytes, ms) -> bytes received   datagram(address, bytes)
 //   sleep(ms)   now() -> ms   write_file(path, text)   read_file(path)
 //   to_json(value)   from_json(text)   sha256(text)   expected(prompt, tokens)
@@ -79,6 +83,25 @@
   }
 }
 
+result<std::unique_ptr<http_stream>> SendOnce(world& world,
+                                              const json& request,
+                                              const outgoing_request& outgoing,
+                                              time_point deadline,
+                                              send_failure* failure,
+                                              asio::yield_context yield) {
+  http::request<http::string_body> message(outgoing.method, outgoing.target,
+                                           11);
+  for (const auto& [name, value] : outgoing.headers)
+    message.set(name, value);
+  message.body() = outgoing.body;
+  message.keep_alive(true);
+  message.prepare_payload();
+  send_options options;
+  options.silence_limit = milliseconds(0);
+  return world.client.Send(request.value("address", ""), std::move(message),
+                           options, deadline, yield, nullptr, failure);
+}
+
 void Perform(world& world,
              const json& request,
              const std::shared_ptr<pending_call>& call,
@@ -95,10 +118,15 @@
   const time_point began = clock::now();
   const time_point deadline = began + timeout;
   call->answer = json::object();
-  const auto stream = world.client.Open(request.value("address", ""), outgoing,
-                                        deadline, yield);
+  send_failure failure;
+  const auto stream =
+      request.value("once", false)
+          ? SendOnce(world, request, outgoing, deadline, &failure, yield)
+          : world.client.Open(request.value("address", ""), outgoing, deadline,
+                              yield);
   if (!stream) {
     call->answer["error"] = AnswerFor(stream.kind()).name;
+    call->answer["reused"] = failure.reused;
   } else {
     std::string body;
     while (true) {
@@ -110,6 +138,9 @@
       body.append(*bytes);
     }
     call->answer["status"] = (*stream)->status();
+    for (const auto& field : (*stream)->header())
+      call->answer["headers"][std::string(field.name_string())] =
+          std::string(field.value());
     call->answer["served_by"] = (*stream)->Header("X-Served-By");
     call->answer["replayed"] = (*stream)->Header("Idempotent-Replayed");
     if (auto parsed = ParseJson(body))
@@ -147,6 +178,7 @@
   const int signal = name == "KILL"   ? SIGKILL
                      : name == "TERM" ? SIGTERM
                      : name == "STOP" ? SIGSTOP
+                     : name == "HUP"  ? SIGHUP
                                       : SIGCONT;
   const auto pid = static_cast<pid_t>(luaL_checkinteger(lua, 1));
   lua_pushboolean(lua, The(lua).processes.Signal(pid, signal) ? 1 : 0);
@@ -214,6 +246,27 @@
   return 0;
 }
 
+int LuaFault(lua_State* lua) {
+  const json wanted = ReadJson(lua, 2);
+  const std::string cut = wanted.value("cut", "");
+  relay_faults faults;
+  faults.cut_to_target = cut == "to_target";
+  faults.cut_to_caller = cut == "to_caller";
+  faults.refuse = wanted.value("refuse", false);
+  faults.delay = milliseconds(wanted.value("delay_ms", 0));
+  The(lua)
+      .relays.at(static_cast<std::size_t>(luaL_checkinteger(lua, 1)))
+      ->SetFaults(faults);
+  return 0;
+}
+
+int LuaReset(lua_State* lua) {
+  The(lua)
+      .relays.at(static_cast<std::size_t>(luaL_checkinteger(lua, 1)))
+      ->Reset();
+  return 0;
+}
+
 std::string BytesAt(lua_State* lua, int index) {
   std::size_t length = 0;
   const char* bytes = luaL_checklstring(lua, index, &length);
@@ -335,6 +388,8 @@
                                 {"call", LuaCall},
                                 {"relay", LuaRelay},
                                 {"cut", LuaCut},
+                                {"fault", LuaFault},
+                                {"reset", LuaReset},
                                 {"raw", LuaRaw},
                                 {"datagram", LuaDatagram},
                                 {"sleep", LuaSleep},
--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -288,19 +288,53 @@
   });
 }
 
+// Settings of one more instance, beside that of `fleet`.
+instance_settings SecondSettings(const small_fleet& fleet,
+                                 const std::string& registry) {
+  instance_settings settings = fleet.settings;
+  settings.instance = "second";
+  settings.listen = testing::FreeAddress();
+  settings.peer_listen = testing::FreeAddress();
+  settings.peer_advertise = settings.peer_listen;
+  settings.seed_peers = {fleet.settings.peer_listen};
+  settings.forwarding->readiness_listen = testing::FreeAddress();
+  settings.forwarding->metrics_listen = testing::FreeAddress();
+  settings.forwarding->registry = registry;
+  return settings;
+}
+
+TEST_CASE("a silent registry does not hold up what peers know") {
+  small_fleet fleet;
+  store_fake silent(fleet.io);
+  for (store_fake* store : {&fleet.store, &silent}) {
+    store->Put("op/config", testing::ConfigDocument(1));
+    for (const auto& runner : fleet.plain)
+      store->Put("servers/" + runner->id(), runner->Entry("plain"));
+  }
+  instance_settings settings = SecondSettings(fleet, silent.address());
+  relay_gateway second(fleet.io, &settings, platform::MakeAdapter);
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(second.Start());
+    std::swap(fleet.settings.listen, settings.listen);
+    REQUIRE(fleet.Becomes("/once/x", 200, yield));
+    silent.SetSilent(true);
+    fleet.store.Put("op/config", testing::ConfigDocument(2, "new"));
+    CHECK(fleet.Becomes("/new/x", 200, yield));
+    // No question to the registry had to be given up first; the store sees
+    // that within some polls.
+    Sleep(fleet.io, kPoll * 5, yield);
+    CHECK(silent.abandoned_reads() == 0);
+    silent.SetSilent(false);
+    Sleep(fleet.io, kPoll * 5, yield);
+  });
+}
+
 TEST_CASE("an instance that the registry turns away hears from its peers") {
   small_fleet fleet;
   fleet.store.Put("op/config", testing::ConfigDocument(1));
   fleet.List();
-  instance_settings cut = fleet.settings;
-  cut.instance = "cut";
-  cut.listen = testing::FreeAddress();
-  cut.peer_listen = testing::FreeAddress();
-  cut.peer_advertise = cut.peer_listen;
-  cut.seed_peers = {fleet.settings.peer_listen};
-  cut.forwarding->readiness_listen = testing::FreeAddress();
-  cut.forwarding->metrics_listen = testing::FreeAddress();
-  cut.forwarding->registry = testing::FreeAddress();  // nobody listens
+  // Nobody listens there.
+  instance_settings cut = SecondSettings(fleet, testing::FreeAddress());
   relay_gateway second(fleet.io, &cut, platform::MakeAdapter);
   fleet.Run([&](asio::yield_context yield) {
     REQUIRE(second.Start());
