The engine that writes reserves its own share of a shared prompt

Change: the first engine's share is reserved too, before the prompt is sent. If it is not free, that is known within a round trip, and other engines are tried.

Test: "the whole memory of a shared prompt is reserved before it is sent", failed before (one reservation of two).

--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -169,7 +169,9 @@
   entry.expected_first_ms = placement->first_event_ms;
   entry.memory_tokens = request.prompt_tokens + request.answer_tokens - held;
   entry.sent_at = now;
-  place->main = {upstreams[placement->engine], 0, fleet_->board().Begin(entry)};
+  place->main = {upstreams[placement->engine],
+                 held > 0 ? entry.memory_tokens : 0,
+                 fleet_->board().Begin(entry)};
   fleet_->LoadChanged(!interactive);
   return place;
 }
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -31,7 +31,7 @@
  public:
   struct part {
     std::shared_ptr<fleet_upstream> upstream;
-    std::int64_t held_tokens = 0;
+    std::int64_t held_tokens = 0;  // to reserve; 0: nothing
     std::uint64_t board_id = 0;
   };
 
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -199,39 +199,58 @@
   return granted;
 }
 
-relay_run::attempt relay_run::RunAttempt(relay_place& place,
-                                         asio::yield_context yield) {
-  ++attempts_;
-  record_.upstream = place.upstream()->entry.id;
-  memory_reservation memory(services_.daemon, services_.protocol);
+result<std::vector<helper_address>> relay_run::Reserve(
+    const relay_place& place,
+    memory_reservation* memory,
+    asio::yield_context yield) {
+  // The first engine's own share is reserved as well: a prompt that waits
+  // there for memory would hold that of the others.
+  std::vector<const relay_place::part*> engines;
+  if (place.main.held_tokens > 0)
+    engines.push_back(&place.main);
+  for (const relay_place::part& helper : place.helpers)
+    engines.push_back(&helper);
   std::vector<memory_reservation::part> parts;
-  for (const relay_place::part& helper : place.helpers) {
-    if (helper.held_tokens > 0)
-      parts.push_back({helper.upstream->entry.address, helper.held_tokens, {}});
+  for (const relay_place::part* engine : engines) {
+    if (engine->held_tokens > 0)
+      parts.push_back(
+          {engine->upstream->entry.address, engine->held_tokens, {}});
   }
   if (!parts.empty()) {
     const std::string name =
         caller_.attempt_id + "-" + std::to_string(attempts_);
-    const auto granted = memory.Acquire(name, parts, end_, yield);
+    const auto granted = memory->Acquire(name, parts, end_, yield);
     if (!granted)
-      return {attempt_end::kNotSent, granted.detail(), false, std::nullopt};
+      return {granted.kind(), granted.detail()};
   }
-  std::vector<helper_address> helpers;
+  std::vector<helper_address> addresses;
   std::size_t reserved = 0;
-  for (const relay_place::part& helper : place.helpers) {
-    helper_address address{helper.upstream->entry.address, {}};
-    if (helper.held_tokens > 0)
-      address.reservation = memory.parts()[reserved++].id;
-    helpers.push_back(std::move(address));
+  for (const relay_place::part* engine : engines) {
+    helper_address address{engine->upstream->entry.address, {}};
+    if (engine->held_tokens > 0)
+      address.reservation = memory->parts()[reserved++].id;
+    addresses.push_back(std::move(address));
   }
+  return addresses;
+}
+
+relay_run::attempt relay_run::RunAttempt(relay_place& place,
+                                         asio::yield_context yield) {
+  ++attempts_;
+  record_.upstream = place.upstream()->entry.id;
+  memory_reservation memory(services_.daemon, services_.protocol);
+  const auto granted = Reserve(place, &memory, yield);
+  if (!granted)
+    return {attempt_end::kNotSent, granted.detail(), false, std::nullopt};
+  const std::vector<helper_address>& helpers = *granted;
   Log(log_level::kInfo, "request_placed",
       {{"request", caller_.attempt_id},
        {"route", route_->name},
        {"config_version", config_->version()},
        {"catalog_revision", services_.catalog.revision()},
        {"upstream", place.upstream()->entry.id},
-       {"helpers", helpers.size()},
-       {"reservations", reserved},
+       {"helpers", place.helpers.size()},
+       {"reservations", memory.parts().size()},
        {"prompt_tokens", caller_.prompt_tokens},
        {"expected_first_ms", place.expected_first_ms},
        {"waited_ms", ToMilliseconds(clock::now() - began_)},
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -12,6 +12,7 @@
 #include "cactusward/forward_config.h"
 #include "cactusward/shared_retry_budget.h"
 #include "src/relay/catalog_service.h"
+#include "src/relay/memory_reservation.h"
 #include "src/relay/relay_dispatcher.h"
 #include "src/relay/relay_protocol.h"
 #include "src/relay/relay_stop.h"
@@ -64,6 +65,11 @@
   error_kind Admit();
   relay_demand Demand() const;
   void RunAttempts(asio::yield_context yield);
+  // Reserves the memory of a prompt that several engines hold.
+  // @return the engines that help, with their reservations.
+  result<std::vector<helper_address>> Reserve(const relay_place& place,
+                                              memory_reservation* memory,
+                                              asio::yield_context yield);
   attempt RunAttempt(relay_place& place, asio::yield_context yield);
   attempt Exchange(relay_place& place,
                    const std::vector<helper_address>& helpers,
--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -1,5 +1,6 @@
 // The whole path in one process: caller, instance, store and runners, with the
 // faults of runners and store.
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "platform/make_adapter.h"
@@ -75,15 +76,17 @@
                    const std::string& attempt,
                    asio::yield_context yield,
                    const std::string& key = "key",
-                   milliseconds timeout = kCallTimeout) {
+                   milliseconds timeout = kCallTimeout,
+                   int prompt_tokens = 1'000) {
     outgoing_request request;
     request.method = http::verb::post;
     request.target = path;
-    request.headers = {{"Host", "h"},
-                       {"X-Attempt-Id", attempt},
-                       {"X-Token-Counts", "1000,100"},
-                       {"X-Deadline-Ms", "3000"},
-                       {"Authorization", "Token " + key}};
+    request.headers = {
+        {"Host", "h"},
+        {"X-Attempt-Id", attempt},
+        {"X-Token-Counts", std::to_string(prompt_tokens) + ",100"},
+        {"X-Deadline-Ms", "3000"},
+        {"Authorization", "Token " + key}};
     request.fresh_connection = true;
     const auto answer =
         client.Call(settings.listen, request, clock::now() + timeout, yield);
@@ -203,6 +206,41 @@
   });
 }
 
+// A configuration whose engines read `tokens_per_second`, and pairs at once.
+std::string QuickEngines(const std::string& tokens_per_second) {
+  std::string config = testing::ConfigDocument(1);
+  for (const auto& [slow, quick] :
+       {std::pair<std::string, std::string>{"\"pairs_per_m\":0.184",
+                                            "\"pairs_per_m\":0.0001"},
+        {"\"read_per_s\":177000.0", "\"read_per_s\":" + tokens_per_second}})
+    config.replace(config.find(slow), slow.size(), quick);
+  return config;
+}
+
+// Pattern: prompts larger than one engine's memory.
+TEST_CASE("the whole memory of a shared prompt is reserved before it is sent") {
+  small_fleet fleet;
+  fleet.store.Put("op/config", QuickEngines("1550000.0"));
+  fleet.List();
+  fleet.Run([&](asio::yield_context yield) {
+    CHECK(fleet.Call("/stream/x", "large", yield, "key", kCallTimeout, 330'000)
+              .status == 200);
+    std::size_t asked = 0;
+    for (const auto& engine : fleet.engines) {
+      for (const http_request& seen : engine->seen()) {
+        ++asked;
+        const std::string helpers(seen["X-Peer-Helpers"]);
+        CHECK(helpers.find(engine->address() + "/large-") == 0);
+        CHECK(std::count(helpers.begin(), helpers.end(), '/') == 2);
+      }
+    }
+    CHECK(asked == 1);
+    Sleep(fleet.io, kSettle, yield);
+    for (const auto& engine : fleet.engines)
+      CHECK(engine->HeldTokens() == 0);
+  });
+}
+
 TEST_CASE("callers are refused by what the configuration allows") {
   small_fleet fleet;
   fleet.List();
