--- /dev/null
+++ b/src/relay/catalog_peers.cc
@@ -0,0 +1,192 @@
+// The catalog's exchange with other instances: changes in datagrams, whole
+// snapshots on request.
+#include <algorithm>
+
+#include "src/kernel/log.h"
+#include "src/relay/catalog_service.h"
+
+namespace cactusward {
+namespace {
+
+// Changes are told to peers for this long; later ones ask for everything.
+constexpr milliseconds kChangeLife{3'000};
+// Bytes of changes in one datagram, so that it is not fragmented.
+constexpr std::size_t kMaxChangeBytes = 900;
+// How long the registry's own news may be behind a peer's before the peer is
+// asked: a watch delivers within some round trips.
+constexpr milliseconds kPeerLead{250};
+// A peer is asked no more often than a configuration storm changes.
+constexpr milliseconds kPullPeriod{400};
+// A snapshot of 200 KB takes 0.1 s at 20 Mbit/s; ten may be asked at once.
+constexpr milliseconds kPullTimeout{1'500};
+// After this time without an answer another peer is asked as well, so that
+// neither a silent registry nor a silent peer uses up the time for a change.
+constexpr milliseconds kPullPatience{500};
+constexpr int kMaxPulls = 3;
+// A registry that failed is not asked for a configuration for as long as an
+// outage is likely to go on; peers are.
+constexpr milliseconds kRegistryDoubt{2'000};
+
+}  // namespace
+
+nlohmann::json catalog_service::Snapshot(std::int64_t known_version) const {
+  nlohmann::json upstreams = nlohmann::json::array();
+  for (const auto& [id, raw] : raw_upstreams_)
+    upstreams.push_back(
+        nlohmann::json::array({id, raw.document, raw.revision}));
+  return {{"revision", revision_},
+          {"config", config_ && config_->version() > known_version
+                         ? config_document_
+                         : std::string()},
+          {"config_revision", config_revision_},
+          {"upstreams", std::move(upstreams)}};
+}
+
+void catalog_service::Fill(gossip_message* message, time_point now) {
+  message->catalog_revision = revision_;
+  message->config_number = config_ ? config_->version() : 0;
+  // The newest changes that fit.
+  std::size_t first = recent_.size();
+  std::size_t bytes = 0;
+  while (first > 0 && now - recent_[first - 1].at < kChangeLife) {
+    const catalog_change& change = recent_[first - 1].change;
+    bytes += change.id.size() + change.document.value_or("").size();
+    if (bytes > kMaxChangeBytes)
+      break;
+    --first;
+  }
+  if (first < recent_.size()) {
+    message->changes_after =
+        first > 0 ? recent_[first - 1].change.revision : recent_after_;
+    for (std::size_t i = first; i < recent_.size(); ++i) {
+      if (!recent_[i].change.id.empty())
+        message->changes.push_back(recent_[i].change);
+    }
+  }
+  message->confirmed_age_ms = confirmed_at_ == time_point()
+                                  ? -1
+                                  : std::chrono::duration_cast<milliseconds>(
+                                        clock::now() - confirmed_at_)
+                                        .count();
+}
+
+bool catalog_service::TakeChanges(const gossip_message& message,
+                                  time_point now) {
+  if (message.changes_after < 0 || message.changes_after > revision_)
+    return false;
+  bool changed = false;
+  for (const catalog_change& change : message.changes) {
+    if (change.revision <= revision_)
+      continue;
+    const catalog_item item{catalog_item_kind::kUpstream, change.id,
+                            change.revision, change.document};
+    changed = ApplyUpstream(item, now) || changed;
+    RecordChange(item);
+  }
+  // What else changed up to there is the configuration's.
+  RecordChange({catalog_item_kind::kConfig, {}, message.catalog_revision, {}});
+  revision_ = message.catalog_revision;
+  if (changed)
+    Notify();
+  return true;
+}
+
+void catalog_service::Take(const gossip_message& message, time_point now) {
+  if (message.catalog_revision > revision_)
+    TakeChanges(message, now);
+  const bool behind =
+      message.catalog_revision > revision_ ||
+      message.config_number > (config_ ? config_->version() : 0);
+  if (!behind) {
+    if (message.catalog_revision == revision_ && message.confirmed_age_ms >= 0)
+      RecordConfirmation(now - milliseconds(message.confirmed_age_ms));
+    return;
+  }
+  // The registry's own answer is usually under way.
+  if (!behind_since_ || now - *behind_since_ > kPullTimeout)
+    behind_since_ = now;
+  const bool new_config =
+      message.config_number > (config_ ? config_->version() : 0);
+  // Whoever does not watch hears of a new configuration only so.
+  const bool waits = !new_config || IsWatcher();
+  if (waits && now - *behind_since_ < kPeerLead)
+    return;
+  const milliseconds pause = pulls_ == 0 ? kPullPeriod : kPullPatience;
+  if (pulls_ >= kMaxPulls || now - last_pull_ < pause)
+    return;
+  const bool ask_registry = new_config && pulls_ == 0 && failures_ == 0 &&
+                            now - registry_failed_at_ > kRegistryDoubt;
+  ++pulls_;
+  last_pull_ = now;
+  Spawn(runtime_.io, "catalog_pull",
+        [this, ask_registry,
+         peer = message.sender.peer_address](asio::yield_context yield) {
+          if (ask_registry)
+            FetchConfig(peer, yield);
+          else
+            PullFrom(peer, yield);
+          --pulls_;
+        });
+}
+
+void catalog_service::FetchConfig(const std::string& peer,
+                                  asio::yield_context yield) {
+  // The registry has the widest link; a peer that all ask at once does not.
+  const std::int64_t before = config_ ? config_->version() : 0;
+  const auto batch = source_->ReadConfig(yield);
+  bool changed = false;
+  if (!batch)
+    registry_failed_at_ = clock::now();
+  if (batch) {
+    for (const catalog_item& item : batch->items)
+      changed = ApplyConfig(item, "registry") || changed;
+  }
+  if (changed)
+    Notify();
+  if (!config_ || config_->version() <= before)
+    PullFrom(peer, yield);
+}
+
+void catalog_service::PullFrom(const std::string& peer,
+                               asio::yield_context yield) {
+  const auto answer =
+      peers_->Call(peer,
+                   {{"op", "catalog_get"},
+                    {"config_version", config_ ? config_->version() : 0}},
+                   clock::now() + kPullTimeout, yield);
+  if (!answer || !answer->is_object()) {
+    Log(log_level::kWarning, "catalog_pull_failed",
+        {{"peer", peer}, {"detail", answer.detail()}});
+    return;
+  }
+  const auto revision = answer->find("revision");
+  const auto config = answer->find("config");
+  const auto config_revision = answer->find("config_revision");
+  const auto upstreams = answer->find("upstreams");
+  if (revision == answer->end() || !revision->is_number_integer() ||
+      config == answer->end() || !config->is_string() ||
+      config_revision == answer->end() ||
+      !config_revision->is_number_integer() || upstreams == answer->end() ||
+      !upstreams->is_array()) {
+    Log(log_level::kWarning, "catalog_pull_malformed", {{"peer", peer}});
+    return;
+  }
+  catalog_batch batch;
+  batch.revision = revision->get<std::int64_t>();
+  if (!config->get_ref<const std::string&>().empty())
+    batch.items.push_back({catalog_item_kind::kConfig, "",
+                           config_revision->get<std::int64_t>(),
+                           config->get<std::string>()});
+  for (const auto& item : *upstreams) {
+    if (!item.is_array() || item.size() != 3 || !item[0].is_string() ||
+        !item[1].is_string() || !item[2].is_number_integer())
+      continue;
+    batch.items.push_back(
+        {catalog_item_kind::kUpstream, item[0].get<std::string>(),
+         item[2].get<std::int64_t>(), item[1].get<std::string>()});
+  }
+  behind_since_.reset();
+  ApplyAll(batch, "peer");
+}
+
+}  // namespace cactusward
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -101,7 +101,7 @@
       (*stream)->Discard();
     return {attempt_end::kNotExecuted,
             "status " + std::to_string((*stream)->status()), false,
-            std::nullopt};
+            std::nullopt, reply.at_fault};
   }
   may_have_run_ = true;
   const bool success = (*stream)->status() / 100 == 2;
--- a/src/relay/relay_protocol.h
+++ b/src/relay/relay_protocol.h
@@ -65,7 +65,7 @@
   bool wrong_upstream = false;  // another upstream has this address now
   bool signed_by_upstream = false;
   bool encoded = false;  // the body is not the upstream's own
-  std::string at_fault;  // the upstream that the failure is put down to
+  std::string at_fault;  // address of the upstream that a failure names
 
   friend bool operator==(const upstream_reply& a, const upstream_reply& b) {
     return a.attempt_id == b.attempt_id && a.not_executed == b.not_executed &&
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -162,7 +162,7 @@
       return Fail(last, yield);
     last = RunAttempt(*place, yield);
     RecordOutcome(*place, last);
-    const std::string upstream = place->upstream()->entry.id;
+    const std::string upstream = Concerned(*place, last)->entry.id;
     place.reset();
     if (last.end == attempt_end::kDone)
       return;
@@ -292,15 +292,29 @@
       });
 }
 
+const std::shared_ptr<fleet_upstream>& relay_run::Concerned(
+    const relay_place& place,
+    const attempt& last) {
+  for (const relay_place::part& helper : place.helpers) {
+    if (helper.upstream->entry.address == last.at_fault)
+      return helper.upstream;
+  }
+  return place.upstream();
+}
+
 void relay_run::RecordOutcome(const relay_place& place, const attempt& last) {
-  const auto& upstream = place.upstream();
+  const auto& upstream = Concerned(place, last);
   const time_point now = clock::now();
   switch (last.end) {
     case attempt_end::kDone:
       upstream->health.Record(exchange_outcome::kAnswered, now);
       break;
     case attempt_end::kNotExecuted:
-      upstream->health.Record(exchange_outcome::kRefused, now);
+      // A helper that is put down as at fault is mostly gone.
+      upstream->health.Record(upstream == place.upstream()
+                                  ? exchange_outcome::kRefused
+                                  : exchange_outcome::kUnreachable,
+                              now);
       break;
     case attempt_end::kFailed:
       upstream->health.Record(exchange_outcome::kFailed, now);
@@ -324,7 +338,8 @@
     return;
   Log(log_level::kInfo, "attempt_failed",
       {{"request", caller_.attempt_id},
-       {"upstream", upstream->entry.id},
+       {"upstream", place.upstream()->entry.id},
+       {"at_fault", last.at_fault},
        {"attempt", attempts_},
        {"outcome", static_cast<int>(last.end)},
        {"detail", last.detail},
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -59,12 +59,17 @@
     std::string detail;
     bool stale_connection = false;  // a kept connection broke before an answer
     std::optional<http::response<http::string_body>> answer;  // of kFailed
+    std::string at_fault;  // address of the upstream that a refusal names
   };
 
   // Finds route and organisation. @return kOk or why the request is refused.
   error_kind Admit();
   relay_demand Demand() const;
   void RunAttempts(asio::yield_context yield);
+  // The upstream that `last` speaks of: the one that was asked, or a helper.
+  static const std::shared_ptr<fleet_upstream>& Concerned(
+      const relay_place& place,
+      const attempt& last);
   // Reserves the memory of a prompt that several engines hold.
   // @return the engines that help, with their reservations.
   result<std::vector<helper_address>> Reserve(const relay_place& place,
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -227,6 +227,15 @@
   auto answer = Answer(200, "answer of " + id_);
   answer.set("X-Attempt-Id", std::string(exchange.Header("X-Attempt-Id")));
   answer.set("X-Response-Seal", "seal-" + id_);
+  if (!refused_helper_.empty() &&
+      exchange.Header("X-Peer-Helpers").find(refused_helper_) !=
+          std::string_view::npos) {
+    answer = Answer(503, "{}");
+    answer.set("X-Not-Executed", "1");
+    answer.set("At-Server", refused_helper_);
+    exchange.AnswerWith(answer, deadline, yield);
+    return;
+  }
   switch (fault) {
     case runner_fault::kRefuses:
       answer = Answer(503, "{}");
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -96,6 +96,10 @@
     fault_ = fault;
     faulty_requests_ = requests;
   }
+  // Refuses prompts that `helper` is to help with, and puts it down to it.
+  void RefuseHelper(const runner_fake& helper) {
+    refused_helper_ = helper.address();
+  }
   // Called before a request runs.
   void OnRun(std::function<void(const http_request&)> hook) {
     on_run_ = std::move(hook);
@@ -134,6 +138,7 @@
   runner_fault fault_ = runner_fault::kNone;
   int faulty_requests_ = 0;
   std::function<void(const http_request&)> on_run_;
+  std::string refused_helper_;
   milliseconds run_time_{0};
   milliseconds event_pause_{0};
   std::map<std::string, hold> holds_;  // by the reservation's id
--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -217,6 +217,22 @@
   return config;
 }
 
+// Pattern: helpers that died are still listed.
+TEST_CASE("a helper at fault is not asked to help again") {
+  small_fleet fleet;
+  fleet.engines.push_back(std::make_unique<runner_fake>(fleet.io, "e2"));
+  fleet.store.Put("op/config", QuickEngines("1000000.0"));
+  fleet.List();
+  for (const auto& engine : fleet.engines)
+    engine->RefuseHelper(*fleet.engines[2]);
+  fleet.Run([&](asio::yield_context yield) {
+    // Read in two parts; any two engines may be chosen.
+    for (int i = 0; i < 12; ++i)
+      CHECK(fleet.Call("/stream/x", "a", yield, "key", kCallTimeout, 220'000)
+                .status == 200);
+  });
+}
+
 // Pattern: prompts larger than one engine's memory.
 TEST_CASE("the whole memory of a shared prompt is reserved before it is sent") {
   small_fleet fleet;
