--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -79,13 +79,11 @@
   return to_json(kind)
 end
 
--- Speaks to the store, once it is not paused.
-local function with_store(action)
-  if f.store.paused then
-    later(100, function() with_store(action) end)
-  else
-    action()
-  end
+-- What is to be told to the store, in order, once it is not paused.
+local for_store = {}
+local function with_store(action) for_store[#for_store + 1] = action end
+local function tell_store()
+  while #for_store > 0 and not f.store.paused do table.remove(for_store, 1)() end
 end
 
 local function change_config()
@@ -300,6 +298,7 @@
   end
   sleep(25)
   watch_processes()
+  tell_store()
   for k = #undo, 1, -1 do
     if now() >= undo[k][1] then
       local action = undo[k][2]
@@ -320,7 +319,7 @@
 end
 
 local function all_up()
-  if #undo > 0 then return false end
+  if #undo > 0 or #for_store > 0 then return false end
   for _, i in ipairs(f.instances) do
     if i.down or i.stopping then return false end
   end
@@ -330,7 +329,6 @@
 local function serves(instance)
   for _, path in ipairs{ "stream", "once", "often", "r" .. version } do
     local entry = send(instance, path, false)
-    entry.impatient = true
     local a = finish(entry.handle)
     entry.status, entry.headers = a.status, a.headers or {}
     if a.status ~= 200 or a.error then return false end
--- /dev/null
+++ b/tests/support/small_fleet.h
@@ -0,0 +1,117 @@
+// One instance with a store and runners in one process.
+#ifndef CACTUSWARD_TESTS_SUPPORT_SMALL_FLEET_H_
+#define CACTUSWARD_TESTS_SUPPORT_SMALL_FLEET_H_
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/make_adapter.h"
+#include "src/relay/relay_gateway.h"
+#include "tests/support/platform_fakes.h"
+
+namespace cactusward::testing {
+
+inline constexpr milliseconds kCallTimeout{5'000};
+inline constexpr milliseconds kSettle{400};
+inline constexpr milliseconds kPoll{10};
+
+// One instance, a store, two engines and two plain runners.
+class small_fleet {
+ public:
+  small_fleet() : store(io), client(io) {
+    for (int i = 0; i < 2; ++i) {
+      engines.push_back(
+          std::make_unique<runner_fake>(io, "e" + std::to_string(i)));
+      plain.push_back(
+          std::make_unique<runner_fake>(io, "p" + std::to_string(i)));
+    }
+    settings.instance = "test";
+    settings.availability_zone = "z";
+    settings.listen = FreeAddress();
+    settings.peer_listen = FreeAddress();
+    settings.peer_advertise = settings.peer_listen;
+    settings.peer_secret = "0123456789abcdef";
+    settings.forwarding = forwarding_settings();
+    settings.forwarding->readiness_listen = FreeAddress();
+    settings.forwarding->metrics_listen = FreeAddress();
+    settings.forwarding->registry = store.address();
+    settings.forwarding->retries.ratio = 1;
+  }
+
+  void List() {
+    for (const auto& runner : engines)
+      store.Put("servers/" + runner->id(), runner->Entry("engines"));
+    for (const auto& runner : plain)
+      store.Put("servers/" + runner->id(), runner->Entry("plain"));
+  }
+
+  // Runs `body` against the started instance.
+  void Run(const std::function<void(asio::yield_context)>& body) {
+    gateway =
+        std::make_unique<relay_gateway>(io, &settings, platform::MakeAdapter);
+    REQUIRE(gateway->Start());
+    Spawn(io, "test", [this, &body](asio::yield_context yield) {
+      Sleep(io, kSettle, yield);
+      body(yield);
+      io.stop();
+    });
+    io.run();
+  }
+
+  // Waits until `path` answers with `status`.
+  bool Becomes(const std::string& path, int status, asio::yield_context yield) {
+    const time_point until = clock::now() + kCallTimeout;
+    while (clock::now() < until) {
+      if (Call(path, "a", yield).status == status)
+        return true;
+      Sleep(io, kPoll, yield);
+    }
+    return false;
+  }
+
+  http_answer Call(const std::string& path,
+                   const std::string& attempt,
+                   asio::yield_context yield,
+                   const std::string& key = "key",
+                   milliseconds timeout = kCallTimeout,
+                   int prompt_tokens = 1'000) {
+    outgoing_request request;
+    request.method = http::verb::post;
+    request.target = path;
+    request.headers = {
+        {"Host", "h"},
+        {"X-Attempt-Id", attempt},
+        {"X-Token-Counts", std::to_string(prompt_tokens) + ",100"},
+        {"X-Deadline-Ms", "3000"},
+        {"Authorization", "Token " + key}};
+    request.fresh_connection = true;
+    const auto answer =
+        client.Call(settings.listen, request, clock::now() + timeout, yield);
+    // No whole answer: status 0.
+    return answer ? *answer : http_answer();
+  }
+
+  int Runs() const {
+    int runs = 0;
+    for (const auto* group : {&engines, &plain}) {
+      for (const auto& runner : *group)
+        runs += runner->runs();
+    }
+    return runs;
+  }
+
+  asio::io_context io;
+  store_fake store;
+  http_client client;
+  std::vector<std::unique_ptr<runner_fake>> engines;
+  std::vector<std::unique_ptr<runner_fake>> plain;
+  instance_settings settings;
+  std::unique_ptr<relay_gateway> gateway;
+};
+
+}  // namespace cactusward::testing
+
+#endif  // CACTUSWARD_TESTS_SUPPORT_SMALL_FLEET_H_
--- /dev/null
+++ b/tests/unit/placement_test.cc
@@ -0,0 +1,255 @@
+// Placement of prompts on engines, and the load that it goes by.
+#include <catch2/catch.hpp>
+
+#include <set>
+
+#include "cactusward/engine_placement.h"
+#include "cactusward/load_board.h"
+
+namespace cactusward {
+namespace {
+
+const time_point kStart{std::chrono::hours(1)};
+
+time_point At(int ms) {
+  return kStart + milliseconds(ms);
+}
+
+engine_parameters Engine() {
+  engine_parameters engine;
+  engine.slots = 16;
+  engine.kv_capacity = 315'000;
+  engine.stride = 51;
+  engine.step_ms = 0.85;
+  engine.per_sequence_ms = 0.00425;
+  engine.context_ms_per_1k = 0.00285;
+  engine.prefill_per_second = 177'000;
+  engine.pairs_ms_per_million = 0.184;
+  return engine;
+}
+
+prompt_request Prompt(std::int64_t tokens, double objective, double pause) {
+  prompt_request request;
+  request.prompt_tokens = tokens;
+  request.answer_tokens = 1'000;
+  request.objective_ms = objective;
+  request.pause_ms = pause;
+  return request;
+}
+
+const prompt_request kShort = Prompt(5'000, 300, 250);
+const prompt_request kMiddle = Prompt(45'000, 1'500, 600);
+const prompt_request kLong = Prompt(154'000, 3'000, 1'000);
+
+engine_view Busy(int interactive, std::int64_t read_ms = 0) {
+  engine_view view;
+  view.load.running = interactive;
+  view.load.interactive = interactive;
+  view.load.pause_ms = interactive > 0 ? 250 : 0;
+  view.load.read_ms = read_ms;
+  view.load.memory_tokens = interactive * 5'000;
+  return view;
+}
+
+// An engine where a long prompt is written.
+engine_view Writing(std::int64_t pause_ms) {
+  engine_view view;
+  view.load.running = 1;
+  view.load.pause_ms = pause_ms;
+  view.load.memory_tokens = 100'000;
+  return view;
+}
+
+TEST_CASE("reading takes the time that the service states") {
+  struct row {
+    std::int64_t tokens;
+    int parts;
+    double ms;
+  };
+  const row rows[] = {{5'000, 1, 30.5},
+                      {45'000, 1, 440.5},
+                      {154'000, 1, 3'052},
+                      {154'000, 2, 1'526},
+                      {700'000, 1, 49'035}};
+  for (const row& r : rows)
+    CHECK(PrefillMs(Engine(), r.tokens, r.parts) == Approx(r.ms).epsilon(0.01));
+}
+
+// Pattern: many short prompts at once.
+TEST_CASE("short prompts gather at the front of the order") {
+  std::vector<engine_view> engines(8);
+  std::set<std::size_t> used;
+  for (std::uint64_t random = 0; random < 100; ++random) {
+    const auto placed = PlacePrompt(Engine(), {}, kShort, engines, random);
+    REQUIRE(placed);
+    CHECK(placed->helpers.empty());
+    used.insert(placed->engine);
+  }
+  // A fifth of the engines.
+  CHECK(used == std::set<std::size_t>{0, 1});
+  for (int i = 0; i < 3; ++i)
+    engines[static_cast<std::size_t>(i)] = Busy(12);
+  CHECK(InteractiveEngines(Engine(), engines) == 3);
+  // The engines in use are nearly full: the next one takes over.
+  for (int i = 0; i < 3; ++i)
+    engines[static_cast<std::size_t>(i)] = Busy(15);
+  for (std::uint64_t random = 0; random < 100; ++random) {
+    const auto next = PlacePrompt(Engine(), {}, kShort, engines, random);
+    REQUIRE(next);
+    CHECK(next->engine >= 3);
+  }
+}
+
+// Pattern: a long prompt is read where short ones would be written.
+TEST_CASE("no short prompt is placed behind long reading") {
+  std::vector<engine_view> engines = {Busy(0, 1'500), Busy(0, 900), Busy(2),
+                                      Busy(0, 2'000)};
+  for (std::uint64_t random = 0; random < 50; ++random) {
+    const auto placed = PlacePrompt(Engine(), {}, kShort, engines, random);
+    REQUIRE(placed);
+    CHECK(placed->engine == 2);
+  }
+}
+
+// Pattern: the long prompts' wave meets the last short ones.
+TEST_CASE("long reading keeps the pauses of those who write") {
+  struct row {
+    const char* name;
+    prompt_request request;
+    std::vector<engine_view> engines;
+    std::vector<std::size_t> allowed;  // empty: it has to wait
+  };
+  const std::vector<row> rows = {
+      {"a long prompt beside short writers",
+       kLong,
+       {Busy(2), Busy(2), Busy(2)},
+       {}},
+      {"a middling one beside a writer that bears it",
+       kMiddle,
+       {Busy(2), Writing(1'000)},
+       {1}},
+      {"a middling one beside a writer that does not",
+       kMiddle,
+       {Busy(2), Writing(400)},
+       {}},
+      {"a long one takes idle engines",
+       kLong,
+       {Busy(2), Busy(0), Busy(0), Busy(0)},
+       {1, 2, 3}},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    for (std::uint64_t random = 0; random < 20; ++random) {
+      const auto placed =
+          PlacePrompt(Engine(), {}, r.request, r.engines, random);
+      REQUIRE(placed.has_value() == !r.allowed.empty());
+      if (!placed)
+        continue;
+      std::vector<std::size_t> used = {placed->engine};
+      for (const prompt_helper& helper : placed->helpers)
+        used.push_back(helper.engine);
+      for (const std::size_t engine : used)
+        CHECK(std::count(r.allowed.begin(), r.allowed.end(), engine) == 1);
+    }
+  }
+}
+
+// Pattern: prompts that one engine cannot read in time.
+TEST_CASE("a prompt is read by as many engines as its objective asks for") {
+  struct row {
+    std::int64_t tokens;
+    std::size_t engines;
+    bool placed;
+  };
+  const row rows[] = {{154'000, 20, true},
+                      {250'000, 20, true},
+                      {250'000, 3, false},
+                      {700'000, 20, false},
+                      {310'000, 20, true}};
+  for (const row& r : rows) {
+    CAPTURE(r.tokens, r.engines);
+    const std::vector<engine_view> engines(r.engines);
+    const prompt_request request = Prompt(r.tokens, 3'000, 1'000);
+    const auto placed = PlacePrompt(Engine(), {}, request, engines, 3);
+    REQUIRE(placed.has_value() == r.placed);
+    CHECK(IsServable(Engine(), {}, request, r.engines) == r.placed);
+    if (!placed)
+      continue;
+    CHECK(placed->first_event_ms <= 3'000);
+    CHECK(placed->helpers.size() <= 16);
+  }
+}
+
+// Pattern: prompts larger than one engine's memory.
+TEST_CASE("memory that one engine lacks is held by its helpers") {
+  const std::vector<engine_view> engines(23);
+  const prompt_request request = Prompt(400'000, 4'000, 1'000);
+  const auto placed = PlacePrompt(Engine(), {}, request, engines, 3);
+  REQUIRE(placed);
+  std::int64_t held = 0;
+  bool plain_seen = false;
+  for (const prompt_helper& helper : placed->helpers) {
+    // Helpers with memory are filled first.
+    CHECK_FALSE((plain_seen && helper.held_tokens > 0));
+    plain_seen = plain_seen || helper.held_tokens == 0;
+    held += helper.held_tokens;
+    CHECK(helper.held_tokens <= Engine().kv_capacity);
+  }
+  CHECK(held >= 401'000 - Engine().kv_capacity);
+  CHECK(held < 401'000);
+}
+
+// Pattern: more long prompts than the engines can read.
+TEST_CASE("a prompt that is late already leaves engines to others") {
+  prompt_request late = Prompt(154'000, 12'000, 1'000);
+  late.may_be_late = true;
+  const std::vector<engine_view> scarce = {Busy(2), Busy(2), Busy(0)};
+  CHECK_FALSE(PlacePrompt(Engine(), {}, late, scarce, 1));
+  const std::vector<engine_view> plenty(10);
+  CHECK(PlacePrompt(Engine(), {}, late, plenty, 1));
+}
+
+TEST_CASE("engines that are not usable take nothing") {
+  std::vector<engine_view> engines(3);
+  for (engine_view& engine : engines)
+    engine.usable = false;
+  CHECK_FALSE(PlacePrompt(Engine(), {}, kShort, engines, 1));
+  CHECK_FALSE(PlacePrompt(Engine(), {}, kLong, engines, 1));
+  CHECK(InteractiveEngines(Engine(), engines) == 0);
+}
+
+TEST_CASE("the board adds what instances say and ages it") {
+  load_board board;
+  board_entry entry;
+  entry.upstream = 1;
+  entry.read_ms = 500;
+  entry.expected_first_ms = 500;
+  entry.pause_ms = 1'000;
+  entry.memory_tokens = 100;
+  entry.sent_at = kStart;
+  const auto id = board.Begin(entry);
+  board.SetPeer("b", {{1, 2, 2, 250, 300, 50}}, kStart);
+  struct row {
+    int at;
+    std::int64_t read_ms;
+  };
+  const row rows[] = {{0, 800}, {100, 600}, {300, 200}, {2'000, 75}};
+  for (const row& r : rows) {
+    const upstream_load load = board.LoadOf(1, At(r.at));
+    CHECK(load.running == 3);
+    CHECK(load.interactive == 2);
+    CHECK(load.pause_ms == 250);
+    CHECK(load.memory_tokens == 150);
+    CHECK(load.read_ms == r.read_ms);
+  }
+  board.EndReading(id);
+  CHECK(board.LoadOf(1, At(2'000)).read_ms == 0);
+  board.End(id);
+  board.Expire(At(2'000));
+  CHECK(board.LoadOf(1, At(2'000)).running == 2);
+  board.Expire(At(3'001));
+  CHECK(board.LoadOf(1, At(3'001)).running == 0);
+}
+
+}  // namespace
+}  // namespace cactusward
--- /dev/null
+++ b/tests/unit/relay_catalog_test.cc
@@ -0,0 +1,186 @@
+// What an instance believes, in one process: configuration and upstreams, with
+// the faults of the store, and its planned stop.
+#include "tests/support/small_fleet.h"
+
+namespace cactusward {
+namespace {
+
+using testing::kCallTimeout;
+using testing::kPoll;
+using testing::kSettle;
+using testing::runner_fault;
+using testing::small_fleet;
+using testing::store_fake;
+
+TEST_CASE("callers are refused by what the configuration allows") {
+  small_fleet fleet;
+  fleet.List();
+  fleet.Run([&](asio::yield_context yield) {
+    // No configuration is known: it is neither wrong nor denied.
+    CHECK(fleet.Call("/once/x", "a", yield).status == 503);
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    CHECK(fleet.Becomes("/once/x", 200, yield));
+    CHECK(fleet.Call("/none/x", "b", yield).status == 404);
+    CHECK(fleet.Call("/once/x", "c", yield, "unknown").status == 401);
+    fleet.store.Put("op/config", testing::ConfigDocument(5, "new"));
+    CHECK(fleet.Becomes("/new/x", 200, yield));
+    // An older version never replaces a newer one.
+    fleet.store.Put("op/config", testing::ConfigDocument(4));
+    Sleep(fleet.io, kSettle, yield);
+    CHECK(fleet.Call("/new/x", "d", yield).status == 200);
+  });
+}
+
+TEST_CASE("changes come into force whatever the store does") {
+  struct row {
+    const char* name;
+    std::function<void(store_fake&)> before;
+    std::function<void(store_fake&)> after;
+  };
+  const row rows[] = {
+      {"calm", [](store_fake&) {}, [](store_fake&) {}},
+      {"watches hear nothing", [](store_fake& s) { s.SetMute(true); },
+       [](store_fake&) {}},
+      {"history is dropped", [](store_fake&) {},
+       [](store_fake& s) { s.Compact(); }},
+      {"down for a while", [](store_fake& s) { s.SetDown(true); },
+       [](store_fake& s) { s.SetDown(false); }},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    small_fleet fleet;
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    fleet.List();
+    fleet.Run([&](asio::yield_context yield) {
+      REQUIRE(fleet.Becomes("/once/x", 200, yield));
+      r.before(fleet.store);
+      fleet.store.Put("op/config", testing::ConfigDocument(2, "new"));
+      fleet.store.Put("servers/p0", fleet.plain[0]->Entry("plain", true));
+      Sleep(fleet.io, milliseconds(50), yield);
+      r.after(fleet.store);
+      CHECK(fleet.Becomes("/new/x", 200, yield));
+      // The runner that leaves gets nothing more.
+      Sleep(fleet.io, milliseconds(100), yield);
+      const int before = fleet.plain[0]->arrivals();
+      for (int i = 0; i < 10; ++i)
+        CHECK(fleet.Call("/once/x", "a", yield).status == 200);
+      CHECK(fleet.plain[0]->arrivals() == before);
+    });
+  }
+}
+
+// A balancer with few instances left goes on sending to one that stops.
+TEST_CASE("an instance that stops serves new connections, then refuses") {
+  small_fleet fleet;
+  fleet.settings.drain_grace = milliseconds(200);
+  fleet.settings.drain_limit = milliseconds(3'000);
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.List();
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(fleet.Becomes("/once/x", 200, yield));
+    for (const auto& runner : fleet.engines)
+      runner->SetFault(runner_fault::kSilent);
+    // A request in progress keeps the process alive.
+    bool held_ended = false;
+    Spawn(fleet.io, "held", [&](asio::yield_context inner) {
+      fleet.Call("/fixed/x", "held", inner, "key", milliseconds(3'500));
+      held_ended = true;
+    });
+    Sleep(fleet.io, milliseconds(50), yield);
+    fleet.gateway->Stop();
+    Sleep(fleet.io, milliseconds(400), yield);
+    CHECK(fleet.Call("/once/x", "late", yield).status == 200);
+    CHECK(fleet.Becomes("/once/x", 503, yield));
+    // The request in progress ends before the fleet is taken down.
+    while (!held_ended)
+      Sleep(fleet.io, kPoll, yield);
+  });
+}
+
+// Settings of one more instance, beside that of `fleet`.
+instance_settings SecondSettings(const small_fleet& fleet,
+                                 const std::string& registry) {
+  instance_settings settings = fleet.settings;
+  settings.instance = "second";
+  settings.listen = testing::FreeAddress();
+  settings.peer_listen = testing::FreeAddress();
+  settings.peer_advertise = settings.peer_listen;
+  settings.seed_peers = {fleet.settings.peer_listen};
+  settings.forwarding->readiness_listen = testing::FreeAddress();
+  settings.forwarding->metrics_listen = testing::FreeAddress();
+  settings.forwarding->registry = registry;
+  return settings;
+}
+
+TEST_CASE("a silent registry does not hold up what peers know") {
+  small_fleet fleet;
+  store_fake silent(fleet.io);
+  for (store_fake* store : {&fleet.store, &silent}) {
+    store->Put("op/config", testing::ConfigDocument(1));
+    for (const auto& runner : fleet.plain)
+      store->Put("servers/" + runner->id(), runner->Entry("plain"));
+  }
+  instance_settings settings = SecondSettings(fleet, silent.address());
+  relay_gateway second(fleet.io, &settings, platform::MakeAdapter);
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(second.Start());
+    std::swap(fleet.settings.listen, settings.listen);
+    REQUIRE(fleet.Becomes("/once/x", 200, yield));
+    silent.SetSilent(true);
+    fleet.store.Put("op/config", testing::ConfigDocument(2, "new"));
+    CHECK(fleet.Becomes("/new/x", 200, yield));
+    // No question to the registry had to be given up first; the store sees
+    // that within some polls.
+    Sleep(fleet.io, kPoll * 5, yield);
+    CHECK(silent.abandoned_reads() == 0);
+    silent.SetSilent(false);
+    Sleep(fleet.io, kPoll * 5, yield);
+  });
+}
+
+TEST_CASE("an instance that the registry turns away hears from its peers") {
+  small_fleet fleet;
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.List();
+  // Nobody listens there.
+  instance_settings cut = SecondSettings(fleet, testing::FreeAddress());
+  relay_gateway second(fleet.io, &cut, platform::MakeAdapter);
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(second.Start());
+    std::swap(fleet.settings.listen, cut.listen);
+    REQUIRE(fleet.Becomes("/once/x", 200, yield));
+    fleet.store.Put("op/config", testing::ConfigDocument(2, "new"));
+    CHECK(fleet.Becomes("/new/x", 200, yield));
+    // Changes of upstreams come with the datagrams.
+    const time_point changed_at = clock::now();
+    fleet.store.Put("servers/p0", fleet.plain[0]->Entry("plain", true));
+    int before = -1;
+    while (before != fleet.plain[0]->arrivals() &&
+           clock::now() < changed_at + kCallTimeout) {
+      before = fleet.plain[0]->arrivals();
+      for (int i = 0; i < 20; ++i)
+        CHECK(fleet.Call("/once/x", "a", yield).status == 200);
+      Sleep(fleet.io, kPoll, yield);
+    }
+    CHECK(before == fleet.plain[0]->arrivals());
+    fleet.store.Remove("servers/p0");
+    Sleep(fleet.io, kSettle, yield);
+    CHECK(fleet.Call("/once/x", "a", yield).status == 200);
+  });
+}
+
+TEST_CASE("a store that is away takes nothing from the fleet") {
+  small_fleet fleet;
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.List();
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(fleet.Becomes("/once/x", 200, yield));
+    fleet.store.SetDown(true);
+    Sleep(fleet.io, milliseconds(500), yield);
+    for (int i = 0; i < 5; ++i)
+      CHECK(fleet.Call("/once/x", "a", yield).status == 200);
+  });
+}
+
+}  // namespace
+}  // namespace cactusward
