Comments say where three figures come from

No other change: kFrontSlack and kFreeShare from surge_test.cc, kMaxPulls from the time limit of one pull, kBrokenProbePause from round trips.

--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -19,7 +19,8 @@
 constexpr int kUnreported = 2;
 // Engines that interactive requests choose from, as a multiple of those that
 // reports ask for, and as a part of those that no long prompt uses; the rest
-// stay whole for long prompts.
+// stay whole for long prompts. The least with which nine in ten prompts of the
+// surge in surge_test.cc are in time.
 constexpr double kFrontSlack = 1.25;
 constexpr double kFreeShare = 0.2;
 // A prompt is read by so many engines that this part of its objective
--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -22,6 +22,7 @@
 // After this time without an answer another peer is asked as well, so that
 // neither a silent registry nor a silent peer uses up the time for a change.
 constexpr milliseconds kPullPatience{500};
+// As many as end within kPullTimeout when none of them is answered.
 constexpr int kMaxPulls = 3;
 // A registry that failed is not asked for a configuration for as long as an
 // outage is likely to go on; peers are.
--- a/src/services/upstream_directory.cc
+++ b/src/services/upstream_directory.cc
@@ -18,6 +18,7 @@
 // How long a broken connection is looked into: as long as a retry waits for
 // its verdict (recovery_service.cc).
 constexpr milliseconds kBrokenProbeTimeout{300};
+// A few round trips within an availability zone.
 constexpr milliseconds kBrokenProbePause{10};
 // An upstream with requests of this instance is probed when silent this long.
 constexpr milliseconds kSilence{700};
