Broken answers of the store are errors, not empty lists; nothing fails silently

Cause, found by reading the whole change: an answer without its list of entries was taken for an empty one, which removes every upstream; one without its revision for revision 0; more pages than the limit for the whole.

engines without the figures that placing needs, questions to the registry that failed, seeds that cannot be used, refused reservations, socket options that were not set: none left a line with its reason.

Change: such answers are failures of the registry, with their reason; the rest is logged, one line an outage where questions repeat. The admission of calls and completions, and the mapping of a read that brought nothing, stand once each. Fields that were decoded and never used are gone (model, health path, limit of connections); their check in platform_test.cc is replaced by figures that placing reads. Constants of health, gossip, waiting and coming back say where they come from.

Ruled out: refusing settings with an unusable seed, since seeds may be stale.

--- a/include/cactusward/event_stream.h
+++ b/include/cactusward/event_stream.h
@@ -29,8 +29,6 @@
   bool Feed(std::string_view bytes, std::vector<stream_event>* events);
   // Whether the stream stands within an event.
   bool HasPartialEvent() const { return !pending_.empty(); }
-  // Drops a partial event, so that another stream can go on.
-  void Reset() { pending_.clear(); }
 
   static constexpr std::size_t kMaxEventBytes = 1024ULL * 1024;
 
--- a/include/cactusward/forward_config.h
+++ b/include/cactusward/forward_config.h
@@ -61,13 +61,10 @@
 
 struct forward_service {
   std::string name;
-  std::string health_path;
-  int max_connections = 0;                  // of all callers; 0: not stated
   std::optional<engine_parameters> engine;  // none: a plain service
 
   friend bool operator==(const forward_service& a, const forward_service& b) {
-    return a.name == b.name && a.health_path == b.health_path &&
-           a.max_connections == b.max_connections && a.engine == b.engine;
+    return a.name == b.name && a.engine == b.engine;
   }
 };
 
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -60,14 +60,17 @@
 }
 
 // Adds the peer address of each host: its IP number and this instance's port.
+// Seeds may be stale, so that one that cannot be used is no fault.
 void AddSeedHosts(const std::vector<std::string>& hosts,
-                  const std::string& peer_listen,
-                  std::vector<std::string>* peers) {
-  const auto own = ParseHostPort(peer_listen);
+                  instance_settings* settings) {
+  const auto own = ParseHostPort(settings->peer_listen);
   for (const std::string& host : hosts) {
     const auto parsed = ParseHostPort(host);
     if (own && parsed)
-      peers->push_back(parsed->host + ":" + std::to_string(own->port));
+      settings->seed_peers.push_back(parsed->host + ":" +
+                                     std::to_string(own->port));
+    else
+      settings->unusable_seeds.push_back(host);
   }
 }
 
@@ -100,8 +103,7 @@
   }
   secrets.Finish();
   settings.seed_peers = root.Texts("seed_peers");
-  AddSeedHosts(root.Texts("seed_hosts"), settings.peer_listen,
-               &settings.seed_peers);
+  AddSeedHosts(root.Texts("seed_hosts"), &settings);
   for (const std::string& peer : settings.seed_peers) {
     if (!ParseHostPort(peer))
       root.Fault("seed_peers", "\"" + peer + "\"", "an IP number and a port");
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -49,7 +49,8 @@
   std::string peer_secret;
   std::string operator_key;
   std::vector<std::string> seed_peers;
-  milliseconds drain_grace{2'000};  // the balancer's lag
+  std::vector<std::string> unusable_seeds;  // no IP number and port; logged
+  milliseconds drain_grace{2'000};          // the balancer's lag
   milliseconds drain_limit{600'000};
   log_level lowest_level = log_level::kInfo;
   std::optional<forwarding_settings> forwarding;
@@ -62,9 +63,10 @@
            a.peer_advertise == b.peer_advertise && a.key_value == b.key_value &&
            a.instance_list == b.instance_list &&
            a.peer_secret == b.peer_secret && a.operator_key == b.operator_key &&
-           a.seed_peers == b.seed_peers && a.drain_grace == b.drain_grace &&
-           a.drain_limit == b.drain_limit && a.lowest_level == b.lowest_level &&
-           a.forwarding == b.forwarding;
+           a.seed_peers == b.seed_peers &&
+           a.unusable_seeds == b.unusable_seeds &&
+           a.drain_grace == b.drain_grace && a.drain_limit == b.drain_limit &&
+           a.lowest_level == b.lowest_level && a.forwarding == b.forwarding;
   }
 };
 
--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -1,5 +1,7 @@
 #include "src/edges/http_client.h"
 
+#include "src/kernel/log.h"
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -50,14 +52,17 @@
   const int limit_ms = static_cast<int>(limit.count());
   const int probe_s =
       std::max(1, limit_ms / kMillisecondsPerSecond / (kKeepAliveProbes + 1));
-  const int on = 1;
-  const int probes = kKeepAliveProbes;
-  ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s, sizeof(probe_s));
-  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &probe_s, sizeof(probe_s));
-  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-  ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
-               sizeof(limit_ms));
+  const auto set = [handle](int level, int option, int value) {
+    return ::setsockopt(handle, level, option, &value, sizeof(value)) == 0;
+  };
+  if (!set(SOL_SOCKET, SO_KEEPALIVE, 1) ||
+      !set(IPPROTO_TCP, TCP_KEEPIDLE, probe_s) ||
+      !set(IPPROTO_TCP, TCP_KEEPINTVL, probe_s) ||
+      !set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes) ||
+      !set(IPPROTO_TCP, TCP_USER_TIMEOUT, limit_ms))
+    Log(log_level::kWarning, "socket_option_refused",
+        {{"limit_ms", limit_ms},
+         {"outcome", "silence ends this connection only at its deadline"}});
 }
 
 // How long the peer says that it keeps an idle connection.
--- a/src/forwarding/upstream_health.cc
+++ b/src/forwarding/upstream_health.cc
@@ -10,14 +10,18 @@
 // reach the limit, one failure of many does not.
 constexpr double kLatestWeight = 0.22;
 constexpr double kFailureLimit = 0.38;
-// How long an upstream is avoided after evidence; doubled for each failure in
-// a row up to the longest.
+// How long an upstream is avoided after evidence: first about as long as a
+// repeat takes to be placed and answered; doubled for each failure in a row, up
+// to the time in which a dead one leaves the list.
 constexpr milliseconds kFirstAvoidance{400};
 constexpr milliseconds kLongestAvoidance{4'000};
 // A place at a full upstream becomes free within about this time.
 constexpr milliseconds kRefusedAvoidance{150};
+// Some requests are tried there again within a window of the retry budget.
 constexpr milliseconds kFailingAvoidance{2'000};
+// Two slow first events outweigh what was known before.
 constexpr double kPaceWeight = 0.35;
+// Slower than that is not placed anyway within any objective.
 constexpr double kSlowestPace = 10;
 // Evidence of slowness loses its weight with this time constant, so that the
 // upstream is tried again.
--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -137,7 +137,7 @@
   const auto batch = source_->ReadConfig(yield);
   bool changed = false;
   if (!batch)
-    registry_failed_at_ = clock::now();
+    RecordNoAnswer("configuration", batch.detail());
   if (batch) {
     for (const catalog_item& item : batch->items)
       changed = ApplyConfig(item, "registry") || changed;
@@ -179,9 +179,12 @@
                            config_revision->get<std::int64_t>(),
                            config->get<std::string>()});
   for (const auto& item : *upstreams) {
+    // A part of the list taken for the whole would remove the rest.
     if (!item.is_array() || item.size() != 3 || !item[0].is_string() ||
-        !item[1].is_string() || !item[2].is_number_integer())
-      continue;
+        !item[1].is_string() || !item[2].is_number_integer()) {
+      Log(log_level::kWarning, "catalog_pull_malformed", {{"peer", peer}});
+      return;
+    }
     batch.items.push_back(
         {catalog_item_kind::kUpstream, item[0].get<std::string>(),
          item[2].get<std::int64_t>(), item[1].get<std::string>()});
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -20,6 +20,8 @@
 constexpr milliseconds kLongestConfirmSpread{1'000};
 // An outage lasts seconds; each question is a priced call.
 constexpr milliseconds kConfirmRetryPause{500};
+// Failures no further apart are of one outage: several questions long.
+constexpr milliseconds kSameOutage{5'000};
 // A watch delivers a change within this time after it was made.
 constexpr milliseconds kWatchDelay{120};
 // Instances that watch the registry: enough that one of them is neither cut
@@ -82,11 +84,21 @@
   });
 }
 
+void catalog_service::RecordNoAnswer(const char* what,
+                                     const std::string& detail) {
+  const time_point now = clock::now();
+  // One line for each outage: questions are repeated while it lasts.
+  if (now - registry_failed_at_ > kSameOutage)
+    Log(log_level::kWarning, "registry_unanswered",
+        {{"during", what}, {"detail", detail}, {"known_revision", revision_}});
+  registry_failed_at_ = now;
+}
+
 void catalog_service::Confirm(asio::yield_context yield) {
   const time_point asked_at = clock::now();
   const auto newest = source_->ReadRevision(yield);
   if (!newest) {
-    registry_failed_at_ = clock::now();
+    RecordNoAnswer("revision", newest.detail());
     confirm_due_ = clock::now() + kConfirmRetryPause;
     return;
   }
@@ -97,6 +109,7 @@
         {{"known_revision", revision_}, {"newest", *newest}});
     const auto batch = source_->ReadAll(yield);
     if (!batch) {
+      RecordNoAnswer("read", batch.detail());
       confirm_due_ = clock::now() + kConfirmRetryPause;
       return;
     }
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -71,6 +71,8 @@
                      const char* what,
                      asio::yield_context yield);
   void RecordContact();
+  // A question to the registry, other than by the reading loop, failed.
+  void RecordNoAnswer(const char* what, const std::string& detail);
   // Applies everything that the registry held.
   void ApplyAll(const catalog_batch& batch, const char* origin);
   void ApplyChanges(const catalog_batch& batch);
--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -72,7 +72,6 @@
   std::function<void()> room_listener_;
   std::unique_ptr<asio::steady_timer> broadcast_timer_;
   std::optional<time_point> broadcast_at_;
-  time_point last_broadcast_{};
   bool changed_ = false;
   std::unique_ptr<timer_subscription> refresh_;
 };
--- a/src/relay/memory_reservation.cc
+++ b/src/relay/memory_reservation.cc
@@ -25,14 +25,18 @@
       protocol_(protocol),
       state_(std::make_shared<state>(runtime.io)) {}
 
-bool memory_reservation::Order(runtime& runtime,
-                               const std::string& address,
-                               const outgoing_request& order,
-                               asio::yield_context yield) {
+result<bool> memory_reservation::Order(runtime& runtime,
+                                       const std::string& address,
+                                       const outgoing_request& order,
+                                       asio::yield_context yield) {
   const auto answer =
       runtime.client.Call(address, order, clock::now() + kOrderTimeout, yield);
-  return answer &&
-         (answer->status == kStatusOk || answer->status == kStatusAccepted);
+  if (!answer)
+    return {answer.kind(), answer.detail()};
+  if (answer->status == kStatusOk || answer->status == kStatusAccepted)
+    return true;
+  return {error_kind::kUpstreamRefused,
+          "status " + std::to_string(answer->status)};
 }
 
 result<bool> memory_reservation::Acquire(const std::string& name,
@@ -47,13 +51,17 @@
     // An order that got no answer may have been carried out, so its part is
     // given back as well.
     state_->parts.push_back(next);
-    if (clock::now() >= deadline ||
-        !Order(runtime_, next.address,
-               protocol_.Reserve({next.id, next.tokens, hold}), yield)) {
+    const result<bool> granted =
+        clock::now() < deadline
+            ? Order(runtime_, next.address,
+                    protocol_.Reserve({next.id, next.tokens, hold}), yield)
+            : result<bool>(error_kind::kTimedOut, "no time is left");
+    if (!granted) {
       Log(log_level::kInfo, "reservation_refused",
           {{"reservation", next.id},
            {"upstream_address", next.address},
-           {"tokens", next.tokens}});
+           {"tokens", next.tokens},
+           {"detail", granted.detail()}});
       return {error_kind::kUpstreamRefused, "memory was not granted"};
     }
   }
@@ -72,10 +80,12 @@
             for (std::size_t i = 0; state->active && i < state->parts.size();
                  ++i) {
               const part& held = state->parts[i];
-              if (!Order(runtime, held.address,
-                         protocol.Reserve({held.id, held.tokens, hold}), yield))
+              const auto renewed =
+                  Order(runtime, held.address,
+                        protocol.Reserve({held.id, held.tokens, hold}), yield);
+              if (!renewed)
                 Log(log_level::kWarning, "reservation_not_renewed",
-                    {{"reservation", held.id}});
+                    {{"reservation", held.id}, {"detail", renewed.detail()}});
             }
           }
         });
@@ -85,19 +95,22 @@
   state_->active = false;
   state_->timer.cancel();
   for (const part& held : state_->parts) {
-    Spawn(
-        runtime_.io, "release",
-        [&runtime = runtime_, &protocol = protocol_,
-         held](asio::yield_context yield) {
-          for (int i = 0; i < kReleaseTries; ++i) {
-            if (Order(runtime, held.address, protocol.Release(held.id), yield))
-              return;
-            Sleep(runtime.io, kReleaseRetryPause, yield);
-          }
-          // It expires at the end of its hold.
-          Log(log_level::kWarning, "reservation_not_released",
-              {{"reservation", held.id}});
-        });
+    Spawn(runtime_.io, "release",
+          [&runtime = runtime_, &protocol = protocol_,
+           held](asio::yield_context yield) {
+            std::string detail;
+            for (int i = 0; i < kReleaseTries; ++i) {
+              const auto released = Order(runtime, held.address,
+                                          protocol.Release(held.id), yield);
+              if (released)
+                return;
+              detail = released.detail();
+              Sleep(runtime.io, kReleaseRetryPause, yield);
+            }
+            // It expires at the end of its hold.
+            Log(log_level::kWarning, "reservation_not_released",
+                {{"reservation", held.id}, {"detail", detail}});
+          });
   }
 }
 
--- a/src/relay/memory_reservation.h
+++ b/src/relay/memory_reservation.h
@@ -42,10 +42,11 @@
     asio::steady_timer timer;
     bool active = true;
   };
-  static bool Order(runtime& runtime,
-                    const std::string& address,
-                    const outgoing_request& order,
-                    asio::yield_context yield);
+  // @return true, or why the upstream did not carry out `order`.
+  static result<bool> Order(runtime& runtime,
+                            const std::string& address,
+                            const outgoing_request& order,
+                            asio::yield_context yield);
   void KeepRenewed();
 
   runtime& runtime_;
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -14,7 +14,8 @@
 constexpr milliseconds kPumpPeriod{40};
 // Shortest pause that is assumed when no route states one.
 constexpr double kDefaultPauseMs = 250;
-// Bounds of the time after which a caller is asked to come back.
+// Bounds of the time after which a caller is asked to come back: a few reports
+// of load, and well within the deadlines in use.
 constexpr milliseconds kShortestReturn{300};
 constexpr milliseconds kLongestReturn{4'000};
 
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -19,7 +19,7 @@
 // the time to read the prompt.
 constexpr double kRereadFactor = 4;
 // Callers abandon a stream after a gap of two seconds; another upstream must
-// go on before that.
+// go on before that, with time to place and read.
 constexpr milliseconds kShortestSilence{1'300};
 // Half of the pauses after which callers abandon a stream.
 constexpr int kSilentPauses = 4;
@@ -117,6 +117,12 @@
   return RelayBody(**stream, yield);
 }
 
+relay_run::attempt relay_run::NoBytes(const result<std::string_view>& read) {
+  const bool silent = read.kind() == error_kind::kTimedOut;
+  return {silent ? attempt_end::kSilent : attempt_end::kBroken, read.detail(),
+          false, std::nullopt};
+}
+
 relay_run::attempt relay_run::RelayBody(http_stream& stream,
                                         asio::yield_context yield) {
   std::string body;
@@ -125,9 +131,7 @@
     if (cancel_.cancelled())
       return {attempt_end::kCallerGone, {}, false, std::nullopt};
     if (!bytes)
-      return {bytes.kind() == error_kind::kTimedOut ? attempt_end::kSilent
-                                                    : attempt_end::kBroken,
-              bytes.detail(), false, std::nullopt};
+      return NoBytes(bytes);
     if (bytes->empty())
       break;
     body.append(*bytes);
@@ -174,9 +178,7 @@
     if (cancel_.cancelled())
       return {attempt_end::kCallerGone, {}, false, std::nullopt};
     if (!bytes)
-      return {bytes.kind() == error_kind::kTimedOut ? attempt_end::kSilent
-                                                    : attempt_end::kBroken,
-              bytes.detail(), false, std::nullopt};
+      return NoBytes(bytes);
     if (bytes->empty()) {
       if (splitter.HasPartialEvent())
         return {attempt_end::kBroken, "stream ended within an event", false,
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -71,7 +71,8 @@
        {"peer_listen", settings_->peer_listen},
        {"registry", forwarding.registry},
        {"availability_zone", settings_->availability_zone},
-       {"seeds", settings_->seed_peers}});
+       {"seeds", settings_->seed_peers},
+       {"unusable_seeds", settings_->unusable_seeds}});
   return true;
 }
 
--- a/src/relay/relay_protocol.h
+++ b/src/relay/relay_protocol.h
@@ -22,13 +22,12 @@
   std::int64_t prompt_tokens = 0;             // 0: not a prompt
   std::int64_t answer_tokens = 0;             // the longest answer
   std::optional<std::int64_t> last_event_id;  // the stream goes on after it
-  std::string model;
 
   friend bool operator==(const caller_request& a, const caller_request& b) {
     return a.attempt_id == b.attempt_id && a.key == b.key &&
            a.deadline == b.deadline && a.prompt_tokens == b.prompt_tokens &&
            a.answer_tokens == b.answer_tokens &&
-           a.last_event_id == b.last_event_id && a.model == b.model;
+           a.last_event_id == b.last_event_id;
   }
 };
 
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -18,7 +18,8 @@
 constexpr milliseconds kAnswerTimeout{5'000};
 // The answer leaves before the caller's deadline, not at it.
 constexpr milliseconds kDeadlineMargin{20};
-// Part of its time that a request waits for a place.
+// Part of its time that a request waits for a place; the rest is for its run,
+// or for its caller to come back elsewhere.
 constexpr double kWaitShare = 0.4;
 // Callers abandon a stream after the longest of these gaps.
 constexpr milliseconds kLeastPatience{2'000};
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -79,6 +79,8 @@
   attempt Exchange(relay_place& place,
                    const std::vector<helper_address>& helpers,
                    asio::yield_context yield);
+  // What an attempt came to whose upstream sent nothing more.
+  static attempt NoBytes(const result<std::string_view>& read);
   attempt RelayBody(http_stream& stream, asio::yield_context yield);
   attempt RelayEvents(http_stream& stream,
                       relay_place& place,
--- a/src/request/call_run.cc
+++ b/src/request/call_run.cc
@@ -48,16 +48,9 @@
   const auto prepared = Prepare();
   if (!prepared)
     return context_.Fail(prepared.kind(), prepared.detail(), yield);
-  const auto admitted = context_.Admit(
-      EstimateTokens(context_.exchange().request().body().size()));
-  if (!admitted)
-    return context_.Fail(admitted.kind(), admitted.detail(), yield);
-  const auto claimed = attempts_.ClaimIfKeyed(context_.record().target, yield);
-  if (!claimed)
-    return context_.Fail(claimed.kind(), claimed.detail(), yield);
-  if (!*claimed)
+  if (!attempts_.Begin(
+          EstimateTokens(context_.exchange().request().body().size()), yield))
     return;
-  attempts_.WatchCaller();
   placement_request placement;
   placement.service = service_name_;
   placement.routing.prompt_tokens = 1;
--- a/src/request/completion_run.cc
+++ b/src/request/completion_run.cc
@@ -28,15 +28,8 @@
   const auto prepared = Prepare();
   if (!prepared)
     return context_.Fail(prepared.kind(), prepared.detail(), yield);
-  const auto admitted = context_.Admit(request_.prompt_tokens);
-  if (!admitted)
-    return context_.Fail(admitted.kind(), admitted.detail(), yield);
-  const auto claimed = attempts_.ClaimIfKeyed(context_.record().target, yield);
-  if (!claimed)
-    return context_.Fail(claimed.kind(), claimed.detail(), yield);
-  if (!*claimed)
+  if (!attempts_.Begin(request_.prompt_tokens, yield))
     return;
-  attempts_.WatchCaller();
   while (true) {
     const attempt_outcome outcome = attempts_.Run(
         BuildPlacement(),
--- a/src/request/request_attempts.cc
+++ b/src/request/request_attempts.cc
@@ -63,6 +63,22 @@
   return false;
 }
 
+bool request_attempts::Begin(std::int64_t tokens, asio::yield_context yield) {
+  const auto admitted = context_.Admit(tokens);
+  if (!admitted) {
+    context_.Fail(admitted.kind(), admitted.detail(), yield);
+    return false;
+  }
+  const auto claimed = ClaimIfKeyed(context_.record().target, yield);
+  if (!claimed) {
+    context_.Fail(claimed.kind(), claimed.detail(), yield);
+    return false;
+  }
+  if (*claimed)
+    WatchCaller();
+  return *claimed;
+}
+
 void request_attempts::WatchCaller() {
   context_.exchange().OnHangUp([this] {
     caller_gone_ = true;
--- a/src/request/request_attempts.h
+++ b/src/request/request_attempts.h
@@ -30,11 +30,9 @@
   // Refuses requests that made upstreams fail.
   result<bool> CheckSuspicion();
 
-  // Claims the request if it carries an Idempotency-Key.
-  // @param target what is asked for, part of what must not change under a key.
-  // @return false when the answer of an earlier run was given instead.
-  result<bool> ClaimIfKeyed(const std::string& target,
-                            asio::yield_context yield);
+  // Admits and claims the request, and watches its caller.
+  // @param tokens size of the request. @return false when it was answered.
+  bool Begin(std::int64_t tokens, asio::yield_context yield);
 
   // Waits for a place and hands it to `attempt`, whose outcome is accounted
   // for at the upstream.
@@ -57,14 +55,20 @@
   // @return the kind that the caller is told.
   error_kind FailureKind(const attempt_outcome& outcome);
 
-  // Unclaimed work is cancelled when its caller goes; claimed work goes on, so
-  // that its outcome is known.
-  void WatchCaller();
   bool caller_gone() const { return caller_gone_; }
   bool claimed() const { return claim_.has_value(); }
   cancel_token* cancel() { return cancel_.get(); }
 
  private:
+  // Claims the request if it carries an Idempotency-Key.
+  // @param target what is asked for, part of what must not change under a key.
+  // @return false when the answer of an earlier run was given instead.
+  result<bool> ClaimIfKeyed(const std::string& target,
+                            asio::yield_context yield);
+  // Unclaimed work is cancelled when its caller goes; claimed work goes on, so
+  // that its outcome is known.
+  void WatchCaller();
+
   runtime& runtime_;
   request_context& context_;
   const handler_services& services_;
--- a/src/services/membership_service.cc
+++ b/src/services/membership_service.cc
@@ -10,12 +10,18 @@
 namespace cactusward {
 namespace {
 
+// A small part of the time between two probes.
 constexpr milliseconds kTickPeriod{50};
+// Parted groups find each other within some periods.
 constexpr milliseconds kGreetPeriod{1'000};
+// News reaches n instances in log n rounds, to the base of this.
 constexpr std::size_t kSpreadFanOut = 4;
 // Datagrams that one instance sends at a time without dropping its own.
 constexpr std::size_t kMaxBroadcast = 128;
+// More than the rounds that news takes through 1,000 instances, so that lost
+// datagrams are made up for.
 constexpr int kSuspectSends = 12;
+// So many fit a datagram beside the rest.
 constexpr std::size_t kMaxSuspectsPerMessage = 8;
 constexpr std::size_t kMaxInFlightPerMessage = 32;
 // Older reports of a peer's requests say nothing about now.
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -104,6 +104,10 @@
     exchange.AnswerWith(Answer(503, "{}"), deadline, yield);
     return;
   }
+  if (!broken_.empty()) {
+    exchange.AnswerWith(Answer(200, broken_), deadline, yield);
+    return;
+  }
   if (exchange.Path() == "/kv-watch")
     return Watch(exchange, yield);
   if (exchange.Path() == "/kv-key") {
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -32,6 +32,8 @@
   void SetDown(bool down) { down_ = down; }
   // Watches hear of nothing.
   void SetMute(bool mute) { mute_ = mute; }
+  // Answers reads with status 200 and `body`, whatever was asked; empty: no.
+  void SetBroken(std::string body) { broken_ = std::move(body); }
   // Takes requests and never answers.
   void SetSilent(bool silent) { silent_ = silent; }
   // Reads, not watches, that callers gave up while the store was silent.
@@ -59,6 +61,7 @@
   std::int64_t compacted_ = 0;
   bool down_ = false;
   bool mute_ = false;
+  std::string broken_;
   bool silent_ = false;
   int abandoned_reads_ = 0;
   int calls_ = 0;
--- a/tests/unit/formats_test.cc
+++ b/tests/unit/formats_test.cc
@@ -48,6 +48,7 @@
   CHECK(settings->forwarding->retries.window == milliseconds(5'000));
   // Peers are reached at the IP number of a seed and the own peer port.
   CHECK(settings->seed_peers == std::vector<std::string>{"10.0.0.1:2"});
+  CHECK(settings->unusable_seeds == std::vector<std::string>{"nowhere"});
   struct row {
     const char* field;
     json value;
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -31,7 +31,6 @@
   CHECK(read.deadline == milliseconds(10'000));
   CHECK(read.prompt_tokens == 1'460);
   CHECK(read.answer_tokens == 80);
-  CHECK(read.model == "m");
   CHECK_FALSE(read.last_event_id);
 }
 
@@ -139,11 +138,10 @@
       {"name": "q", "host": "h", "path_prefix": "/b/", "kind": "idempotent",
        "service": "t", "public": true}],
     "services": [
-      {"name": "s", "health_path": "/healthz", "max_connections": 364,
+      {"name": "s", "health_path": "/healthz",
        "backend": {"slots": 16, "kv_capacity": 315000, "stride": 51,
-                   "step_ms": 0.85, "read_per_s": 177000.0,
-                   "usual": {"prompt": 11104, "answer": 1622}}},
-      {"name": "t"}],
+                   "step_ms": 0.85, "read_per_s": 177000.0}},
+      {"name": "t"}, {"name": "u", "backend": {"slots": 16}}],
     "limits": {"max_header_bytes": 1000, "idle_timeout_ms": 15000},
     "tenants": [{"name": "o", "api_keys": ["k1", "k2"], "priority": 0}]})";
   http_client* none = nullptr;
@@ -160,8 +158,11 @@
   CHECK(route->services == std::vector<weighted_service>{{"s", 90}, {"t", 10}});
   CHECK(config.Match("h", "/b/")->is_public);
   REQUIRE(config.FindService("s")->engine);
-  CHECK(config.FindService("s")->engine->typical_answer == 1'622);
+  CHECK(config.FindService("s")->engine->kv_capacity == 315'000);
+  CHECK(config.FindService("s")->engine->prefill_per_second == 177'000);
   CHECK_FALSE(config.FindService("t")->engine);
+  // Without its figures an engine cannot be planned with.
+  CHECK_FALSE(config.FindService("u")->engine);
   CHECK(config.FindKey("k2")->organisation == "o");
   CHECK(config.FindKey("k2")->priority == 0);
   CHECK_FALSE(config.FindKey("k3"));
@@ -174,6 +175,8 @@
   for (const char* document :
        {"", "[]", "{}", R"({"version": 0})", R"({"version": "7"})",
         R"({"version": 7, "routes": [{"host": "h"}]})",
+        R"({"version": 7, "services": [1]})",
+        R"({"version": 7, "tenants": ["o"]})",
         R"({"version": 7, "routes": [{"host": "h", "path_prefix": "/",
             "kind": "new"}]})"}) {
     CAPTURE(document);
--- a/tests/unit/relay_catalog_test.cc
+++ b/tests/unit/relay_catalog_test.cc
@@ -112,6 +112,29 @@
   return settings;
 }
 
+TEST_CASE("a planned stop loses no request that came in its last moments") {
+  small_fleet fleet;
+  fleet.settings.drain_grace = milliseconds(100);
+  fleet.settings.drain_limit = milliseconds(5'000);
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.List();
+  // Longer than an ending process waits for its last bytes to leave.
+  for (const auto& runner : fleet.plain)
+    runner->SetRunTime(milliseconds(150));
+  int answered = 0;
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(fleet.Becomes("/once/x", 200, yield));
+    answered = fleet.Runs();
+    fleet.gateway->Stop();
+    // The end of the stop ends this loop.
+    while (true) {
+      answered += fleet.Call("/once/x", "a", yield).status == 200 ? 1 : 0;
+      Sleep(fleet.io, kPoll * 4, yield);
+    }
+  });
+  CHECK(fleet.Runs() == answered);
+}
+
 TEST_CASE("a silent registry does not hold up what peers know") {
   small_fleet fleet;
   store_fake silent(fleet.io);
@@ -169,6 +192,36 @@
   });
 }
 
+TEST_CASE("a broken answer of the store takes nothing from the fleet") {
+  const char* const rows[] = {
+      "{}",
+      R"({"at": 1000})",
+      R"({"at": 1000, "entries": {}, "events": {}})",
+      R"({"entries": [], "events": [], "has_more": false})",
+      R"({"at": 1000, "entries": [1], "events": [1], "has_more": false})",
+      R"({"at": 1000, "entries": [], "events": [], "has_more": true})",
+  };
+  for (const char* body : rows) {
+    CAPTURE(body);
+    small_fleet fleet;
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    fleet.List();
+    fleet.Run([&](asio::yield_context yield) {
+      REQUIRE(fleet.Becomes("/once/x", 200, yield));
+      // Without its history the store is read anew.
+      fleet.store.Put("other", "value");
+      fleet.store.Compact();
+      fleet.store.SetBroken(body);
+      Sleep(fleet.io, kSettle, yield);
+      CHECK(fleet.Call("/once/x", "a", yield).status == 200);
+      CHECK(fleet.Call("/stream/x", "b", yield).status == 200);
+      fleet.store.SetBroken({});
+      fleet.store.Put("op/config", testing::ConfigDocument(2, "new"));
+      CHECK(fleet.Becomes("/new/x", 200, yield));
+    });
+  }
+}
+
 TEST_CASE("a store that is away takes nothing from the fleet") {
   small_fleet fleet;
   fleet.store.Put("op/config", testing::ConfigDocument(1));
