Mend the lint failure; a broken list of entries is seen to fail its test

And "a broken answer of the store takes nothing from the fleet" passed with ReadItems changed to return an empty list: the same body answers the read of the configuration, whose missing key hid the missing entries.

Change: both sides of the comparison are converted. Two rows answer the single key in full, so that only the list is broken: 6 assertions of 40 fail with the change above, none without it. The change itself is dropped.

--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -292,7 +292,8 @@
                    const placement_settings& settings,
                    std::int64_t prompt_tokens) {
   // What one engine cannot hold is read in parts, however quickly.
-  return prompt_tokens <= parameters.kv_capacity * kMemoryShare &&
+  return static_cast<double>(prompt_tokens) <=
+             static_cast<double>(parameters.kv_capacity) * kMemoryShare &&
          PrefillMs(parameters, prompt_tokens) <=
              settings.strictest_pause_ms * kInteractiveShare;
 }
--- a/tests/unit/relay_catalog_test.cc
+++ b/tests/unit/relay_catalog_test.cc
@@ -197,6 +197,11 @@
       "{}",
       R"({"at": 1000})",
       R"({"at": 1000, "entries": {}, "events": {}})",
+      // Whole as the answer to a single key, so that only the missing list of
+      // entries or events shows.
+      R"({"at": 1000, "key": "op/config", "value": "", "has_more": false})",
+      R"({"at": 1000, "key": "op/config", "value": "", "entries": {},
+          "events": {}, "has_more": false})",
       R"({"entries": [], "events": [], "has_more": false})",
       R"({"at": 1000, "entries": [1], "events": [1], "has_more": false})",
       R"({"at": 1000, "entries": [], "events": [], "has_more": true})",
