A configuration that is being decoded is not asked for again

Each read of the whole registry decoded the known configuration once more, too.

Change: the revision that is being decoded, or in force, is neither decoded nor asked for again.

The unit tests pass (112 cases).

--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -100,6 +100,9 @@
       RecordConfirmation(now - milliseconds(message.confirmed_age_ms));
     return;
   }
+  // What is being decoded is most likely what the peer tells of.
+  if (decoding_revision_ > 0)
+    return;
   // The registry's own answer is usually under way.
   if (!behind_since_ || now - *behind_since_ > kPullTimeout)
     behind_since_ = now;
@@ -142,7 +145,8 @@
   }
   if (changed)
     Notify();
-  if (!config_ || config_->version() <= before)
+  // Another coroutine may have read it first, and decode it now.
+  if (decoding_revision_ == 0 && (!config_ || config_->version() <= before))
     PullFrom(peer, yield);
 }
 
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -236,10 +236,15 @@
 bool catalog_service::ApplyConfig(const catalog_item& item,
                                   const char* origin,
                                   asio::yield_context yield) {
-  if (!item.document)
+  // Each read of everything brings the configuration that is in force again.
+  if (!item.document || (config_ && item.revision <= config_revision_) ||
+      item.revision <= decoding_revision_)
     return false;
+  decoding_revision_ = item.revision;
   const auto decoded = source_->DecodeConfig(
       *item.document, [&] { asio::post(runtime_.io, yield); });
+  if (decoding_revision_ == item.revision)
+    decoding_revision_ = 0;
   if (!decoded) {
     Log(log_level::kError, "config_rejected",
         {{"revision", item.revision}, {"detail", decoded.detail()}});
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -101,6 +101,8 @@
   std::shared_ptr<const forward_config> config_;
   std::string config_document_;
   std::int64_t config_revision_ = 0;
+  // Of the newest configuration that is being decoded; 0: none is.
+  std::int64_t decoding_revision_ = 0;
   upstream_catalog upstreams_;
   std::map<std::string, raw_upstream> raw_upstreams_;
   // The registry's revision up to which everything is known.
