--- a/tests/unit/relay_catalog_test.cc
+++ b/tests/unit/relay_catalog_test.cc
@@ -162,6 +162,84 @@
   });
 }
 
+// The platform's catalog, but it decodes slowly, as large configurations are
+// decoded on a small part of a core.
+class slow_catalog : public catalog_source {
+ public:
+  slow_catalog(std::unique_ptr<catalog_source> catalog, int* decoded)
+      : catalog_(std::move(catalog)), decoded_(decoded) {}
+
+  result<catalog_batch> ReadAll(asio::yield_context yield) override {
+    return catalog_->ReadAll(yield);
+  }
+  result<catalog_batch> WaitForChanges(std::int64_t revision,
+                                       asio::yield_context yield) override {
+    return catalog_->WaitForChanges(revision, yield);
+  }
+  result<catalog_batch> ReadConfig(asio::yield_context yield) override {
+    return catalog_->ReadConfig(yield);
+  }
+  result<std::int64_t> ReadRevision(asio::yield_context yield) override {
+    return catalog_->ReadRevision(yield);
+  }
+  result<std::shared_ptr<const forward_config>> DecodeConfig(
+      const std::string& document,
+      const std::function<void()>& pause) const override {
+    ++*decoded_;
+    // Longer than the time after which a peer is asked as well.
+    const time_point until = clock::now() + milliseconds(900);
+    while (clock::now() < until)
+      pause();
+    return catalog_->DecodeConfig(document, pause);
+  }
+  result<upstream_entry> DecodeUpstream(
+      const std::string& id,
+      const std::string& document) const override {
+    return catalog_->DecodeUpstream(id, document);
+  }
+
+ private:
+  std::unique_ptr<catalog_source> catalog_;
+  int* decoded_;
+};
+
+TEST_CASE("a configuration that is being decoded is not asked for again") {
+  constexpr int kMoreInstances = 5;  // so that not all of them watch
+  small_fleet fleet;
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.List();
+  int decoded = 0;
+  const auto make_adapter = [&decoded](const forwarding_settings& settings,
+                                       http_client* client) {
+    outside_adapter adapter = platform::MakeAdapter(settings, client);
+    adapter.catalog =
+        std::make_unique<slow_catalog>(std::move(adapter.catalog), &decoded);
+    return adapter;
+  };
+  std::vector<std::unique_ptr<instance_settings>> settings;
+  std::vector<std::unique_ptr<relay_gateway>> more;
+  for (int i = 0; i < kMoreInstances; ++i) {
+    settings.push_back(std::make_unique<instance_settings>(SecondSettings(
+        fleet, fleet.store.address(), "more" + std::to_string(i))));
+    more.push_back(std::make_unique<relay_gateway>(
+        fleet.io, settings.back().get(), make_adapter));
+  }
+  fleet.Run([&](asio::yield_context yield) {
+    for (const auto& instance : more)
+      REQUIRE(instance->Start());
+    // Instances greet each other once a second.
+    Sleep(fleet.io, milliseconds(3'500), yield);
+    decoded = 0;
+    fleet.store.Put("op/config", testing::ConfigDocument(2, "new"));
+    for (const auto& each : settings) {
+      std::swap(fleet.settings.listen, each->listen);
+      CHECK(fleet.Becomes("/new/x", 200, yield));
+      std::swap(fleet.settings.listen, each->listen);
+    }
+    CHECK(decoded == kMoreInstances);
+  });
+}
+
 // Pattern: a configuration comes right after an outage, in a large fleet. Its
 // size keeps the link of whoever is asked for it busy for a long time.
 TEST_CASE("a configuration after an outage comes from the registry") {
