Log how old the catalog is when a request is placed

request_placed now has catalog_age_ms, and the metrics cactusward_catalog_age_milliseconds. No behaviour changes.

--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -78,6 +78,12 @@
                  milliseconds(runtime_.random() % (spread.count() + 1));
 }
 
+std::optional<duration> catalog_service::Age(time_point now) const {
+  if (confirmed_at_ == time_point())
+    return std::nullopt;
+  return now - confirmed_at_;
+}
+
 void catalog_service::ConfirmIfDue(time_point now) {
   if (confirming_ || needs_full_read_ || failures_ > 0 || now < confirm_due_)
     return;
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -34,6 +34,9 @@
   std::shared_ptr<const forward_config> Config() const { return config_; }
   const upstream_catalog& upstreams() const { return upstreams_; }
   std::int64_t revision() const { return revision_; }
+  // Time since the registry confirmed, to this instance or to a peer, that the
+  // catalog is complete; empty if it never has.
+  std::optional<duration> Age(time_point now) const;
   // Calls `listener` after each change.
   void Subscribe(listener listener) {
     listeners_.push_back(std::move(listener));
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -130,6 +130,9 @@
   out << report_.MetricsText() << "cactusward_config_version "
       << (config ? config->version() : 0) << '\n'
       << "cactusward_catalog_revision " << catalog_.revision() << '\n'
+      << "cactusward_catalog_age_milliseconds "
+      << ToMilliseconds(catalog_.Age(clock::now()).value_or(duration(0)))
+      << '\n'
       << "cactusward_catalog_snapshots_served " << catalog_.snapshots_served()
       << '\n'
       << "cactusward_upstreams " << catalog_.upstreams().entries().size()
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -47,6 +47,12 @@
   return host.substr(0, host.find(':'));
 }
 
+// -1: no instance has read the registry.
+double CatalogAgeMs(const catalog_service& catalog) {
+  const auto age = catalog.Age(clock::now());
+  return age ? ToMilliseconds(*age) : -1;
+}
+
 }  // namespace
 
 relay_request::relay_request(const relay_services& services,
@@ -263,6 +269,7 @@
        {"route", route_->name},
        {"config_version", config_->version()},
        {"catalog_revision", services_.catalog.revision()},
+       {"catalog_age_ms", CatalogAgeMs(services_.catalog)},
        {"upstream", assignment.upstream()->entry.id},
        {"helpers", assignment.helpers.size()},
        {"reservations", memory.allocations().size()},
