New configurations do not hold back the list of upstreams

Callers saw: nothing but a late answer; the users saw requests sent to engines that had announced 3.0 s earlier that they leave.

Cause: an instance that is behind its peers fetched at most once every 0.4 s, and that fetch read only the configuration while a newer one was known.

Change: catch_up_pacer paces each of the two by itself; a pull for the list asks the peer for no configuration.

Ruled out: silent watches (the watching instances placed requests with newer revisions).

--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -1,6 +1,7 @@
 // Exchange of catalog data with other instances: recent changes in gossip
 // datagrams, complete snapshots on request.
 #include <algorithm>
+#include <limits>
 
 #include "src/kernel/log.h"
 #include "src/relay/catalog_service.h"
@@ -16,18 +17,9 @@
 // How long the registry's delivery may lag behind a peer's before the peer is
 // asked. A watch delivers a change within a few round trips.
 constexpr milliseconds kRegistryLagTolerance{250};
-// No shorter than the interval of changes in a burst of configurations.
-constexpr milliseconds kMinPullInterval{400};
 // A snapshot of 200 KB takes 0.1 s at 20 Mbit/s, and ten may be requested from
 // one peer at the same time.
 constexpr milliseconds kPullTimeout{1'500};
-// Without a response for this long, another peer is asked as well, so that an
-// unresponsive registry or peer does not use up the time in which a change must
-// take effect.
-constexpr milliseconds kExtraPullDelay{500};
-// As many pulls as are started within kPullTimeout when none of them gets a
-// response.
-constexpr int kMaxConcurrentPulls = 3;
 }  // namespace
 
 nlohmann::json catalog_service::Snapshot(std::int64_t known_version) {
@@ -89,6 +81,7 @@
   // All other changes up to that revision are changes of the configuration.
   RecordChange({catalog_item_kind::kConfig, {}, message.catalog_revision, {}});
   revision_ = message.catalog_revision;
+  upstreams_pacer_.RecordCaughtUp();
   if (changed)
     NotifyListeners();
   return true;
@@ -97,52 +90,58 @@
 void catalog_service::OnMessage(const gossip_message& message, time_point now) {
   if (message.catalog_revision > revision_)
     ApplyPeerChanges(message, now);
-  const bool behind =
-      message.catalog_revision > revision_ ||
-      message.config_number > (config_ ? config_->version() : 0);
-  if (!behind) {
-    if (message.catalog_revision == revision_ && message.confirmed_age_ms >= 0)
-      RecordConfirmation(now - milliseconds(message.confirmed_age_ms));
+  const bool upstreams_behind = message.catalog_revision > revision_;
+  const bool config_behind = message.config_number > ConfigVersion();
+  const std::string& peer = message.sender.peer_address;
+  if (upstreams_behind)
+    CatchUpUpstreams(peer, now);
+  if (config_behind)
+    CatchUpConfig(peer, now);
+  if (!upstreams_behind && !config_behind &&
+      message.catalog_revision == revision_ && message.confirmed_age_ms >= 0)
+    RecordConfirmation(now - milliseconds(message.confirmed_age_ms));
+}
+
+void catalog_service::CatchUpUpstreams(const std::string& peer,
+                                       time_point now) {
+  if (!upstreams_pacer_.TryBegin(now, kRegistryLagTolerance))
     return;
-  }
+  Spawn(runtime_.io, "upstreams_pull", [this, peer](asio::yield_context yield) {
+    // Without a configuration.
+    PullFrom(peer, std::numeric_limits<std::int64_t>::max(), yield);
+    upstreams_pacer_.End();
+  });
+}
+
+void catalog_service::CatchUpConfig(const std::string& peer, time_point now) {
   // The peer most likely reports the configuration that is being decoded here.
   if (decoding_revision_ > 0)
     return;
-  // The registry's own update is usually on its way.
-  if (!behind_since_ || now - *behind_since_ > kPullTimeout)
-    behind_since_ = now;
-  const bool new_config =
-      message.config_number > (config_ ? config_->version() : 0);
   // Instances that do not watch the registry learn of a new configuration only
   // from peers.
-  const bool registry_first = !new_config || IsWatcher();
-  if (registry_first && now - *behind_since_ < kRegistryLagTolerance)
-    return;
-  const milliseconds min_interval =
-      active_pulls_ == 0 ? kMinPullInterval : kExtraPullDelay;
-  if (active_pulls_ >= kMaxConcurrentPulls || now - last_pull_ < min_interval)
+  const duration grace =
+      IsWatcher() ? duration(kRegistryLagTolerance) : duration(0);
+  const bool first = config_pacer_.active() == 0;
+  if (!config_pacer_.TryBegin(now, grace))
     return;
   // The peer has read the configuration from the registry, so the registry
   // responds again after an outage. If it does not respond to this instance, a
-  // peer is asked after kExtraPullDelay.
-  const bool ask_registry = new_config && active_pulls_ == 0 && failures_ == 0;
-  ++active_pulls_;
-  last_pull_ = now;
-  Spawn(runtime_.io, "catalog_pull",
-        [this, ask_registry,
-         peer = message.sender.peer_address](asio::yield_context yield) {
+  // peer is asked as well.
+  const bool ask_registry = first && failures_ == 0;
+  Spawn(runtime_.io, "config_pull",
+        [this, ask_registry, peer](asio::yield_context yield) {
           if (ask_registry)
             FetchConfig(peer, yield);
           else
-            PullFrom(peer, yield);
-          --active_pulls_;
+            PullFrom(peer, ConfigVersion(), yield);
+          config_pacer_.End();
         });
 }
 
 void catalog_service::FetchConfig(const std::string& peer,
                                   asio::yield_context yield) {
   // The registry has more bandwidth than a peer that all instances ask at once.
-  const std::int64_t before = config_ ? config_->version() : 0;
+  const std::int64_t before = ConfigVersion();
   const auto batch = source_->ReadConfig(yield);
   bool changed = false;
   if (!batch)
@@ -154,17 +153,16 @@
   if (changed)
     NotifyListeners();
   // Another coroutine may have read it first and be decoding it now.
-  if (decoding_revision_ == 0 && (!config_ || config_->version() <= before))
-    PullFrom(peer, yield);
+  if (decoding_revision_ == 0 && ConfigVersion() <= before)
+    PullFrom(peer, before, yield);
 }
 
 void catalog_service::PullFrom(const std::string& peer,
+                               std::int64_t known_version,
                                asio::yield_context yield) {
-  const auto response =
-      peers_->Call(peer,
-                   {{"op", "catalog_get"},
-                    {"config_version", config_ ? config_->version() : 0}},
-                   clock::now() + kPullTimeout, yield);
+  const auto response = peers_->Call(
+      peer, {{"op", "catalog_get"}, {"config_version", known_version}},
+      clock::now() + kPullTimeout, yield);
   if (!response || !response->is_object()) {
     Log(log_level::kWarning, "catalog_pull_failed",
         {{"peer", peer}, {"detail", response.detail()}});
@@ -200,7 +198,7 @@
         {catalog_item_kind::kUpstream, item[0].get<std::string>(),
          item[2].get<std::int64_t>(), item[1].get<std::string>()});
   }
-  behind_since_.reset();
+  upstreams_pacer_.RecordCaughtUp();
   ApplySnapshot(batch, "peer", yield);
 }
 
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -45,6 +45,17 @@
 constexpr std::size_t kMassRemovalCount = 3;
 constexpr double kMassRemovalShare = 0.34;
 
+// Pace of catching up with peers, for the list of upstreams and for the
+// configuration.
+constexpr catch_up_settings kCatchUp{
+    // No shorter than the interval of changes in a burst.
+    milliseconds(400),
+    // Another peer is asked as well, so that an unresponsive registry or peer
+    // does not use up the time in which a change must take effect.
+    milliseconds(500),
+    // As many as begin within the timeout of one when none gets a response.
+    3, milliseconds(1'500)};
+
 }  // namespace
 
 catalog_service::catalog_service(runtime& runtime,
@@ -53,7 +64,9 @@
     : runtime_(runtime),
       source_(source),
       peers_(peers),
-      upstreams_(runtime.settings.forwarding->reregistration_grace) {}
+      upstreams_(runtime.settings.forwarding->reregistration_grace),
+      upstreams_pacer_(kCatchUp),
+      config_pacer_(kCatchUp) {}
 
 void catalog_service::Start() {
   Spawn(runtime_.io, "catalog",
@@ -266,6 +279,7 @@
   if ((*decoded)->version() <= before)
     return false;
   config_ = *decoded;
+  config_pacer_.RecordCaughtUp();
   config_document_ = *item.document;
   config_revision_ = item.revision;
   Log(log_level::kInfo, "config_in_force",
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "cactusward/catch_up_pacer.h"
 #include "cactusward/upstream_catalog.h"
 #include "src/daemon/names.h"
 #include "src/daemon/runtime.h"
@@ -96,10 +97,22 @@
   void ConfirmIfDue(time_point now);
   void Confirm(asio::yield_context yield);
   void RecordConfirmation(time_point at);
+  std::int64_t ConfigVersion() const {
+    return config_ ? config_->version() : 0;
+  }
+  // Catch up with the sender of a message that has newer changes to upstreams
+  // or a newer configuration. Each is paced by itself: a series of changes to
+  // one does not hold back the other.
+  void CatchUpUpstreams(const std::string& peer, time_point now);
+  void CatchUpConfig(const std::string& peer, time_point now);
   // Fetches a newer configuration from the registry, or from `peer` if the
   // registry does not provide one.
   void FetchConfig(const std::string& peer, asio::yield_context yield);
-  void PullFrom(const std::string& peer, asio::yield_context yield);
+  // Gets the list of upstreams from `peer`, and its configuration if that is
+  // newer than `known_version`.
+  void PullFrom(const std::string& peer,
+                std::int64_t known_version,
+                asio::yield_context yield);
   void NotifyListeners();
 
   runtime& runtime_;
@@ -119,17 +132,16 @@
   std::int64_t watched_revision_ = 0;
   bool needs_full_read_ = true;
   int failures_ = 0;
-  int active_pulls_ = 0;
   std::uint64_t snapshots_served_ = 0;
   bool confirming_ = false;
   // When any instance last confirmed with the registry that the catalog is
   // current.
   time_point confirmed_at_{};
   time_point confirm_due_{};
-  time_point last_pull_{};
   // When a registry request outside the read loop last failed.
   time_point registry_failed_at_{};
-  std::optional<time_point> behind_since_;
+  catch_up_pacer upstreams_pacer_;
+  catch_up_pacer config_pacer_;
   std::deque<recent_change> recent_changes_;
   // The last revision before the first of `recent_changes_`.
   std::int64_t recent_changes_after_ = 0;
--- a/tests/unit/forwarding_test.cc
+++ b/tests/unit/forwarding_test.cc
@@ -3,6 +3,7 @@
 
 #include <numeric>
 
+#include "cactusward/catch_up_pacer.h"
 #include "cactusward/event_stream.h"
 #include "cactusward/forward_config.h"
 #include "cactusward/shared_retry_budget.h"
@@ -307,5 +308,64 @@
   CHECK(health.Slowdown(At(20'000)) < 1.1);
 }
 
+TEST_CASE("catching up is paced and waits for the usual delivery") {
+  using ms = milliseconds;
+  struct step {
+    ms at;
+    enum { kTry, kEnd, kCaughtUp } action;
+    bool begins;
+  };
+  struct row {
+    const char* name;
+    ms grace;
+    std::vector<step> steps;
+  };
+  const row rows[] = {
+      {"without grace it begins at once", ms(0), {{ms(0), step::kTry, true}}},
+      {"the usual delivery gets its time",
+       ms(250),
+       {{ms(0), step::kTry, false},
+        {ms(200), step::kTry, false},
+        {ms(250), step::kTry, true}}},
+      {"a lag that ended does not count",
+       ms(250),
+       {{ms(0), step::kTry, false},
+        {ms(200), step::kCaughtUp, false},
+        {ms(260), step::kTry, false},
+        {ms(510), step::kTry, true}}},
+      {"a lag not seen for long does not count",
+       ms(250),
+       {{ms(0), step::kTry, false}, {ms(1'600), step::kTry, false}}},
+      {"fetches keep their interval",
+       ms(0),
+       {{ms(0), step::kTry, true},
+        {ms(100), step::kEnd, false},
+        {ms(300), step::kTry, false},
+        {ms(400), step::kTry, true}}},
+      {"unanswered fetches are few",
+       ms(0),
+       {{ms(0), step::kTry, true},
+        {ms(400), step::kTry, false},
+        {ms(500), step::kTry, true},
+        {ms(1'000), step::kTry, false},
+        {ms(1'100), step::kEnd, false},
+        {ms(1'200), step::kTry, true}}},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    catch_up_pacer pacer({ms(400), ms(500), 2, ms(1'500)});
+    const time_point start{std::chrono::hours(1)};
+    for (const step& s : r.steps) {
+      CAPTURE(s.at.count());
+      if (s.action == step::kTry)
+        CHECK(pacer.TryBegin(start + s.at, r.grace) == s.begins);
+      else if (s.action == step::kEnd)
+        pacer.End();
+      else
+        pacer.RecordCaughtUp();
+    }
+  }
+}
+
 }  // namespace
 }  // namespace cactusward
