Confirmations are passed on by the instance that made them only

Cause: an instance asks the registry when no confirmation is younger than 0.7 to 1.7 s. Confirmations came from peers with the age stated in the message, and were passed on in the receiver's own messages. The time on the way was added nowhere, so the instances of one revision kept each other's confirmation young; the more instances and the slower the links, the younger. A watch also counted before its changes were applied, so that a message could confirm the old revision with the new one at hand.

Change: an instance reports only confirmations of its own, after it has applied what the registry returned; a complete read counts from its start.

Evidence: in the record none of 76 instances asked the registry from 17.2 to 21.5 s, though no instance at their revision had a response in that time. Ruled out: a request for the revision that fails or hangs (no registry_unanswered line).

--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -58,10 +58,10 @@
         message->changes.push_back(recent_changes_[i].change);
     }
   }
-  message->confirmed_age_ms = confirmed_at_ == time_point()
+  message->confirmed_age_ms = own_confirmed_at_ == time_point()
                                   ? -1
                                   : std::chrono::duration_cast<milliseconds>(
-                                        clock::now() - confirmed_at_)
+                                        clock::now() - own_confirmed_at_)
                                         .count();
 }
 
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -91,6 +91,11 @@
                  milliseconds(runtime_.random() % (spread.count() + 1));
 }
 
+void catalog_service::RecordOwnConfirmation(time_point at) {
+  own_confirmed_at_ = std::max(own_confirmed_at_, at);
+  RecordConfirmation(at);
+}
+
 std::optional<duration> catalog_service::Age(time_point now) const {
   if (confirmed_at_ == time_point())
     return std::nullopt;
@@ -138,7 +143,7 @@
     }
     ApplySnapshot(*batch, "registry", yield);
   }
-  RecordConfirmation(asked_at);
+  RecordOwnConfirmation(asked_at);
   membership_->Broadcast();
 }
 
@@ -153,16 +158,17 @@
       WatchOnce(yield);
       continue;
     }
+    const time_point asked_at = clock::now();
     const auto batch = source_->ReadAll(yield);
     if (!batch) {
       BackOffAfterFailure(batch, "read", yield);
       continue;
     }
     RecordSuccess();
-    RecordConfirmation(clock::now());
     needs_full_read_ = false;
     watched_revision_ = batch->revision;
     ApplySnapshot(*batch, "registry", yield);
+    RecordOwnConfirmation(asked_at);
   }
 }
 
@@ -227,8 +233,12 @@
     return false;
   }
   RecordSuccess();
-  RecordConfirmation(clock::now());
+  const time_point received_at = clock::now();
+  const bool newer = batch->revision > revision_;
   ApplyChanges(*batch, yield);
+  RecordOwnConfirmation(received_at);
+  if (newer)
+    membership_->Broadcast();
   watched_revision_ = std::max(watched_revision_, batch->revision);
   return true;
 }
@@ -384,12 +394,9 @@
                        ? item
                        : catalog_item{item.kind, {}, item.revision, {}});
   }
-  const bool newer = batch.revision > revision_;
   revision_ = std::max(revision_, batch.revision);
   if (changed)
     NotifyListeners();
-  if (newer)
-    membership_->Broadcast();
 }
 
 void catalog_service::NotifyListeners() {
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -96,7 +96,10 @@
   // watch without events does not prove that nothing has changed.
   void ConfirmIfDue(time_point now);
   void Confirm(asio::yield_context yield);
+  // The registry's revision was not higher than `revision_` at `at`.
   void RecordConfirmation(time_point at);
+  // The same, established by this instance's own request to the registry.
+  void RecordOwnConfirmation(time_point at);
   std::int64_t ConfigVersion() const {
     return config_ ? config_->version() : 0;
   }
@@ -134,9 +137,12 @@
   int failures_ = 0;
   std::uint64_t snapshots_served_ = 0;
   bool confirming_ = false;
-  // When any instance last confirmed with the registry that the catalog is
-  // current.
+  // When this instance or a peer last confirmed with the registry that the
+  // catalog is current.
   time_point confirmed_at_{};
+  // When this instance did. Only this is reported to peers: the time that a
+  // report spends on its way is not known, and would add up from peer to peer.
+  time_point own_confirmed_at_{};
   time_point confirm_due_{};
   // When a registry request outside the read loop last failed.
   time_point registry_failed_at_{};
