Upstream changes are applied before configurations

An instance with 0.12 of a core decodes a large configuration for more than a second, and one that cannot read it applies nothing.

Change: the two are read one after the other, and each is applied as soon as it has arrived, the list first; peers are told before the decoding.

Evidence: 'upstream changes do not wait for a configuration', row 'the configuration cannot be read': requests until the end of the observation (2,996 ms, bound 2,000) before, none after the bound now. The two other rows passed before: the periodic question for the revision covered them within a second.

--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -143,15 +143,10 @@
   // The registry has more bandwidth than a peer that all instances ask at once.
   const std::int64_t before = ConfigVersion();
   const auto batch = source_->ReadConfig(yield);
-  bool changed = false;
-  if (!batch)
+  if (batch)
+    ApplyConfigs(*batch, "registry", yield);
+  else
     RecordQueryFailure("configuration", batch.detail());
-  if (batch) {
-    for (const catalog_item& item : batch->items)
-      changed = ApplyConfig(item, "registry", yield) || changed;
-  }
-  if (changed)
-    NotifyListeners();
   // Another coroutine may have read it first and be decoding it now.
   if (decoding_revision_ == 0 && ConfigVersion() <= before)
     PullFrom(peer, before, yield);
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -135,13 +135,12 @@
   if (*newest > revision_) {
     Log(log_level::kInfo, "watch_behind",
         {{"known_revision", revision_}, {"newest", *newest}});
-    const auto batch = source_->ReadAll(yield);
-    if (!batch) {
-      RecordQueryFailure("read", batch.detail());
+    const auto read = ReadRegistry(yield);
+    if (!read) {
+      RecordQueryFailure("read", read.detail());
       confirm_due_ = clock::now() + kConfirmRetryDelay;
       return;
     }
-    ApplySnapshot(*batch, "registry", yield);
   }
   RecordOwnConfirmation(asked_at);
   membership_->Broadcast();
@@ -159,19 +158,30 @@
       continue;
     }
     const time_point asked_at = clock::now();
-    const auto batch = source_->ReadAll(yield);
-    if (!batch) {
-      BackOffAfterFailure(batch, "read", yield);
+    const auto revision = ReadRegistry(yield);
+    if (!revision) {
+      BackOffAfterFailure(revision.detail(), "read", yield);
       continue;
     }
     RecordSuccess();
     needs_full_read_ = false;
-    watched_revision_ = batch->revision;
-    ApplySnapshot(*batch, "registry", yield);
+    watched_revision_ = *revision;
     RecordOwnConfirmation(asked_at);
   }
 }
 
+result<std::int64_t> catalog_service::ReadRegistry(asio::yield_context yield) {
+  const auto upstreams = source_->ReadUpstreams(yield);
+  if (!upstreams)
+    return {upstreams.kind(), upstreams.detail()};
+  ApplySnapshot(*upstreams, "registry", yield);
+  const auto config = source_->ReadConfig(yield);
+  if (!config)
+    return {config.kind(), config.detail()};
+  ApplyConfigs(*config, "registry", yield);
+  return upstreams->revision;
+}
+
 bool catalog_service::IsWatcher() const {
   const std::uint64_t own = Hash64(runtime_.settings.instance);
   std::size_t before = 0;
@@ -229,7 +239,7 @@
     return false;
   }
   if (!batch) {
-    BackOffAfterFailure(batch, "watch", yield);
+    BackOffAfterFailure(batch.detail(), "watch", yield);
     return false;
   }
   RecordSuccess();
@@ -243,7 +253,7 @@
   return true;
 }
 
-void catalog_service::BackOffAfterFailure(const result<catalog_batch>& failed,
+void catalog_service::BackOffAfterFailure(const std::string& detail,
                                           const char* what,
                                           asio::yield_context yield) {
   ++failures_;
@@ -251,9 +261,7 @@
     upstreams_.RecordOutage(clock::now());
   if (failures_ == kOutageAfterFailures)
     Log(log_level::kWarning, "registry_lost",
-        {{"during", what},
-         {"detail", failed.detail()},
-         {"known_revision", revision_}});
+        {{"during", what}, {"detail", detail}, {"known_revision", revision_}});
   const auto delay = std::min(
       kMaxRetryDelay, kInitialRetryDelay * (1 << std::min(failures_ - 1, 4)));
   // Jitter prevents all instances from reconnecting at the same time.
@@ -327,39 +335,48 @@
   return changed;
 }
 
+void catalog_service::ApplyConfigs(const catalog_batch& batch,
+                                   const char* origin,
+                                   asio::yield_context yield) {
+  bool changed = false;
+  for (const catalog_item& item : batch.items) {
+    if (item.kind == catalog_item_kind::kConfig)
+      changed = ApplyConfig(item, origin, yield) || changed;
+  }
+  if (changed)
+    NotifyListeners();
+}
+
 void catalog_service::ApplySnapshot(const catalog_batch& batch,
                                     const char* origin,
                                     asio::yield_context yield) {
-  const time_point now = clock::now();
-  bool changed = false;
   std::vector<registered_upstream> all;
   std::map<std::string, raw_upstream> raw;
   for (const catalog_item& item : batch.items) {
-    if (item.kind == catalog_item_kind::kConfig) {
-      changed = ApplyConfig(item, origin, yield) || changed;
-    } else if (item.kind == catalog_item_kind::kUpstream && item.document) {
-      const auto entry = source_->DecodeUpstream(item.id, *item.document);
-      if (!entry) {
-        Log(log_level::kWarning, "upstream_entry_rejected",
-            {{"upstream", item.id}, {"detail", entry.detail()}});
-        continue;
-      }
-      all.push_back({*entry, item.revision});
-      raw[item.id] = {*item.document, item.revision};
+    if (item.kind != catalog_item_kind::kUpstream || !item.document)
+      continue;
+    const auto entry = source_->DecodeUpstream(item.id, *item.document);
+    if (!entry) {
+      Log(log_level::kWarning, "upstream_entry_rejected",
+          {{"upstream", item.id}, {"detail", entry.detail()}});
+      continue;
     }
+    all.push_back({*entry, item.revision});
+    raw[item.id] = {*item.document, item.revision};
   }
   if (batch.revision >= revision_) {
-    changed = upstreams_.Replace(all, batch.revision, now) || changed;
+    const bool changed = upstreams_.Replace(all, batch.revision, clock::now());
     RecordDifference(batch);
     raw_upstreams_ = std::move(raw);
     revision_ = batch.revision;
+    if (changed)
+      NotifyListeners();
   }
   Log(log_level::kInfo, "catalog_read",
       {{"origin", origin},
        {"revision", batch.revision},
        {"upstreams", upstreams_.entries().size()}});
-  if (changed)
-    NotifyListeners();
+  ApplyConfigs(batch, origin, yield);
 }
 
 void catalog_service::ApplyChanges(const catalog_batch& batch,
@@ -382,21 +399,27 @@
   }
   bool changed = false;
   for (const catalog_item& item : batch.items) {
+    const bool is_upstream = item.kind == catalog_item_kind::kUpstream;
     // Already applied from a peer's message or snapshot.
-    if (item.revision <= revision_ && item.kind == catalog_item_kind::kUpstream)
+    if (item.revision <= revision_ && is_upstream)
       continue;
-    if (item.kind == catalog_item_kind::kConfig)
-      changed = ApplyConfig(item, "registry", yield) || changed;
-    else if (item.kind == catalog_item_kind::kUpstream)
+    if (is_upstream)
       changed = ApplyUpstream(item, now) || changed;
     if (item.revision > revision_)
-      RecordChange(item.kind == catalog_item_kind::kUpstream
-                       ? item
-                       : catalog_item{item.kind, {}, item.revision, {}});
+      RecordChange(
+          is_upstream ? item : catalog_item{item.kind, {}, item.revision, {}});
   }
   revision_ = std::max(revision_, batch.revision);
   if (changed)
     NotifyListeners();
+  const bool has_config = std::any_of(
+      batch.items.begin(), batch.items.end(), [](const catalog_item& item) {
+        return item.kind == catalog_item_kind::kConfig;
+      });
+  // Peers need not wait until the configuration has been decoded either.
+  if (changed && has_config)
+    membership_->Broadcast();
+  ApplyConfigs(batch, "registry", yield);
 }
 
 void catalog_service::NotifyListeners() {
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -75,17 +75,27 @@
   bool ApplyPeerChanges(const gossip_message& message, time_point now);
   // @return whether the watch may continue.
   bool WatchOnce(asio::yield_context yield);
-  void BackOffAfterFailure(const result<catalog_batch>& failed,
+  void BackOffAfterFailure(const std::string& detail,
                            const char* what,
                            asio::yield_context yield);
+  // Reads and applies the whole registry, upstreams first.
+  // @return the revision that is complete then; kStoreUnavailable when a part
+  //     could not be read.
+  result<std::int64_t> ReadRegistry(asio::yield_context yield);
   void RecordSuccess();
   // Records a failed registry request that was not made by the read loop.
   void RecordQueryFailure(const char* what, const std::string& detail);
-  // Replaces the catalog by a complete read of the registry.
+  // Replaces the list of upstreams by the one in `batch`, then the
+  // configuration if `batch` has a newer one. Upstreams come first since a
+  // configuration takes long to decode.
   void ApplySnapshot(const catalog_batch& batch,
                      const char* origin,
                      asio::yield_context yield);
   void ApplyChanges(const catalog_batch& batch, asio::yield_context yield);
+  // Applies the configurations in `batch` and notifies the listeners.
+  void ApplyConfigs(const catalog_batch& batch,
+                    const char* origin,
+                    asio::yield_context yield);
   // Yields while decoding: other coroutines may install a newer configuration
   // in the meantime. @return whether the configuration was replaced.
   bool ApplyConfig(const catalog_item& item,
--- a/src/relay/catalog_source.h
+++ b/src/relay/catalog_source.h
@@ -47,10 +47,10 @@
  public:
   virtual ~catalog_source() = default;
 
-  // Reads the whole registry. Changes after the batch's revision may or may not
-  // be included.
+  // Reads all upstreams. Changes after the batch's revision may or may not be
+  // included.
   // @return kStoreUnavailable when the registry did not respond or refused.
-  virtual result<catalog_batch> ReadAll(asio::yield_context yield) = 0;
+  virtual result<catalog_batch> ReadUpstreams(asio::yield_context yield) = 0;
   // Waits for changes after `revision`; an empty batch when there were none.
   // @return kStoreUnavailable; kNotFound when the registry's history does not
   //     reach back to `revision`, so that a complete read is required.
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -112,6 +112,8 @@
   if (exchange.Path() == "/kv-watch")
     return Watch(exchange, yield);
   if (exchange.Path() == "/kv-key") {
+    while (value_reads_unresponsive_ && !exchange.disconnected())
+      Sleep(io_, kPollInterval, yield);
     const auto found = items_.find(exchange.Query("key"));
     if (found == items_.end()) {
       exchange.RespondWith(MakeResponse(404, "{}"), deadline, yield);
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -42,6 +42,10 @@
   }
   // Accepts requests and never responds.
   void SetUnresponsive(bool unresponsive) { unresponsive_ = unresponsive; }
+  // Never responds to requests for a single value.
+  void SetValueReadsUnresponsive(bool unresponsive) {
+    value_reads_unresponsive_ = unresponsive;
+  }
   // Reads, watches excluded, whose caller disconnected while the store was
   // unresponsive.
   int abandoned_reads() const { return abandoned_reads_; }
@@ -73,6 +77,7 @@
   milliseconds watch_delay_{0};
   std::string fixed_response_body_;
   bool unresponsive_ = false;
+  bool value_reads_unresponsive_ = false;
   int abandoned_reads_ = 0;
   int calls_ = 0;
 };
--- a/tests/support/slow_catalog.h
+++ b/tests/support/slow_catalog.h
@@ -21,8 +21,9 @@
         decode_time_(decode_time),
         decode_count_(decode_count) {}
 
-  result<catalog_batch> ReadAll(asio::yield_context yield) override {
-    return catalog_->ReadAll(yield);
+  void SetDecodeTime(milliseconds time) { decode_time_ = time; }
+  result<catalog_batch> ReadUpstreams(asio::yield_context yield) override {
+    return catalog_->ReadUpstreams(yield);
   }
   result<catalog_batch> WaitForChanges(std::int64_t revision,
                                        asio::yield_context yield) override {
--- a/tests/unit/catalog_age_test.cc
+++ b/tests/unit/catalog_age_test.cc
@@ -25,10 +25,10 @@
   using slow_catalog::slow_catalog;
 
   void RejectReads() { rejects_reads_ = true; }
-  result<catalog_batch> ReadAll(asio::yield_context yield) override {
+  result<catalog_batch> ReadUpstreams(asio::yield_context yield) override {
     if (rejects_reads_)
       return {error_kind::kStoreUnavailable, "rejected"};
-    return slow_catalog::ReadAll(yield);
+    return slow_catalog::ReadUpstreams(yield);
   }
   result<std::int64_t> ReadRevision(asio::yield_context yield) override {
     if (rejects_reads_)
@@ -118,6 +118,62 @@
   }
 }
 
+// Guards against requests to an upstream that left while a configuration that
+// was published with its announcement is read or decoded.
+TEST_CASE("upstream changes do not wait for a configuration") {
+  struct row {
+    const char* name;
+    bool compacted;      // the registry is read completely
+    bool config_silent;  // the configuration cannot be read
+  };
+  const row rows[] = {
+      {"a watch delivers both", false, false},
+      {"a complete read returns both", true, false},
+      {"the configuration cannot be read", true, true},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    constexpr milliseconds kDecodeTime{3'500};
+    constexpr milliseconds kObservedTime{3'000};
+    small_fleet fleet;
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    fleet.RegisterRunners();
+    int decode_count = 0;
+    config_only_catalog* catalog = nullptr;
+    fleet.make_adapter = [&](const forwarding_settings& settings,
+                             http_client* client) {
+      relay_adapter adapter = platform::MakeAdapter(settings, client);
+      auto slow = std::make_unique<config_only_catalog>(
+          std::move(adapter.catalog), milliseconds(0), &decode_count);
+      catalog = slow.get();
+      adapter.catalog = std::move(slow);
+      return adapter;
+    };
+    time_point last_arrival;
+    fleet.plain[0]->OnRun(
+        [&](const http_request&) { last_arrival = clock::now(); });
+    fleet.Run([&](asio::yield_context yield) {
+      REQUIRE(fleet.WaitForStatus("/often/x", 200, yield));
+      catalog->SetDecodeTime(kDecodeTime);
+      fleet.store.SetValueReadsUnresponsive(r.config_silent);
+      fleet.store.Put("op/config", testing::ConfigDocument(2));
+      fleet.store.Put("servers/p0", fleet.plain[0]->Entry("plain", true));
+      if (r.compacted)
+        fleet.store.Compact();
+      const time_point left_at = clock::now();
+      while (clock::now() < left_at + kObservedTime) {
+        CHECK(fleet.Call("/often/x", "a", yield).status == 200);
+        Sleep(fleet.io, kPollPeriod, yield);
+      }
+      CHECK(ToMilliseconds(last_arrival - left_at) <=
+            static_cast<double>(kDrainBound.count()));
+      // Abandoned reads end before the fixture does.
+      fleet.store.SetValueReadsUnresponsive(false);
+      Sleep(fleet.io, kPollPeriod * 5, yield);
+    });
+  }
+}
+
 // A member of the fleet that exchanges gossip and has no catalog.
 class gossip_peer {
  public:
