The choice of an upstream is checked again when bytes are sent

Between the choice of the upstreams and the first byte lie reservations (0.4 s each, one after the other) and the connection (1 s); the rest of a long message may follow until the deadline.

Cause: the decision was taken once, on the list of that moment. A restart under the same id also left the old object marked as listed.

Change: http_client::Send asks again when the connection is established, and every 0.1 s while a message that may be repeated is being written. A message that may not be repeated is written on: breaking it off would lose a call that the upstream still serves.

--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -20,6 +20,9 @@
 // request in flight when the peer closes the connection would be lost.
 constexpr milliseconds kKeepAliveMargin{500};
 constexpr int kKeepAliveProbes = 2;
+// Interval at which a message that is being written is checked. Short against
+// the seconds in which an upstream that leaves still accepts messages.
+constexpr milliseconds kWriteCheckPeriod{100};
 constexpr int kMillisecondsPerSecond = 1000;
 
 error_kind ReadErrorKind(const boost::system::error_code& error, bool expired) {
@@ -94,6 +97,51 @@
 
 }  // namespace
 
+// Closes the connection when a message that is still being written must no
+// longer be sent.
+class write_guard {
+ public:
+  // Sets `*aborted` when it closes the connection. Precondition: the pointers
+  // and what `may_send` refers to outlive the guard.
+  write_guard(tcp::socket* socket,
+              std::function<bool()> may_send,
+              bool* aborted)
+      : state_(std::make_shared<state>(socket, std::move(may_send), aborted)) {
+    Check(state_);
+  }
+  ~write_guard() { state_->socket = nullptr; }
+  write_guard(const write_guard&) = delete;
+  write_guard& operator=(const write_guard&) = delete;
+
+ private:
+  struct state {
+    state(tcp::socket* s, std::function<bool()> check, bool* out)
+        : socket(s),
+          may_send(std::move(check)),
+          aborted(out),
+          timer(s->get_executor()) {}
+    tcp::socket* socket;
+    std::function<bool()> may_send;
+    bool* aborted;
+    asio::steady_timer timer;
+  };
+
+  static void Check(const std::shared_ptr<state>& state) {
+    state->timer.expires_after(kWriteCheckPeriod);
+    state->timer.async_wait([state](const boost::system::error_code& error) {
+      if (error || !state->socket)
+        return;
+      if (state->may_send())
+        return Check(state);
+      *state->aborted = true;
+      boost::system::error_code ignored;
+      state->socket->close(ignored);
+    });
+  }
+
+  std::shared_ptr<state> state_;
+};
+
 http_stream::http_stream(http_client* client,
                          std::string address,
                          std::unique_ptr<tcp::socket> socket,
@@ -112,6 +160,8 @@
 }
 
 http_stream::~http_stream() {
+  if (pending_write_)
+    pending_write_->guard.reset();
   if (cancel_)
     cancel_->OnCancel({});
   // Bytes after a complete response belong to no request, so the connection
@@ -303,6 +353,9 @@
       return {connected.kind(), connected.detail()};
     socket = std::move(*connected);
   }
+  if (options.may_send && !options.may_send())
+    return {error_kind::kUpstreamRefused,
+            "upstream no longer accepts requests"};
   SetDeadPeerTimeout(*socket, options.dead_peer_timeout);
   auto stream =
       std::make_unique<http_stream>(this, address, std::move(socket), cancel);
@@ -311,12 +364,20 @@
   stream->pending_write_ =
       std::make_shared<http_stream::pending_write>(std::move(message));
   failure->maybe_sent = true;
+  if (options.may_send && options.may_abort_write)
+    stream->pending_write_->guard =
+        std::make_shared<write_guard>(stream->socket_.get(), options.may_send,
+                                      &stream->pending_write_->aborted);
   http::async_write(*stream->socket_, stream->pending_write_->message,
                     [pending_write = stream->pending_write_](
                         const boost::system::error_code& error, std::size_t) {
                       pending_write->done = !error;
+                      pending_write->guard.reset();
                     });
   const auto header = stream->ReadHeader(deadline, yield);
+  if (!header && stream->pending_write_->aborted)
+    return {error_kind::kUpstreamRefused,
+            "upstream no longer accepts requests"};
   if (!header) {
     failure->stale_connection =
         reused && header.kind() == error_kind::kUpstreamFailed &&
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -3,6 +3,7 @@
 #define CACTUSWARD_SRC_EDGES_HTTP_CLIENT_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -38,6 +39,12 @@
   // Closes the connection when sent bytes stay unacknowledged, or keep-alive
   // probes unanswered, for this long. 0: only the deadline applies.
   milliseconds dead_peer_timeout{2'000};
+  // Asked when the connection is established; the message is not sent when it
+  // returns false. Empty: the message is sent. Outlives the stream.
+  std::function<bool()> may_send;
+  // Also asked while the message is being written, which is broken off when it
+  // returns false.
+  bool may_abort_write = false;
 };
 
 struct http_response {
@@ -50,6 +57,7 @@
 };
 
 class http_client;
+class write_guard;
 
 // A response whose body is read in parts. When it was read to its end, the
 // destructor returns the connection to the client for reuse. Not thread-safe.
@@ -99,9 +107,10 @@
         : message(std::move(m)) {}
     http::request<http::string_body> message;
     bool done = false;
+    bool aborted = false;  // by `guard`
+    std::shared_ptr<write_guard> guard;
   };
   std::shared_ptr<pending_write> pending_write_;
-  milliseconds dead_peer_timeout_{0};
 };
 
 // What is known of a message for which no response was received.
@@ -134,7 +143,8 @@
   // before the whole message was written.
   // @param failure describes the message's state when no response was received.
   // @return as for Open; a request is never sent again when a reused connection
-  //     closes.
+  //     closes. kUpstreamRefused when `options.may_send` returned false;
+  //     `failure` tells whether bytes had been sent.
   result<std::unique_ptr<http_stream>> Send(
       const std::string& address,
       http::request<http::string_body> message,
--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -66,7 +66,8 @@
     by_service_[entry.service].push_back(upstream);
   }
   for (auto& [id, upstream] : by_id_) {
-    if (by_id.count(id) == 0)
+    const auto next = by_id.find(id);
+    if (next == by_id.end() || next->second != upstream)
       upstream->listed = false;
   }
   by_id_ = std::move(by_id);
@@ -85,7 +86,7 @@
 
 bool fleet_service::IsUsable(const fleet_upstream& upstream,
                              time_point now) const {
-  if (!upstream.listed || upstream.entry.leaving)
+  if (!upstream.AcceptsRequests())
     return false;
   if (!upstream.health.IsAvoided(now))
     return true;
--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -29,6 +29,8 @@
   std::uint64_t rank = 0;  // sort key; the same on all instances
   bool listed = true;
   upstream_health health;
+  // Whether it is registered and has not announced that it leaves.
+  bool AcceptsRequests() const { return listed && !entry.leaving; }
   // Requests sent by this instance, by tracking id.
   std::map<std::uint64_t, running_request> running;
   // A test connection is in progress after a failed exchange.
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -33,6 +33,13 @@
   fleet_->OnLoadChanged(urgent_);
 }
 
+bool relay_assignment::TargetsAcceptRequests() const {
+  return primary.upstream->AcceptsRequests() &&
+         std::all_of(helpers.begin(), helpers.end(), [](const target& helper) {
+           return helper.upstream->AcceptsRequests();
+         });
+}
+
 void relay_assignment::EndPrefill() {
   if (!prefilling_)
     return;
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -48,6 +48,9 @@
   const std::shared_ptr<fleet_upstream>& upstream() const {
     return primary.upstream;
   }
+  // Whether all targets still accept requests. The assignment may be older than
+  // the announcement that a target leaves.
+  bool TargetsAcceptRequests() const;
   // Reports that prefill is complete on all targets. Idempotent.
   void EndPrefill();
 
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -71,6 +71,10 @@
   options.fresh_connection = !route_->IsRetryable();
   options.max_idle_time = kMaxConnectionIdleTime;
   options.dead_peer_timeout = kDeadPeerTimeout;
+  options.may_send = [&assignment] {
+    return assignment.TargetsAcceptRequests();
+  };
+  options.may_abort_write = route_->IsRetryable();
   const bool can_repeat =
       route_->IsRetryable() && sent_attempts_ + 1 < route_->max_attempts;
   const time_point first_event_deadline =
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -215,6 +215,8 @@
     reservations_[id] = {
         tokens, clock::now() + milliseconds(request->value("hold_ms", 0))};
   }
+  if (control_delay_ > milliseconds(0))
+    Sleep(io_, control_delay_, yield);
   exchange.RespondWith(MakeResponse(200, "{}"), deadline, yield);
 }
 
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -123,6 +123,8 @@
   void OnRun(std::function<void(const http_request&)> hook) {
     on_run_ = std::move(hook);
   }
+  // Sets the time until a control request is answered.
+  void SetControlDelay(milliseconds delay) { control_delay_ = delay; }
   // Sets the time between executing a request and its response.
   void SetRunTime(milliseconds time) { run_time_ = time; }
   // Sets the time between the events of a stream.
@@ -160,6 +162,7 @@
   int faulty_requests_ = 0;
   std::function<void(const http_request&)> on_run_;
   std::string refused_helper_;
+  milliseconds control_delay_{0};
   milliseconds run_time_{0};
   milliseconds event_pause_{0};
   std::map<std::string, reservation> reservations_;  // by reservation id
--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -164,5 +164,37 @@
   });
 }
 
+// Guards against a request to upstreams that announced that they leave after
+// they were chosen, while memory was being reserved for the request.
+TEST_CASE(
+    "a request is not sent to upstreams that left since they were chosen") {
+  constexpr int kPromptTokens = 330'000;  // the memory of two engines
+  constexpr milliseconds kControlDelay{300};
+  small_fleet fleet;
+  fleet.store.Put("op/config", FastEngineConfig("1550000.0"));
+  fleet.RegisterRunners();
+  for (const auto& engine : fleet.engines)
+    engine->SetControlDelay(kControlDelay);
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(fleet.WaitForStatus("/often/x", 200, yield));
+    Spawn(fleet.io, "leave", [&](asio::yield_context inner) {
+      Sleep(fleet.io, kControlDelay / 2, inner);
+      for (const auto& engine : fleet.engines)
+        fleet.store.Put("servers/" + engine->id(),
+                        engine->Entry("engines", true));
+    });
+    const http_response response = fleet.Call(
+        "/stream/x", "large", yield, "key", kCallTimeout, kPromptTokens);
+    // Either status states that the request has not run.
+    CHECK((response.status == 503 || response.status == 429));
+    for (const auto& engine : fleet.engines)
+      CHECK(engine->arrivals() == 0);
+    // The reservations are released.
+    Sleep(fleet.io, kSettleTime + kControlDelay, yield);
+    for (const auto& engine : fleet.engines)
+      CHECK(engine->ReservedTokens() == 0);
+  });
+}
+
 }  // namespace
 }  // namespace cactusward
