Responses without end are cut off with bounded memory

Cause: http_client bounded the head (8 KB) but not what the parser keeps of a chunk extension or a trailer, took an interim response (1xx) for the final one, and relay_request read a stream as alive while any byte came. One buffered body was bounded (8 MB), all together were not.

Change: the parse buffer holds 64 KB, up to four interim responses are skipped, the timeout of a stream counts from its last new event, and 1 MB without one ends it. Bodies and partial events share a buffer_pool of 32 MB an instance, of which one may take half of what the others leave. Control responses end at 64 KB.

--- a/include/cactusward/event_stream.h
+++ b/include/cactusward/event_stream.h
@@ -29,6 +29,9 @@
   // Whether the bytes so far end within an event.
   bool HasPartialEvent() const { return !pending_.empty(); }
 
+  // Size of that partial event.
+  std::size_t pending_bytes() const { return pending_.size(); }
+
   static constexpr std::size_t kMaxEventBytes = 1024ULL * 1024;
 
  private:
--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -13,6 +13,11 @@
 namespace {
 
 constexpr std::size_t kReadBufferBytes = 8ULL * 1024;
+// Unparsed bytes of one response: more than the head and the extension of a
+// chunk together.
+constexpr std::size_t kMaxParseBufferBytes = 64ULL * 1024;
+// Responses with status 1xx before the final one.
+constexpr int kMaxInterimResponses = 4;
 constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr milliseconds kMaxIdleTime{10'000};
 constexpr milliseconds kConnectTimeout{1'000};
@@ -149,8 +154,9 @@
     : client_(client),
       address_(std::move(address)),
       socket_(std::move(socket)),
+      buffer_(kMaxParseBufferBytes),
       cancel_(cancel) {
-  parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
+  ResetParser();
   if (!cancel_)
     return;
   cancel_->OnCancel([socket = socket_.get()] {
@@ -167,30 +173,43 @@
   // Bytes after a complete response belong to no request, so the connection
   // cannot be reused.
   if (finished_ && !cancelled() && !connection_reuse_disabled_ &&
-      parser_.keep_alive() && buffer_.size() == 0 &&
+      parser_->keep_alive() && buffer_.size() == 0 &&
       (!pending_write_ || pending_write_->done))
     client_->ReturnConnection(address_, std::move(socket_),
                               KeepAliveTime(header()));
 }
 
 int http_stream::status() const {
-  return static_cast<int>(parser_.get().result_int());
+  return static_cast<int>(parser_->get().result_int());
 }
 
 std::string_view http_stream::Header(std::string_view name) const {
-  const auto value = parser_.get()[{name.data(), name.size()}];
+  const auto value = parser_->get()[{name.data(), name.size()}];
   return {value.data(), value.size()};
 }
 
 result<bool> http_stream::ReadHeader(time_point deadline,
                                      asio::yield_context yield) {
   deadline_guard guard(socket_.get(), deadline);
-  boost::system::error_code error;
-  http::async_read_header(*socket_, buffer_, parser_, yield[error]);
-  if (error)
-    return {ReadErrorKind(error, guard.expired()), error.message()};
-  finished_ = parser_.is_done();
-  return true;
+  for (int i = 0; i <= kMaxInterimResponses; ++i) {
+    boost::system::error_code error;
+    http::async_read_header(*socket_, buffer_, *parser_, yield[error]);
+    if (error)
+      return {ReadErrorKind(error, guard.expired()), error.message()};
+    if (http::to_status_class(parser_->get().result()) !=
+        http::status_class::informational) {
+      finished_ = parser_->is_done();
+      return true;
+    }
+    ResetParser();
+  }
+  return {error_kind::kUpstreamGarbled, "too many interim responses"};
+}
+
+void http_stream::ResetParser() {
+  parser_.emplace();
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  parser_->skip(response_has_no_body_);
 }
 
 result<std::string_view> http_stream::Read(time_point deadline,
@@ -201,12 +220,12 @@
     return {error_kind::kUpstreamFailed, "cancelled"};
   read_buffer_.resize(kReadBufferBytes);
   deadline_guard guard(socket_.get(), deadline);
-  while (!parser_.is_done()) {
-    parser_.get().body().data = read_buffer_.data();
-    parser_.get().body().size = read_buffer_.size();
-    parser_.get().body().more = true;
+  while (!parser_->is_done()) {
+    parser_->get().body().data = read_buffer_.data();
+    parser_->get().body().size = read_buffer_.size();
+    parser_->get().body().more = true;
     boost::system::error_code error;
-    http::async_read_some(*socket_, buffer_, parser_, yield[error]);
+    http::async_read_some(*socket_, buffer_, *parser_, yield[error]);
     if (error == http::error::need_buffer)
       error = {};
     if (error)
@@ -214,9 +233,9 @@
     if (cancelled())
       return {error_kind::kUpstreamFailed, "cancelled"};
     const std::size_t received =
-        read_buffer_.size() - parser_.get().body().size;
+        read_buffer_.size() - parser_->get().body().size;
     if (received > 0) {
-      finished_ = parser_.is_done();
+      finished_ = parser_->is_done();
       return std::string_view(read_buffer_.data(), received);
     }
   }
@@ -360,7 +379,8 @@
   auto stream =
       std::make_unique<http_stream>(this, address, std::move(socket), cancel);
   stream->reused_ = reused;
-  stream->parser_.skip(message.method() == http::verb::head);
+  stream->response_has_no_body_ = message.method() == http::verb::head;
+  stream->ResetParser();
   stream->pending_write_ =
       std::make_shared<http_stream::pending_write>(std::move(message));
   failure->maybe_sent = true;
@@ -381,7 +401,7 @@
   if (!header) {
     failure->stale_connection =
         reused && header.kind() == error_kind::kUpstreamFailed &&
-        !stream->parser_.got_some() && stream->buffer_.size() == 0;
+        !stream->parser_->got_some() && stream->buffer_.size() == 0;
     return {header.kind(), header.detail()};
   }
   return stream;
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -72,7 +73,9 @@
   http_stream& operator=(const http_stream&) = delete;
 
   int status() const;
-  const http::response_header<>& header() const { return parser_.get().base(); }
+  const http::response_header<>& header() const {
+    return parser_->get().base();
+  }
   // Whether the connection carried other requests before this one.
   bool reused() const { return reused_; }
   // Closes the connection with this stream instead of reusing it.
@@ -88,15 +91,19 @@
  private:
   friend class http_client;
   bool cancelled() const { return cancel_ && cancel_->cancelled(); }
+  // Skips interim responses (1xx).
   result<bool> ReadHeader(time_point deadline, asio::yield_context yield);
+  void ResetParser();
 
   http_client* client_;
   std::string address_;
   std::unique_ptr<tcp::socket> socket_;
   boost::beast::flat_buffer buffer_;
-  http::response_parser<http::buffer_body> parser_;
+  // Set after construction; replaced after an interim response.
+  std::optional<http::response_parser<http::buffer_body>> parser_;
   std::string read_buffer_;
   cancel_token* cancel_;
+  bool response_has_no_body_ = false;  // the request was a HEAD
   bool finished_ = false;
   bool reused_ = false;
   bool connection_reuse_disabled_ = false;
--- a/src/relay/memory_reservation.cc
+++ b/src/relay/memory_reservation.cc
@@ -14,6 +14,7 @@
 // All release attempts together end before the reservation expires.
 constexpr milliseconds kReleaseRetryDelay{150};
 constexpr int kMaxReleaseAttempts = 4;
+constexpr std::size_t kMaxControlResponseBytes = 64ULL * 1024;
 constexpr int kStatusOk = 200;
 constexpr int kStatusAccepted = 202;
 
@@ -30,8 +31,9 @@
     const std::string& address,
     const outgoing_request& request,
     asio::yield_context yield) {
-  const auto answer = runtime.client.Call(
-      address, request, clock::now() + kControlTimeout, yield);
+  const auto answer =
+      runtime.client.Call(address, request, clock::now() + kControlTimeout,
+                          yield, kMaxControlResponseBytes);
   if (!answer)
     return {answer.kind(), answer.detail()};
   if (answer->status == kStatusOk || answer->status == kStatusAccepted)
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -8,8 +8,9 @@
 
 // A caller that accepts no bytes for this long has disconnected.
 constexpr milliseconds kResponseWriteTimeout{5'000};
-// Twice the largest body that callers may send.
-constexpr std::size_t kMaxBufferedResponseBytes = 8ULL * 1024 * 1024;
+// Bytes of a stream that bring no new event: a partial event, comments,
+// repeated events.
+constexpr std::size_t kMaxBytesWithoutEvent = 1024ULL * 1024;
 // A request on a connection that was idle for longer may cross the upstream's
 // close of it.
 constexpr milliseconds kMaxConnectionIdleTime{1'500};
@@ -139,6 +140,7 @@
 relay_request::attempt relay_request::RelayBody(http_stream& stream,
                                                 asio::yield_context yield) {
   std::string body;
+  buffer_pool::share buffered(&services_.response_buffers);
   while (true) {
     const auto bytes = stream.Read(response_deadline_, yield);
     if (cancel_.cancelled())
@@ -147,12 +149,13 @@
       return ReadFailure(bytes);
     if (bytes->empty())
       break;
-    body.append(*bytes);
-    if (body.size() > kMaxBufferedResponseBytes) {
+    // Not more than double, which is what appending may allocate.
+    if (!buffered.Resize(2 * (body.size() + bytes->size()))) {
       stream.DisableConnectionReuse();
       return {attempt_result::kInvalidResponse,
               "response exceeds the size limit", false, std::nullopt};
     }
+    body.append(*bytes);
   }
   http::response<http::string_body> response{
       http::response_header<>(stream.header())};
@@ -182,15 +185,17 @@
   event_stream_splitter splitter;
   std::vector<stream_event> events;
   bool first_event_seen = false;
+  time_point last_event_at = sent_at;
+  std::size_t bytes_without_event = 0;
+  buffer_pool::share buffered(&services_.response_buffers);
   const bool can_repeat =
       route_->IsRetryable() && sent_attempts_ < route_->max_attempts;
   while (true) {
     const milliseconds timeout = first_event_seen
                                      ? EventGapTimeout(assignment)
                                      : FirstEventTimeout(assignment);
-    const time_point timeout_start = first_event_seen ? clock::now() : sent_at;
     const time_point read_deadline =
-        can_repeat ? std::min(response_deadline_, timeout_start + timeout)
+        can_repeat ? std::min(response_deadline_, last_event_at + timeout)
                    : response_deadline_;
     const auto bytes = stream.Read(read_deadline, yield);
     if (cancel_.cancelled())
@@ -204,26 +209,37 @@
       break;
     }
     events.clear();
-    if (!splitter.Feed(*bytes, &events))
+    if (!splitter.Feed(*bytes, &events) ||
+        !buffered.Resize(2 * splitter.pending_bytes()))
       return {attempt_result::kInvalidResponse, "event exceeds the size limit",
               false, std::nullopt};
+    const auto previous_event_id = last_event_id_;
     const auto next = CollectNewEvents(events);
     if (!next)
       return {attempt_result::kInvalidResponse, "gap in the event ids", false,
               std::nullopt};
+    const bool has_new_event = last_event_id_ != previous_event_id;
+    bytes_without_event =
+        has_new_event ? 0 : bytes_without_event + bytes->size();
+    if (bytes_without_event > kMaxBytesWithoutEvent)
+      return {attempt_result::kInvalidResponse, "no new event in many bytes",
+              false, std::nullopt};
     const std::string& new_bytes = *next;
     if (!new_bytes.empty() && last_event_write_at_)
       record_.longest_pause =
           std::max(record_.longest_pause, clock::now() - *last_event_write_at_);
     if (!new_bytes.empty())
       last_event_write_at_ = clock::now();
-    if (!new_bytes.empty() && !first_event_seen) {
+    if (has_new_event && !first_event_seen) {
       first_event_seen = true;
       RecordFirstEvent(assignment, sent_at);
     }
     if (!new_bytes.empty() && !WriteEvents(stream.header(), new_bytes, yield))
       return {attempt_result::kCallerGone, "caller accepts no bytes", false,
               std::nullopt};
+    // Measured from here, since the caller may have been slow to accept bytes.
+    if (has_new_event)
+      last_event_at = clock::now();
   }
   if (!stream_started_ && !WriteEvents(stream.header(), {}, yield))
     return {attempt_result::kCallerGone, "caller accepts no bytes", false,
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -11,6 +11,9 @@
 constexpr milliseconds kResponseWriteTimeout{2'000};
 // Retry budgets are counted over windows of several seconds.
 constexpr milliseconds kRetryBudgetPeriod{1'000};
+// Responses of upstreams that are read completely before they are passed on,
+// all together; one may take half of it. Fits into the smallest instances.
+constexpr std::size_t kResponseBufferBytes = 32ULL * 1024 * 1024;
 // Initial incarnation number in the membership. A restarted process learns from
 // its peers which number the previous process of its name had reached.
 constexpr std::uint64_t kFirstIncarnation = 1;
@@ -41,9 +44,11 @@
       metrics_server_(io, &monitor_, http_server_limits()),
       shutdown_(runtime_, &server_),
       retries_(settings->forwarding->retries),
-      request_services_{runtime_,    *adapter_.protocol, catalog_, fleet_,
-                        dispatcher_, recovery_,          report_,  retries_,
-                        shutdown_,   longest_deadlines_} {
+      response_buffers_(kResponseBufferBytes),
+      request_services_{
+          runtime_,    *adapter_.protocol, catalog_,          fleet_,
+          dispatcher_, recovery_,          report_,           retries_,
+          shutdown_,   response_buffers_,  longest_deadlines_} {
   for (service* part :
        {static_cast<service*>(&catalog_), static_cast<service*>(&membership_),
         static_cast<service*>(&recovery_), static_cast<service*>(&fleet_),
--- a/src/relay/relay_gateway.h
+++ b/src/relay/relay_gateway.h
@@ -75,6 +75,7 @@
   http_server metrics_server_;
   relay_shutdown shutdown_;
   retry_budgets retries_;
+  buffer_pool response_buffers_;
   std::map<std::string, milliseconds> longest_deadlines_;
   relay_services request_services_;
   std::unique_ptr<timer_subscription> retry_budget_timer_;
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "cactusward/buffer_pool.h"
 #include "cactusward/event_stream.h"
 #include "cactusward/forward_config.h"
 #include "cactusward/shared_retry_budget.h"
@@ -33,6 +34,7 @@
   report_service& report;
   retry_budgets& retries;
   const relay_shutdown& shutdown;
+  buffer_pool& response_buffers;
   // Longest deadline seen on each route, taken as the deadline of a caller's
   // first attempt.
   std::map<std::string, milliseconds>& longest_deadlines;
