Idle connections that cannot be reused are closed

Callers saw: nothing; found while looking for beliefs without an age. A connection to an upstream that is gone was looked at again only when a request for the same address came, so it, and any bytes received on it, stayed for as long as the process ran.

Change: every 2 s the client closes idle connections that have expired, that the peer has closed, or that hold unexpected bytes; the metric cactusward_idle_connections shows the rest.

Evidence: 'idle connections are closed when they cannot be reused'; there was nothing to call before.

--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <limits>
@@ -269,6 +270,26 @@
     idle.push_back({std::move(socket), now, now + keep_alive_time});
 }
 
+void http_client::CloseUnusableConnections(time_point now) {
+  for (auto it = idle_connections_.begin(); it != idle_connections_.end();) {
+    auto& idle = it->second;
+    idle.erase(std::remove_if(idle.begin(), idle.end(),
+                              [now](const idle_connection& connection) {
+                                return now >= connection.until ||
+                                       IsStale(*connection.socket);
+                              }),
+               idle.end());
+    it = idle.empty() ? idle_connections_.erase(it) : std::next(it);
+  }
+}
+
+std::size_t http_client::idle_connections() const {
+  std::size_t count = 0;
+  for (const auto& [address, idle] : idle_connections_)
+    count += idle.size();
+  return count;
+}
+
 result<std::unique_ptr<tcp::socket>> http_client::Connect(
     const std::string& address,
     time_point deadline,
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -160,6 +160,11 @@
       asio::yield_context yield,
       cancel_token* cancel,
       send_failure* failure);
+  // Closes idle connections that may not be reused at `now` or that the peer
+  // has closed. Call periodically: addresses that are not used again would keep
+  // theirs.
+  void CloseUnusableConnections(time_point now);
+  std::size_t idle_connections() const;
   // Number of connections opened since construction.
   std::int64_t connections_opened() const { return connections_opened_; }
 
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -14,6 +14,8 @@
 // Responses of upstreams that are read completely before they are passed on,
 // all together; one may take half of it. Fits into the smallest instances.
 constexpr std::size_t kResponseBufferBytes = 32ULL * 1024 * 1024;
+// Well below the time for which connections stay idle.
+constexpr milliseconds kIdleConnectionPeriod{2'000};
 // Initial incarnation number in the membership. A restarted process learns from
 // its peers which number the previous process of its name had reached.
 constexpr std::uint64_t kFirstIncarnation = 1;
@@ -72,6 +74,9 @@
       timers_.Every(kRetryBudgetPeriod, [this](time_point now) {
         retries_.SetInstanceCount(membership_.LiveCount(), now);
       });
+  idle_connection_timer_ = timers_.Every(
+      kIdleConnectionPeriod,
+      [this](time_point now) { client_.CloseUnusableConnections(now); });
   Log(log_level::kInfo, "started",
       {{"listen", settings_->listen},
        {"peer_listen", settings_->peer_listen},
@@ -144,6 +149,7 @@
       << '\n'
       << "cactusward_in_progress " << server_.active() << '\n'
       << "cactusward_waiting_for_upstream " << dispatcher_.waiting() << '\n'
+      << "cactusward_idle_connections " << client_.idle_connections() << '\n'
       << "cactusward_connections_opened " << client_.connections_opened()
       << '\n';
   return out.str();
--- a/src/relay/relay_gateway.h
+++ b/src/relay/relay_gateway.h
@@ -79,6 +79,7 @@
   std::map<std::string, milliseconds> longest_deadlines_;
   relay_services request_services_;
   std::unique_ptr<timer_subscription> retry_budget_timer_;
+  std::unique_ptr<timer_subscription> idle_connection_timer_;
 };
 
 }  // namespace cactusward
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -45,6 +45,58 @@
   CHECK(second == error_kind::kUpstreamFailed);
 }
 
+// Guards against connections to upstreams that are gone, or bytes received on
+// them, being kept for as long as the process runs.
+TEST_CASE("idle connections are closed when they cannot be reused") {
+  struct row {
+    const char* name;
+    bool peer_closes;
+    std::string_view extra_bytes;
+    milliseconds age;
+    std::size_t left;
+  };
+  const row rows[] = {
+      {"a young connection stays", false, "", milliseconds(0), 1},
+      {"an old connection", false, "", milliseconds(10'000), 0},
+      {"a connection that the peer closed", true, "", milliseconds(0), 0},
+      {"a connection with bytes of no response", false, "x", milliseconds(0),
+       0},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    asio::io_context io;
+    tcp::acceptor acceptor(io,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    http_client client(io);
+    tcp::socket peer(io);
+    std::size_t before = 0;
+    std::size_t after = 0;
+    asio::spawn(io, [&](asio::yield_context yield) {
+      acceptor.async_accept(peer, yield);
+      std::string buffer(4096, '\0');
+      peer.async_read_some(asio::buffer(buffer), yield);
+      asio::async_write(peer, asio::buffer(kAnswer), yield);
+    });
+    asio::spawn(io, [&](asio::yield_context yield) {
+      const time_point deadline = clock::now() + std::chrono::seconds(20);
+      REQUIRE(client.Call(address, {}, deadline, yield));
+      before = client.idle_connections();
+      if (!r.extra_bytes.empty())
+        asio::async_write(peer, asio::buffer(r.extra_bytes), yield);
+      if (r.peer_closes)
+        peer.close();
+      Sleep(io, milliseconds(50), yield);
+      client.CloseUnusableConnections(clock::now() + r.age);
+      after = client.idle_connections();
+    });
+    io.run();
+    CHECK(before == 1);
+    CHECK(after == r.left);
+  }
+}
+
 TEST_CASE("a refused connection proves that nothing was sent") {
   asio::io_context io;
   tcp::acceptor acceptor(io,
