--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -12,7 +12,8 @@
 constexpr milliseconds kPollInterval{10};
 // Below the ports of the scenarios and of outgoing connections.
 constexpr int kFirstPort = 5'000;
-constexpr int kPortCount = 5'000;
+constexpr int kPortBlocks = 10;
+constexpr int kPortsPerBlock = 500;
 constexpr std::int64_t kRunnerCapacityTokens = 315'000;
 
 http_server_limits Limits() {
@@ -27,19 +28,39 @@
   return response;
 }
 
+bool TryBind(tcp::acceptor& acceptor, const std::string& address) {
+  boost::system::error_code error;
+  acceptor.open(tcp::v4(), error);
+  acceptor.bind(*ParseTcpEndpoint(address), error);
+  if (error)
+    acceptor.close();
+  return !error;
+}
+
+// Reserves a block of ports for this process: the first one is bound, at
+// another loopback address, for as long as the process runs.
+int ReservePortBlock() {
+  static asio::io_context io;
+  static tcp::acceptor reservation(io);
+  for (int block = 0; block < kPortBlocks; ++block) {
+    const int first = kFirstPort + block * kPortsPerBlock;
+    if (TryBind(reservation, "127.0.0.2:" + std::to_string(first)))
+      return first;
+  }
+  return kFirstPort;
+}
+
 }  // namespace
 
 std::string FreeAddress() {
+  static const int first = ReservePortBlock();
   static int next = 0;
   asio::io_context io;
-  for (int i = 0; i < kPortCount; ++i) {
+  for (int i = 0; i < kPortsPerBlock; ++i) {
     const std::string address =
-        "127.0.0.1:" + std::to_string(kFirstPort + next++ % kPortCount);
+        "127.0.0.1:" + std::to_string(first + next++ % kPortsPerBlock);
     tcp::acceptor acceptor(io);
-    boost::system::error_code error;
-    acceptor.open(tcp::v4(), error);
-    acceptor.bind(*ParseTcpEndpoint(address), error);
-    if (!error)
+    if (TryBind(acceptor, address))
       return address;
   }
   return {};
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -15,8 +15,8 @@
 
 namespace cactusward::testing {
 
-// Returns a loopback address that is free now; ports are tried in order.
-// Another process may bind it before the caller does.
+// Returns a loopback address that is free now; ports are tried in order, in a
+// block that other processes which call this do not use.
 std::string FreeAddress();
 
 // The key-value store: items with revisions, and watches.
