A configuration that precedes a known change of upstreams is not lost

An instance took the revision for complete: it neither asked for the configuration nor, when it began to watch, watched from before it. If the few watching instances ended within that second, all others would have kept the old configuration until the next one.

Change: the revision up to which the configuration is known is kept by itself (config_known_revision_). Own confirmations are reported only while it has reached that of the upstreams; the periodic question reads the configuration when it has not; a new watch begins at the lower of the two.

Evidence: 'a configuration is found when a peer reported only later changes' failed before (no response 200 within 5 s) and passes now.

--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -58,11 +58,12 @@
         message->changes.push_back(recent_changes_[i].change);
     }
   }
-  message->confirmed_age_ms = own_confirmed_at_ == time_point()
-                                  ? -1
-                                  : std::chrono::duration_cast<milliseconds>(
+  const bool confirmed = own_confirmed_at_ != time_point() && IsConfigCurrent();
+  message->confirmed_age_ms = confirmed
+                                  ? std::chrono::duration_cast<milliseconds>(
                                         clock::now() - own_confirmed_at_)
-                                        .count();
+                                        .count()
+                                  : -1;
 }
 
 bool catalog_service::ApplyPeerChanges(const gossip_message& message,
@@ -97,9 +98,11 @@
     CatchUpUpstreams(peer, now);
   if (config_behind)
     CatchUpConfig(peer, now);
-  if (!upstreams_behind && !config_behind &&
-      message.catalog_revision == revision_ && message.confirmed_age_ms >= 0)
-    RecordConfirmation(now - milliseconds(message.confirmed_age_ms));
+  if (message.catalog_revision != revision_ ||
+      message.config_number != ConfigVersion() || message.confirmed_age_ms < 0)
+    return;
+  RecordConfirmation(now - milliseconds(message.confirmed_age_ms));
+  RecordConfigKnown(revision_);
 }
 
 void catalog_service::CatchUpUpstreams(const std::string& peer,
@@ -142,11 +145,9 @@
                                   asio::yield_context yield) {
   // The registry has more bandwidth than a peer that all instances ask at once.
   const std::int64_t before = ConfigVersion();
-  const auto batch = source_->ReadConfig(yield);
-  if (batch)
-    ApplyConfigs(*batch, "registry", yield);
-  else
-    RecordQueryFailure("configuration", batch.detail());
+  const auto read = ReadConfig(yield);
+  if (!read)
+    RecordQueryFailure("configuration", read.detail());
   // Another coroutine may have read it first and be decoding it now.
   if (decoding_revision_ == 0 && ConfigVersion() <= before)
     PullFrom(peer, before, yield);
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -141,6 +141,13 @@
       confirm_due_ = clock::now() + kConfirmRetryDelay;
       return;
     }
+  } else if (config_known_revision_ < revision_) {
+    const auto read = ReadConfig(yield);
+    if (!read) {
+      RecordQueryFailure("configuration", read.detail());
+      confirm_due_ = clock::now() + kConfirmRetryDelay;
+      return;
+    }
   }
   RecordOwnConfirmation(asked_at);
   membership_->Broadcast();
@@ -150,7 +157,8 @@
   while (true) {
     if (!needs_full_read_ && !IsWatcher()) {
       Sleep(runtime_.io, kWatcherPollPeriod, yield);
-      watched_revision_ = std::max(watched_revision_, revision_);
+      watched_revision_ = std::max(watched_revision_,
+                                   std::min(revision_, config_known_revision_));
       continue;
     }
     if (!needs_full_read_) {
@@ -175,11 +183,21 @@
   if (!upstreams)
     return {upstreams.kind(), upstreams.detail()};
   ApplySnapshot(*upstreams, "registry", yield);
+  const auto config = ReadConfig(yield);
+  if (!config)
+    return {config.kind(), config.detail()};
+  // Read later than the upstreams.
+  RecordConfigKnown(upstreams->revision);
+  return upstreams->revision;
+}
+
+result<bool> catalog_service::ReadConfig(asio::yield_context yield) {
   const auto config = source_->ReadConfig(yield);
   if (!config)
     return {config.kind(), config.detail()};
   ApplyConfigs(*config, "registry", yield);
-  return upstreams->revision;
+  RecordConfigKnown(config->revision);
+  return true;
 }
 
 bool catalog_service::IsWatcher() const {
@@ -246,6 +264,7 @@
   const time_point received_at = clock::now();
   const bool newer = batch->revision > revision_;
   ApplyChanges(*batch, yield);
+  RecordConfigKnown(batch->revision);
   RecordOwnConfirmation(received_at);
   if (newer)
     membership_->Broadcast();
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -4,6 +4,7 @@
 #ifndef CACTUSWARD_SRC_RELAY_CATALOG_SERVICE_H_
 #define CACTUSWARD_SRC_RELAY_CATALOG_SERVICE_H_
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -110,6 +111,13 @@
   void RecordConfirmation(time_point at);
   // The same, established by this instance's own request to the registry.
   void RecordOwnConfirmation(time_point at);
+  void RecordConfigKnown(std::int64_t revision) {
+    config_known_revision_ = std::max(config_known_revision_, revision);
+  }
+  // Whether the configuration in force was the newest at `revision_`.
+  bool IsConfigCurrent() const {
+    return decoding_revision_ == 0 && config_known_revision_ >= revision_;
+  }
   std::int64_t ConfigVersion() const {
     return config_ ? config_->version() : 0;
   }
@@ -118,6 +126,9 @@
   // one does not hold back the other.
   void CatchUpUpstreams(const std::string& peer, time_point now);
   void CatchUpConfig(const std::string& peer, time_point now);
+  // Reads and applies the registry's configuration.
+  // @return kStoreUnavailable.
+  result<bool> ReadConfig(asio::yield_context yield);
   // Fetches a newer configuration from the registry, or from `peer` if the
   // registry does not provide one.
   void FetchConfig(const std::string& peer, asio::yield_context yield);
@@ -138,8 +149,12 @@
   std::int64_t decoding_revision_ = 0;
   upstream_catalog upstreams_;
   std::map<std::string, raw_upstream> raw_upstreams_;
-  // All changes up to this registry revision are known.
+  // All changes of upstreams up to this registry revision are known.
   std::int64_t revision_ = 0;
+  // The configuration in force, or the one being decoded, was the registry's
+  // newest at this revision. Peers report changes of upstreams before they have
+  // decoded a configuration that preceded them.
+  std::int64_t config_known_revision_ = 0;
   // Revision that the watch has reached. Lower than `revision_` after changes
   // were received from a peer.
   std::int64_t watched_revision_ = 0;
--- a/tests/unit/catalog_age_test.cc
+++ b/tests/unit/catalog_age_test.cc
@@ -198,6 +198,16 @@
     ping.confirmed_age_ms = revision > 0 ? 0 : -1;
     socket_.Send(address, EncodeGossip(ping));
   }
+  // Reports all changes of upstreams after a revision, up to that of `change`.
+  void SendChange(const std::string& address,
+                  std::int64_t after,
+                  const catalog_change& change) {
+    gossip_message update = table_.BuildMessage(gossip_kind::kUpdate);
+    update.catalog_revision = change.revision;
+    update.changes_after = after;
+    update.changes = {change};
+    socket_.Send(address, EncodeGossip(update));
+  }
 
  private:
   void Receive(std::string_view bytes) {
@@ -286,5 +296,28 @@
   }
 }
 
+// Guards against a configuration that is lost when the instance that watches
+// the registry ends between its report of a later change and the decoding.
+TEST_CASE("a configuration is found when a peer reported only later changes") {
+  // Longer than the test waits.
+  constexpr milliseconds kWatchDelay{8'000};
+  small_fleet fleet;
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.RegisterRunners();
+  gossip_peer peer(fleet, [](const gossip_message&) {});
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(fleet.WaitForStatus("/often/x", 200, yield));
+    REQUIRE(peer.Listen());
+    fleet.store.SetWatchDelay(kWatchDelay);
+    const std::int64_t before = fleet.store.revision();
+    fleet.store.Put("op/config", testing::ConfigDocument(2, "new"));
+    const std::string entry = fleet.plain[0]->Entry("plain", true);
+    fleet.store.Put("servers/p0", entry);
+    peer.SendChange(fleet.settings.peer_advertise, before,
+                    {"p0", fleet.store.revision(), entry});
+    CHECK(fleet.WaitForStatus("/new/x", 200, yield));
+  });
+}
+
 }  // namespace
 }  // namespace cactusward
