--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -41,7 +41,8 @@
   // probes unanswered, for this long. 0: only the deadline applies.
   milliseconds dead_peer_timeout{2'000};
   // Asked when the connection is established; the message is not sent when it
-  // returns false. Empty: the message is sent. Outlives the stream.
+  // returns false. Empty: the message is sent. What it refers to must outlive
+  // the stream.
   std::function<bool()> may_send;
   // Also asked while the message is being written, which is broken off when it
   // returns false.
