Log the requests in flight at a crash, with the shared parts of their prompts

upstream_died gave their number only. Whether the requests that crash upstreams have anything in common, or are the same ones whose suspicion was dropped, could not be told from it. The adapter reads the identifiers of the parts that other requests may share; no decision uses them yet.

--- a/include/cactusward/suspects.h
+++ b/include/cactusward/suspects.h
@@ -22,10 +22,13 @@
 struct running_request {
   std::uint64_t fingerprint = 0;
   bool first_token_seen = false;
+  // Identifiers of the parts of its prompt that other requests may share.
+  std::vector<std::uint64_t> shared_parts;
 
   friend bool operator==(const running_request& a, const running_request& b) {
     return a.fingerprint == b.fingerprint &&
-           a.first_token_seen == b.first_token_seen;
+           a.first_token_seen == b.first_token_seen &&
+           a.shared_parts == b.shared_parts;
   }
 };
 
--- a/src/recovery/suspects.cc
+++ b/src/recovery/suspects.cc
@@ -155,7 +155,7 @@
                                           time_point now) const {
   if (CrashCount(fingerprint, now) >= refusal_threshold_)
     return suspect_verdict::kRefuse;
-  return IsStrong({fingerprint, true}, now) ? suspect_verdict::kIsolate
+  return IsStrong({fingerprint, true, {}}, now) ? suspect_verdict::kIsolate
                                             : suspect_verdict::kAllow;
 }
 
--- a/src/relay/relay_protocol.h
+++ b/src/relay/relay_protocol.h
@@ -23,12 +23,15 @@
   std::int64_t prompt_tokens = 0;        // 0: not a prompt
   std::int64_t max_output_tokens = 0;
   std::optional<std::int64_t> last_event_id;  // resume the stream after it
+  // Identifiers of the parts of the prompt that other requests may share.
+  std::vector<std::uint64_t> shared_parts;
 
   friend bool operator==(const caller_request& a, const caller_request& b) {
     return a.attempt_id == b.attempt_id && a.key == b.key &&
            a.deadline == b.deadline && a.prompt_tokens == b.prompt_tokens &&
            a.max_output_tokens == b.max_output_tokens &&
-           a.last_event_id == b.last_event_id;
+           a.last_event_id == b.last_event_id &&
+           a.shared_parts == b.shared_parts;
   }
 };
 
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -279,7 +279,7 @@
        {"attempt", attempts_}});
   auto& running = assignment.upstream()->running;
   const std::uint64_t id = assignment.primary.tracking_id;
-  running[id] = {fingerprint_, false};
+  running[id] = {fingerprint_, false, caller_.shared_parts};
   const auto upstream = assignment.upstream();
   attempt done = Forward(assignment, helpers, yield);
   if (done.end == attempt_result::kInvalidResponse && !done.stale_connection)
--- a/src/services/recovery_service.cc
+++ b/src/services/recovery_service.cc
@@ -1,5 +1,7 @@
 #include "src/services/recovery_service.h"
 
+#include <absl/strings/str_cat.h>
+
 #include "cactusward/upstreams.h"
 #include "src/kernel/log.h"
 #include "src/services/config_service.h"
@@ -18,6 +20,23 @@
 // to kBrokenProbeTimeout in upstream_directory.cc.
 constexpr milliseconds kPeerReportWait{300};
 
+std::string Hex(std::uint64_t value) {
+  return absl::StrCat(absl::Hex(value));
+}
+
+nlohmann::json DescribeRequests(const std::vector<running_request>& requests) {
+  auto described = nlohmann::json::array();
+  for (const running_request& request : requests) {
+    auto parts = nlohmann::json::array();
+    for (const std::uint64_t part : request.shared_parts)
+      parts.push_back(Hex(part));
+    described.push_back({{"fingerprint", Hex(request.fingerprint)},
+                         {"first_token_seen", request.first_token_seen},
+                         {"shared_parts", std::move(parts)}});
+  }
+  return described;
+}
+
 }  // namespace
 
 recovery_service::recovery_service(runtime& runtime)
@@ -57,7 +76,7 @@
       suspects_.RecordCrash(UpstreamKey(address), in_flight, clock::now());
   Log(log_level::kWarning, "upstream_died",
       {{"upstream", address},
-       {"in_flight", in_flight.size()},
+       {"in_flight", DescribeRequests(in_flight)},
        {"blamed", reports.size()}});
   if (membership_)
     membership_->PushSuspects(reports);
