--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -1,5 +1,7 @@
 #include "tests/support/platform_fakes.h"
 
+#include <algorithm>
+
 #include "src/edges/json.h"
 #include "src/kernel/base64.h"
 
@@ -14,6 +16,7 @@
 constexpr int kFirstPort = 5'000;
 constexpr int kPortBlocks = 10;
 constexpr int kPortsPerBlock = 500;
+constexpr std::string_view kPromptPrefix = "X-Prompt-Prefix";
 constexpr std::int64_t kRunnerCapacityTokens = 315'000;
 
 http_server_limits Limits() {
@@ -199,13 +202,35 @@
   return fault_;
 }
 
-void runner_fake::Run(const http_exchange& exchange,
+bool runner_fake::Run(const http_exchange& exchange,
                       asio::yield_context yield) {
+  const int crashes_before = crashes_;
   ++runs_;
   if (on_run_)
     on_run_(exchange.request());
   if (run_time_ > milliseconds(0))
     Sleep(io_, run_time_, yield);
+  if (crashes_ == crashes_before && HasCrashingPart(exchange))
+    Crash();
+  return crashes_ == crashes_before;
+}
+
+bool runner_fake::HasCrashingPart(const http_exchange& exchange) const {
+  const std::string prefix = "," + std::string(exchange.Header(kPromptPrefix));
+  return std::any_of(crashing_parts_.begin(), crashing_parts_.end(),
+                     [&prefix](const std::string& part) {
+                       return prefix.find("," + part + ":") !=
+                              std::string::npos;
+                     });
+}
+
+void runner_fake::Crash() {
+  ++crashes_;
+  server_.StopAccepting();
+  Spawn(io_, "restart", [this](asio::yield_context yield) {
+    Sleep(io_, downtime_, yield);
+    server_.Listen(address_);
+  });
 }
 
 std::int64_t runner_fake::ReservedTokens() const {
@@ -299,7 +324,8 @@
     case runner_fault::kNone:
       break;
   }
-  Run(exchange, yield);
+  if (!Run(exchange, yield))
+    return exchange.Abort();
   if (exchange.Path().substr(0, 7) == "/stream" ||
       exchange.Path().substr(0, 6) == "/fixed")
     return Stream(exchange, fault, yield);
@@ -328,11 +354,14 @@
   if (fault == runner_fault::kFails)
     begin.result(500);
   exchange.BeginStreamWith(begin, deadline, yield);
+  const int crashes_before = crashes_;
   const std::string_view last = exchange.Header("Last-Event-Id");
   const int first = last.empty() ? 1 : std::stoi(std::string(last)) + 1;
   for (int i = first; i <= kEvents; ++i) {
     const std::string event =
         "id: " + std::to_string(i) + "\ndata: " + std::to_string(i) + "\n\n";
+    if (crashes_ != crashes_before)
+      return exchange.Abort();
     if (fault == runner_fault::kBreaksMidway && i == 3) {
       exchange.WriteChunk(event.substr(0, 4), deadline, yield);
       return exchange.Abort();
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -119,6 +119,14 @@
   void RefuseHelper(const runner_fake& helper) {
     refused_helper_ = helper.address();
   }
+  // Crashes when it would begin to respond to a request whose prompt has one of
+  // `parts`, by id. It then breaks all requests, refuses connections for
+  // `downtime` and starts again.
+  void CrashOnParts(std::vector<std::string> parts, milliseconds downtime) {
+    crashing_parts_ = std::move(parts);
+    downtime_ = downtime;
+  }
+  int crashes() const { return crashes_; }
   // Sets a hook that is called for each executed request.
   void OnRun(std::function<void(const http_request&)> hook) {
     on_run_ = std::move(hook);
@@ -148,7 +156,10 @@
     time_point until;
   };
   runner_fault NextFault();
-  void Run(const http_exchange& exchange, asio::yield_context yield);
+  // @return whether the upstream still runs afterwards.
+  bool Run(const http_exchange& exchange, asio::yield_context yield);
+  bool HasCrashingPart(const http_exchange& exchange) const;
+  void Crash();
   void HandleReservation(http_exchange& exchange, asio::yield_context yield);
   void Stream(http_exchange& exchange,
               runner_fault fault,
@@ -166,6 +177,9 @@
   milliseconds run_time_{0};
   milliseconds event_pause_{0};
   std::map<std::string, reservation> reservations_;  // by reservation id
+  std::vector<std::string> crashing_parts_;
+  milliseconds downtime_{0};
+  int crashes_ = 0;
   int runs_ = 0;
   int arrivals_ = 0;
   std::vector<http_request> received_requests_;
--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -81,6 +81,36 @@
                      const std::string& key = "key",
                      milliseconds timeout = kCallTimeout,
                      int prompt_tokens = 1'000) {
+    return Send(settings.listen, MakeCall(path, attempt, key, prompt_tokens),
+                timeout, yield);
+  }
+
+  // Calls `path` at the instance that listens on `address`, with a prompt that
+  // consists of `parts`, as "id:tokens" entries.
+  http_response CallWithParts(const std::string& address,
+                              const std::string& path,
+                              const std::string& attempt,
+                              const std::string& parts,
+                              asio::yield_context yield) {
+    outgoing_request request = MakeCall(path, attempt, "key", 1'000);
+    request.headers.emplace_back("X-Prompt-Prefix", parts);
+    request.body = attempt;
+    return Send(address, request, kCallTimeout, yield);
+  }
+
+  int RunCount() const {
+    int runs = 0;
+    for (const auto* group : {&engines, &plain}) {
+      for (const auto& runner : *group)
+        runs += runner->runs();
+    }
+    return runs;
+  }
+
+  static outgoing_request MakeCall(const std::string& path,
+                                   const std::string& attempt,
+                                   const std::string& key,
+                                   int prompt_tokens) {
     outgoing_request request;
     request.method = http::verb::post;
     request.target = path;
@@ -91,21 +121,19 @@
         {"X-Deadline-Ms", "3000"},
         {"Authorization", "Token " + key}};
     request.fresh_connection = true;
+    return request;
+  }
+
+  http_response Send(const std::string& address,
+                     const outgoing_request& request,
+                     milliseconds timeout,
+                     asio::yield_context yield) {
     const auto response =
-        client.Call(settings.listen, request, clock::now() + timeout, yield);
+        client.Call(address, request, clock::now() + timeout, yield);
     // Status 0 means that no complete response was received.
     return response ? *response : http_response();
   }
 
-  int RunCount() const {
-    int runs = 0;
-    for (const auto* group : {&engines, &plain}) {
-      for (const auto& runner : *group)
-        runs += runner->runs();
-    }
-    return runs;
-  }
-
   asio::io_context io;
   store_fake store;
   http_client client;
