Prompt parts that crash upstreams are quarantined by all instances

Cause: crashes were counted for each request by a fingerprint of path, key and body. The requests that crash upstreams have only a part of their prompts in common, so that no count went beyond two. Class: evidence is collected under an identity that is narrower than the fault.

Change: instances report the requests that had not survived their start at a crash, with the parts of their prompts that others may share. From the merged reports all come to the same parts: in three crashes or more, by two requests or more, not survived since. Parts that no upstream is known to have survived are blamed first; parts that cannot be told apart are refused only together, so that requests with fewer of them show which is sound. Quarantines are part of every message between instances, so that restarted ones learn them. One ends when an upstream survives the part; for this, single requests are tried after a delay that doubles with each crash. A retry now waits until it is known whether the upstream crashed. Crashes that a part explains no longer count against the single requests that were in flight.

Ruled out: crashes that are not recognised or reported late (79 of 83 recorded, within 10 ms); a suspicion that is dropped (the requests never complete). A count alone would have refused the sound first part as well.

--- a/include/cactusward/membership.h
+++ b/include/cactusward/membership.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "cactusward/load_tracker.h"
+#include "cactusward/part_quarantine.h"
 #include "cactusward/result.h"
 #include "cactusward/time.h"
 
@@ -111,7 +112,10 @@
   // `catalog_revision`, is in `changes`; -1: changes are not included.
   std::int64_t changes_after = -1;
   std::vector<catalog_change> changes;
-  std::vector<upstream_load> loads;  // load of the sender's requests
+  std::vector<upstream_load> loads;   // load of the sender's requests
+  std::vector<crash_report> crashes;  // seen by the sender itself
+  std::vector<quarantine_report> quarantines;
+  std::vector<sound_part_report> sound_parts;
 
   friend bool operator==(const gossip_message& a, const gossip_message& b) {
     return a.kind == b.kind && a.sequence == b.sequence &&
@@ -121,7 +125,8 @@
            a.confirmed_age_ms == b.confirmed_age_ms && a.members == b.members &&
            a.suspects == b.suspects && a.in_flight == b.in_flight &&
            a.leaving == b.leaving && a.catalog_revision == b.catalog_revision &&
-           a.loads == b.loads;
+           a.loads == b.loads && a.crashes == b.crashes &&
+           a.quarantines == b.quarantines && a.sound_parts == b.sound_parts;
   }
 };
 
--- a/include/cactusward/suspects.h
+++ b/include/cactusward/suspects.h
@@ -24,11 +24,14 @@
   bool first_token_seen = false;
   // Identifiers of the parts of its prompt that other requests may share.
   std::vector<std::uint64_t> shared_parts;
+  // The upstream went on after the first event.
+  bool survived_start = false;
 
   friend bool operator==(const running_request& a, const running_request& b) {
     return a.fingerprint == b.fingerprint &&
            a.first_token_seen == b.first_token_seen &&
-           a.shared_parts == b.shared_parts;
+           a.shared_parts == b.shared_parts &&
+           a.survived_start == b.survived_start;
   }
 };
 
@@ -61,6 +64,9 @@
   // already refused. Peers drop their suspicion only when it expires.
   void RecordCompletion(std::uint64_t fingerprint);
 
+  // Drops a crash that was attributed to something else than a request.
+  void RemoveCrash(std::uint32_t upstream, time_point at);
+
   suspect_verdict VerdictFor(std::uint64_t fingerprint, time_point now) const;
   // Number of crashes attributed to a request so far.
   std::size_t CrashCount(std::uint64_t fingerprint, time_point now) const;
--- a/src/membership/gossip_codec.cc
+++ b/src/membership/gossip_codec.cc
@@ -10,8 +10,8 @@
 
 using nlohmann::json;
 
-constexpr int kFormatVersion = 4;
-constexpr std::size_t kMessageFields = 16;
+constexpr int kFormatVersion = 5;
+constexpr std::size_t kMessageFields = 19;
 constexpr std::size_t kMemberFields = 6;
 constexpr std::size_t kMaxListItems = 512;
 
@@ -120,6 +120,78 @@
   return true;
 }
 
+bool ReadNumbers(const json& value, std::vector<std::uint64_t>* out) {
+  if (!IsList(value))
+    return false;
+  for (const json& item : value) {
+    if (!item.is_number_unsigned())
+      return false;
+    out->push_back(item.get<std::uint64_t>());
+  }
+  return true;
+}
+
+bool ReadCrashes(const json& value, std::vector<crash_report>* out) {
+  if (!IsList(value))
+    return false;
+  for (const json& item : value) {
+    if (!item.is_array() || item.size() != 3 || !item[0].is_number_unsigned() ||
+        !IsInteger(item[1]) || !IsList(item[2]))
+      return false;
+    crash_report report;
+    report.upstream = item[0].get<std::uint32_t>();
+    report.age_ms = item[1].get<std::int64_t>();
+    for (const json& entry : item[2]) {
+      crash_suspect suspect;
+      if (!entry.is_array() || entry.size() != 2 ||
+          !entry[0].is_number_unsigned() ||
+          !ReadNumbers(entry[1], &suspect.shared_parts))
+        return false;
+      suspect.fingerprint = entry[0].get<std::uint64_t>();
+      report.suspects.push_back(std::move(suspect));
+    }
+    out->push_back(std::move(report));
+  }
+  return true;
+}
+
+bool ReadQuarantines(const json& value, std::vector<quarantine_report>* out) {
+  if (!IsList(value))
+    return false;
+  for (const json& item : value) {
+    quarantine_report report;
+    if (!item.is_array() || item.size() != 4 ||
+        !ReadNumbers(item[0], &report.parts) || !IsInteger(item[1]) ||
+        !IsInteger(item[2]) || !IsInteger(item[3]))
+      return false;
+    report.crashes = item[1].get<std::int64_t>();
+    report.first_crash_age_ms = item[2].get<std::int64_t>();
+    report.last_crash_age_ms = item[3].get<std::int64_t>();
+    out->push_back(std::move(report));
+  }
+  return true;
+}
+
+bool ReadSoundParts(const json& value, std::vector<sound_part_report>* out) {
+  if (!IsList(value))
+    return false;
+  for (const json& item : value) {
+    if (!item.is_array() || item.size() != 2 || !item[0].is_number_unsigned() ||
+        !IsInteger(item[1]))
+      return false;
+    out->push_back({item[0].get<std::uint64_t>(), item[1].get<std::int64_t>()});
+  }
+  return true;
+}
+
+json CrashToJson(const crash_report& report) {
+  json suspects = json::array();
+  for (const crash_suspect& suspect : report.suspects)
+    suspects.push_back(
+        json::array({suspect.fingerprint, suspect.shared_parts}));
+  return json::array({report.upstream, report.age_ms, std::move(suspects)});
+}
+
 bool HasValidHeader(const json& value) {
   return value.is_array() && value.size() == kMessageFields &&
          value[0] == kFormatVersion && value[1].is_number_unsigned() &&
@@ -151,6 +223,17 @@
     loads.push_back(json::array({item.upstream, item.running, item.interactive,
                                  item.max_event_gap_ms, item.prefill_ms,
                                  item.kv_tokens, item.overdue_prefill_ms}));
+  json crashes = json::array();
+  for (const crash_report& item : message.crashes)
+    crashes.push_back(CrashToJson(item));
+  json quarantines = json::array();
+  for (const quarantine_report& item : message.quarantines)
+    quarantines.push_back(
+        json::array({item.parts, item.crashes, item.first_crash_age_ms,
+                     item.last_crash_age_ms}));
+  json sound_parts = json::array();
+  for (const sound_part_report& item : message.sound_parts)
+    sound_parts.push_back(json::array({item.part, item.age_ms}));
   json changes = json::array();
   for (const catalog_change& item : message.changes)
     changes.push_back(
@@ -162,7 +245,8 @@
        message.config_number, message.confirmed_age_ms, std::move(members),
        std::move(suspects), std::move(in_flight), std::move(leaving),
        message.catalog_revision, std::move(loads), message.changes_after,
-       std::move(changes)});
+       std::move(changes), std::move(crashes), std::move(quarantines),
+       std::move(sound_parts)});
   std::string bytes;
   json::to_cbor(encoded, bytes);
   return bytes;
@@ -189,7 +273,10 @@
       !ReadPairs(value[10], &message.in_flight) ||
       !ReadPairs(value[11], &message.leaving) ||
       !ReadLoads(value[13], &message.loads) ||
-      !ReadChanges(value[15], &message.changes))
+      !ReadChanges(value[15], &message.changes) ||
+      !ReadCrashes(value[16], &message.crashes) ||
+      !ReadQuarantines(value[17], &message.quarantines) ||
+      !ReadSoundParts(value[18], &message.sound_parts))
     return malformed;
   return message;
 }
--- a/src/recovery/suspects.cc
+++ b/src/recovery/suspects.cc
@@ -151,12 +151,25 @@
     suspects_.erase(it);
 }
 
+void suspect_table::RemoveCrash(std::uint32_t upstream, time_point at) {
+  const auto is_same = [upstream, at](const crash& known) {
+    return IsSameCrash(known.upstream, known.at, upstream, at);
+  };
+  for (auto it = suspects_.begin(); it != suspects_.end();) {
+    crash_list& known = it->second;
+    known.erase(std::remove_if(known.begin(), known.end(), is_same),
+                known.end());
+    it = known.empty() ? suspects_.erase(it) : std::next(it);
+  }
+}
+
 suspect_verdict suspect_table::VerdictFor(std::uint64_t fingerprint,
                                           time_point now) const {
   if (CrashCount(fingerprint, now) >= refusal_threshold_)
     return suspect_verdict::kRefuse;
-  return IsStrong({fingerprint, true, {}}, now) ? suspect_verdict::kIsolate
-                                            : suspect_verdict::kAllow;
+  return IsStrong({fingerprint, true, {}, true}, now)
+             ? suspect_verdict::kIsolate
+             : suspect_verdict::kAllow;
 }
 
 void suspect_table::Expire(time_point now) {
--- /dev/null
+++ b/src/relay/quarantine_service.cc
@@ -0,0 +1,213 @@
+#include "src/relay/quarantine_service.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+#include "cactusward/upstreams.h"
+#include "src/kernel/log.h"
+#include "src/services/recovery_service.h"
+
+namespace cactusward {
+namespace {
+
+constexpr milliseconds kExpiryPeriod{1'000};
+// Reports are repeated in every message for this long, in case datagrams are
+// lost.
+constexpr milliseconds kReportPeriod{5'000};
+// Crashes that several requests notice are reported together.
+constexpr milliseconds kBroadcastDelay{5};
+// Limits that keep a message within one datagram.
+constexpr std::size_t kMaxCrashesPerMessage = 8;
+constexpr std::size_t kMaxSuspectsPerCrash = 16;
+constexpr std::size_t kMaxSoundParts = 16;
+
+const quarantine_report* FindSame(const std::vector<quarantine_report>& all,
+                                  const quarantine_report& wanted) {
+  const auto found = std::find_if(all.begin(), all.end(),
+                                  [&wanted](const quarantine_report& other) {
+                                    return other.parts == wanted.parts;
+                                  });
+  return found == all.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+nlohmann::json DescribeParts(const std::vector<std::uint64_t>& parts) {
+  auto described = nlohmann::json::array();
+  for (const std::uint64_t part : parts)
+    described.push_back(absl::StrCat(absl::Hex(part)));
+  return described;
+}
+
+quarantine_service::quarantine_service(runtime& runtime)
+    : runtime_(runtime), quarantine_(runtime.random()) {}
+
+void quarantine_service::Start() {
+  membership_ =
+      runtime_.registry.Find<membership_service>(kMembershipServiceName);
+  recovery_ = runtime_.registry.Find<recovery_service>(kRecoveryServiceName);
+  broadcast_timer_ = std::make_unique<asio::steady_timer>(runtime_.io);
+  expiry_timer_ = runtime_.timers.Every(kExpiryPeriod, [this](time_point now) {
+    quarantine_.SetInstanceCount(membership_->LiveCount());
+    quarantine_.Expire(now);
+    OnChange("expiry", now);
+  });
+}
+
+bool quarantine_service::RecordCrash(
+    const std::string& upstream_id,
+    const std::vector<running_request>& in_flight) {
+  const time_point now = clock::now();
+  crash_report report;
+  report.upstream = UpstreamKey(upstream_id);
+  for (const running_request& request : in_flight) {
+    if (request.survived_start || request.shared_parts.empty() ||
+        report.suspects.size() >= kMaxSuspectsPerCrash)
+      continue;
+    report.suspects.push_back({request.fingerprint, request.shared_parts});
+  }
+  if (quarantine_.MergeCrash(report, now)) {
+    own_crashes_.push_back({report, now});
+    if (own_crashes_.size() > kMaxCrashesPerMessage)
+      own_crashes_.pop_front();
+    OnChange("own", now);
+    ScheduleBroadcast();
+  }
+  const auto attributed = quarantine_.AttributedCrashes();
+  return std::any_of(attributed.begin(), attributed.end(),
+                     [&report, now](const auto& crash) {
+                       return crash.upstream == report.upstream &&
+                              now - crash.at < kReportPeriod;
+                     });
+}
+
+void quarantine_service::RecordSound(const std::vector<std::uint64_t>& parts) {
+  const time_point now = clock::now();
+  const auto unknown_to_peers = quarantine_.RecordSound(parts, now);
+  if (unknown_to_peers.empty())
+    return;
+  for (const std::uint64_t part : unknown_to_peers)
+    ReportSound(part, now);
+  OnChange("own", now);
+  ScheduleBroadcast();
+}
+
+void quarantine_service::ReportSound(std::uint64_t part, time_point now) {
+  sound_parts_.erase(std::remove_if(sound_parts_.begin(), sound_parts_.end(),
+                                    [part](const sound_part& known) {
+                                      return known.part == part;
+                                    }),
+                     sound_parts_.end());
+  sound_parts_.push_back({part, now});
+  if (sound_parts_.size() > kMaxSoundParts)
+    sound_parts_.pop_front();
+}
+
+std::optional<quarantine_refusal> quarantine_service::Check(
+    const std::vector<std::uint64_t>& parts,
+    std::optional<time_point> trial_start) const {
+  if (parts.empty())
+    return std::nullopt;
+  return quarantine_.Check(parts, trial_start, clock::now());
+}
+
+bool quarantine_service::BeginTrial(const std::vector<std::uint64_t>& parts) {
+  if (!quarantine_.BeginTrial(parts, clock::now()))
+    return false;
+  Log(log_level::kWarning, "quarantine_trial",
+      {{"parts", DescribeParts(parts)}});
+  return true;
+}
+
+void quarantine_service::OnChange(std::string_view origin, time_point now) {
+  auto current = quarantine_.Quarantines(now);
+  for (const quarantine_report& report : current) {
+    const quarantine_report* known = FindSame(logged_, report);
+    if (known && known->crashes == report.crashes)
+      continue;
+    Log(log_level::kWarning, "parts_quarantined",
+        {{"parts", DescribeParts(report.parts)},
+         {"crashes", report.crashes},
+         {"first_crash_age_ms", report.first_crash_age_ms},
+         {"last_crash_age_ms", report.last_crash_age_ms},
+         {"origin", origin}});
+  }
+  for (const quarantine_report& report : logged_) {
+    if (FindSame(current, report))
+      continue;
+    auto sound_ages = nlohmann::json::array();
+    for (const std::uint64_t part : report.parts) {
+      const auto sound_at = quarantine_.SoundAt(part);
+      sound_ages.push_back(sound_at ? ToMilliseconds(now - *sound_at) : -1);
+    }
+    Log(log_level::kWarning, "quarantine_ended",
+        {{"parts", DescribeParts(report.parts)},
+         {"sound_ages_ms", std::move(sound_ages)},
+         {"origin", origin}});
+  }
+  logged_ = std::move(current);
+  for (const auto& crash : quarantine_.AttributedCrashes())
+    recovery_->RemoveCrash(crash.upstream, crash.at);
+}
+
+void quarantine_service::ScheduleBroadcast() {
+  if (broadcast_scheduled_)
+    return;
+  broadcast_scheduled_ = true;
+  broadcast_timer_->expires_after(kBroadcastDelay);
+  broadcast_timer_->async_wait([this](const boost::system::error_code& error) {
+    broadcast_scheduled_ = false;
+    if (!error)
+      membership_->Broadcast();
+  });
+}
+
+void quarantine_service::AddFields(gossip_message* message, time_point now) {
+  const auto is_over = [now](time_point since) {
+    return now - since > kReportPeriod;
+  };
+  while (!own_crashes_.empty() && is_over(own_crashes_.front().at))
+    own_crashes_.pop_front();
+  while (!sound_parts_.empty() && is_over(sound_parts_.front().reported_at))
+    sound_parts_.pop_front();
+  for (const own_crash& crash : own_crashes_) {
+    message->crashes.push_back(crash.report);
+    message->crashes.back().age_ms =
+        std::chrono::duration_cast<milliseconds>(now - crash.at).count();
+  }
+  message->quarantines = quarantine_.Quarantines(now);
+  for (const sound_part& reported : sound_parts_) {
+    const auto sound_at = quarantine_.SoundAt(reported.part);
+    if (sound_at)
+      message->sound_parts.push_back(
+          {reported.part,
+           std::chrono::duration_cast<milliseconds>(now - *sound_at).count()});
+  }
+}
+
+void quarantine_service::OnMessage(const gossip_message& message,
+                                   time_point now) {
+  bool changed = false;
+  for (const sound_part_report& report : message.sound_parts) {
+    if (report.age_ms < 0)
+      continue;
+    quarantine_.RecordSound({report.part}, now - milliseconds(report.age_ms));
+    changed = true;
+  }
+  for (const crash_report& report : message.crashes)
+    changed = quarantine_.MergeCrash(report, now) || changed;
+  for (const quarantine_report& report : message.quarantines) {
+    changed = quarantine_.MergeQuarantine(report, now) || changed;
+    // The sender has not learnt that one of the parts is sound.
+    for (const std::uint64_t part : report.parts) {
+      const auto sound_at = quarantine_.SoundAt(part);
+      if (sound_at && *sound_at > now - milliseconds(report.first_crash_age_ms))
+        ReportSound(part, now);
+    }
+  }
+  if (changed)
+    OnChange(message.sender.name, now);
+}
+
+}  // namespace cactusward
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -72,8 +72,8 @@
   options.fresh_connection = !route_->IsRetryable();
   options.max_idle_time = kMaxConnectionIdleTime;
   options.dead_peer_timeout = kDeadPeerTimeout;
-  options.may_send = [&assignment] {
-    return assignment.TargetsAcceptRequests();
+  options.may_send = [this, &assignment] {
+    return assignment.TargetsAcceptRequests() && !CheckQuarantine();
   };
   options.may_abort_write = route_->IsRetryable();
   const bool can_repeat =
@@ -126,7 +126,7 @@
   if (success && route_->kind == route_kind::kStreaming &&
       type.substr(0, kEventStreamType.size()) == kEventStreamType)
     return RelayEvents(**stream, assignment, sent_at, yield);
-  return RelayBody(**stream, yield);
+  return RelayBody(**stream, assignment, yield);
 }
 
 relay_request::attempt relay_request::ReadFailure(
@@ -137,8 +137,10 @@
       read.detail(), false, std::nullopt};
 }
 
-relay_request::attempt relay_request::RelayBody(http_stream& stream,
-                                                asio::yield_context yield) {
+relay_request::attempt relay_request::RelayBody(
+    http_stream& stream,
+    const relay_assignment& assignment,
+    asio::yield_context yield) {
   std::string body;
   buffer_pool::share buffered(&services_.response_buffers);
   while (true) {
@@ -172,6 +174,7 @@
             std::move(response)};
   record_.met_objective = true;
   services_.recovery.RecordCompletion(fingerprint_);
+  RecordSurvival(assignment);
   record_.first_token = clock::now() - started_at_;
   exchange_.RespondWith(std::move(response),
                         clock::now() + kResponseWriteTimeout, yield);
@@ -230,7 +233,9 @@
           std::max(record_.longest_pause, clock::now() - *last_event_write_at_);
     if (!new_bytes.empty())
       last_event_write_at_ = clock::now();
-    if (has_new_event && !first_event_seen) {
+    if (has_new_event && first_event_seen) {
+      RecordSurvival(assignment);
+    } else if (has_new_event) {
       first_event_seen = true;
       RecordFirstEvent(assignment, sent_at);
     }
@@ -245,6 +250,7 @@
     return {attempt_result::kCallerGone, "caller accepts no bytes", false,
             std::nullopt};
   services_.recovery.RecordCompletion(fingerprint_);
+  RecordSurvival(assignment);
   exchange_.EndStream(clock::now() + kResponseWriteTimeout, yield);
   return {attempt_result::kCompleted, {}, false, std::nullopt};
 }
@@ -280,6 +286,17 @@
     record_.first_token = now - started_at_;
 }
 
+void relay_request::RecordSurvival(const relay_assignment& assignment) {
+  if (survived_start_)
+    return;
+  survived_start_ = true;
+  services_.quarantine.RecordSound(caller_.shared_parts);
+  auto& running = assignment.upstream()->running;
+  const auto own = running.find(assignment.primary.tracking_id);
+  if (own != running.end())
+    own->second.survived_start = true;
+}
+
 bool relay_request::WriteEvents(const http::response_header<>& header,
                                 std::string_view bytes,
                                 asio::yield_context yield) {
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -37,6 +37,7 @@
       catalog_(runtime_, adapter_.catalog.get(), &peers_),
       membership_(runtime_),
       recovery_(runtime_),
+      quarantine_(runtime_),
       fleet_(runtime_),
       dispatcher_(runtime_),
       report_(runtime_),
@@ -47,18 +48,21 @@
       shutdown_(runtime_, &server_),
       retries_(settings->forwarding->retries),
       response_buffers_(kResponseBufferBytes),
-      request_services_{
-          runtime_,    *adapter_.protocol, catalog_,          fleet_,
-          dispatcher_, recovery_,          report_,           retries_,
-          shutdown_,   response_buffers_,  longest_deadlines_} {
+      request_services_{runtime_,          *adapter_.protocol,
+                        catalog_,          fleet_,
+                        dispatcher_,       recovery_,
+                        quarantine_,       report_,
+                        retries_,          shutdown_,
+                        response_buffers_, longest_deadlines_} {
   for (service* part :
        {static_cast<service*>(&catalog_), static_cast<service*>(&membership_),
-        static_cast<service*>(&recovery_), static_cast<service*>(&fleet_),
-        static_cast<service*>(&dispatcher_), static_cast<service*>(&report_),
-        static_cast<service*>(&shutdown_)})
+        static_cast<service*>(&recovery_), static_cast<service*>(&quarantine_),
+        static_cast<service*>(&fleet_), static_cast<service*>(&dispatcher_),
+        static_cast<service*>(&report_), static_cast<service*>(&shutdown_)})
     registry_.Add(part);
   membership_.AddExtension(static_cast<gossip_extension*>(&catalog_));
   membership_.AddExtension(static_cast<gossip_extension*>(&fleet_));
+  membership_.AddExtension(static_cast<gossip_extension*>(&quarantine_));
   catalog_.Subscribe([this] { ApplyLimits(); });
 }
 
@@ -149,6 +153,7 @@
       << '\n'
       << "cactusward_in_progress " << server_.active() << '\n'
       << "cactusward_waiting_for_upstream " << dispatcher_.waiting() << '\n'
+      << "cactusward_quarantines " << quarantine_.size() << '\n'
       << "cactusward_idle_connections " << client_.idle_connections() << '\n'
       << "cactusward_connections_opened " << client_.connections_opened()
       << '\n';
--- a/src/relay/relay_gateway.h
+++ b/src/relay/relay_gateway.h
@@ -66,6 +66,7 @@
   catalog_service catalog_;
   membership_service membership_;
   recovery_service recovery_;
+  quarantine_service quarantine_;
   fleet_service fleet_;
   relay_dispatcher dispatcher_;
   report_service report_;
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -33,6 +33,7 @@
 // A running upstream accepts a connection, and a crashed one refuses it, within
 // a few round trips.
 constexpr milliseconds kLivenessCheckTimeout{300};
+constexpr milliseconds kLivenessPollPeriod{2};
 // The pooled connections to one upstream tend to break together.
 constexpr int kMaxStaleRetries = 2;
 constexpr double kMillisecondsPerSecond = 1000;
@@ -118,9 +119,18 @@
     config_ = services_.catalog.Config();
   }
   const error_kind refusal = Admit();
+  auto quarantined = refusal == error_kind::kOk
+                         ? CheckQuarantine()
+                         : std::optional<quarantine_refusal>();
+  if (quarantined && services_.quarantine.BeginTrial(caller_.shared_parts)) {
+    trial_start_ = clock::now();
+    quarantined.reset();
+  }
   if (refusal != error_kind::kOk) {
     RespondWithError(
         refusal, milliseconds(ErrorResponseFor(refusal).retry_after_ms), yield);
+  } else if (quarantined) {
+    RespondQuarantined(*quarantined, yield);
   } else {
     services_.retries.ForService(service_).RecordRequest(started_at_);
     exchange_.OnDisconnect([this] { cancel_.Cancel(); });
@@ -173,6 +183,9 @@
       record_.kind = error_kind::kCallerGone;
       return exchange_.Abort();
     }
+    if (const auto quarantined = CheckQuarantine();
+        quarantined && !may_have_run_)
+      return RespondQuarantined(*quarantined, yield);
     if (!assignment && attempts_ == 0)
       return RespondWithError(reason.kind, reason.retry_after, yield);
     if (!assignment)
@@ -208,6 +221,8 @@
     return false;
   if (services_.recovery.VerdictFor(fingerprint_) == suspect_verdict::kRefuse)
     return false;
+  if (may_have_run_ && (trial_start_ || CheckQuarantine()))
+    return false;
   // Attempts that did not reach an upstream do not use up the retry budget.
   if (last.end == attempt_result::kNotSent && !may_have_run_)
     return true;
@@ -279,11 +294,11 @@
        {"attempt", attempts_}});
   auto& running = assignment.upstream()->running;
   const std::uint64_t id = assignment.primary.tracking_id;
-  running[id] = {fingerprint_, false, caller_.shared_parts};
+  running[id] = {fingerprint_, false, caller_.shared_parts, survived_start_};
   const auto upstream = assignment.upstream();
   attempt done = Forward(assignment, helpers, yield);
   if (done.end == attempt_result::kInvalidResponse && !done.stale_connection)
-    CheckLiveness(upstream);
+    CheckLiveness(upstream, yield);
   upstream->running.erase(id);
   return done;
 }
@@ -291,29 +306,39 @@
 // After a failed exchange, a refused connection means that the upstream has
 // crashed.
 void relay_request::CheckLiveness(
+    const std::shared_ptr<fleet_upstream>& upstream,
+    asio::yield_context yield) {
+  if (!upstream->liveness_check_pending)
+    BeginLivenessCheck(services_, upstream);
+  // A retry must not be sent before the crash counts against the request.
+  while (upstream->liveness_check_pending && !survived_start_)
+    Sleep(services_.daemon.io, kLivenessPollPeriod, yield);
+}
+
+void relay_request::BeginLivenessCheck(
+    const relay_services& services,
     const std::shared_ptr<fleet_upstream>& upstream) {
-  if (upstream->liveness_check_pending)
-    return;
   upstream->liveness_check_pending = true;
   std::vector<running_request> in_flight;
   for (const auto& [id, request] : upstream->running)
     in_flight.push_back(request);
-  Spawn(
-      services_.daemon.io, "check_upstream",
-      [&services = services_, upstream, in_flight](asio::yield_context yield) {
-        tcp::socket socket(services.daemon.io);
-        boost::system::error_code error;
-        const auto endpoint = ParseTcpEndpoint(upstream->entry.address);
-        {
-          deadline_guard guard(&socket, clock::now() + kLivenessCheckTimeout);
-          socket.async_connect(*endpoint, yield[error]);
-        }
-        upstream->liveness_check_pending = false;
-        if (error != asio::error::connection_refused)
-          return;
-        upstream->health.Record(exchange_outcome::kUnreachable, clock::now());
-        services.recovery.RecordCrash(upstream->entry.id, in_flight);
-      });
+  Spawn(services.daemon.io, "check_upstream",
+        [&services, upstream, in_flight](asio::yield_context yield) {
+          tcp::socket socket(services.daemon.io);
+          boost::system::error_code error;
+          const auto endpoint = ParseTcpEndpoint(upstream->entry.address);
+          {
+            deadline_guard guard(&socket, clock::now() + kLivenessCheckTimeout);
+            socket.async_connect(*endpoint, yield[error]);
+          }
+          upstream->liveness_check_pending = false;
+          if (error != asio::error::connection_refused)
+            return;
+          upstream->health.Record(exchange_outcome::kUnreachable, clock::now());
+          // Requests are not blamed for a crash that a part of a prompt caused.
+          if (!services.quarantine.RecordCrash(upstream->entry.id, in_flight))
+            services.recovery.RecordCrash(upstream->entry.id, in_flight);
+        });
 }
 
 const std::shared_ptr<fleet_upstream>& relay_request::ResponsibleUpstream(
@@ -396,6 +421,17 @@
                         clock::now() + kResponseWriteTimeout, yield);
 }
 
+void relay_request::RespondQuarantined(const quarantine_refusal& refusal,
+                                       asio::yield_context yield) {
+  Log(log_level::kInfo, "request_quarantined",
+      {{"request", caller_.attempt_id},
+       {"parts", DescribeParts(refusal.quarantine.parts)},
+       {"crashes", refusal.quarantine.crashes},
+       {"last_crash_age_ms", refusal.quarantine.last_crash_age_ms},
+       {"retry_after_ms", refusal.retry_after.count()}});
+  RespondWithError(error_kind::kRepeatRefused, refusal.retry_after, yield);
+}
+
 void relay_request::RespondToFailure(const attempt& last,
                                      asio::yield_context yield) {
   record_.met_objective = false;
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -15,6 +15,7 @@
 #include "cactusward/shared_retry_budget.h"
 #include "src/relay/catalog_service.h"
 #include "src/relay/memory_reservation.h"
+#include "src/relay/quarantine_service.h"
 #include "src/relay/relay_dispatcher.h"
 #include "src/relay/relay_protocol.h"
 #include "src/relay/relay_stop.h"
@@ -31,6 +32,7 @@
   fleet_service& fleet;
   relay_dispatcher& dispatcher;
   recovery_service& recovery;
+  quarantine_service& quarantine;
   report_service& report;
   retry_budgets& retries;
   const relay_shutdown& shutdown;
@@ -89,7 +91,9 @@
                   asio::yield_context yield);
   // The result of an attempt whose response could not be read further.
   static attempt ReadFailure(const result<std::string_view>& read);
-  attempt RelayBody(http_stream& stream, asio::yield_context yield);
+  attempt RelayBody(http_stream& stream,
+                    const relay_assignment& assignment,
+                    asio::yield_context yield);
   attempt RelayEvents(http_stream& stream,
                       relay_assignment& assignment,
                       time_point sent_at,
@@ -99,13 +103,27 @@
   std::optional<std::string> CollectNewEvents(
       const std::vector<stream_event>& events);
   void RecordFirstEvent(relay_assignment& assignment, time_point sent_at);
+  // The upstream has survived the start of the response.
+  void RecordSurvival(const relay_assignment& assignment);
   bool WriteEvents(const http::response_header<>& header,
                    std::string_view bytes,
                    asio::yield_context yield);
   // Whether another attempt may follow. Spends retry budget for it.
   bool PrepareRetry(const attempt& last);
   void RecordOutcome(const relay_assignment& assignment, const attempt& last);
-  void CheckLiveness(const std::shared_ptr<fleet_upstream>& upstream);
+  // Finds out whether an upstream has crashed. Returns when it is known, if the
+  // request may be the cause.
+  void CheckLiveness(const std::shared_ptr<fleet_upstream>& upstream,
+                     asio::yield_context yield);
+  static void BeginLivenessCheck(
+      const relay_services& services,
+      const std::shared_ptr<fleet_upstream>& upstream);
+  // Why the request must not be sent to another upstream now, if so.
+  std::optional<quarantine_refusal> CheckQuarantine() const {
+    return services_.quarantine.Check(caller_.shared_parts, trial_start_);
+  }
+  void RespondQuarantined(const quarantine_refusal& refusal,
+                          asio::yield_context yield);
   void RespondWithError(error_kind kind,
                         milliseconds retry_after,
                         asio::yield_context yield);
@@ -137,6 +155,8 @@
   int attempts_ = 0;
   std::optional<std::int64_t> last_event_id_;
   bool stream_started_ = false;
+  bool survived_start_ = false;  // the upstream went on after the first event
+  std::optional<time_point> trial_start_;  // when it was allowed as a trial
   std::optional<time_point> last_event_write_at_;
   access_record record_;
 };
--- a/src/services/recovery_service.h
+++ b/src/services/recovery_service.h
@@ -35,6 +35,10 @@
   // peers which are blamed.
   void RecordCrash(const std::string& address,
                    const std::vector<running_request>& in_flight);
+  // Drops a crash that was attributed to something else than a request.
+  void RemoveCrash(std::uint32_t upstream, time_point at) {
+    suspects_.RemoveCrash(upstream, at);
+  }
   // Merges a peer's report. @return whether it was new.
   bool MergeReport(const suspect_report& report);
   // Records that the request completed, which lifts a suspicion.
--- a/tests/unit/membership_test.cc
+++ b/tests/unit/membership_test.cc
@@ -164,6 +164,9 @@
   message.suspects = {{1, 2, 3, true}};
   message.in_flight = {{4, 5}};
   message.leaving = {{6, 7}};
+  message.crashes = {{8, 9, {{10, {11, 12}}, {13, {}}}}};
+  message.quarantines = {{{14, 15}, 3, 17, 16}};
+  message.sound_parts = {{18, 19}};
   const std::string encoded = EncodeGossip(message);
   CHECK(*DecodeGossip(encoded) == message);
   for (std::size_t length = 0; length < encoded.size(); ++length)
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -1,6 +1,7 @@
 // Tests of parsing and building the platform's messages.
 #include <catch2/catch.hpp>
 
+#include "cactusward/hash.h"
 #include "platform/platform_catalog.h"
 #include "platform/platform_protocol.h"
 #include "src/kernel/base64.h"
@@ -34,6 +35,29 @@
   CHECK_FALSE(parsed.last_event_id);
 }
 
+TEST_CASE("the parts of a prompt before its last one are shared parts") {
+  struct row {
+    const char* prefix;
+    std::vector<std::string> ids;
+  };
+  const row rows[] = {
+      {"", {}},
+      {"5c1e:800", {}},
+      {"5c1e:800,91bd:410", {"5c1e"}},
+      {"5c1e:800,91bd:410,e440:250", {"5c1e", "91bd"}},
+      {"5c1e,91bd", {"5c1e"}},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.prefix);
+    http_request request = Request();
+    request.set("X-Prompt-Prefix", r.prefix);
+    std::vector<std::uint64_t> expected;
+    for (const std::string& id : r.ids)
+      expected.push_back(Hash64(id));
+    CHECK(platform_protocol().ParseRequest(request).shared_parts == expected);
+  }
+}
+
 TEST_CASE("malformed header fields are treated as absent") {
   struct row {
     const char* name;
