A crash that not all instances have reported yet does not blame a sound part

Callers would have seen: sound requests that share a part with crashing ones refused for some time, if a sound request was in flight at a crash whose report with the crashing request was lost or late.

Cause: the part with most crashes was blamed as soon as a report arrived, without its companions if one crash lacked them.

Reports that are repeated, as they are, and a crash that counts against companions only 0.2 s after it, remove it.

Ruled out: blaming companions at 60% of the crashes. It failed "another prompt tells the accompanying part from it" and was reverted.

--- a/include/cactusward/part_quarantine.h
+++ b/include/cactusward/part_quarantine.h
@@ -133,8 +133,9 @@
   };
   std::vector<attributed_crash> AttributedCrashes() const;
 
-  // Drops evidence and quarantines that have expired.
-  void Expire(time_point now);
+  // Draws conclusions from reports that have had time to arrive, and drops
+  // evidence and quarantines that have expired. Call every few hundred ms.
+  void Update(time_point now);
 
  private:
   struct crash {
@@ -154,12 +155,13 @@
 
   crash* FindCrash(const crash_report& report, time_point at);
   // Adds the quarantines that the recorded crashes call for.
-  void Evaluate();
+  void Evaluate(time_point now);
   // @param known_sound whether parts may be blamed that upstreams survived
   //     before the crashes.
   std::optional<quarantine> FindCommonParts(
       const std::vector<const crash*>& crashes,
-      bool known_sound) const;
+      bool known_sound,
+      time_point now) const;
   // Adds a quarantine or merges it with one of a superset or subset of its
   // parts. @return whether the parts that are refused have changed.
   bool Adopt(const quarantine& next);
--- a/src/recovery/part_quarantine.cc
+++ b/src/recovery/part_quarantine.cc
@@ -12,6 +12,8 @@
 constexpr std::size_t kMinCrashes = 3;
 constexpr std::size_t kMinRequests = 2;
 constexpr milliseconds kMinSpan{500};
+// All instances with requests in flight at a crash have reported it by then.
+constexpr milliseconds kSettleTime{200};
 // Reports about one upstream within this time refer to the same crash.
 constexpr milliseconds kSameCrashWindow{1'000};
 // How long a crash counts as evidence, and soundness against it.
@@ -125,13 +127,14 @@
   if (!is_new)
     return false;
   AttributeCrashes();
-  Evaluate();
+  Evaluate(now);
   return true;
 }
 
 std::optional<part_quarantine::quarantine> part_quarantine::FindCommonParts(
     const std::vector<const crash*>& crashes,
-    bool known_sound) const {
+    bool known_sound,
+    time_point now) const {
   std::map<std::uint64_t, part_evidence> by_part;
   for (const crash* item : crashes) {
     for (const crash_suspect& suspect : item->suspects) {
@@ -164,22 +167,25 @@
     if (part == found.parts.front() || IsSoundSince(part, found.first_crash))
       continue;
     const std::vector<std::uint64_t> pair = {found.parts.front(), part};
-    if (std::all_of(best->crashes.begin(), best->crashes.end(),
-                    [&pair](const crash* item) {
-                      return HasSuspectWith(item->suspects, pair);
-                    }))
+    const bool accompanies =
+        std::all_of(best->crashes.begin(), best->crashes.end(),
+                    [&pair, now](const crash* item) {
+                      return now - item->at < kSettleTime ||
+                             HasSuspectWith(item->suspects, pair);
+                    });
+    if (accompanies && evidence.crashes.size() + 1 >= kMinCrashes)
       found.parts.push_back(part);
   }
   std::sort(found.parts.begin(), found.parts.end());
   return found;
 }
 
-void part_quarantine::Evaluate() {
+void part_quarantine::Evaluate(time_point now) {
   std::vector<const crash*> open;
   for (const crash& item : crashes_)
     open.push_back(&item);
   for (const bool known_sound : {false, true}) {
-    while (const auto found = FindCommonParts(open, known_sound)) {
+    while (const auto found = FindCommonParts(open, known_sound, now)) {
       Adopt(*found);
       AttributeCrashes();
       open.erase(std::remove_if(open.begin(), open.end(),
@@ -374,9 +380,11 @@
   return attributed;
 }
 
-void part_quarantine::Expire(time_point now) {
+void part_quarantine::Update(time_point now) {
   while (!crashes_.empty() && now - crashes_.front().at > kEvidencePeriod)
     crashes_.pop_front();
+  // What was not settled when the last report arrived may be now.
+  Evaluate(now);
   quarantines_.erase(std::remove_if(quarantines_.begin(), quarantines_.end(),
                                     [now](const quarantine& entry) {
                                       return now - entry.last_crash >
--- a/src/relay/quarantine_service.cc
+++ b/src/relay/quarantine_service.cc
@@ -11,7 +11,7 @@
 namespace cactusward {
 namespace {
 
-constexpr milliseconds kExpiryPeriod{1'000};
+constexpr milliseconds kUpdatePeriod{250};
 // Reports are repeated in every message for this long, in case datagrams are
 // lost.
 constexpr milliseconds kReportPeriod{5'000};
@@ -48,10 +48,10 @@
       runtime_.registry.Find<membership_service>(kMembershipServiceName);
   recovery_ = runtime_.registry.Find<recovery_service>(kRecoveryServiceName);
   broadcast_timer_ = std::make_unique<asio::steady_timer>(runtime_.io);
-  expiry_timer_ = runtime_.timers.Every(kExpiryPeriod, [this](time_point now) {
+  update_timer_ = runtime_.timers.Every(kUpdatePeriod, [this](time_point now) {
     quarantine_.SetInstanceCount(membership_->LiveCount());
-    quarantine_.Expire(now);
-    OnChange("expiry", now);
+    quarantine_.Update(now);
+    OnChange("own", now);
   });
 }
 
--- a/src/relay/quarantine_service.h
+++ b/src/relay/quarantine_service.h
@@ -76,7 +76,7 @@
   std::vector<quarantine_report> logged_;  // as of the last OnChange
   std::unique_ptr<asio::steady_timer> broadcast_timer_;
   bool broadcast_scheduled_ = false;
-  std::unique_ptr<timer_subscription> expiry_timer_;
+  std::unique_ptr<timer_subscription> update_timer_;
 };
 
 // The identifiers of parts, as in the log. Thread-safe.
--- a/tests/unit/crashing_parts_test.cc
+++ b/tests/unit/crashing_parts_test.cc
@@ -217,5 +217,45 @@
   CHECK(served >= kMinServedShare * sent);
 }
 
+// Guards against an instance that learns of a quarantine only from the crashes
+// that it sees itself.
+TEST_CASE("an instance that starts later refuses quarantined parts") {
+  const bool store_is_down = GENERATE(false, true);
+  CAPTURE(store_is_down);
+  small_fleet fleet;
+  while (fleet.engines.size() < kEngines)
+    fleet.engines.push_back(std::make_unique<runner_fake>(
+        fleet.io, "e" + std::to_string(fleet.engines.size())));
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.RegisterRunners();
+  for (const auto& engine : fleet.engines)
+    engine->CrashOnParts({"dead"}, kDowntime);
+  auto late_settings =
+      testing::ExtraInstanceSettings(fleet, fleet.store.address(), "late");
+  relay_gateway late(fleet.io, &late_settings, fleet.make_adapter);
+  fleet.Run([&](asio::yield_context yield) {
+    int sent = 0;
+    const auto call = [&](const std::string& address, const std::string& part) {
+      const std::string id = std::to_string(++sent);
+      return fleet.CallWithParts(address, "/stream/" + id, id,
+                                 "shared:40," + part + ":100," + id + ":200",
+                                 yield);
+    };
+    const time_point until = clock::now() + testing::kCallTimeout;
+    while (call(fleet.settings.listen, "dead").status != 503 &&
+           clock::now() < until)
+      Sleep(fleet.io, kSoundInterval * 3, yield);
+    REQUIRE(clock::now() < until);
+    fleet.store.SetDown(store_is_down);
+    REQUIRE(late.Start());
+    Sleep(fleet.io, kStableWindow, yield);
+    const int runs = fleet.RunCount();
+    const http_response refused = call(late_settings.listen, "dead");
+    CHECK(refused.status == 503);
+    CHECK(fleet.RunCount() == runs);
+    CHECK(call(late_settings.listen, "sound").status == 200);
+  });
+}
+
 }  // namespace
 }  // namespace cactusward
