Test of responses that end with their connection

Bodies and streams without a length, closed regularly and reset, retryable and not; a stream that ends inside an event.

--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "tests/support/closing_upstream.h"
 #include "tests/support/small_fleet.h"
 
 namespace cactusward {
 namespace {
 
+using testing::closing_upstream;
 using testing::kCallTimeout;
 using testing::kPollPeriod;
 using testing::kSettleTime;
@@ -92,6 +94,85 @@
   }
 }
 
+std::string Events(int first, int last) {
+  std::string all;
+  for (int i = first; i <= last; ++i)
+    all += "id: " + std::to_string(i) + "\ndata: " + std::to_string(i) + "\n\n";
+  return all;
+}
+
+// Guards against taking a response without a length for complete, or for broken
+// off, by mistake.
+TEST_CASE(
+    "a response that ends with its connection is complete unless broken") {
+  using close = closing_upstream::close_kind;
+  struct row {
+    const char* name;
+    const char* path;
+    std::string body;
+    close end;
+    bool complete;
+  };
+  const std::string whole = "answer of closing";
+  const row rows[] = {
+      {"a closed body", "/often/x", whole, close::kRegular, true},
+      {"a reset body", "/often/x", whole, close::kReset, false},
+      {"a closed body, not retryable", "/once/x", whole, close::kRegular, true},
+      {"a reset body, not retryable", "/once/x", whole, close::kReset, false},
+      {"a closed stream", "/stream/x", Events(1, 5), close::kRegular, true},
+      {"a closed stream, not resumable", "/fixed/x", Events(1, 5),
+       close::kRegular, true},
+      {"a reset stream", "/stream/x", Events(1, 3), close::kReset, false},
+      {"a reset stream, not resumable", "/fixed/x", Events(1, 3), close::kReset,
+       false},
+      {"a stream that ends inside an event", "/stream/x",
+       Events(1, 3) + "id: 4\nda", close::kRegular, false},
+      {"a stream that ends inside an event, not resumable", "/fixed/x",
+       Events(1, 3) + "id: 4\ndata: 4\n", close::kRegular, false},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    small_fleet fleet;
+    const bool streams = r.path[1] == 's' || r.path[1] == 'f';
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Response-Seal: s\r\n" +
+        std::string(streams ? "Content-Type: text/event-stream\r\n" : "") +
+        "\r\n";
+    closing_upstream upstream(fleet.io, head + r.body, r.end);
+    auto entry = nlohmann::json::parse(
+        fleet.engines[0]->Entry(streams ? "engines" : "plain"));
+    entry["address"] = upstream.address();
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    fleet.store.Put("servers/closing", entry.dump());
+    fleet.Run([&](asio::yield_context yield) {
+      REQUIRE(fleet.WaitForStatus("/none/", 404, yield));
+      // The others, where a retry may go, are registered once this one has the
+      // request.
+      Spawn(fleet.io, "register", [&](asio::yield_context inner) {
+        while (upstream.requests() == 0)
+          Sleep(fleet.io, kPollPeriod, inner);
+        fleet.RegisterRunners();
+      });
+      const http_response response = fleet.Call(r.path, "a", yield);
+      CHECK(upstream.requests() == 1);
+      const bool retryable = r.path[1] == 's' || r.path[2] == 'f';
+      if (r.complete) {
+        CHECK(response.body == r.body);
+        CHECK(fleet.RunCount() == 0);
+      } else if (retryable) {
+        CHECK(response.status == 200);
+        CHECK((streams ? response.body == Events(1, 5)
+                       : response.body.substr(0, 9) == "answer of"));
+        CHECK(fleet.RunCount() == 1);
+      } else {
+        // A stream that has begun is cut off.
+        CHECK(response.status == (streams ? 0 : 502));
+        CHECK(fleet.RunCount() == 0);
+      }
+    });
+  }
+}
+
 TEST_CASE("a request arrives unchanged, and without the key") {
   small_fleet fleet;
   fleet.store.Put("op/config", testing::ConfigDocument(1));
