Log the request limit that an upstream names

The limit of requests a second that an upstream in need names in its responses was read nowhere, so the logs could not tell whether it was ignored, kept by each instance for itself, or known too late. It is read and logged when it changes; no decision uses it.

--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -33,6 +33,9 @@
   bool AcceptsRequests() const { return listed && !entry.leaving; }
   // Requests sent by this instance, by tracking id.
   std::map<std::uint64_t, running_request> running;
+  // Requests a second that it takes from all instances, as its latest response
+  // to this instance states.
+  std::optional<double> named_limit;
   // A test connection is in progress after a failed exchange.
   bool liveness_check_pending = false;
 };
--- a/src/relay/relay_protocol.h
+++ b/src/relay/relay_protocol.h
@@ -69,12 +69,15 @@
   bool signed_by_upstream = false;
   bool encoded = false;  // content-encoded: not the body the upstream sent
   std::string at_fault;  // address of the upstream named as the cause
+  // Requests a second that the upstream takes from all instances together.
+  std::optional<double> request_limit;
 
   friend bool operator==(const upstream_reply& a, const upstream_reply& b) {
     return a.attempt_id == b.attempt_id && a.not_executed == b.not_executed &&
            a.wrong_upstream == b.wrong_upstream &&
            a.signed_by_upstream == b.signed_by_upstream &&
-           a.encoded == b.encoded && a.at_fault == b.at_fault;
+           a.encoded == b.encoded && a.at_fault == b.at_fault &&
+           a.request_limit == b.request_limit;
   }
 };
 
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -58,6 +58,33 @@
   }
 }
 
+TEST_CASE("the request limit of a response is a decimal number") {
+  struct row {
+    const char* text;
+    std::optional<double> limit;
+  };
+  const row rows[] = {
+      {"1.4", 1.4},
+      {"20", 20},
+      {"0", 0},
+      {"", {}},
+      {"-1", {}},
+      {"1.4/s", {}},
+      {"many", {}},
+      {"1e3", {}},
+      {"nan", {}},
+      {"inf", {}},
+      {"99999999999", 99999999999.0},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.text);
+    http::response_header<> header;
+    header.set("Server-Limit", r.text);
+    CHECK(platform_protocol().ParseReply(200, header).request_limit == r.limit);
+  }
+  CHECK_FALSE(platform_protocol().ParseReply(200, {}).request_limit);
+}
+
 TEST_CASE("malformed header fields are treated as absent") {
   struct row {
     const char* name;
