--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -266,13 +266,15 @@
   exchange.RespondWith(MakeResponse(200, "{}"), deadline, yield);
 }
 
-std::string runner_fake::Entry(const std::string& service, bool leaving) const {
+std::string runner_fake::Entry(const std::string& service,
+                               bool leaving,
+                               int started_at_ms) const {
   return WriteJson({{"service", service},
                     {"address", address_},
                     {"zone", "z"},
                     {"slots", 16},
                     {"state", leaving ? "draining" : "ready"},
-                    {"born", 1}});
+                    {"born", started_at_ms}});
 }
 
 void runner_fake::Handle(http_exchange& exchange, asio::yield_context yield) {
@@ -285,6 +287,8 @@
   auto response = MakeResponse(200, "answer of " + id_);
   response.set("X-Attempt-Id", std::string(exchange.Header("X-Attempt-Id")));
   response.set("X-Response-Seal", "seal-" + id_);
+  if (!request_limit_.empty())
+    response.set("Server-Limit", request_limit_);
   if (!refused_helper_.empty() &&
       exchange.Header("X-Peer-Helpers").find(refused_helper_) !=
           std::string_view::npos) {
@@ -351,6 +355,8 @@
                                 : std::string(exchange.Header("X-Attempt-Id")));
   if (fault != runner_fault::kUnsigned)
     begin.set("X-Response-Seal", "seal-" + id_);
+  if (!request_limit_.empty())
+    begin.set("Server-Limit", request_limit_);
   if (fault == runner_fault::kFails)
     begin.result(500);
   exchange.BeginStreamWith(begin, deadline, yield);
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -107,7 +107,9 @@
   const std::string& address() const { return address_; }
   const std::string& id() const { return id_; }
   // Returns the store's entry for this runner.
-  std::string Entry(const std::string& service, bool leaving = false) const;
+  std::string Entry(const std::string& service,
+                    bool leaving = false,
+                    int started_at_ms = 1) const;
   // Injects `fault` into the next `requests` requests.
   void SetFault(runner_fault fault,
                 int requests = std::numeric_limits<int>::max()) {
@@ -127,6 +129,10 @@
     downtime_ = downtime;
   }
   int crashes() const { return crashes_; }
+  // Names a limit of requests a second in its responses; empty: none.
+  void SetRequestLimit(std::string per_second) {
+    request_limit_ = std::move(per_second);
+  }
   // Sets a hook that is called for each executed request.
   void OnRun(std::function<void(const http_request&)> hook) {
     on_run_ = std::move(hook);
@@ -180,6 +186,7 @@
   std::vector<std::string> crashing_parts_;
   milliseconds downtime_{0};
   int crashes_ = 0;
+  std::string request_limit_;
   int runs_ = 0;
   int arrivals_ = 0;
   std::vector<http_request> received_requests_;
