Request limits that upstreams name are divided among all instances

Cause: the field was read nowhere. Class: a bound on all instances together that none of them keeps; the same class as a retry budget without shares.

Change: upstream_limits keeps the latest limit by the upstream and its start, from responses and from peers (every message has the limits, with the age of the response that states them). A limit is divided among a few instances, selected by rendezvous hashing, since a share of a low limit among many would be less than one request; each sends at a steady rate with a small burst. An upstream without a grant is no candidate. A response without the field ends the limit if its request was sent after the limit was named. If all upstreams of a service are held back beyond the request's time, it is refused at once, with the time of the next grant. A missing instance keeps its share for 10 s, as it may only be cut off.

Ruled out: each instance keeping the limit by itself (up to 7 or 76 times as much); the limit divided by the number of instances (76 bursts of one request exceed it).

--- a/include/cactusward/membership.h
+++ b/include/cactusward/membership.h
@@ -17,6 +17,7 @@
 #include "cactusward/part_quarantine.h"
 #include "cactusward/result.h"
 #include "cactusward/time.h"
+#include "cactusward/upstream_limits.h"
 
 namespace cactusward {
 
@@ -116,6 +117,7 @@
   std::vector<crash_report> crashes;  // seen by the sender itself
   std::vector<quarantine_report> quarantines;
   std::vector<sound_part_report> sound_parts;
+  std::vector<limit_report> limits;
 
   friend bool operator==(const gossip_message& a, const gossip_message& b) {
     return a.kind == b.kind && a.sequence == b.sequence &&
@@ -126,7 +128,8 @@
            a.suspects == b.suspects && a.in_flight == b.in_flight &&
            a.leaving == b.leaving && a.catalog_revision == b.catalog_revision &&
            a.loads == b.loads && a.crashes == b.crashes &&
-           a.quarantines == b.quarantines && a.sound_parts == b.sound_parts;
+           a.quarantines == b.quarantines && a.sound_parts == b.sound_parts &&
+           a.limits == b.limits;
   }
 };
 
--- /dev/null
+++ b/include/cactusward/upstream_limits.h
@@ -0,0 +1,119 @@
+// Request limits that upstreams name for all instances together, and this
+// instance's share of them.
+#ifndef CACTUSWARD_UPSTREAM_LIMITS_H_
+#define CACTUSWARD_UPSTREAM_LIMITS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cactusward/time.h"
+
+namespace cactusward {
+
+// What an instance knows of the limit of one upstream.
+struct limit_report {
+  std::uint32_t upstream = 0;  // key of the upstream and its start
+  // Requests in 1,000 seconds; -1: the upstream no longer names a limit.
+  std::int64_t milli_per_second = -1;
+  std::int64_t age_ms = 0;  // since the response that states it
+
+  friend bool operator==(const limit_report& a, const limit_report& b) {
+    return a.upstream == b.upstream &&
+           a.milli_per_second == b.milli_per_second && a.age_ms == b.age_ms;
+  }
+};
+
+// How a limit is divided.
+struct limit_share {
+  std::size_t holders = 0;  // instances that may send
+  double per_second = 0;    // of each holder
+  double burst = 0;         // most requests of one holder at once
+
+  friend bool operator==(const limit_share& a, const limit_share& b) {
+    return a.holders == b.holders && a.per_second == b.per_second &&
+           a.burst == b.burst;
+  }
+};
+
+// Divides a limit of `per_second` among `instances`, so that in any `span` all
+// of them together send less than the limit and half of it beyond. A low limit
+// is divided among few: each of many would have to send too rarely.
+// Precondition: `instances` is at least 1. Thread-safe.
+limit_share DivideLimit(double per_second, std::size_t instances);
+
+// Grants requests within this instance's shares. All instances that know the
+// same limits and instances select the same holders, by rendezvous hashing.
+// Knowledge of a limit comes from responses and from peers; the latest wins.
+// Not thread-safe.
+class upstream_limits {
+ public:
+  // @param self the name of this instance.
+  explicit upstream_limits(std::string self) : self_(std::move(self)) {}
+
+  // Sets the names of the instances that divide the limits, this one included.
+  // A name that is missing keeps its share for a while: the instance may be
+  // partitioned from this one and still send.
+  void SetInstances(const std::vector<std::string>& names, time_point now);
+
+  // Records what a response states. A response without a limit ends the known
+  // one only if its request was sent after that was named.
+  // @param per_second nullopt if the response names no limit.
+  // @return whether the limit has changed.
+  bool RecordResponse(std::uint32_t upstream,
+                      std::optional<double> per_second,
+                      time_point sent_at,
+                      time_point now);
+  // Merges a peer's report. @return whether the limit has changed.
+  bool MergeReport(const limit_report& report, time_point now);
+
+  // The limit of an upstream, in requests a second; nullopt if it has none.
+  std::optional<double> LimitOf(std::uint32_t upstream) const;
+  // Time since the response that states the limit. Precondition: there is one.
+  duration AgeOf(std::uint32_t upstream, time_point now) const;
+  // When a request may be sent; nullopt if this instance holds no share.
+  std::optional<time_point> NextGrant(std::uint32_t upstream,
+                                      time_point now) const;
+  bool MaySend(std::uint32_t upstream, time_point now) const {
+    const auto next = NextGrant(upstream, now);
+    return next && *next <= now;
+  }
+  // Counts a request, or another message, to an upstream.
+  void Spend(std::uint32_t upstream, time_point now);
+
+  // All limits that are known, and those that have ended lately.
+  std::vector<limit_report> Reports(time_point now) const;
+  // Number of limits in force.
+  std::size_t size() const;
+  // Drops limits that no response has confirmed for a long time. @return the
+  // upstreams.
+  std::vector<std::uint32_t> Expire(time_point now);
+
+ private:
+  struct known_limit {
+    std::optional<double> per_second;
+    time_point stated_at;  // of the response
+    limit_share share;
+    bool is_holder = false;
+    double tokens = 0;
+    time_point tokens_at;
+  };
+
+  bool Set(std::uint32_t upstream,
+           std::optional<double> per_second,
+           time_point stated_at,
+           time_point now);
+  void Divide(std::uint32_t upstream, known_limit* limit, time_point now);
+  static void Refill(known_limit* limit, time_point now);
+
+  std::string self_;
+  std::map<std::string, time_point> instances_;  // by name: last seen live
+  std::map<std::uint32_t, known_limit> limits_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_UPSTREAM_LIMITS_H_
--- a/src/membership/gossip_codec.cc
+++ b/src/membership/gossip_codec.cc
@@ -10,8 +10,8 @@
 
 using nlohmann::json;
 
-constexpr int kFormatVersion = 5;
-constexpr std::size_t kMessageFields = 19;
+constexpr int kFormatVersion = 6;
+constexpr std::size_t kMessageFields = 20;
 constexpr std::size_t kMemberFields = 6;
 constexpr std::size_t kMaxListItems = 512;
 
@@ -184,6 +184,19 @@
   return true;
 }
 
+bool ReadLimits(const json& value, std::vector<limit_report>* out) {
+  if (!IsList(value))
+    return false;
+  for (const json& item : value) {
+    if (!item.is_array() || item.size() != 3 || !item[0].is_number_unsigned() ||
+        !IsInteger(item[1]) || !IsInteger(item[2]))
+      return false;
+    out->push_back({item[0].get<std::uint32_t>(), item[1].get<std::int64_t>(),
+                    item[2].get<std::int64_t>()});
+  }
+  return true;
+}
+
 json CrashToJson(const crash_report& report) {
   json suspects = json::array();
   for (const crash_suspect& suspect : report.suspects)
@@ -234,19 +247,26 @@
   json sound_parts = json::array();
   for (const sound_part_report& item : message.sound_parts)
     sound_parts.push_back(json::array({item.part, item.age_ms}));
+  json limits = json::array();
+  for (const limit_report& item : message.limits)
+    limits.push_back(
+        json::array({item.upstream, item.milli_per_second, item.age_ms}));
   json changes = json::array();
   for (const catalog_change& item : message.changes)
     changes.push_back(
         json::array({item.id, item.revision,
                      item.document ? json(*item.document) : json(nullptr)}));
-  const json encoded = json::array(
-      {kFormatVersion, static_cast<int>(message.kind), message.sequence,
-       MemberToJson(message.sender), message.target, message.target_address,
-       message.config_number, message.confirmed_age_ms, std::move(members),
-       std::move(suspects), std::move(in_flight), std::move(leaving),
-       message.catalog_revision, std::move(loads), message.changes_after,
-       std::move(changes), std::move(crashes), std::move(quarantines),
-       std::move(sound_parts)});
+  const json encoded =
+      json::array({kFormatVersion,           static_cast<int>(message.kind),
+                   message.sequence,         MemberToJson(message.sender),
+                   message.target,           message.target_address,
+                   message.config_number,    message.confirmed_age_ms,
+                   std::move(members),       std::move(suspects),
+                   std::move(in_flight),     std::move(leaving),
+                   message.catalog_revision, std::move(loads),
+                   message.changes_after,    std::move(changes),
+                   std::move(crashes),       std::move(quarantines),
+                   std::move(sound_parts),   std::move(limits)});
   std::string bytes;
   json::to_cbor(encoded, bytes);
   return bytes;
@@ -276,7 +296,8 @@
       !ReadChanges(value[15], &message.changes) ||
       !ReadCrashes(value[16], &message.crashes) ||
       !ReadQuarantines(value[17], &message.quarantines) ||
-      !ReadSoundParts(value[18], &message.sound_parts))
+      !ReadSoundParts(value[18], &message.sound_parts) ||
+      !ReadLimits(value[19], &message.limits))
     return malformed;
   return message;
 }
--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds kBroadcastDelayPerPeer{2};
 // Most upstream loads in one datagram.
 constexpr std::size_t kMaxLoadsPerMessage = 100;
+// Most request limits in one datagram: an upstream in need is an exception.
+constexpr std::size_t kMaxLimitsPerMessage = 64;
 // Largest share of a service's upstreams that may be avoided. Beyond it, the
 // fault is more likely local to this instance or common to all upstreams.
 constexpr double kMaxAvoidedShare = 0.5;
@@ -42,6 +44,9 @@
   refresh_timer_ =
       runtime_.timers.Every(kRefreshPeriod, [this](time_point now) {
         tracker_.Expire(now);
+        UpdateLimitHolders(now);
+        for (const std::uint32_t expired : limits_.Expire(now))
+          LogLimit(expired, "expiry", now);
         if (tracker_.own_requests() > 0)
           OnLoadChanged(false);
       });
@@ -62,6 +67,8 @@
       upstream = std::make_shared<fleet_upstream>();
     upstream->entry = entry;
     upstream->key = UpstreamKey(id);
+    upstream->limit_key =
+        UpstreamKey(id + "@" + std::to_string(entry.started_at_ms));
     upstream->rank = Hash64(id);
     by_service_[entry.service].push_back(upstream);
   }
@@ -86,7 +93,7 @@
 
 bool fleet_service::IsUsable(const fleet_upstream& upstream,
                              time_point now) const {
-  if (!upstream.AcceptsRequests())
+  if (!upstream.AcceptsRequests() || !limits_.MaySend(upstream.limit_key, now))
     return false;
   if (!upstream.health.IsAvoided(now))
     return true;
@@ -98,6 +105,66 @@
          kMaxAvoidedShare * static_cast<double>(all.size());
 }
 
+void fleet_service::UpdateLimitHolders(time_point now) {
+  std::vector<std::string> names;
+  for (const member& peer : membership_->Live())
+    names.push_back(peer.name);
+  limits_.SetInstances(names, now);
+}
+
+void fleet_service::RecordLimit(const fleet_upstream& upstream,
+                                std::optional<double> per_second,
+                                time_point sent_at) {
+  const time_point now = clock::now();
+  if (!limits_.RecordResponse(upstream.limit_key, per_second, sent_at, now))
+    return;
+  UpdateLimitHolders(now);
+  LogLimit(upstream.limit_key, "own", now);
+  OnLoadChanged(true);
+}
+
+void fleet_service::LogLimit(std::uint32_t limit_key,
+                             std::string_view origin,
+                             time_point now) const {
+  for (const auto& [id, upstream] : by_id_) {
+    if (upstream->limit_key != limit_key)
+      continue;
+    const auto per_second = limits_.LimitOf(limit_key);
+    if (!per_second) {
+      Log(log_level::kInfo, "upstream_limit_ended",
+          {{"upstream", id}, {"origin", origin}});
+      continue;
+    }
+    const auto instances = membership_->LiveCount();
+    const limit_share share = DivideLimit(*per_second, instances);
+    Log(log_level::kInfo, "upstream_limited",
+        {{"upstream", id},
+         {"per_second", *per_second},
+         {"age_ms", ToMilliseconds(limits_.AgeOf(limit_key, now))},
+         {"origin", origin},
+         {"instances", instances},
+         {"holders", share.holders},
+         {"holds_share", limits_.NextGrant(limit_key, now).has_value()},
+         {"share_per_second", share.per_second}});
+  }
+}
+
+std::vector<fleet_service::held_back> fleet_service::AllHeldBack(
+    const std::string& service,
+    time_point now) const {
+  std::vector<held_back> all;
+  for (const auto& upstream : Upstreams(service)) {
+    if (!upstream->AcceptsRequests())
+      continue;
+    if (limits_.MaySend(upstream->limit_key, now))
+      return {};
+    all.push_back({upstream->entry.id, *limits_.LimitOf(upstream->limit_key),
+                   limits_.AgeOf(upstream->limit_key, now),
+                   limits_.NextGrant(upstream->limit_key, now)});
+  }
+  return all;
+}
+
 bool fleet_service::PeerLoadsUnknown(time_point now) const {
   return now - started_at_ < kPeerLoadsUnknownPeriod;
 }
@@ -142,6 +209,9 @@
               });
     message->loads.resize(kMaxLoadsPerMessage);
   }
+  message->limits = limits_.Reports(now);
+  if (message->limits.size() > kMaxLimitsPerMessage)
+    message->limits.resize(kMaxLimitsPerMessage);
 }
 
 void fleet_service::OnMessage(const gossip_message& message, time_point now) {
@@ -150,6 +220,12 @@
   } else {
     tracker_.SetPeerLoads(message.sender.name, message.loads, now);
   }
+  for (const limit_report& report : message.limits) {
+    if (!limits_.MergeReport(report, now))
+      continue;
+    UpdateLimitHolders(now);
+    LogLimit(report.upstream, message.sender.name, now);
+  }
   NotifyCapacityFreed();
 }
 
--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -14,6 +14,7 @@
 #include "cactusward/suspects.h"
 #include "cactusward/upstream_catalog.h"
 #include "cactusward/upstream_health.h"
+#include "cactusward/upstream_limits.h"
 #include "src/daemon/names.h"
 #include "src/daemon/runtime.h"
 #include "src/services/membership_service.h"
@@ -25,7 +26,9 @@
 // The state of one upstream as known to this instance.
 struct fleet_upstream {
   upstream_entry entry;
-  std::uint32_t key = 0;   // UpstreamKey of its id
+  std::uint32_t key = 0;  // UpstreamKey of its id
+  // Of its id and its start: a limit ends with the process that named it.
+  std::uint32_t limit_key = 0;
   std::uint64_t rank = 0;  // sort key; the same on all instances
   bool listed = true;
   upstream_health health;
@@ -33,16 +36,14 @@
   bool AcceptsRequests() const { return listed && !entry.leaving; }
   // Requests sent by this instance, by tracking id.
   std::map<std::uint64_t, running_request> running;
-  // Requests a second that it takes from all instances, as its latest response
-  // to this instance states.
-  std::optional<double> named_limit;
   // A test connection is in progress after a failed exchange.
   bool liveness_check_pending = false;
 };
 
 class fleet_service : public service, public gossip_extension {
  public:
-  explicit fleet_service(runtime& runtime) : runtime_(runtime) {}
+  explicit fleet_service(runtime& runtime)
+      : runtime_(runtime), limits_(runtime.settings.instance) {}
 
   std::string_view service_name() const override { return kFleetServiceName; }
   void Start() override;
@@ -54,6 +55,33 @@
   // Whether new requests may be sent to `upstream`.
   bool IsUsable(const fleet_upstream& upstream, time_point now) const;
   load_tracker& tracker() { return tracker_; }
+  // Counts a request, or a part of one, against the limit of `upstream`.
+  void SpendLimit(const fleet_upstream& upstream, time_point now) {
+    limits_.Spend(upstream.limit_key, now);
+  }
+  // Records the request limit that a response states, if any.
+  // @param sent_at when its request was sent.
+  void RecordLimit(const fleet_upstream& upstream,
+                   std::optional<double> per_second,
+                   time_point sent_at);
+  // An upstream to which this instance may send nothing now, because of its
+  // limit.
+  struct held_back {
+    std::string upstream;
+    double per_second = 0;
+    duration age{0};                  // of the response that states the limit
+    std::optional<time_point> until;  // nullopt: it holds no share
+
+    friend bool operator==(const held_back& a, const held_back& b) {
+      return a.upstream == b.upstream && a.per_second == b.per_second &&
+             a.age == b.age && a.until == b.until;
+    }
+  };
+  // The upstreams of `service` that are held back. Empty unless all that accept
+  // requests are.
+  std::vector<held_back> AllHeldBack(const std::string& service,
+                                     time_point now) const;
+  std::size_t limited_upstreams() const { return limits_.size(); }
   // Whether this instance has started too recently to have received the load
   // reports of its peers.
   bool PeerLoadsUnknown(time_point now) const;
@@ -74,11 +102,16 @@
   void Rebuild();
   void ScheduleBroadcast(duration delay);
   void NotifyCapacityFreed();
+  void UpdateLimitHolders(time_point now);
+  void LogLimit(std::uint32_t limit_key,
+                std::string_view origin,
+                time_point now) const;
 
   runtime& runtime_;
   catalog_service* catalog_ = nullptr;
   membership_service* membership_ = nullptr;
   load_tracker tracker_;
+  upstream_limits limits_;
   time_point started_at_;
   std::map<std::string, std::shared_ptr<fleet_upstream>> by_id_;
   std::map<std::string, std::vector<std::shared_ptr<fleet_upstream>>>
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "src/kernel/log.h"
 #include "src/relay/catalog_service.h"
 
 namespace cactusward {
@@ -120,6 +121,7 @@
   entry.sent_at = now;
   assignment->primary.upstream = best;
   assignment->primary.tracking_id = fleet_->tracker().Begin(entry);
+  fleet_->SpendLimit(*best, now);
   fleet_->OnLoadChanged(false);
   return assignment;
 }
@@ -166,6 +168,7 @@
     entry.kv_tokens = helper.reserved_kv_tokens;
     entry.sent_at = now;
     helper_kv_tokens += helper.reserved_kv_tokens;
+    fleet_->SpendLimit(*upstreams[helper.engine], now);
     assignment->helpers.push_back({upstreams[helper.engine],
                                    helper.reserved_kv_tokens,
                                    fleet_->tracker().Begin(entry)});
@@ -182,6 +185,7 @@
   assignment->primary = {upstreams[placement->engine],
                          helper_kv_tokens > 0 ? entry.kv_tokens : 0,
                          fleet_->tracker().Begin(entry)};
+  fleet_->SpendLimit(*upstreams[placement->engine], now);
   fleet_->OnLoadChanged(!interactive);
   return assignment;
 }
@@ -209,6 +213,38 @@
                     kMinRetryAfter, kMaxRetryAfter);
 }
 
+bool relay_dispatcher::IsHeldBack(const placement_demand& demand,
+                                  dispatch_failure* reason,
+                                  time_point now) const {
+  const auto upstreams = fleet_->AllHeldBack(demand.service, now);
+  if (upstreams.empty())
+    return false;
+  std::optional<time_point> until;
+  auto described = nlohmann::json::array();
+  for (const fleet_service::held_back& upstream : upstreams) {
+    if (upstream.until && (!until || *upstream.until < *until))
+      until = upstream.until;
+    described.push_back(
+        {{"upstream", upstream.upstream},
+         {"per_second", upstream.per_second},
+         {"age_ms", ToMilliseconds(upstream.age)},
+         {"wait_ms",
+          upstream.until ? ToMilliseconds(*upstream.until - now) : -1}});
+  }
+  if (until && *until < demand.queue_deadline)
+    return false;
+  // Another instance may hold a share.
+  reason->retry_after =
+      until ? std::max(kMinRetryAfter,
+                       std::chrono::duration_cast<milliseconds>(*until - now))
+            : kMinRetryAfter;
+  Log(log_level::kInfo, "request_held_back",
+      {{"service", demand.service},
+       {"retry_after_ms", reason->retry_after.count()},
+       {"limits", std::move(described)}});
+  return true;
+}
+
 std::unique_ptr<relay_assignment> relay_dispatcher::Acquire(
     const placement_demand& demand,
     cancel_token* cancel,
@@ -218,7 +254,7 @@
   if (auto assignment = TryAssign(demand, now))
     return assignment;
   *reason = {error_kind::kNoUpstream, RetryAfter(demand, now)};
-  if (demand.queue_deadline <= now)
+  if (demand.queue_deadline <= now || IsHeldBack(demand, reason, now))
     return nullptr;
   waiter self(runtime_.io, &demand);
   waiters_.push_back(&self);
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -106,6 +106,11 @@
       const placement_demand& demand,
       const engine_parameters& engine,
       time_point now);
+  // Whether the limits of all upstreams of the service let this instance send
+  // nothing before the request leaves the queue.
+  bool IsHeldBack(const placement_demand& demand,
+                  dispatch_failure* reason,
+                  time_point now) const;
   milliseconds RetryAfter(const placement_demand& demand, time_point now) const;
   placement_settings PlacementSettings(const std::string& service) const;
   const engine_parameters* FindEngine(const std::string& service) const;
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -1,7 +1,6 @@
 // One attempt of a request: the exchange with an upstream and its response.
 #include <algorithm>
 
-#include "src/kernel/log.h"
 #include "src/relay/relay_run.h"
 
 namespace cactusward {
@@ -102,7 +101,7 @@
   }
   const upstream_reply reply =
       services_.protocol.ParseReply((*stream)->status(), (*stream)->header());
-  RecordNamedLimit(upstream, reply.request_limit);
+  services_.fleet.RecordLimit(*upstream, reply.request_limit, sent_at);
   // This is the late response to an earlier request.
   if (!reply.attempt_id.empty() && reply.attempt_id != caller_.attempt_id) {
     (*stream)->DisableConnectionReuse();
@@ -131,19 +130,6 @@
   return RelayBody(**stream, assignment, yield);
 }
 
-void relay_request::RecordNamedLimit(
-    const std::shared_ptr<fleet_upstream>& upstream,
-    const std::optional<double>& per_second) {
-  if (upstream->named_limit == per_second)
-    return;
-  Log(log_level::kInfo, "upstream_limit_named",
-      {{"upstream", upstream->entry.id},
-       {"per_second", per_second.value_or(-1)},
-       {"before", upstream->named_limit.value_or(-1)},
-       {"request", caller_.attempt_id}});
-  upstream->named_limit = per_second;
-}
-
 relay_request::attempt relay_request::ReadFailure(
     const result<std::string_view>& read) {
   const bool timed_out = read.kind() == error_kind::kTimedOut;
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -154,6 +154,7 @@
       << "cactusward_in_progress " << server_.active() << '\n'
       << "cactusward_waiting_for_upstream " << dispatcher_.waiting() << '\n'
       << "cactusward_quarantines " << quarantine_.size() << '\n'
+      << "cactusward_limited_upstreams " << fleet_.limited_upstreams() << '\n'
       << "cactusward_idle_connections " << client_.idle_connections() << '\n'
       << "cactusward_connections_opened " << client_.connections_opened()
       << '\n';
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -89,9 +89,6 @@
   attempt Forward(relay_assignment& assignment,
                   const std::vector<helper_address>& helpers,
                   asio::yield_context yield);
-  // Records the request limit that a response states, if any.
-  void RecordNamedLimit(const std::shared_ptr<fleet_upstream>& upstream,
-                        const std::optional<double>& per_second);
   // The result of an attempt whose response could not be read further.
   static attempt ReadFailure(const result<std::string_view>& read);
   attempt RelayBody(http_stream& stream,
--- a/tests/unit/membership_test.cc
+++ b/tests/unit/membership_test.cc
@@ -167,6 +167,7 @@
   message.crashes = {{8, 9, {{10, {11, 12}}, {13, {}}}}};
   message.quarantines = {{{14, 15}, 3, 17, 16}};
   message.sound_parts = {{18, 19}};
+  message.limits = {{20, 1'400, 21}, {22, -1, 23}};
   const std::string encoded = EncodeGossip(message);
   CHECK(*DecodeGossip(encoded) == message);
   for (std::size_t length = 0; length < encoded.size(); ++length)
