Crash reports go out in broadcasts of their own, and fewer

Cause: every message repeated the crash reports of five seconds, up to 16 requests each, and each instance receives some 350 messages a second; each instance also reported the same soundness, and logged each further crash. Class: the cost of spreading evidence grows with the square of the fleet.

Change: crashes and soundness are sent in three broadcasts 0.4 s apart, not in every message; soundness after a random time, and not if a peer has reported it; a quarantine is logged again when its crashes have doubled; evidence is looked at again only for a second after a crash. Quarantines stay in every message: some tens of bytes.

--- a/src/recovery/part_quarantine.cc
+++ b/src/recovery/part_quarantine.cc
@@ -14,6 +14,8 @@
 constexpr milliseconds kMinSpan{500};
 // All instances with requests in flight at a crash have reported it by then.
 constexpr milliseconds kSettleTime{200};
+// Evidence is looked at again for this long after a crash.
+constexpr milliseconds kUnsettledPeriod{1'000};
 // Reports about one upstream within this time refer to the same crash.
 constexpr milliseconds kSameCrashWindow{1'000};
 // How long a crash counts as evidence, and soundness against it.
@@ -384,7 +386,8 @@
   while (!crashes_.empty() && now - crashes_.front().at > kEvidencePeriod)
     crashes_.pop_front();
   // What was not settled when the last report arrived may be now.
-  Evaluate(now);
+  if (!crashes_.empty() && now - crashes_.back().at < kUnsettledPeriod)
+    Evaluate(now);
   quarantines_.erase(std::remove_if(quarantines_.begin(), quarantines_.end(),
                                     [now](const quarantine& entry) {
                                       return now - entry.last_crash >
--- a/src/relay/quarantine_service.cc
+++ b/src/relay/quarantine_service.cc
@@ -12,11 +12,17 @@
 namespace {
 
 constexpr milliseconds kUpdatePeriod{250};
-// Reports are repeated in every message for this long, in case datagrams are
-// lost.
-constexpr milliseconds kReportPeriod{5'000};
 // Crashes that several requests notice are reported together.
-constexpr milliseconds kBroadcastDelay{5};
+constexpr milliseconds kCrashReportDelay{5};
+// Reports are repeated in case datagrams are lost.
+constexpr int kBroadcasts = 3;
+constexpr milliseconds kRepeatDelay{400};
+// Soundness is urgent only where a quarantine is wrong. The first instance to
+// report it, after a random time, saves the others the report.
+constexpr milliseconds kSoundReportDelay{50};
+constexpr milliseconds kSoundReportDelayPerPeer{4};
+// An upstream that crashes again was up for longer in between.
+constexpr milliseconds kSameCrashPeriod{5'000};
 // Limits that keep a message within one datagram.
 constexpr std::size_t kMaxCrashesPerMessage = 8;
 constexpr std::size_t kMaxSuspectsPerCrash = 16;
@@ -68,17 +74,17 @@
     report.suspects.push_back({request.fingerprint, request.shared_parts});
   }
   if (quarantine_.MergeCrash(report, now)) {
-    own_crashes_.push_back({report, now});
+    own_crashes_.push_back({report, now, kBroadcasts});
     if (own_crashes_.size() > kMaxCrashesPerMessage)
       own_crashes_.pop_front();
     OnChange("own", now);
-    ScheduleBroadcast();
+    ScheduleBroadcast(kCrashReportDelay);
   }
   const auto attributed = quarantine_.AttributedCrashes();
   return std::any_of(attributed.begin(), attributed.end(),
                      [&report, now](const auto& crash) {
                        return crash.upstream == report.upstream &&
-                              now - crash.at < kReportPeriod;
+                              now - crash.at < kSameCrashPeriod;
                      });
 }
 
@@ -88,20 +94,29 @@
   if (unknown_to_peers.empty())
     return;
   for (const std::uint64_t part : unknown_to_peers)
-    ReportSound(part, now);
+    ReportSound(part);
   OnChange("own", now);
-  ScheduleBroadcast();
 }
 
-void quarantine_service::ReportSound(std::uint64_t part, time_point now) {
+void quarantine_service::ReportSound(std::uint64_t part) {
+  DropSoundReport(part);
+  sound_parts_.push_back({part, kBroadcasts});
+  if (sound_parts_.size() > kMaxSoundParts)
+    sound_parts_.pop_front();
+  const auto most =
+      kSoundReportDelay +
+      kSoundReportDelayPerPeer * static_cast<int>(membership_->LiveCount());
+  std::uniform_int_distribution<milliseconds::rep> delay(
+      kSoundReportDelay.count(), most.count());
+  ScheduleBroadcast(milliseconds(delay(runtime_.random)));
+}
+
+void quarantine_service::DropSoundReport(std::uint64_t part) {
   sound_parts_.erase(std::remove_if(sound_parts_.begin(), sound_parts_.end(),
                                     [part](const sound_part& known) {
                                       return known.part == part;
                                     }),
                      sound_parts_.end());
-  sound_parts_.push_back({part, now});
-  if (sound_parts_.size() > kMaxSoundParts)
-    sound_parts_.pop_front();
 }
 
 std::optional<quarantine_refusal> quarantine_service::Check(
@@ -122,10 +137,14 @@
 
 void quarantine_service::OnChange(std::string_view origin, time_point now) {
   auto current = quarantine_.Quarantines(now);
-  for (const quarantine_report& report : current) {
+  for (std::size_t i = 0; i < current.size(); ++i) {
+    const quarantine_report& report = current[i];
     const quarantine_report* known = FindSame(logged_, report);
-    if (known && known->crashes == report.crashes)
+    // A few lines for each quarantine, however many crashes it has.
+    if (known && report.crashes < 2 * known->crashes) {
+      current[i].crashes = known->crashes;
       continue;
+    }
     Log(log_level::kWarning, "parts_quarantined",
         {{"parts", DescribeParts(report.parts)},
          {"crashes", report.crashes},
@@ -151,32 +170,47 @@
     recovery_->RemoveCrash(crash.upstream, crash.at);
 }
 
-void quarantine_service::ScheduleBroadcast() {
-  if (broadcast_scheduled_)
+void quarantine_service::ScheduleBroadcast(duration delay) {
+  const time_point at = clock::now() + delay;
+  if (broadcast_at_ && *broadcast_at_ <= at)
     return;
-  broadcast_scheduled_ = true;
-  broadcast_timer_->expires_after(kBroadcastDelay);
+  broadcast_at_ = at;
+  broadcast_timer_->expires_at(at);
   broadcast_timer_->async_wait([this](const boost::system::error_code& error) {
-    broadcast_scheduled_ = false;
-    if (!error)
-      membership_->Broadcast();
+    if (error)
+      return;
+    broadcast_at_.reset();
+    BroadcastReports();
   });
 }
 
-void quarantine_service::AddFields(gossip_message* message, time_point now) {
-  const auto is_over = [now](time_point since) {
-    return now - since > kReportPeriod;
+void quarantine_service::BroadcastReports() {
+  if (own_crashes_.empty() && sound_parts_.empty())
+    return;
+  is_broadcasting_ = true;
+  membership_->Broadcast();
+  is_broadcasting_ = false;
+  const auto count_down = [](auto* reports) {
+    for (auto& report : *reports)
+      --report.broadcasts_left;
+    while (!reports->empty() && reports->front().broadcasts_left <= 0)
+      reports->pop_front();
   };
-  while (!own_crashes_.empty() && is_over(own_crashes_.front().at))
-    own_crashes_.pop_front();
-  while (!sound_parts_.empty() && is_over(sound_parts_.front().reported_at))
-    sound_parts_.pop_front();
+  count_down(&own_crashes_);
+  count_down(&sound_parts_);
+  if (!own_crashes_.empty() || !sound_parts_.empty())
+    ScheduleBroadcast(kRepeatDelay);
+}
+
+void quarantine_service::AddFields(gossip_message* message, time_point now) {
+  message->quarantines = quarantine_.Quarantines(now);
+  if (!is_broadcasting_)
+    return;
   for (const own_crash& crash : own_crashes_) {
     message->crashes.push_back(crash.report);
     message->crashes.back().age_ms =
         std::chrono::duration_cast<milliseconds>(now - crash.at).count();
   }
-  message->quarantines = quarantine_.Quarantines(now);
   for (const sound_part& reported : sound_parts_) {
     const auto sound_at = quarantine_.SoundAt(reported.part);
     if (sound_at)
@@ -193,6 +227,7 @@
     if (report.age_ms < 0)
       continue;
     quarantine_.RecordSound({report.part}, now - milliseconds(report.age_ms));
+    DropSoundReport(report.part);
     changed = true;
   }
   for (const crash_report& report : message.crashes)
@@ -202,8 +237,12 @@
     // The sender has not learnt that one of the parts is sound.
     for (const std::uint64_t part : report.parts) {
       const auto sound_at = quarantine_.SoundAt(part);
-      if (sound_at && *sound_at > now - milliseconds(report.first_crash_age_ms))
-        ReportSound(part, now);
+      const bool reported = std::any_of(
+          sound_parts_.begin(), sound_parts_.end(),
+          [part](const sound_part& known) { return known.part == part; });
+      if (sound_at && !reported &&
+          *sound_at > now - milliseconds(report.first_crash_age_ms))
+        ReportSound(part);
     }
   }
   if (changed)
--- a/src/relay/quarantine_service.h
+++ b/src/relay/quarantine_service.h
@@ -54,18 +54,21 @@
   struct own_crash {
     crash_report report;  // its age counts from `at`
     time_point at;
+    int broadcasts_left = 0;
   };
   struct sound_part {
     std::uint64_t part = 0;
-    time_point reported_at;
+    int broadcasts_left = 0;
   };
 
-  // Queues what is known of a part's soundness for the next messages.
-  void ReportSound(std::uint64_t part, time_point now);
+  // Tells peers that a part is sound, unless one of them says so first.
+  void ReportSound(std::uint64_t part);
+  void DropSoundReport(std::uint64_t part);
   // Logs quarantines that have begun, changed or ended, and drops the crashes
   // attributed to them from the suspicions of single requests.
   void OnChange(std::string_view origin, time_point now);
-  void ScheduleBroadcast();
+  void ScheduleBroadcast(duration delay);
+  void BroadcastReports();
 
   runtime& runtime_;
   membership_service* membership_ = nullptr;
@@ -75,7 +78,8 @@
   std::deque<sound_part> sound_parts_;     // to be reported
   std::vector<quarantine_report> logged_;  // as of the last OnChange
   std::unique_ptr<asio::steady_timer> broadcast_timer_;
-  bool broadcast_scheduled_ = false;
+  std::optional<time_point> broadcast_at_;
+  bool is_broadcasting_ = false;
   std::unique_ptr<timer_subscription> update_timer_;
 };
 
