--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -261,7 +261,8 @@
   cancel->OnCancel([&self] { self.timer.cancel(); });
   ScheduleDispatch();
   while (!self.assignment && !cancel->cancelled() &&
-         clock::now() < demand.queue_deadline) {
+         clock::now() < demand.queue_deadline &&
+         !(demand.is_refused && demand.is_refused())) {
     WaitOn(self.timer,
            std::min(demand.queue_deadline, clock::now() + kDispatchPeriod),
            yield);
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -2,6 +2,7 @@
 #ifndef CACTUSWARD_SRC_RELAY_RELAY_DISPATCHER_H_
 #define CACTUSWARD_SRC_RELAY_RELAY_DISPATCHER_H_
 
+#include <functional>
 #include <list>
 #include <memory>
 #include <set>
@@ -27,6 +28,9 @@
   // Ids of the upstreams that must not be chosen again.
   std::set<std::string> tried_upstreams;
   int priority = 0;  // 0 is the most urgent
+  // Whether the request must not be sent any more: it then leaves the queue.
+  // Empty: it may be sent.
+  std::function<bool()> is_refused;
 };
 
 // The upstreams that a request is assigned to. Their load includes the request
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -168,6 +168,7 @@
       response_deadline_,
       started_at_ + std::chrono::duration_cast<duration>(
                         (caller_deadline_ - started_at_) * kQueueTimeShare));
+  demand.is_refused = [this] { return CheckQuarantine().has_value(); };
   return demand;
 }
 
