Soak: prompt parts that crash upstreams

Some streams have a part on which every engine process ends with status 86; sound streams share their first part. From the fifth crash and the stable window on at most three such requests may run, sent by instances without a fault; the others must be served as before. The proxies refuse connections while their target is down, as a crashed upstream does: before, no crash was recognised in the soak at all.

--- a/tests/scenarios/platform_fleet.lua
+++ b/tests/scenarios/platform_fleet.lua
@@ -67,7 +67,8 @@
   runner.relay = relay(runner.advertised, runner.address)
   runner.arguments = { "platform_standin", "--role=runner",
     "--address=" .. runner.address, "--id=" .. runner.id,
-    "--record=" .. runner.record, "--run_time_ms=80" }
+    "--record=" .. runner.record, "--run_time_ms=80",
+    "--crashing_parts=" .. table.concat(self.crashing_parts, ",") }
   write_file(runner.record, "")
   self.runners[n] = runner
   self:start(runner)
@@ -122,7 +123,8 @@
 end
 
 function fleet.start(options)
-  local self = setmetatable({ runners = {}, instances = {} }, class)
+  local self = setmetatable({ runners = {}, instances = {},
+                              crashing_parts = options.crashing_parts or {} }, class)
   self.store = { id = "store", address = base.address() }
   self.store.arguments = { "platform_standin", "--role=store",
                            "--address=" .. self.store.address }
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -15,8 +15,11 @@
 local kStableMs = 3000                            -- the users' stable_window_ms
 math.randomseed(seed)
 local instances = option("instances", 4)
+local kCrashingPart, kCrashedCode = "dead", 86
+local kMaxLateCrashes, kCrashes = 3, 5            -- the users' bounds
 local f = fleet.start{ instances = instances, engines = instances,
-                       plain = math.max(2, instances // 2) }
+                       plain = math.max(2, instances // 2),
+                       crashing_parts = { kCrashingPart } }
 note(string.format("%d processes", 1 + #f.instances + #f.runners))
 
 local fault_log, sent = {}, {}
@@ -47,7 +50,12 @@
     end
   end
   for _, r in ipairs(f.runners) do
-    if not r.down and exited(r.pid) then fail(r.id .. " ended by itself") end
+    local code = not r.down and exited(r.pid)
+    if code == kCrashedCode then
+      faults.record_crash(r)
+    elseif code then
+      fail(r.id .. " ended by itself")
+    end
   end
 end
 
@@ -67,6 +75,12 @@
   local request = fleet.request(instance.address, "/" .. path .. "/x", entry.id,
                                 entry.tokens)
   request.once = true
+  -- Sound prompts share their first part with crashing ones.
+  entry.crashing = path == "stream" and not fault_free and
+      faults.sends_crashing_part and math.random(5) == 1
+  request.headers["X-Prompt-Prefix"] = "s" .. math.random(2) .. ":40," ..
+      (entry.crashing and kCrashingPart .. ":100," or "") .. entry.id .. ":860"
+  request.body = entry.id
   if not fault_free and math.random(20) == 1 then
     request.timeout_ms = 60
     entry.short_timeout = true
@@ -248,6 +262,26 @@
   end
   return false
 end
+-- Whether the instance of a request was in touch for the stable window before it.
+local function was_in_touch(entry)
+  return not entry.down and
+      not in_fault_span(entry.instance, entry.at - kStableMs, entry.ended_at or now())
+end
+
+-- Requests with a part that crashes upstreams must not go on to reach them.
+if faults.crashes[kCrashes] then
+  local late = 0
+  for _, entry in ipairs(sent) do
+    if entry.crashing and entry.at > faults.crashes[kCrashes] + kStableMs and
+        was_in_touch(entry) then
+      late = late + (runs[entry.id] or 0)
+    end
+  end
+  if late > kMaxLateCrashes then
+    fail(late .. " requests with a crashing part ran after the fifth crash")
+  end
+end
+
 local complete, refused, unanswered = 0, 0, 0
 for _, entry in ipairs(sent) do
   local count = runs[entry.id] or 0
@@ -283,7 +317,7 @@
   if not entry.status then unanswered = unanswered + 1 end
 end
 note(string.format("seed %d: %d requests, %d whole, %d refused as not run, " ..
-  "%d without an answer, %d faults, %d versions", seed, #sent, complete, refused,
-  unanswered, count, faults.version))
+  "%d without an answer, %d faults, %d versions, %d crashes", seed, #sent, complete,
+  refused, unanswered, count, faults.version, #faults.crashes))
 check(complete > #sent / 3, "a third of all requests are served whole")
 write_file(work .. "/faults.txt", table.concat(fault_log, "\n"))
--- a/tests/scenarios/soak_faults.lua
+++ b/tests/scenarios/soak_faults.lua
@@ -3,7 +3,8 @@
 
 -- Precondition: `f` is a fleet of platform_fleet.lua.
 return function(f)
-local faults = { pick_random = pick_random, version = 1, killed = {}, stopped = {} }
+local faults = { pick_random = pick_random, version = 1, killed = {}, stopped = {},
+                 crashes = {} }
 
 -- Times at which failures of a target are expected: {from, to}.
 local fault_spans = setmetatable({}, { __mode = "k" })
@@ -43,6 +44,13 @@
   end)
 end
 
+-- A runner has ended because of a part of a prompt.
+function faults.record_crash(runner)
+  mark_fault_span(runner, 3000)
+  faults.crashes[#faults.crashes + 1] = now()
+  faults.restart_later(runner, math.random(300, 1500))
+end
+
 function faults.kill(process)
   if process.down then return end
   faults.killed[process.pid] = true
@@ -187,6 +195,11 @@
     local i = pick_random(f.instances)
     return inject_network_fault(i.peer_relay, i) .. " at " .. i.id
   end,
+  -- Some streams have a part that crashes upstreams.
+  crashing_part = function()
+    faults.sends_crashing_part = true
+    schedule(math.random(2000, 9000), function() faults.sends_crashing_part = false end)
+  end,
   change_config = change_config,
   configs_in_series = function() in_series(math.random(5, 15), 500, change_config) end,
 }
@@ -206,6 +219,9 @@
 faults.names = {}
 for name in pairs(faults.kinds) do faults.names[#faults.names + 1] = name end
 for _ = 1, 4 do faults.names[#faults.names + 1] = "fault_of_runner" end
+for _ = 1, 3 do
+  faults.names[#faults.names + 1] = "crashing_part"
+end
 table.sort(faults.names)
 
 -- Runs the actions that are due. @return whether no fault is in force.
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -226,6 +226,8 @@
 
 void runner_fake::Crash() {
   ++crashes_;
+  if (on_crash_)
+    on_crash_();
   server_.StopAccepting();
   Spawn(io_, "restart", [this](asio::yield_context yield) {
     Sleep(io_, downtime_, yield);
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -129,6 +129,8 @@
     downtime_ = downtime;
   }
   int crashes() const { return crashes_; }
+  // Sets a hook that is called at a crash.
+  void OnCrash(std::function<void()> hook) { on_crash_ = std::move(hook); }
   // Names a limit of requests a second in its responses; empty: none.
   void SetRequestLimit(std::string per_second) {
     request_limit_ = std::move(per_second);
@@ -178,6 +180,7 @@
   runner_fault fault_ = runner_fault::kNone;
   int faulty_requests_ = 0;
   std::function<void(const http_request&)> on_run_;
+  std::function<void()> on_crash_;
   std::string refused_helper_;
   milliseconds control_delay_{0};
   milliseconds run_time_{0};
--- a/tests/support/platform_standin.cc
+++ b/tests/support/platform_standin.cc
@@ -4,7 +4,8 @@
 //   platform_standin --role=runner --address=IP:PORT --id=NAME --record=FILE
 //
 // A runner appends the id of each request to the record file before executing
-// it, so that the record survives a crash of the process. POST /control:
+// it, so that the record survives a crash of the process. It ends with status 86 when it would begin to respond to a prompt with one of
+// --crashing_parts. POST /control:
 //   store:  {"put": {key: value}, "remove": [key], "down": bool, "mute": bool,
 //            "slow_ms": n, "compact": true}
 //   runner: {"fault": name, "requests": n}
@@ -13,6 +14,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 
@@ -24,6 +26,10 @@
 ABSL_FLAG(std::string, address, "", "address to listen on");
 ABSL_FLAG(std::string, id, "", "the runner's id");
 ABSL_FLAG(std::string, record, "", "file for the ids of executed requests");
+ABSL_FLAG(std::vector<std::string>,
+          crashing_parts,
+          {},
+          "parts of prompts that crash the runner");
 ABSL_FLAG(int, run_time_ms, 0, "time from execution to response");
 ABSL_FLAG(int, event_pause_ms, 30, "time between events of a stream");
 
@@ -32,6 +38,7 @@
 
 constexpr int kExitUsage = 2;
 constexpr int kExitCannotListen = 4;
+constexpr int kExitCrashed = 86;
 
 class store_process : public http_handler {
  public:
@@ -90,6 +97,8 @@
     runner_.OnRun([this](const http_request& request) {
       record_ << request["X-Attempt-Id"] << '\n' << std::flush;
     });
+    runner_.CrashOnParts(absl::GetFlag(FLAGS_crashing_parts), milliseconds(0));
+    runner_.OnCrash([] { std::_Exit(kExitCrashed); });
     listens_ = server_.Listen(address);
   }
   bool listens() const { return listens_; }
--- a/tests/support/relay.cc
+++ b/tests/support/relay.cc
@@ -27,7 +27,7 @@
       acceptor_(io),
       udp_socket_(io) {}
 
-bool fault_proxy::Start() {
+bool fault_proxy::Listen() {
   const auto local = ParseTcpEndpoint(listen_);
   boost::system::error_code error;
   acceptor_.open(local->protocol(), error);
@@ -37,12 +37,38 @@
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
   if (error)
     return false;
+  Spawn(io_, "relay",
+        [this](asio::yield_context yield) { AcceptConnections(yield); });
+  return true;
+}
+
+bool fault_proxy::TargetAccepts(asio::yield_context yield) {
+  tcp::socket socket(io_);
+  boost::system::error_code error;
+  socket.async_connect(*ParseTcpEndpoint(target_), yield[error]);
+  return error != asio::error::connection_refused;
+}
+
+void fault_proxy::RefuseUntilTargetIsBack() {
+  if (!acceptor_.is_open())
+    return;
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  Spawn(io_, "relay_wait", [this](asio::yield_context yield) {
+    while (!TargetAccepts(yield) || !Listen())
+      Sleep(io_, kPollInterval, yield);
+  });
+}
+
+bool fault_proxy::Start() {
+  if (!Listen())
+    return false;
+  const auto local = ParseTcpEndpoint(listen_);
+  boost::system::error_code error;
   udp_socket_.open(udp::v4(), error);
   udp_socket_.bind(udp::endpoint(local->address(), local->port()), error);
   if (error)
     return false;
-  Spawn(io_, "relay",
-        [this](asio::yield_context yield) { AcceptConnections(yield); });
   Spawn(io_, "relay_datagrams",
         [this](asio::yield_context yield) { ReceiveDatagrams(yield); });
   return true;
@@ -77,9 +103,10 @@
             Spawn(io_, "relay_back",
                   [this, caller_socket, target_socket](asio::yield_context z) {
                     Forward(target_socket, caller_socket,
-                            &faults_.cut_to_caller, z);
+                            &faults_.cut_to_caller, true, z);
                   });
-            Forward(caller_socket, target_socket, &faults_.cut_to_target, y);
+            Forward(caller_socket, target_socket, &faults_.cut_to_target, false,
+                    y);
           });
   }
 }
@@ -87,6 +114,7 @@
 void fault_proxy::Forward(std::shared_ptr<tcp::socket> from,
                           std::shared_ptr<tcp::socket> to,
                           const bool* cut,
+                          bool from_target,
                           asio::yield_context yield) {
   std::string buffer(kBufferBytes, '\0');
   boost::system::error_code error;
@@ -103,6 +131,8 @@
     if (error)
       break;
   }
+  if (from_target && !TargetAccepts(yield))
+    RefuseUntilTargetIsBack();
   to->shutdown(tcp::socket::shutdown_send, error);
 }
 
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -20,7 +20,8 @@
   milliseconds delay{0};
 };
 
-// Forwards TCP connections and datagrams from one address to another. A cut
+// Forwards TCP connections and datagrams from one address to another. While the
+// target is down, connections are refused. A cut
 // behaves like a network that drops all packets: connections stay open, and
 // their bytes are forwarded when the cut ends.
 class fault_proxy {
@@ -34,10 +35,15 @@
   void Reset();
 
  private:
+  bool Listen();
+  bool TargetAccepts(asio::yield_context yield);
+  // Stops listening until the target accepts connections again.
+  void RefuseUntilTargetIsBack();
   void AcceptConnections(asio::yield_context yield);
   void Forward(std::shared_ptr<tcp::socket> from,
                std::shared_ptr<tcp::socket> to,
                const bool* cut,
+               bool from_target,
                asio::yield_context yield);
   void ReceiveDatagrams(asio::yield_context yield);
 
