Soak: request limits that upstreams name

Runners name a limit of 0.4, 1.4 or 3 requests a second for some seconds, record it and the arrivals with their times. From the stable window on they may get six times the limit and five requests in 4 s from instances without a fault, the users' bound.

--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -13,6 +13,7 @@
 local kMaxDrainMs = strict and 10000 or 40000     -- drain_limit_ms and one probe
 local kMaxLeavingMs = strict and 2000 or 5000     -- the users' drain_ms
 local kStableMs = 3000                            -- the users' stable_window_ms
+local kLimitWindowMs = strict and 3000 or 8000
 math.randomseed(seed)
 local instances = option("instances", 4)
 local kCrashingPart, kCrashedCode = "dead", 86
@@ -250,10 +251,16 @@
 
 local runs, ran_at = {}, {}  -- by request; ran_at: the runners
 for _, r in ipairs(f.runners) do
-  for id in read_file(r.record):gmatch("[^\n]+") do
-    runs[id] = (runs[id] or 0) + 1
-    ran_at[id] = ran_at[id] or {}
-    table.insert(ran_at[id], r)
+  r.arrivals, r.limits = {}, {}
+  for id, ms in read_file(r.record):gmatch("(%S+) (%d+)\n") do
+    if id:sub(1, 1) == "#" then
+      r.limits[#r.limits + 1] = { limit = tonumber(id:sub(2)), at = tonumber(ms) }
+    else
+      runs[id] = (runs[id] or 0) + 1
+      ran_at[id] = ran_at[id] or {}
+      table.insert(ran_at[id], r)
+      r.arrivals[#r.arrivals + 1] = { id = id, at = tonumber(ms) }
+    end
   end
 end
 local function runner_in_fault_span(entry, to)
@@ -282,6 +289,29 @@
   end
 end
 
+-- An upstream must not get more than the limit that it names.
+local by_id = {}
+for _, entry in ipairs(sent) do by_id[entry.id] = entry end
+for _, r in ipairs(f.runners) do
+  for n, named in ipairs(r.limits) do
+    local to = r.limits[n + 1] and r.limits[n + 1].at or math.huge
+    local counted = {}
+    for _, arrival in ipairs(r.arrivals) do
+      local entry = by_id[arrival.id]
+      if named.limit and entry and arrival.at > named.at + kLimitWindowMs and
+          arrival.at < to and was_in_touch(entry) then
+        counted[#counted + 1] = arrival.at
+        while counted[1] <= arrival.at - 4000 do table.remove(counted, 1) end
+        if #counted > 6 * named.limit + 5 then
+          fail(string.format("%s named a limit of %s a second and got %d requests in 4 s",
+                             r.id, named.limit, #counted))
+          break
+        end
+      end
+    end
+  end
+end
+
 local complete, refused, unanswered = 0, 0, 0
 for _, entry in ipairs(sent) do
   local count = runs[entry.id] or 0
--- a/tests/scenarios/soak_faults.lua
+++ b/tests/scenarios/soak_faults.lua
@@ -200,6 +200,16 @@
     faults.sends_crashing_part = true
     schedule(math.random(2000, 9000), function() faults.sends_crashing_part = false end)
   end,
+  request_limit = function()
+    local r, limit = pick_random(f.runners), pick_random{ "0.4", "1.4", "3" }
+    local function set(text)
+      call{ method = "POST", address = r.address, path = "/control", timeout_ms = 300,
+            body = to_json{ limit = text } }
+    end
+    set(limit)
+    schedule(math.random(4000, 9000), function() set("") end)
+    return limit .. " at " .. r.id
+  end,
   change_config = change_config,
   configs_in_series = function() in_series(math.random(5, 15), 500, change_config) end,
 }
@@ -221,6 +231,7 @@
 for _ = 1, 4 do faults.names[#faults.names + 1] = "fault_of_runner" end
 for _ = 1, 3 do
   faults.names[#faults.names + 1] = "crashing_part"
+  faults.names[#faults.names + 1] = "request_limit"
 end
 table.sort(faults.names)
 
--- a/tests/support/platform_standin.cc
+++ b/tests/support/platform_standin.cc
@@ -3,12 +3,14 @@
 //   platform_standin --role=store --address=IP:PORT
 //   platform_standin --role=runner --address=IP:PORT --id=NAME --record=FILE
 //
-// A runner appends the id of each request to the record file before executing
-// it, so that the record survives a crash of the process. It ends with status 86 when it would begin to respond to a prompt with one of
+// A runner appends the id of each request, and its time, to the record file
+// before executing it, so that the record survives a crash of the process; the
+// limits that it names are recorded in lines that begin with "#". It ends with
+// status 86 when it would begin to respond to a prompt with one of
 // --crashing_parts. POST /control:
 //   store:  {"put": {key: value}, "remove": [key], "down": bool, "mute": bool,
 //            "slow_ms": n, "compact": true}
-//   runner: {"fault": name, "requests": n}
+//   runner: {"fault": name, "requests": n} or {"limit": requests a second}
 // GET /held of a runner returns the KV tokens of its reservations.
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -95,11 +97,13 @@
     runner_.SetEventPause(milliseconds(absl::GetFlag(FLAGS_event_pause_ms)));
     runner_.SetRunTime(milliseconds(absl::GetFlag(FLAGS_run_time_ms)));
     runner_.OnRun([this](const http_request& request) {
-      record_ << request["X-Attempt-Id"] << '\n' << std::flush;
+      record_ << request["X-Attempt-Id"] << ' ' << NowMs() << '\n'
+              << std::flush;
     });
     runner_.CrashOnParts(absl::GetFlag(FLAGS_crashing_parts), milliseconds(0));
     runner_.OnCrash([] { std::_Exit(kExitCrashed); });
     listens_ = server_.Listen(address);
+    RecordLimit({});
   }
   bool listens() const { return listens_; }
 
@@ -114,8 +118,26 @@
   }
 
  private:
+  static std::int64_t NowMs() {
+    return std::chrono::duration_cast<milliseconds>(
+               clock::now().time_since_epoch())
+        .count();
+  }
+
+  void RecordLimit(const std::string& limit) {
+    record_ << "#" << (limit.empty() ? "none" : limit) << ' ' << NowMs() << '\n'
+            << std::flush;
+  }
+
   void HandleControl(http_exchange& exchange, asio::yield_context yield) {
     const auto body = ParseJson(exchange.request().body());
+    if (body && body->is_object() && body->contains("limit")) {
+      const std::string limit = body->value("limit", "");
+      runner_.SetRequestLimit(limit);
+      RecordLimit(limit);
+      exchange.RespondJson({{"ok", true}}, yield);
+      return;
+    }
     const auto fault = body && body->is_object()
                            ? ParseRunnerFault(body->value("fault", ""))
                            : std::nullopt;
