--- a/src/routing/upstream_pool.cc
+++ b/src/routing/upstream_pool.cc
@@ -311,7 +311,8 @@
     return running;
   running.reserve(entry->dispatches.size());
   for (const auto& [id, open] : entry->dispatches)
-    running.push_back({open.sent.fingerprint, open.first_token_seen, {}, false});
+    running.push_back(
+        {open.sent.fingerprint, open.first_token_seen, {}, false});
   return running;
 }
 
