A response that may have been cut short does not prove a part sound

Read off the diff: a response without a length, or an error response to a prompt, counted as proof that the upstream survived the prompt. An upstream that crashes after the header of such a response would have cleared the part that crashed it. A crash that a part explains is logged as such; it had no line.

--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -79,6 +79,8 @@
   }
   // Whether the connection carried other requests before this one.
   bool reused() const { return reused_; }
+  // Whether the response has neither a length nor chunks.
+  bool EndsWithConnection() const { return parser_->need_eof(); }
   // Closes the connection with this stream instead of reusing it.
   void DisableConnectionReuse() { connection_reuse_disabled_ = true; }
   std::string_view Header(std::string_view name) const;
--- a/src/relay/quarantine_service.cc
+++ b/src/relay/quarantine_service.cc
@@ -81,11 +81,18 @@
     ScheduleBroadcast(kCrashReportDelay);
   }
   const auto attributed = quarantine_.AttributedCrashes();
-  return std::any_of(attributed.begin(), attributed.end(),
-                     [&report, now](const auto& crash) {
-                       return crash.upstream == report.upstream &&
-                              now - crash.at < kSameCrashPeriod;
-                     });
+  const bool is_attributed =
+      std::any_of(attributed.begin(), attributed.end(),
+                  [&report, now](const auto& crash) {
+                    return crash.upstream == report.upstream &&
+                           now - crash.at < kSameCrashPeriod;
+                  });
+  if (is_attributed)
+    Log(log_level::kWarning, "crash_attributed_to_parts",
+        {{"upstream", upstream_id},
+         {"in_flight", in_flight.size()},
+         {"suspects", report.suspects.size()}});
+  return is_attributed;
 }
 
 void quarantine_service::RecordSound(const std::vector<std::uint64_t>& parts) {
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -175,7 +175,8 @@
             std::move(response)};
   record_.met_objective = true;
   services_.recovery.RecordCompletion(fingerprint_);
-  RecordSurvival(assignment);
+  if (stream.status() / 100 == 2 && !stream.EndsWithConnection())
+    RecordSurvival(assignment);
   record_.first_token = clock::now() - started_at_;
   exchange_.RespondWith(std::move(response),
                         clock::now() + kResponseWriteTimeout, yield);
@@ -251,7 +252,9 @@
     return {attempt_result::kCallerGone, "caller accepts no bytes", false,
             std::nullopt};
   services_.recovery.RecordCompletion(fingerprint_);
-  RecordSurvival(assignment);
+  // A crash may end a response without a length like a complete one.
+  if (first_event_seen && !stream.EndsWithConnection())
+    RecordSurvival(assignment);
   exchange_.EndStream(clock::now() + kResponseWriteTimeout, yield);
   return {attempt_result::kCompleted, {}, false, std::nullopt};
 }
