--- a/tests/unit/crashing_parts_test.cc
+++ b/tests/unit/crashing_parts_test.cc
@@ -185,7 +185,7 @@
 
 // Guards against requests of one kind that crash upstream after upstream, since
 // no two of them are alike.
-TEST_CASE("requests with a part that crashes upstreams are refused") {
+TEST_CASE("requests with a part that crashes upstreams are refused", "[long]") {
   const auto index = GENERATE(range(0, static_cast<int>(std::size(kRows))));
   const crash_row& row = kRows[index];
   CAPTURE(row.name);
@@ -219,7 +219,7 @@
 
 // Guards against an instance that learns of a quarantine only from the crashes
 // that it sees itself.
-TEST_CASE("an instance that starts later refuses quarantined parts") {
+TEST_CASE("an instance that starts later refuses quarantined parts", "[long]") {
   const bool store_is_down = GENERATE(false, true);
   CAPTURE(store_is_down);
   small_fleet fleet;
--- a/tests/unit/request_limit_test.cc
+++ b/tests/unit/request_limit_test.cc
@@ -118,7 +118,8 @@
 
 // Guards against an upstream in need that gets more than it takes, because each
 // instance decides by itself how much it sends.
-TEST_CASE("upstreams get no more requests than the limit that they name") {
+TEST_CASE("upstreams get no more requests than the limit that they name",
+          "[long]") {
   const auto index = GENERATE(range(0, static_cast<int>(std::size(kRows))));
   const limit_row& r = kRows[index];
   CAPTURE(r.name);
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -32,7 +32,12 @@
   excluded="$excluded ~\"$name\""
   run "unit: $name" "$folder/unit_tests" "$name"
 done < <(sed -n 's/^unit: //p' KNOWN-RED.txt)
-run unit_tests "$folder/unit_tests" ${excluded:+"$excluded"}
+# The long unit tests mostly wait, so they run beside everything else.
+(
+  timeout 300 "$folder/unit_tests" "[long]${excluded}" >"$work/long.txt" 2>&1
+  echo $? >"$work/long.status"
+) &
+run unit_tests "$folder/unit_tests" "~[long]${excluded}"
 run embed_routing "$folder/examples/embed_routing"
 for settings in examples/*/instance-*.json; do
   run "settings_$(basename "$(dirname "$settings")")_$(basename "$settings" .json)" \
@@ -47,5 +52,7 @@
     --work="$work/$name" --seed="$seed" "$scenario"
   seed=$((seed + 1))
 done
+run long_unit_tests bash -c "until [ -s '$work/long.status' ]; do sleep 1; done
+  cat '$work/long.txt'; exit \$(cat '$work/long.status')"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
