Attribution of crashes ends when several requests with a part are in flight

Callers would have seen an instance hang for ever: two requests with the same crashing part and different other parts, in flight together at three crashes.

Cause: the parts that accompany the blamed one were checked in pairs, so that they could come from different requests; no request has all of them, the crashes were not removed, and the search went on without end. Found by reading the diff.

Change: a part accompanies the blamed one only if one request has all parts found so far. The first crash is always settled, so that each round removes it.

--- a/src/recovery/part_quarantine.cc
+++ b/src/recovery/part_quarantine.cc
@@ -165,18 +165,21 @@
   found.crashes = static_cast<std::int64_t>(best->crashes.size());
   found.first_crash = best->crashes.front()->at;
   found.last_crash = best->crashes.back()->at;
+  const std::uint64_t blamed = found.parts.front();
   for (const auto& [part, evidence] : by_part) {
-    if (part == found.parts.front() || IsSoundSince(part, found.first_crash))
+    if (part == blamed || IsSoundSince(part, found.first_crash))
       continue;
-    const std::vector<std::uint64_t> pair = {found.parts.front(), part};
+    // One request has to have all of them.
+    std::vector<std::uint64_t> together = found.parts;
+    together.push_back(part);
     const bool accompanies =
         std::all_of(best->crashes.begin(), best->crashes.end(),
-                    [&pair, now](const crash* item) {
+                    [&together, now](const crash* item) {
                       return now - item->at < kSettleTime ||
-                             HasSuspectWith(item->suspects, pair);
+                             HasSuspectWith(item->suspects, together);
                     });
     if (accompanies && evidence.crashes.size() + 1 >= kMinCrashes)
-      found.parts.push_back(part);
+      found.parts = std::move(together);
   }
   std::sort(found.parts.begin(), found.parts.end());
   return found;
@@ -190,6 +193,7 @@
     while (const auto found = FindCommonParts(open, known_sound, now)) {
       Adopt(*found);
       AttributeCrashes();
+      // Removes at least the first of its crashes, which is settled.
       open.erase(std::remove_if(open.begin(), open.end(),
                                 [&found](const crash* item) {
                                   return HasSuspectWith(item->suspects,
