--- a/src/relay/quarantine_service.cc
+++ b/src/relay/quarantine_service.cc
@@ -81,12 +81,11 @@
     ScheduleBroadcast(kCrashReportDelay);
   }
   const auto attributed = quarantine_.AttributedCrashes();
-  const bool is_attributed =
-      std::any_of(attributed.begin(), attributed.end(),
-                  [&report, now](const auto& crash) {
-                    return crash.upstream == report.upstream &&
-                           now - crash.at < kSameCrashPeriod;
-                  });
+  const bool is_attributed = std::any_of(
+      attributed.begin(), attributed.end(), [&report, now](const auto& crash) {
+        return crash.upstream == report.upstream &&
+               now - crash.at < kSameCrashPeriod;
+      });
   if (is_attributed)
     Log(log_level::kWarning, "crash_attributed_to_parts",
         {{"upstream", upstream_id},
