Tests of the end of a request limit, and of instances that never heard it

A limit ends when it is no longer named, and with the process that named it, if another one starts under the same id; an instance that starts later keeps a limit that it never heard in a response.

--- a/tests/unit/request_limit_test.cc
+++ b/tests/unit/request_limit_test.cc
@@ -139,5 +139,68 @@
   CHECK(day.served() >= 0.95 * day.sent());
 }
 
+// Guards against a limit that lasts although the upstream has recovered, or
+// that the next process of the same id inherits.
+TEST_CASE("a limit ends when it is no longer named, and with its process",
+          "[long]") {
+  constexpr milliseconds kInterval{25};
+  constexpr milliseconds kEndTime{6'000};
+  const bool restarts = GENERATE(false, true);
+  CAPTURE(restarts);
+  limited_fleet day(3, "/often/x");
+  std::size_t before = 0;
+  std::size_t while_limited = 0;
+  day.Run([&](asio::yield_context yield) {
+    const auto count = [&](milliseconds time) {
+      const std::size_t start = day.arrivals().size();
+      day.Send(kInterval, time, yield);
+      return day.arrivals().size() - start;
+    };
+    before = count(milliseconds(1'000));
+    day.limited().SetRequestLimit("0.5");
+    day.Send(kInterval, kStableWindow, yield);
+    while_limited = count(milliseconds(1'000));
+    day.limited().SetRequestLimit("");
+    if (restarts)
+      day.fleet().store.Put("servers/" + day.limited().id(),
+                            day.limited().Entry("plain", false, 2));
+    else
+      day.Send(kInterval, kEndTime, yield);
+    day.Send(kInterval, milliseconds(500), yield);
+    CHECK(count(milliseconds(1'000)) > before / 2);
+  });
+  CHECK(while_limited < before / 2);
+}
+
+// Guards against an instance that learns of a limit only from responses to its
+// own requests.
+TEST_CASE("an instance that starts later keeps limits that it never heard",
+          "[long]") {
+  small_fleet fleet;
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.RegisterRunners();
+  auto late_settings =
+      testing::ExtraInstanceSettings(fleet, fleet.store.address(), "late");
+  relay_gateway late(fleet.io, &late_settings, fleet.make_adapter);
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(fleet.WaitForStatus("/often/x", 200, yield));
+    fleet.plain[0]->SetRequestLimit("0");
+    const auto call = [&](const std::string& address) {
+      return fleet
+          .Send(address, small_fleet::MakeCall("/often/x", "a", "key", 0),
+                testing::kCallTimeout, yield)
+          .status;
+    };
+    while (fleet.plain[0]->runs() == 0)
+      CHECK(call(fleet.settings.listen) == 200);
+    REQUIRE(late.Start());
+    Sleep(fleet.io, kStableWindow, yield);
+    const int runs = fleet.plain[0]->runs();
+    for (int i = 0; i < 100; ++i)
+      CHECK(call(late_settings.listen) == 200);
+    CHECK(fleet.plain[0]->runs() - runs <= kExtraRequests);
+  });
+}
+
 }  // namespace
 }  // namespace cactusward
