--- a/include/cactusward/upstream_limits.h
+++ b/include/cactusward/upstream_limits.h
@@ -39,10 +39,10 @@
   }
 };
 
-// Divides a limit of `per_second` among `instances`, so that in any `span` all
-// of them together send less than the limit and half of it beyond. A low limit
-// is divided among few: each of many would have to send too rarely.
-// Precondition: `instances` is at least 1. Thread-safe.
+// Divides a limit of `per_second` among `instances`, so that in any four
+// seconds all of them together send less than one and a half times the limit,
+// and five requests. A low limit is divided among few: each of many would have
+// to send too rarely. Precondition: `instances` is at least 1. Thread-safe.
 limit_share DivideLimit(double per_second, std::size_t instances);
 
 // Grants requests within this instance's shares. All instances that know the
