Test fakes: a restored store, and runners that pause, leave or refuse for a time

The store of the fakes can return to an earlier copy and says so with a rising era in all its responses; watches from a revision that it does not have get 410. Runners can announce in their responses that they leave, refuse with a time to retry after, write a refusal twice, fail the continuation of a stream, and fall silent for 1.8 s in the middle of a response.

--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -12,6 +12,7 @@
 
 constexpr milliseconds kResponseTimeout{2'000};
 constexpr milliseconds kPollInterval{10};
+constexpr milliseconds kRepeatDelay{60};
 // Below the ports of the scenarios and of outgoing connections.
 constexpr int kFirstPort = 5'000;
 constexpr int kPortBlocks = 10;
@@ -79,7 +80,10 @@
       {"unsigned", runner_fault::kUnsigned},
       {"crossed", runner_fault::kCrossed},
       {"fails", runner_fault::kFails},
-      {"silent", runner_fault::kSilent}};
+      {"silent", runner_fault::kSilent},
+      {"pauses", runner_fault::kPauses},
+      {"repeats_refusal", runner_fault::kRepeatsRefusal},
+      {"fails_continuation", runner_fault::kFailsContinuation}};
   const auto found = faults.find(name);
   if (found == faults.end())
     return std::nullopt;
@@ -104,6 +108,13 @@
   compacted_ = revision_;
 }
 
+void store_fake::Restore() {
+  items_ = backup_.items;
+  revision_ = backup_.revision;
+  compacted_ = std::min(compacted_, revision_);
+  ++era_;
+}
+
 json store_fake::EncodeItem(const std::string& key, const item& item) const {
   if (item.removed)
     return {{"key", key}, {"revision", item.revision}, {"compacted", true}};
@@ -116,6 +127,7 @@
 
 void store_fake::Handle(http_exchange& exchange, asio::yield_context yield) {
   ++calls_;
+  exchange.SetHeader("Store-Era", std::to_string(era_));
   const time_point deadline = clock::now() + kResponseTimeout;
   if (unresponsive_) {
     while (unresponsive_ && !exchange.disconnected())
@@ -162,8 +174,9 @@
   const std::int64_t after = std::stoll(exchange.Query("after"));
   const time_point until =
       clock::now() + milliseconds(std::stoll(exchange.Query("wait_ms")));
-  while (clock::now() < until && !exchange.disconnected()) {
-    if (after < compacted_) {
+  const std::int64_t era = era_;
+  while (clock::now() < until && !exchange.disconnected() && era == era_) {
+    if (after < compacted_ || after > revision_) {
       exchange.RespondWith(MakeResponse(410, "{}"),
                            clock::now() + kResponseTimeout, yield);
       return;
@@ -291,6 +304,16 @@
   response.set("X-Response-Seal", "seal-" + id_);
   if (!request_limit_.empty())
     response.set("Server-Limit", request_limit_);
+  if (leaving_)
+    response.set("Server-Leaving", "1");
+  if (!retry_after_.empty()) {
+    response = MakeResponse(503, "{}");
+    response.set("X-Attempt-Id", std::string(exchange.Header("X-Attempt-Id")));
+    response.set("X-Not-Executed", "1");
+    response.set("Retry-After", retry_after_);
+    exchange.RespondWith(response, deadline, yield);
+    return;
+  }
   if (!refused_helper_.empty() &&
       exchange.Header("X-Peer-Helpers").find(refused_helper_) !=
           std::string_view::npos) {
@@ -326,12 +349,32 @@
     case runner_fault::kFails:
       response.result(500);
       break;
+    case runner_fault::kRepeatsRefusal:
+      response = MakeResponse(503, "{}");
+      response.set("X-Attempt-Id",
+                   std::string(exchange.Header("X-Attempt-Id")));
+      response.set("X-Not-Executed", "1");
+      exchange.RespondWith(response, deadline, yield);
+      // Arrives when the connection may already carry the next request.
+      Sleep(io_, kRepeatDelay, yield);
+      exchange.RespondWith(response, deadline, yield);
+      return;
+    case runner_fault::kFailsContinuation:
+      if (!exchange.Header("Last-Event-Id").empty())
+        response.result(500);
+      break;
     case runner_fault::kBreaksMidway:
+    case runner_fault::kPauses:
     case runner_fault::kNone:
       break;
   }
   if (!Run(exchange, yield))
     return exchange.Abort();
+  if (fault == runner_fault::kFailsContinuation &&
+      response.result_int() == 500) {
+    exchange.RespondWith(response, deadline, yield);
+    return;
+  }
   if (exchange.Path().substr(0, 7) == "/stream" ||
       exchange.Path().substr(0, 6) == "/fixed")
     return Stream(exchange, fault, yield);
@@ -342,14 +385,16 @@
     exchange.WriteChunk("answ", deadline, yield);
     return exchange.Abort();
   }
-  exchange.RespondWith(response, deadline, yield);
+  if (fault == runner_fault::kPauses)
+    Sleep(io_, kPauseTime, yield);
+  exchange.RespondWith(response, clock::now() + kResponseTimeout, yield);
 }
 
 void runner_fake::Stream(http_exchange& exchange,
                          runner_fault fault,
                          asio::yield_context yield) {
   const time_point deadline =
-      clock::now() + kResponseTimeout + kEvents * event_pause_;
+      clock::now() + kResponseTimeout + kPauseTime + kEvents * event_pause_;
   http::response<http::empty_body> begin;
   begin.set(http::field::content_type, "text/event-stream");
   begin.set("X-Attempt-Id", fault == runner_fault::kCrossed
@@ -359,6 +404,8 @@
     begin.set("X-Response-Seal", "seal-" + id_);
   if (!request_limit_.empty())
     begin.set("Server-Limit", request_limit_);
+  if (leaving_)
+    begin.set("Server-Leaving", "1");
   if (fault == runner_fault::kFails)
     begin.result(500);
   exchange.BeginStreamWith(begin, deadline, yield);
@@ -374,6 +421,8 @@
       exchange.WriteChunk(event.substr(0, 4), deadline, yield);
       return exchange.Abort();
     }
+    if (fault == runner_fault::kPauses && i == 3)
+      Sleep(io_, kPauseTime, yield);
     exchange.WriteChunk(event, deadline, yield);
     if (event_pause_ > milliseconds(0))
       Sleep(io_, event_pause_, yield);
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -52,8 +52,14 @@
   // Discards the history of changes: watches from an earlier revision get
   // status 410.
   void Compact();
+  // Keeps a copy of the content, for Restore.
+  void Backup() { backup_ = {items_, revision_}; }
+  // Returns to the last copy: later revisions are given out again, the era
+  // rises, and waiting watches are cut.
+  void Restore();
   int calls() const { return calls_; }
   std::int64_t revision() const { return revision_; }
+  std::int64_t era() const { return era_; }
 
   void Handle(http_exchange& exchange, asio::yield_context yield) override;
 
@@ -69,8 +75,14 @@
   asio::io_context& io_;
   std::string address_;
   http_server server_;
+  struct backup {
+    std::map<std::string, item> items;
+    std::int64_t revision = 1;
+  };
   std::map<std::string, item> items_;
   std::int64_t revision_ = 1;
+  std::int64_t era_ = 1;
+  backup backup_;
   std::int64_t compacted_ = 0;
   bool down_ = false;
   bool watch_events_suppressed_ = false;
@@ -85,14 +97,17 @@
 // Fault of a runner when it gets a request.
 enum class runner_fault {
   kNone,
-  kRefuses,        // 503, not executed
-  kWrongInstance,  // 421
-  kBreaksAtStart,  // executes it, closes without a response
-  kBreaksMidway,   // executes it, closes within the response
-  kUnsigned,       // 200 without a signature
-  kCrossed,        // executes it, responds with the id of another request
-  kFails,          // executes it, responds 500
-  kSilent,         // executes it, never responds
+  kRefuses,            // 503, not executed
+  kWrongInstance,      // 421
+  kBreaksAtStart,      // executes it, closes without a response
+  kBreaksMidway,       // executes it, closes within the response
+  kUnsigned,           // 200 without a signature
+  kCrossed,            // executes it, responds with the id of another request
+  kFails,              // executes it, responds 500
+  kSilent,             // executes it, never responds
+  kPauses,             // executes it, is silent for kPauseTime, and goes on
+  kRepeatsRefusal,     // 503, not executed, and the same once more
+  kFailsContinuation,  // executes it; 500 when it is to continue a stream
 };
 // @return nullopt for an unknown name.
 std::optional<runner_fault> ParseRunnerFault(std::string_view name);
@@ -147,8 +162,15 @@
   void SetEventPause(milliseconds pause) { event_pause_ = pause; }
   // KV tokens of unexpired reservations.
   std::int64_t ReservedTokens() const;
+  // Announces in all responses that it leaves.
+  void SetLeaving(bool leaving) { leaving_ = leaving; }
+  // Refuses requests with 503 and this time to retry after; empty: none.
+  void SetRetryAfter(std::string seconds) { retry_after_ = std::move(seconds); }
   // Number of events in a complete stream.
   static constexpr int kEvents = 5;
+  // Silence of a runner with the fault kPauses, in the middle of a stream or
+  // before the response to a call.
+  static constexpr milliseconds kPauseTime{1'800};
   int runs() const { return runs_; }
   int arrivals() const { return arrivals_; }
   // Requests in order of arrival.
@@ -190,6 +212,8 @@
   milliseconds downtime_{0};
   int crashes_ = 0;
   std::string request_limit_;
+  bool leaving_ = false;
+  std::string retry_after_;
   int runs_ = 0;
   int arrivals_ = 0;
   std::vector<http_request> received_requests_;
