Measure how long an instance could not read

Whether an upstream was silent or the instance itself stood still could not be told from the logs. A stall_meter adds up how late a periodic tick is; the total is the metric cactusward_stalled_milliseconds, and attempt_failed has the part since the start of the request. No decision depends on it yet.

Ruled out as a source: the time of day (steps), and processor time (a stopped process uses none).

--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -11,6 +11,8 @@
 constexpr milliseconds kResponseWriteTimeout{2'000};
 // Retry budgets are counted over windows of several seconds.
 constexpr milliseconds kRetryBudgetPeriod{1'000};
+// Short against the silences of upstreams that it is deducted from.
+constexpr milliseconds kStallTickPeriod{100};
 // Responses of upstreams that are read completely before they are passed on,
 // all together; one may take half of it. Fits into the smallest instances.
 constexpr std::size_t kResponseBufferBytes = 32ULL * 1024 * 1024;
@@ -48,12 +50,12 @@
       shutdown_(runtime_, &server_),
       retries_(settings->forwarding->retries),
       response_buffers_(kResponseBufferBytes),
-      request_services_{runtime_,          *adapter_.protocol,
-                        catalog_,          fleet_,
-                        dispatcher_,       recovery_,
-                        quarantine_,       report_,
-                        retries_,          shutdown_,
-                        response_buffers_, longest_deadlines_} {
+      stalls_(kStallTickPeriod, clock::now()),
+      request_services_{
+          runtime_,          *adapter_.protocol, catalog_,          fleet_,
+          dispatcher_,       recovery_,          quarantine_,       report_,
+          retries_,          shutdown_,          response_buffers_, stalls_,
+          longest_deadlines_} {
   for (service* part :
        {static_cast<service*>(&catalog_), static_cast<service*>(&membership_),
         static_cast<service*>(&recovery_), static_cast<service*>(&quarantine_),
@@ -74,6 +76,9 @@
       !peers_.Listen(settings_->peer_listen) || !membership_.Listen())
     return false;
   registry_.StartAll();
+  stalls_.Tick(clock::now());
+  stall_timer_ = timers_.Every(kStallTickPeriod,
+                               [this](time_point now) { stalls_.Tick(now); });
   retry_budget_timer_ =
       timers_.Every(kRetryBudgetPeriod, [this](time_point now) {
         retries_.SetInstanceCount(membership_.LiveCount(), now);
@@ -151,6 +156,8 @@
       << '\n'
       << "cactusward_upstreams " << catalog_.upstreams().entries().size()
       << '\n'
+      << "cactusward_stalled_milliseconds "
+      << ToMilliseconds(stalls_.Total(clock::now())) << '\n'
       << "cactusward_in_progress " << server_.active() << '\n'
       << "cactusward_waiting_for_upstream " << dispatcher_.waiting() << '\n'
       << "cactusward_quarantines " << quarantine_.size() << '\n'
--- a/src/relay/relay_gateway.h
+++ b/src/relay/relay_gateway.h
@@ -77,8 +77,10 @@
   relay_shutdown shutdown_;
   retry_budgets retries_;
   buffer_pool response_buffers_;
+  stall_meter stalls_;
   std::map<std::string, milliseconds> longest_deadlines_;
   relay_services request_services_;
+  std::unique_ptr<timer_subscription> stall_timer_;
   std::unique_ptr<timer_subscription> retry_budget_timer_;
   std::unique_ptr<timer_subscription> idle_connection_timer_;
 };
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -62,7 +62,8 @@
       exchange_(exchange),
       config_(services.catalog.Config()),
       caller_(services.protocol.ParseRequest(exchange.request())),
-      started_at_(clock::now()) {
+      started_at_(clock::now()),
+      stalled_at_start_(services.stalls.Total(started_at_)) {
   caller_deadline_ = started_at_ + caller_.deadline.value_or(kDefaultDeadline);
   response_deadline_ = caller_deadline_ - kDeadlineMargin;
   record_.request_id = caller_.attempt_id;
@@ -396,6 +397,8 @@
        {"detail", last.detail},
        {"stale_connection", last.stale_connection},
        {"after_ms", ToMilliseconds(now - started_at_)},
+       {"stalled_ms",
+        ToMilliseconds(services_.stalls.Total(now) - stalled_at_start_)},
        {"avoided_ms",
         std::max(0.0, ToMilliseconds(upstream->health.avoided_until() - now))},
        {"last_event", last_event_id_.value_or(-1)}});
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -13,6 +13,7 @@
 #include "cactusward/event_stream.h"
 #include "cactusward/forward_config.h"
 #include "cactusward/shared_retry_budget.h"
+#include "cactusward/stall_meter.h"
 #include "src/relay/catalog_service.h"
 #include "src/relay/memory_reservation.h"
 #include "src/relay/quarantine_service.h"
@@ -37,6 +38,7 @@
   retry_budgets& retries;
   const relay_shutdown& shutdown;
   buffer_pool& response_buffers;
+  const stall_meter& stalls;
   // Longest deadline seen on each route, taken as the deadline of a caller's
   // first attempt.
   std::map<std::string, milliseconds>& longest_deadlines;
@@ -143,6 +145,7 @@
   caller_request caller_;
   std::string service_;
   time_point started_at_;
+  duration stalled_at_start_;  // stall_meter::Total at `started_at_`
   time_point caller_deadline_;
   // The caller's deadline less a margin, or the route's timeout if earlier.
   time_point response_deadline_;
