HTTP client: a read that times out leaves the exchange open

A deadline cancelled the pending operation of the socket, so that an exchange whose response was late could only be given up. Reads now go on in the background: a call that returns kTimedOut can be repeated, and continues the same header or body. Start sends a request without waiting for the header; Send keeps its meaning. Sockets and parsers are shared with the handlers of pending operations, which also closes a gap: the handler of a write could outlive them.

Test: 'a read that timed out can be continued', six rows (header, body and chunks in parts, interim responses).

--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -148,19 +148,28 @@
   std::shared_ptr<state> state_;
 };
 
+http_stream::connection::connection(std::unique_ptr<tcp::socket> s)
+    : socket(std::move(s)), buffer(kMaxParseBufferBytes) {
+  ResetParser();
+}
+
+void http_stream::connection::ResetParser() {
+  parser.emplace();
+  parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+  parser->skip(response_has_no_body);
+}
+
 http_stream::http_stream(http_client* client,
                          std::string address,
                          std::unique_ptr<tcp::socket> socket,
                          cancel_token* cancel)
     : client_(client),
       address_(std::move(address)),
-      socket_(std::move(socket)),
-      buffer_(kMaxParseBufferBytes),
+      connection_(std::make_shared<connection>(std::move(socket))),
       cancel_(cancel) {
-  ResetParser();
   if (!cancel_)
     return;
-  cancel_->OnCancel([socket = socket_.get()] {
+  cancel_->OnCancel([socket = connection_->socket.get()] {
     boost::system::error_code ignored;
     socket->close(ignored);
   });
@@ -174,43 +183,94 @@
   // Bytes after a complete response belong to no request, so the connection
   // cannot be reused.
   if (finished_ && !cancelled() && !connection_reuse_disabled_ &&
-      parser_->keep_alive() && buffer_.size() == 0 &&
-      (!pending_write_ || pending_write_->done))
-    client_->ReturnConnection(address_, std::move(socket_),
+      connection_->parser->keep_alive() && connection_->buffer.size() == 0 &&
+      (!pending_write_ || pending_write_->done)) {
+    client_->ReturnConnection(address_, std::move(connection_->socket),
                               KeepAliveTime(header()));
+    return;
+  }
+  boost::system::error_code ignored;
+  connection_->socket->close(ignored);
 }
 
 int http_stream::status() const {
-  return static_cast<int>(parser_->get().result_int());
+  return static_cast<int>(connection_->parser->get().result_int());
 }
 
 std::string_view http_stream::Header(std::string_view name) const {
-  const auto value = parser_->get()[{name.data(), name.size()}];
+  const auto value = header()[{name.data(), name.size()}];
   return {value.data(), value.size()};
 }
 
+void http_stream::StartHeaderRead() {
+  connection_->reading = true;
+  http::async_read_header(
+      *connection_->socket, connection_->buffer, *connection_->parser,
+      [open = connection_](const boost::system::error_code& error,
+                           std::size_t) {
+        open->reading = false;
+        open->read_error = error;
+        if (open->reader)
+          open->reader->cancel();
+      });
+}
+
+void http_stream::StartBodyRead() {
+  auto& body = connection_->parser->get().body();
+  connection_->read_buffer.resize(kReadBufferBytes);
+  body.data = connection_->read_buffer.data();
+  body.size = connection_->read_buffer.size();
+  body.more = true;
+  connection_->reading = true;
+  http::async_read_some(
+      *connection_->socket, connection_->buffer, *connection_->parser,
+      [open = connection_](const boost::system::error_code& error,
+                           std::size_t) {
+        open->reading = false;
+        open->read_error = error == http::error::need_buffer
+                               ? boost::system::error_code()
+                               : error;
+        if (open->reader)
+          open->reader->cancel();
+      });
+}
+
+bool http_stream::AwaitRead(time_point deadline, asio::yield_context yield) {
+  if (!connection_->reading)
+    return true;
+  asio::steady_timer timer(connection_->socket->get_executor());
+  connection_->reader = &timer;
+  WaitOn(timer, deadline, yield);
+  connection_->reader = nullptr;
+  return !connection_->reading;
+}
+
+error_kind http_stream::RecordReadError() {
+  broken_ = true;
+  return ReadErrorKind(connection_->read_error, false);
+}
+
 result<bool> http_stream::ReadHeader(time_point deadline,
                                      asio::yield_context yield) {
-  deadline_guard guard(socket_.get(), deadline);
-  for (int i = 0; i <= kMaxInterimResponses; ++i) {
-    boost::system::error_code error;
-    http::async_read_header(*socket_, buffer_, *parser_, yield[error]);
-    if (error)
-      return {ReadErrorKind(error, guard.expired()), error.message()};
-    if (http::to_status_class(parser_->get().result()) !=
+  while (true) {
+    if (!connection_->reading)
+      StartHeaderRead();
+    if (!AwaitRead(deadline, yield))
+      return {error_kind::kTimedOut, "no response header at the deadline"};
+    if (pending_write_ && pending_write_->aborted)
+      return {error_kind::kUpstreamRefused,
+              "upstream no longer accepts requests"};
+    if (connection_->read_error)
+      return {RecordReadError(), connection_->read_error.message()};
+    if (http::to_status_class(connection_->parser->get().result()) !=
         http::status_class::informational) {
-      finished_ = parser_->is_done();
+      finished_ = connection_->parser->is_done();
       return true;
     }
-    ResetParser();
+    if (++interim_responses_ > kMaxInterimResponses)
+      return {error_kind::kUpstreamGarbled, "too many interim responses"};
+    connection_->ResetParser();
   }
-  return {error_kind::kUpstreamGarbled, "too many interim responses"};
-}
-
-void http_stream::ResetParser() {
-  parser_.emplace();
-  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-  parser_->skip(response_has_no_body_);
 }
 
 result<std::string_view> http_stream::Read(time_point deadline,
@@ -219,28 +279,25 @@
     return std::string_view();
   if (cancelled())
     return {error_kind::kUpstreamFailed, "cancelled"};
-  read_buffer_.resize(kReadBufferBytes);
-  deadline_guard guard(socket_.get(), deadline);
-  while (!parser_->is_done()) {
-    // The guard ends only waiting; bytes that arrive all the time do not wait.
-    if (clock::now() >= deadline)
-      return {error_kind::kTimedOut, "response continues at the deadline"};
-    parser_->get().body().data = read_buffer_.data();
-    parser_->get().body().size = read_buffer_.size();
-    parser_->get().body().more = true;
-    boost::system::error_code error;
-    http::async_read_some(*socket_, buffer_, *parser_, yield[error]);
-    if (error == http::error::need_buffer)
-      error = {};
-    if (error)
-      return {ReadErrorKind(error, guard.expired()), error.message()};
+  while (connection_->reading || !connection_->parser->is_done()) {
+    if (!connection_->reading) {
+      // A response of which only parts without content arrive, such as chunk
+      // extensions, never waits.
+      if (clock::now() >= deadline)
+        return {error_kind::kTimedOut, "response continues at the deadline"};
+      StartBodyRead();
+    }
+    if (!AwaitRead(deadline, yield))
+      return {error_kind::kTimedOut, "no more of the response at the deadline"};
+    if (connection_->read_error)
+      return {RecordReadError(), connection_->read_error.message()};
     if (cancelled())
       return {error_kind::kUpstreamFailed, "cancelled"};
-    const std::size_t received =
-        read_buffer_.size() - parser_->get().body().size;
+    const std::size_t received = connection_->read_buffer.size() -
+                                 connection_->parser->get().body().size;
     if (received > 0) {
-      finished_ = parser_->is_done();
-      return std::string_view(read_buffer_.data(), received);
+      finished_ = connection_->parser->is_done();
+      return std::string_view(connection_->read_buffer.data(), received);
     }
   }
   finished_ = true;
@@ -334,10 +391,11 @@
       std::make_unique<http_stream>(this, address, std::move(socket), cancel);
   {
     const auto message = BuildMessage(address, request);
-    SetDeadPeerTimeout(*stream->socket_, request.dead_peer_timeout);
-    deadline_guard guard(stream->socket_.get(), deadline);
+    tcp::socket* connection = stream->connection_->socket.get();
+    SetDeadPeerTimeout(*connection, request.dead_peer_timeout);
+    deadline_guard guard(connection, deadline);
     boost::system::error_code error;
-    http::async_write(*stream->socket_, message, yield[error]);
+    http::async_write(*connection, message, yield[error]);
     if (error)
       return {ReadErrorKind(error, guard.expired()), error.message()};
   }
@@ -377,15 +435,13 @@
                            yield, cancel);
 }
 
-result<std::unique_ptr<http_stream>> http_client::Send(
+result<std::unique_ptr<http_stream>> http_client::Start(
     const std::string& address,
     http::request<http::string_body> message,
     const send_options& options,
     time_point deadline,
     asio::yield_context yield,
-    cancel_token* cancel,
-    send_failure* failure) {
-  *failure = {};
+    cancel_token* cancel) {
   std::unique_ptr<tcp::socket> socket;
   if (!options.fresh_connection)
     socket = TakeIdleConnection(address, options.max_idle_time);
@@ -403,34 +459,47 @@
   auto stream =
       std::make_unique<http_stream>(this, address, std::move(socket), cancel);
   stream->reused_ = reused;
-  stream->response_has_no_body_ = message.method() == http::verb::head;
-  stream->ResetParser();
+  const auto& connection = stream->connection_;
+  connection->response_has_no_body = message.method() == http::verb::head;
+  connection->ResetParser();
   stream->pending_write_ =
       std::make_shared<http_stream::pending_write>(std::move(message));
-  failure->maybe_sent = true;
   if (options.may_send && options.may_abort_write)
-    stream->pending_write_->guard =
-        std::make_shared<write_guard>(stream->socket_.get(), options.may_send,
-                                      &stream->pending_write_->aborted);
-  http::async_write(*stream->socket_, stream->pending_write_->message,
-                    [pending_write = stream->pending_write_](
+    stream->pending_write_->guard = std::make_shared<write_guard>(
+        connection->socket.get(), options.may_send,
+        &stream->pending_write_->aborted);
+  http::async_write(*connection->socket, stream->pending_write_->message,
+                    [pending_write = stream->pending_write_, open = connection](
                         const boost::system::error_code& error, std::size_t) {
                       pending_write->done = !error;
                       pending_write->guard.reset();
                     });
-  const auto header = stream->ReadHeader(deadline, yield);
-  if (!header && stream->pending_write_->aborted)
-    return {error_kind::kUpstreamRefused,
-            "upstream no longer accepts requests"};
-  if (!header) {
-    failure->stale_connection =
-        reused && header.kind() == error_kind::kUpstreamFailed &&
-        !stream->parser_->got_some() && stream->buffer_.size() == 0;
-    return {header.kind(), header.detail()};
-  }
   return stream;
 }
 
+result<std::unique_ptr<http_stream>> http_client::Send(
+    const std::string& address,
+    http::request<http::string_body> message,
+    const send_options& options,
+    time_point deadline,
+    asio::yield_context yield,
+    cancel_token* cancel,
+    send_failure* failure) {
+  *failure = {};
+  auto stream =
+      Start(address, std::move(message), options, deadline, yield, cancel);
+  if (!stream)
+    return stream;
+  failure->maybe_sent = true;
+  const auto header = (*stream)->ReadHeader(deadline, yield);
+  if (header)
+    return stream;
+  failure->stale_connection = (*stream)->reused() &&
+                              header.kind() == error_kind::kUpstreamFailed &&
+                              (*stream)->BrokeBeforeResponse();
+  return {header.kind(), header.detail()};
+}
+
 result<http_response> http_client::Call(const std::string& address,
                                         const outgoing_request& request,
                                         time_point deadline,
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -61,8 +61,9 @@
 class http_client;
 class write_guard;
 
-// A response whose body is read in parts. When it was read to its end, the
-// destructor returns the connection to the client for reuse. Not thread-safe.
+// A request that was sent, and its response, whose body is read in parts. When
+// the response was read to its end, the destructor returns the connection to
+// the client for reuse. Not thread-safe.
 class http_stream {
  public:
   http_stream(http_client* client,
@@ -73,45 +74,57 @@
   http_stream(const http_stream&) = delete;
   http_stream& operator=(const http_stream&) = delete;
 
+  // Reads the header of the response, which may arrive before the whole request
+  // was written. Skips interim responses (1xx).
+  // @return kUpstreamFailed when the connection closed early or the request was
+  //     cancelled, kUpstreamRefused when send_options::may_send broke off the
+  //     writing of the request, kUpstreamGarbled when the response is not valid
+  //     HTTP, kTimedOut at `deadline`; the exchange then goes on, and another
+  //     call waits for the same header.
+  result<bool> ReadHeader(time_point deadline, asio::yield_context yield);
+
+  // Precondition of the following: ReadHeader has returned true.
   int status() const;
   const http::response_header<>& header() const {
-    return parser_->get().base();
+    return connection_->parser->get().base();
   }
-  // Whether the connection carried other requests before this one.
-  bool reused() const { return reused_; }
   // Whether the response has neither a length nor chunks.
-  bool EndsWithConnection() const { return parser_->need_eof(); }
-  // Closes the connection with this stream instead of reusing it.
-  void DisableConnectionReuse() { connection_reuse_disabled_ = true; }
+  bool EndsWithConnection() const { return connection_->parser->need_eof(); }
   std::string_view Header(std::string_view name) const;
   // Reads the next part of the body; empty at the end of the body. The view is
   // valid until the next call.
-  // @return kUpstreamFailed when the connection closed early or the request was
-  //     cancelled, kTimedOut at `deadline`, kUpstreamGarbled when the response
-  //     is not valid HTTP.
+  // @return as for ReadHeader, also that a call after kTimedOut continues.
   result<std::string_view> Read(time_point deadline, asio::yield_context yield);
 
+  // Whether the connection carried other requests before this one.
+  bool reused() const { return reused_; }
+  // Whether the connection broke before any byte of the response.
+  bool BrokeBeforeResponse() const {
+    return broken_ && !connection_->parser->got_some() &&
+           connection_->buffer.size() == 0;
+  }
+  // Closes the connection with this stream instead of reusing it.
+  void DisableConnectionReuse() { connection_reuse_disabled_ = true; }
+
  private:
   friend class http_client;
-  bool cancelled() const { return cancel_ && cancel_->cancelled(); }
-  // Skips interim responses (1xx).
-  result<bool> ReadHeader(time_point deadline, asio::yield_context yield);
-  void ResetParser();
+  // Shared with the handlers of pending operations, which may outlive the
+  // stream.
+  struct connection {
+    explicit connection(std::unique_ptr<tcp::socket> s);
+    void ResetParser();
 
-  http_client* client_;
-  std::string address_;
-  std::unique_ptr<tcp::socket> socket_;
-  boost::beast::flat_buffer buffer_;
-  // Set after construction; replaced after an interim response.
-  std::optional<http::response_parser<http::buffer_body>> parser_;
-  std::string read_buffer_;
-  cancel_token* cancel_;
-  bool response_has_no_body_ = false;  // the request was a HEAD
-  bool finished_ = false;
-  bool reused_ = false;
-  bool connection_reuse_disabled_ = false;
+    std::unique_ptr<tcp::socket> socket;
+    boost::beast::flat_buffer buffer;
+    // Set after construction; replaced after an interim response.
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::string read_buffer;
+    bool response_has_no_body = false;  // the request was a HEAD
+    bool reading = false;
+    boost::system::error_code read_error;
+    asio::steady_timer* reader = nullptr;  // cancelled when a read ends
+  };
   // A request that may still be being written while the response is read.
-  // Shared with the write handler, which may outlive the stream.
   struct pending_write {
     explicit pending_write(http::request<http::string_body> m)
         : message(std::move(m)) {}
@@ -120,6 +133,25 @@
     bool aborted = false;  // by `guard`
     std::shared_ptr<write_guard> guard;
   };
+
+  bool cancelled() const { return cancel_ && cancel_->cancelled(); }
+  void StartHeaderRead();
+  void StartBodyRead();
+  // Waits for the read in progress. @return false when it is still in progress
+  // at `deadline`.
+  bool AwaitRead(time_point deadline, asio::yield_context yield);
+  // The result of a read that ended with an error.
+  error_kind RecordReadError();
+
+  http_client* client_;
+  std::string address_;
+  std::shared_ptr<connection> connection_;
+  cancel_token* cancel_;
+  int interim_responses_ = 0;
+  bool finished_ = false;
+  bool broken_ = false;
+  bool reused_ = false;
+  bool connection_reuse_disabled_ = false;
   std::shared_ptr<pending_write> pending_write_;
 };
 
@@ -149,8 +181,19 @@
                                             asio::yield_context yield,
                                             cancel_token* cancel = nullptr);
 
-  // Sends `message` unchanged and reads the response header, which may arrive
-  // before the whole message was written.
+  // Begins to send `message` unchanged, over an idle connection or a new one.
+  // @param cancel as for Open.
+  // @return the exchange, whose response header is to be read;
+  //     kUpstreamUnreachable when there is no connection, kUpstreamRefused when
+  //     `options.may_send` returned false: no byte was sent then.
+  result<std::unique_ptr<http_stream>> Start(
+      const std::string& address,
+      http::request<http::string_body> message,
+      const send_options& options,
+      time_point deadline,
+      asio::yield_context yield,
+      cancel_token* cancel);
+  // Sends `message` as Start does and reads the response header.
   // @param failure describes the message's state when no response was received.
   // @return as for Open; a request is never sent again when a reused connection
   //     closes. kUpstreamRefused when `options.may_send` returned false;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -167,5 +167,88 @@
   }
 }
 
+// Guards against a response that is lost because its reader looked elsewhere
+// for a while.
+TEST_CASE("a read that timed out can be continued") {
+  struct row {
+    const char* name;
+    std::vector<std::string_view> parts;  // written 100 ms apart
+    std::size_t idle_afterwards;
+  };
+  const row rows[] = {
+      {"the header is late", {"", kAnswer}, 1},
+      {"the header arrives in parts",
+       {"HTTP/1.1 200 OK\r\nConte", "nt-Length: 2\r\n\r\nok"},
+       1},
+      {"the body is late",
+       {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", "ok"},
+       1},
+      {"the body arrives in parts",
+       {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no", "k"},
+       1},
+      {"chunks in parts",
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no", "\r\n",
+        "1;x", "=y\r\nk\r\n0\r\n", "\r\n"},
+       1},
+      {"after an interim response",
+       {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 2",
+        "00 OK\r\nContent-Length: 2\r\n\r\nok"},
+       1},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    asio::io_context io;
+    tcp::acceptor acceptor(io,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    http_client client(io);
+    tcp::socket peer(io);
+    asio::spawn(io, [&](asio::yield_context yield) {
+      acceptor.async_accept(peer, yield);
+      std::string buffer(4096, '\0');
+      peer.async_read_some(asio::buffer(buffer), yield);
+      for (const std::string_view part : r.parts) {
+        asio::async_write(peer, asio::buffer(part), yield);
+        Sleep(io, milliseconds(100), yield);
+      }
+    });
+    std::string body;
+    int timeouts = 0;
+    asio::spawn(io, [&](asio::yield_context yield) {
+      http::request<http::string_body> message(http::verb::get, "/", 11);
+      auto stream =
+          client.Start(address, std::move(message), {},
+                       clock::now() + std::chrono::seconds(2), yield, nullptr);
+      REQUIRE(stream);
+      const time_point end = clock::now() + std::chrono::seconds(5);
+      const auto soon = [] { return clock::now() + milliseconds(20); };
+      auto header = (*stream)->ReadHeader(soon(), yield);
+      for (; !header && clock::now() < end;
+           header = (*stream)->ReadHeader(soon(), yield)) {
+        CHECK(header.kind() == error_kind::kTimedOut);
+        ++timeouts;
+      }
+      REQUIRE(header);
+      CHECK((*stream)->status() == 200);
+      while (clock::now() < end) {
+        const auto bytes = (*stream)->Read(soon(), yield);
+        if (bytes && bytes->empty())
+          break;
+        if (bytes) {
+          body.append(*bytes);
+        } else {
+          CHECK(bytes.kind() == error_kind::kTimedOut);
+          ++timeouts;
+        }
+      }
+    });
+    io.run();
+    CHECK(body == "ok");
+    CHECK(timeouts > 0);
+    CHECK(client.idle_connections() == r.idle_afterwards);
+  }
+}
+
 }  // namespace
 }  // namespace cactusward
