An upstream that is silent keeps its attempt until another one responds

Callers saw streams cut off, and calls answered 502, long before their deadline.

Cause: an attempt whose upstream had sent nothing for a while (1.3 s in a stream) was closed first, and only then was it looked whether another could follow. Without retry budget, with all attempts used up, or when the next upstream refused, broke or failed, nothing was left to complete the response, although its upstream may go on at any moment. A process that has just started has almost no retry budget, which is how it was seen: 1.1 s after a restart.

Change: a silent attempt stays open (upstream_exchange) while another upstream is tried beside it, if the retry budget has room and an upstream is free. The open attempts are read in turn; the first that brings a new event, or the header of a successful response, closes the others. When another attempt fails, the silent one goes on until the deadline. A request whose upstream is silent never waits in the queue for another one.

Ruled out: a longer time-out (it moves the limit, and callers leave streams after two seconds); no time-out (a dark upstream would take its streams along).

Test: 'a sound upstream that pauses completes its response': 12 of 15 rows failed before, none now; the 18 rows of 'requests are answered, refused or failed by what runners do' pass.

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -1,4 +1,4 @@
-// One attempt of a request: the exchange with an upstream and its response.
+// The exchanges of a request with upstreams, and their responses.
 #include <algorithm>
 
 #include "src/relay/relay_run.h"
@@ -31,6 +31,12 @@
 constexpr std::string_view kEventStreamType = "text/event-stream";
 // Lower bound for calls with a short objective.
 constexpr milliseconds kMinCallTimeout{250};
+// Interval at which several open exchanges are read in turn, and at which one
+// that is silent is checked.
+constexpr milliseconds kSilentPollPeriod{50};
+// How long to wait until another upstream is looked for again, beside silent
+// ones, while the retry budget is empty.
+constexpr milliseconds kRepeatCheckPeriod{250};
 
 }  // namespace
 
@@ -53,112 +59,243 @@
        milliseconds(static_cast<std::int64_t>(assignment.prefill_ms))});
 }
 
-relay_request::attempt relay_request::Forward(
-    relay_assignment& assignment,
+time_point relay_request::SilentAt(const upstream_exchange& exchange,
+                                   time_point /*now*/) const {
+  const bool waits_for_event =
+      exchange.kind != upstream_exchange::response_kind::kBody;
+  if (!waits_for_event)
+    return response_deadline_;
+  const milliseconds timeout = exchange.first_event_seen
+                                   ? EventGapTimeout(*exchange.assignment)
+                                   : FirstEventTimeout(*exchange.assignment);
+  return exchange.heard_at + timeout;
+}
+
+bool relay_request::MayTryAnother() {
+  const time_point now = clock::now();
+  if (now < next_repeat_at_ || now >= response_deadline_)
+    return false;
+  if (services_.retries.ForService(service_).Available(now) >= 1)
+    return true;
+  next_repeat_at_ = now + kRepeatCheckPeriod;
+  return false;
+}
+
+void relay_request::RecordSilence(const attempt& silent,
+                                  asio::yield_context yield) {
+  may_have_run_ = true;
+  for (const auto& open : open_) {
+    if (!open->silence_recorded)
+      RecordFailedAttempt(*open, silent, yield);
+    open->silence_recorded = true;
+  }
+}
+
+void relay_request::RecordProgress(upstream_exchange& exchange) {
+  exchange.heard_at = clock::now();
+  exchange.stalled_at_progress = services_.stalls.Total(exchange.heard_at);
+}
+
+void relay_request::CloseAllExcept(const upstream_exchange* exchange) {
+  record_.upstream = exchange->upstream()->entry.id;
+  open_.erase(std::remove_if(open_.begin(), open_.end(),
+                             [exchange](const auto& open) {
+                               return open.get() != exchange;
+                             }),
+              open_.end());
+}
+
+std::optional<relay_request::attempt> relay_request::Send(
+    upstream_exchange& exchange,
     const std::vector<helper_address>& helpers,
     asio::yield_context yield) {
-  const time_point sent_at = clock::now();
-  const auto& upstream = assignment.upstream();
+  exchange.sent_at = clock::now();
+  RecordProgress(exchange);
+  exchange.stalled_at_send = exchange.stalled_at_progress;
+  const auto& upstream = exchange.upstream();
   forward_fields fields;
   fields.upstream_id = upstream->entry.id;
   if (holder_)
     fields.organisation = holder_->organisation;
-  fields.time_left = std::max(
-      std::chrono::duration_cast<milliseconds>(response_deadline_ - sent_at),
-      milliseconds(1));
+  fields.time_left = std::max(std::chrono::duration_cast<milliseconds>(
+                                  response_deadline_ - exchange.sent_at),
+                              milliseconds(1));
   fields.last_event_id = last_event_id_;
   fields.helpers = helpers;
   send_options options;
   options.fresh_connection = !route_->IsRetryable();
   options.max_idle_time = kMaxConnectionIdleTime;
   options.dead_peer_timeout = kDeadPeerTimeout;
-  options.may_send = [this, &assignment] {
-    return assignment.TargetsAcceptRequests() && !CheckQuarantine();
+  options.may_send = [this, assignment = exchange.assignment.get()] {
+    return assignment->TargetsAcceptRequests() && !CheckQuarantine();
   };
   options.may_abort_write = route_->IsRetryable();
   const bool can_repeat =
       route_->IsRetryable() && sent_attempts_ + 1 < route_->max_attempts;
-  const time_point first_event_deadline =
-      can_repeat ? std::min(response_deadline_,
-                            sent_at + FirstEventTimeout(assignment))
-                 : response_deadline_;
-  send_failure failure;
-  auto stream = services_.daemon.client.Send(
+  const time_point connect_deadline =
+      can_repeat
+          ? std::min(response_deadline_,
+                     exchange.sent_at + FirstEventTimeout(*exchange.assignment))
+          : response_deadline_;
+  cancel_.OnCancel([&exchange] { exchange.cancel.Cancel(); });
+  auto stream = services_.daemon.client.Start(
       upstream->entry.address,
       services_.protocol.MakeUpstreamRequest(exchange_.request(), fields),
-      options, first_event_deadline, yield, &cancel_, &failure);
+      options, connect_deadline, yield, &exchange.cancel);
+  cancel_.OnCancel({});
   if (cancel_.cancelled())
-    return {attempt_result::kCallerGone, {}, false, std::nullopt};
-  if (!failure.maybe_sent)
-    return {attempt_result::kNotSent, stream.detail(), false, std::nullopt};
+    return attempt{attempt_result::kCallerGone, {}, false, std::nullopt};
+  if (!stream)
+    return attempt{attempt_result::kNotSent, stream.detail(), false,
+                   std::nullopt};
   ++sent_attempts_;
-  if (!stream) {
+  exchange.stream = std::move(*stream);
+  return std::nullopt;
+}
+
+relay_request::attempt relay_request::RelayResponse(asio::yield_context yield) {
+  for (std::size_t turn = 0;; ++turn) {
+    upstream_exchange& exchange = *open_[turn % open_.size()];
+    const time_point now = clock::now();
+    time_point until = response_deadline_;
+    if (HasAttemptsLeft())
+      until = std::min(
+          until, std::max(SilentAt(exchange, now), now + kSilentPollPeriod));
+    if (open_.size() > 1)
+      until = std::min(until, now + kSilentPollPeriod);
+    const std::int64_t events_before = last_event_id_.value_or(-1);
+    const auto ended = Advance(exchange, until, yield);
+    if (ended && (ended->end == attempt_result::kCompleted ||
+                  ended->end == attempt_result::kCallerGone)) {
+      RecordOutcome(*exchange.assignment, *ended);
+      open_.clear();
+      return *ended;
+    }
+    if (ended) {
+      RecordFailedAttempt(exchange, *ended, yield);
+      open_.erase(std::find_if(
+          open_.begin(), open_.end(),
+          [&exchange](const auto& open) { return open.get() == &exchange; }));
+      if (!HasTimeLeft())
+        open_.clear();
+      if (open_.empty())
+        return *ended;
+      continue;
+    }
+    const bool responds =
+        exchange.kind == upstream_exchange::response_kind::kBody
+            ? !stream_started_ && exchange.stream->status() / 100 == 2
+            : last_event_id_.value_or(-1) != events_before;
+    if (responds)
+      CloseAllExcept(&exchange);
+    const time_point checked_at = clock::now();
+    const bool all_silent = std::all_of(
+        open_.begin(), open_.end(), [this, checked_at](const auto& open) {
+          return checked_at >= SilentAt(*open, checked_at);
+        });
+    if (!all_silent || !HasAttemptsLeft())
+      continue;
+    const attempt silent{attempt_result::kSilent, "nothing received in time",
+                         false, std::nullopt};
+    RecordSilence(silent, yield);
+    if (MayTryAnother())
+      return silent;
+  }
+}
+
+std::optional<relay_request::attempt> relay_request::Advance(
+    upstream_exchange& exchange,
+    time_point until,
+    asio::yield_context yield) {
+  const bool begins =
+      exchange.kind == upstream_exchange::response_kind::kUnknown;
+  result<std::string_view> bytes = std::string_view();
+  if (begins) {
+    const auto header = exchange.stream->ReadHeader(until, yield);
+    if (!header)
+      bytes = {header.kind(), header.detail()};
+  } else {
+    bytes = exchange.stream->Read(until, yield);
+  }
+  if (cancel_.cancelled())
+    return attempt{attempt_result::kCallerGone, {}, false, std::nullopt};
+  if (!bytes && bytes.kind() == error_kind::kTimedOut && HasTimeLeft())
+    return std::nullopt;
+  if (!bytes) {
     may_have_run_ = true;
-    const bool timed_out = stream.kind() == error_kind::kTimedOut;
-    return {timed_out ? attempt_result::kTimedOut
-                      : attempt_result::kInvalidResponse,
-            stream.detail(), failure.stale_connection, std::nullopt};
+    return ReadFailure(exchange, bytes.kind(), bytes.detail());
   }
+  if (begins)
+    return HandleHeader(exchange);
+  return exchange.kind == upstream_exchange::response_kind::kEvents
+             ? AdvanceEvents(exchange, *bytes, yield)
+             : AdvanceBody(exchange, *bytes, yield);
+}
+
+std::optional<relay_request::attempt> relay_request::HandleHeader(
+    upstream_exchange& exchange) {
+  http_stream& stream = *exchange.stream;
   const upstream_reply reply =
-      services_.protocol.ParseReply((*stream)->status(), (*stream)->header());
-  services_.fleet.RecordLimit(*upstream, reply.request_limit, sent_at);
+      services_.protocol.ParseReply(stream.status(), stream.header());
+  services_.fleet.RecordLimit(*exchange.upstream(), reply.request_limit,
+                              exchange.sent_at);
   // This is the late response to an earlier request.
   if (!reply.attempt_id.empty() && reply.attempt_id != caller_.attempt_id) {
-    (*stream)->DisableConnectionReuse();
+    stream.DisableConnectionReuse();
     may_have_run_ = true;
-    return {attempt_result::kInvalidResponse, "response to another request",
-            false, std::nullopt};
+    return attempt{attempt_result::kInvalidResponse,
+                   "response to another request", false, std::nullopt};
   }
   if (reply.not_executed) {
     if (reply.wrong_upstream)
-      (*stream)->DisableConnectionReuse();
-    return {attempt_result::kNotExecuted,
-            "status " + std::to_string((*stream)->status()), false,
-            std::nullopt, reply.at_fault};
+      stream.DisableConnectionReuse();
+    return attempt{attempt_result::kNotExecuted,
+                   "status " + std::to_string(stream.status()), false,
+                   std::nullopt, reply.at_fault};
   }
   may_have_run_ = true;
-  const bool success = (*stream)->status() / 100 == 2;
+  const bool success = stream.status() / 100 == 2;
   if (success && (!reply.signed_by_upstream || reply.encoded)) {
-    (*stream)->DisableConnectionReuse();
-    return {attempt_result::kInvalidResponse, "unsigned or encoded response",
-            false, std::nullopt};
+    stream.DisableConnectionReuse();
+    return attempt{attempt_result::kInvalidResponse,
+                   "unsigned or encoded response", false, std::nullopt};
   }
-  const std::string_view type = (*stream)->Header("Content-Type");
-  if (success && route_->kind == route_kind::kStreaming &&
-      type.substr(0, kEventStreamType.size()) == kEventStreamType)
-    return RelayEvents(**stream, assignment, sent_at, yield);
-  return RelayBody(**stream, assignment, yield);
+  const std::string_view type = stream.Header("Content-Type");
+  exchange.kind =
+      success && route_->kind == route_kind::kStreaming &&
+              type.substr(0, kEventStreamType.size()) == kEventStreamType
+          ? upstream_exchange::response_kind::kEvents
+          : upstream_exchange::response_kind::kBody;
+  return std::nullopt;
 }
 
 relay_request::attempt relay_request::ReadFailure(
-    const result<std::string_view>& read) {
-  const bool timed_out = read.kind() == error_kind::kTimedOut;
-  return {
-      timed_out ? attempt_result::kTimedOut : attempt_result::kInvalidResponse,
-      read.detail(), false, std::nullopt};
+    const upstream_exchange& exchange,
+    error_kind kind,
+    const std::string& detail) const {
+  const bool stale = kind == error_kind::kUpstreamFailed &&
+                     exchange.stream->reused() &&
+                     exchange.stream->BrokeBeforeResponse();
+  return {kind == error_kind::kTimedOut ? attempt_result::kTimedOut
+                                        : attempt_result::kInvalidResponse,
+          detail, stale, std::nullopt};
 }
 
-relay_request::attempt relay_request::RelayBody(
-    http_stream& stream,
-    const relay_assignment& assignment,
+std::optional<relay_request::attempt> relay_request::AdvanceBody(
+    upstream_exchange& exchange,
+    std::string_view bytes,
     asio::yield_context yield) {
-  std::string body;
-  buffer_pool::share buffered(&services_.response_buffers);
-  while (true) {
-    const auto bytes = stream.Read(response_deadline_, yield);
-    if (cancel_.cancelled())
-      return {attempt_result::kCallerGone, {}, false, std::nullopt};
-    if (!bytes)
-      return ReadFailure(bytes);
-    if (bytes->empty())
-      break;
+  http_stream& stream = *exchange.stream;
+  std::string& body = exchange.body;
+  if (!bytes.empty()) {
     // Not more than double, which is what appending may allocate.
-    if (!buffered.Resize(2 * (body.size() + bytes->size()))) {
+    if (!exchange.buffered.Resize(2 * (body.size() + bytes.size()))) {
       stream.DisableConnectionReuse();
-      return {attempt_result::kInvalidResponse,
-              "response exceeds the size limit", false, std::nullopt};
+      return attempt{attempt_result::kInvalidResponse,
+                     "response exceeds the size limit", false, std::nullopt};
     }
-    body.append(*bytes);
+    body.append(bytes);
+    return std::nullopt;
   }
   http::response<http::string_body> response{
       http::response_header<>(stream.header())};
@@ -167,96 +304,78 @@
   response.body() = std::move(body);
   // Once events were passed on, no other content may follow in the response.
   if (stream_started_)
-    return {attempt_result::kFailed,
-            "failure response to a stream continuation", false, std::nullopt};
+    return attempt{attempt_result::kFailed,
+                   "failure response to a stream continuation", false,
+                   std::nullopt};
   if (stream.status() >= kFirstServerErrorStatus)
-    return {attempt_result::kFailed,
-            "status " + std::to_string(stream.status()), false,
-            std::move(response)};
+    return attempt{attempt_result::kFailed,
+                   "status " + std::to_string(stream.status()), false,
+                   std::move(response)};
   record_.met_objective = true;
   services_.recovery.RecordCompletion(fingerprint_);
   if (stream.status() / 100 == 2 && !stream.EndsWithConnection())
-    RecordSurvival(assignment);
+    RecordSurvival(*exchange.assignment);
   record_.first_token = clock::now() - started_at_;
   exchange_.RespondWith(std::move(response),
                         clock::now() + kResponseWriteTimeout, yield);
-  return {attempt_result::kCompleted, {}, false, std::nullopt};
+  return attempt{attempt_result::kCompleted, {}, false, std::nullopt};
 }
 
-relay_request::attempt relay_request::RelayEvents(http_stream& stream,
-                                                  relay_assignment& assignment,
-                                                  time_point sent_at,
-                                                  asio::yield_context yield) {
-  event_stream_splitter splitter;
+std::optional<relay_request::attempt> relay_request::AdvanceEvents(
+    upstream_exchange& exchange,
+    std::string_view bytes,
+    asio::yield_context yield) {
+  http_stream& stream = *exchange.stream;
+  if (bytes.empty()) {
+    if (exchange.splitter.HasPartialEvent())
+      return attempt{attempt_result::kInvalidResponse,
+                     "stream ended in the middle of an event", false,
+                     std::nullopt};
+    if (!stream_started_ && !WriteEvents(stream.header(), {}, yield))
+      return attempt{attempt_result::kCallerGone, "caller accepts no bytes",
+                     false, std::nullopt};
+    services_.recovery.RecordCompletion(fingerprint_);
+    // A crash may end a response without a length like a complete one.
+    if (exchange.first_event_seen && !stream.EndsWithConnection())
+      RecordSurvival(*exchange.assignment);
+    exchange_.EndStream(clock::now() + kResponseWriteTimeout, yield);
+    return attempt{attempt_result::kCompleted, {}, false, std::nullopt};
+  }
   std::vector<stream_event> events;
-  bool first_event_seen = false;
-  time_point last_event_at = sent_at;
-  std::size_t bytes_without_event = 0;
-  buffer_pool::share buffered(&services_.response_buffers);
-  const bool can_repeat =
-      route_->IsRetryable() && sent_attempts_ < route_->max_attempts;
-  while (true) {
-    const milliseconds timeout = first_event_seen
-                                     ? EventGapTimeout(assignment)
-                                     : FirstEventTimeout(assignment);
-    const time_point read_deadline =
-        can_repeat ? std::min(response_deadline_, last_event_at + timeout)
-                   : response_deadline_;
-    const auto bytes = stream.Read(read_deadline, yield);
-    if (cancel_.cancelled())
-      return {attempt_result::kCallerGone, {}, false, std::nullopt};
-    if (!bytes)
-      return ReadFailure(bytes);
-    if (bytes->empty()) {
-      if (splitter.HasPartialEvent())
-        return {attempt_result::kInvalidResponse,
-                "stream ended in the middle of an event", false, std::nullopt};
-      break;
-    }
-    events.clear();
-    if (!splitter.Feed(*bytes, &events) ||
-        !buffered.Resize(2 * splitter.pending_bytes()))
-      return {attempt_result::kInvalidResponse, "event exceeds the size limit",
-              false, std::nullopt};
-    const auto previous_event_id = last_event_id_;
-    const auto next = CollectNewEvents(events);
-    if (!next)
-      return {attempt_result::kInvalidResponse, "gap in the event ids", false,
-              std::nullopt};
-    const bool has_new_event = last_event_id_ != previous_event_id;
-    bytes_without_event =
-        has_new_event ? 0 : bytes_without_event + bytes->size();
-    if (bytes_without_event > kMaxBytesWithoutEvent)
-      return {attempt_result::kInvalidResponse, "no new event in many bytes",
-              false, std::nullopt};
-    const std::string& new_bytes = *next;
-    if (!new_bytes.empty() && last_event_write_at_)
-      record_.longest_pause =
-          std::max(record_.longest_pause, clock::now() - *last_event_write_at_);
-    if (!new_bytes.empty())
-      last_event_write_at_ = clock::now();
-    if (has_new_event && first_event_seen) {
-      RecordSurvival(assignment);
-    } else if (has_new_event) {
-      first_event_seen = true;
-      RecordFirstEvent(assignment, sent_at);
-    }
-    if (!new_bytes.empty() && !WriteEvents(stream.header(), new_bytes, yield))
-      return {attempt_result::kCallerGone, "caller accepts no bytes", false,
-              std::nullopt};
-    // Measured from here, since the caller may have been slow to accept bytes.
-    if (has_new_event)
-      last_event_at = clock::now();
+  if (!exchange.splitter.Feed(bytes, &events) ||
+      !exchange.buffered.Resize(2 * exchange.splitter.pending_bytes()))
+    return attempt{attempt_result::kInvalidResponse,
+                   "event exceeds the size limit", false, std::nullopt};
+  const auto previous_event_id = last_event_id_;
+  const auto next = CollectNewEvents(events);
+  if (!next)
+    return attempt{attempt_result::kInvalidResponse, "gap in the event ids",
+                   false, std::nullopt};
+  const bool has_new_event = last_event_id_ != previous_event_id;
+  exchange.bytes_without_event =
+      has_new_event ? 0 : exchange.bytes_without_event + bytes.size();
+  if (exchange.bytes_without_event > kMaxBytesWithoutEvent)
+    return attempt{attempt_result::kInvalidResponse,
+                   "no new event in many bytes", false, std::nullopt};
+  const std::string& new_bytes = *next;
+  if (!new_bytes.empty() && last_event_write_at_)
+    record_.longest_pause =
+        std::max(record_.longest_pause, clock::now() - *last_event_write_at_);
+  if (!new_bytes.empty())
+    last_event_write_at_ = clock::now();
+  if (has_new_event && exchange.first_event_seen) {
+    RecordSurvival(*exchange.assignment);
+  } else if (has_new_event) {
+    exchange.first_event_seen = true;
+    RecordFirstEvent(exchange);
   }
-  if (!stream_started_ && !WriteEvents(stream.header(), {}, yield))
-    return {attempt_result::kCallerGone, "caller accepts no bytes", false,
-            std::nullopt};
-  services_.recovery.RecordCompletion(fingerprint_);
-  // A crash may end a response without a length like a complete one.
-  if (first_event_seen && !stream.EndsWithConnection())
-    RecordSurvival(assignment);
-  exchange_.EndStream(clock::now() + kResponseWriteTimeout, yield);
-  return {attempt_result::kCompleted, {}, false, std::nullopt};
+  if (!new_bytes.empty() && !WriteEvents(stream.header(), new_bytes, yield))
+    return attempt{attempt_result::kCallerGone, "caller accepts no bytes",
+                   false, std::nullopt};
+  // Measured from here, since the caller may have been slow to accept bytes.
+  if (has_new_event)
+    RecordProgress(exchange);
+  return std::nullopt;
 }
 
 std::optional<std::string> relay_request::CollectNewEvents(
@@ -276,14 +395,16 @@
   return bytes;
 }
 
-void relay_request::RecordFirstEvent(relay_assignment& assignment,
-                                     time_point sent_at) {
-  assignment.EndPrefill();
+void relay_request::RecordFirstEvent(upstream_exchange& exchange) {
+  exchange.assignment->EndPrefill();
   const time_point now = clock::now();
-  const auto& upstream = assignment.upstream();
-  upstream->health.RecordFirstEventTime(assignment.expected_first_event_ms,
-                                        ToMilliseconds(now - sent_at), now);
-  const auto running = upstream->running.find(assignment.primary.tracking_id);
+  const auto& upstream = exchange.upstream();
+  const duration waited = now - exchange.sent_at;
+  upstream->health.RecordFirstEventTime(
+      exchange.assignment->expected_first_event_ms, ToMilliseconds(waited),
+      now);
+  const auto running =
+      upstream->running.find(exchange.assignment->primary.tracking_id);
   if (running != upstream->running.end())
     running->second.first_token_seen = true;
   if (record_.first_token == duration(0))
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -4,7 +4,6 @@
 
 #include "cactusward/hash.h"
 #include "src/kernel/log.h"
-#include "src/relay/memory_reservation.h"
 
 namespace cactusward {
 namespace {
@@ -36,6 +35,9 @@
 constexpr milliseconds kLivenessPollPeriod{2};
 // The pooled connections to one upstream tend to break together.
 constexpr int kMaxStaleRetries = 2;
+// How long to wait until another upstream is looked for again, beside silent
+// ones, after none was available.
+constexpr milliseconds kRepeatCheckPeriod{250};
 constexpr double kMillisecondsPerSecond = 1000;
 
 std::string_view ToView(boost::beast::string_view text) {
@@ -134,9 +136,14 @@
     RespondQuarantined(*quarantined, yield);
   } else {
     services_.retries.ForService(service_).RecordRequest(started_at_);
-    exchange_.OnDisconnect([this] { cancel_.Cancel(); });
+    exchange_.OnDisconnect([this] {
+      cancel_.Cancel();
+      for (const auto& open : open_)
+        open->cancel.Cancel();
+    });
     RunAttempts(yield);
     exchange_.OnDisconnect({});
+    open_.clear();
   }
   record_.attempts = attempts_;
   record_.status = exchange_.status();
@@ -175,10 +182,12 @@
 
 void relay_request::RunAttempts(asio::yield_context yield) {
   attempt last;
-  int stale_retries = 0;
   while (true) {
     dispatch_failure reason;
-    const placement_demand demand = MakeDemand();
+    placement_demand demand = MakeDemand();
+    // An upstream that is silent may go on at any time.
+    if (!open_.empty())
+      demand.queue_deadline = clock::now();
     auto assignment =
         services_.dispatcher.Acquire(demand, &cancel_, &reason, yield);
     if (cancel_.cancelled()) {
@@ -190,26 +199,22 @@
       return RespondQuarantined(*quarantined, yield);
     if (!assignment && attempts_ == 0)
       return RespondWithError(reason.kind, reason.retry_after, yield);
-    if (!assignment)
+    if (!assignment && open_.empty())
       return RespondToFailure(last, yield);
-    last = RunAttempt(*assignment, yield);
-    RecordOutcome(*assignment, last);
-    const std::string upstream =
-        ResponsibleUpstream(*assignment, last)->entry.id;
+    if (!open_.empty() && (!assignment || !PrepareRetry(last)))
+      next_repeat_at_ = clock::now() + kRepeatCheckPeriod;
+    else if (auto failed = StartAttempt(std::move(assignment), yield))
+      last = std::move(*failed);
     assignment.reset();
+    if (!open_.empty())
+      last = RelayResponse(yield);
     if (last.end == attempt_result::kCompleted)
       return;
     if (last.end == attempt_result::kCallerGone || cancel_.cancelled()) {
       record_.kind = error_kind::kCallerGone;
       return exchange_.Abort();
     }
-    // A broken reused connection says nothing about the upstream, which may be
-    // tried again.
-    if (last.stale_connection && ++stale_retries <= kMaxStaleRetries)
-      --sent_attempts_;
-    else
-      tried_upstreams_.insert(upstream);
-    if (!PrepareRetry(last))
+    if (open_.empty() && !PrepareRetry(last))
       return RespondToFailure(last, yield);
   }
 }
@@ -272,37 +277,60 @@
   return addresses;
 }
 
-relay_request::attempt relay_request::RunAttempt(relay_assignment& assignment,
-                                                 asio::yield_context yield) {
+std::optional<relay_request::attempt> relay_request::StartAttempt(
+    std::unique_ptr<relay_assignment> assignment,
+    asio::yield_context yield) {
   ++attempts_;
-  record_.upstream = assignment.upstream()->entry.id;
-  memory_reservation memory(services_.daemon, services_.protocol);
-  const auto granted = ReserveMemory(assignment, &memory, yield);
-  if (!granted)
-    return {attempt_result::kNotSent, granted.detail(), false, std::nullopt};
-  const std::vector<helper_address>& helpers = *granted;
+  auto exchange = std::make_unique<upstream_exchange>(
+      services_.daemon, services_.protocol, services_.response_buffers,
+      std::move(assignment));
+  const std::shared_ptr<fleet_upstream> upstream = exchange->upstream();
+  record_.upstream = upstream->entry.id;
+  const auto helpers =
+      ReserveMemory(*exchange->assignment, &exchange->memory, yield);
+  if (!helpers) {
+    attempt failed{attempt_result::kNotSent, helpers.detail(), false,
+                   std::nullopt};
+    RecordFailedAttempt(*exchange, failed, yield);
+    return failed;
+  }
   Log(log_level::kInfo, "request_placed",
       {{"request", caller_.attempt_id},
        {"route", route_->name},
        {"config_version", config_->version()},
        {"catalog_revision", services_.catalog.revision()},
        {"catalog_age_ms", CatalogAgeMs(services_.catalog)},
-       {"upstream", assignment.upstream()->entry.id},
-       {"helpers", assignment.helpers.size()},
-       {"reservations", memory.allocations().size()},
+       {"upstream", upstream->entry.id},
+       {"helpers", exchange->assignment->helpers.size()},
+       {"reservations", exchange->memory.allocations().size()},
        {"prompt_tokens", caller_.prompt_tokens},
-       {"expected_first_ms", assignment.expected_first_event_ms},
+       {"expected_first_ms", exchange->assignment->expected_first_event_ms},
        {"waited_ms", ToMilliseconds(clock::now() - started_at_)},
-       {"attempt", attempts_}});
-  auto& running = assignment.upstream()->running;
-  const std::uint64_t id = assignment.primary.tracking_id;
-  running[id] = {fingerprint_, false, caller_.shared_parts, survived_start_};
-  const auto upstream = assignment.upstream();
-  attempt done = Forward(assignment, helpers, yield);
-  if (done.end == attempt_result::kInvalidResponse && !done.stale_connection)
-    CheckLiveness(upstream, yield);
-  upstream->running.erase(id);
-  return done;
+       {"attempt", attempts_},
+       {"silent_attempts", open_.size()}});
+  upstream->running[exchange->assignment->primary.tracking_id] = {
+      fingerprint_, false, caller_.shared_parts, survived_start_};
+  if (auto failed = Send(*exchange, *helpers, yield)) {
+    RecordFailedAttempt(*exchange, *failed, yield);
+    return failed;
+  }
+  open_.push_back(std::move(exchange));
+  return std::nullopt;
+}
+
+void relay_request::RecordFailedAttempt(upstream_exchange& exchange,
+                                        const attempt& last,
+                                        asio::yield_context yield) {
+  if (last.end == attempt_result::kInvalidResponse && !last.stale_connection)
+    CheckLiveness(exchange.upstream(), yield);
+  RecordOutcome(*exchange.assignment, last);
+  // A broken reused connection says nothing about the upstream, which may be
+  // tried again.
+  if (last.stale_connection && ++stale_retries_ <= kMaxStaleRetries)
+    --sent_attempts_;
+  else
+    tried_upstreams_.insert(
+        ResponsibleUpstream(*exchange.assignment, last)->entry.id);
 }
 
 // After a failed exchange, a refused connection means that the upstream has
@@ -375,9 +403,11 @@
       if (!last.stale_connection)
         upstream->health.Record(exchange_outcome::kInvalidResponse, now);
       break;
+    case attempt_result::kSilent:
+      upstream->health.Record(exchange_outcome::kTimedOut, now);
+      break;
+    // The request may have been queued until shortly before its deadline.
     case attempt_result::kTimedOut:
-      if (HasTimeLeft())
-        upstream->health.Record(exchange_outcome::kTimedOut, now);
       break;
     case attempt_result::kNotSent:
       if (assignment.helpers.empty())
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -10,16 +10,15 @@
 #include <vector>
 
 #include "cactusward/buffer_pool.h"
-#include "cactusward/event_stream.h"
 #include "cactusward/forward_config.h"
 #include "cactusward/shared_retry_budget.h"
 #include "cactusward/stall_meter.h"
 #include "src/relay/catalog_service.h"
-#include "src/relay/memory_reservation.h"
 #include "src/relay/quarantine_service.h"
 #include "src/relay/relay_dispatcher.h"
 #include "src/relay/relay_protocol.h"
 #include "src/relay/relay_stop.h"
+#include "src/relay/upstream_exchange.h"
 #include "src/services/recovery_service.h"
 #include "src/services/report_service.h"
 
@@ -58,9 +57,10 @@
     kNotSent,          // no byte was sent
     kNotExecuted,      // the upstream stated that it did not run the request
     kInvalidResponse,  // no valid response; the request may have run
-    kTimedOut,         // no bytes in time; the request may be running
+    kTimedOut,         // no complete response at the deadline
     kFailed,           // a complete response that reports a failure
     kCallerGone,
+    kSilent,  // nothing for a while; the exchange is still open
   };
   struct attempt {
     attempt_result end = attempt_result::kInvalidResponse;
@@ -87,24 +87,57 @@
       const relay_assignment& assignment,
       memory_reservation* memory,
       asio::yield_context yield);
-  attempt RunAttempt(relay_assignment& assignment, asio::yield_context yield);
-  attempt Forward(relay_assignment& assignment,
-                  const std::vector<helper_address>& helpers,
-                  asio::yield_context yield);
-  // The result of an attempt whose response could not be read further.
-  static attempt ReadFailure(const result<std::string_view>& read);
-  attempt RelayBody(http_stream& stream,
-                    const relay_assignment& assignment,
-                    asio::yield_context yield);
-  attempt RelayEvents(http_stream& stream,
-                      relay_assignment& assignment,
-                      time_point sent_at,
-                      asio::yield_context yield);
+  // Sends the request to an upstream and adds the exchange to `open_`.
+  // @return why it was not sent; empty if it was.
+  std::optional<attempt> StartAttempt(
+      std::unique_ptr<relay_assignment> assignment,
+      asio::yield_context yield);
+  // @return why no response will come; empty once the request is being sent.
+  std::optional<attempt> Send(upstream_exchange& exchange,
+                              const std::vector<helper_address>& helpers,
+                              asio::yield_context yield);
+  // Passes on the response of the open exchange that makes progress first, and
+  // closes the others then.
+  // @return how the last open exchange ended, or kSilent when another upstream
+  //     may be tried beside the open ones.
+  attempt RelayResponse(asio::yield_context yield);
+  // Relays what arrives until `until`. @return how the exchange ended; empty if
+  // it goes on.
+  std::optional<attempt> Advance(upstream_exchange& exchange,
+                                 time_point until,
+                                 asio::yield_context yield);
+  std::optional<attempt> HandleHeader(upstream_exchange& exchange);
+  std::optional<attempt> AdvanceBody(upstream_exchange& exchange,
+                                     std::string_view bytes,
+                                     asio::yield_context yield);
+  std::optional<attempt> AdvanceEvents(upstream_exchange& exchange,
+                                       std::string_view bytes,
+                                       asio::yield_context yield);
+  // The result of an exchange whose response could not be read further.
+  attempt ReadFailure(const upstream_exchange& exchange,
+                      error_kind kind,
+                      const std::string& detail) const;
+  void RecordProgress(upstream_exchange& exchange);
+  void CloseAllExcept(const upstream_exchange* exchange);
+  // When the upstream has been silent for so long that another one is worth
+  // trying. The time in which this process was stalled does not count.
+  time_point SilentAt(const upstream_exchange& exchange, time_point now) const;
+  bool HasAttemptsLeft() const {
+    return route_->IsRetryable() && sent_attempts_ < route_->max_attempts;
+  }
+  // Whether to look for another upstream beside the open ones now.
+  bool MayTryAnother();
+  // Records, once for each open exchange, that its upstream is silent.
+  void RecordSilence(const attempt& silent, asio::yield_context yield);
+  // Handles the end of an exchange that did not complete the response.
+  void RecordFailedAttempt(upstream_exchange& exchange,
+                           const attempt& last,
+                           asio::yield_context yield);
   // Collects the bytes of the events that the caller has not received yet.
   // @return empty when an event is missing from the sequence.
   std::optional<std::string> CollectNewEvents(
       const std::vector<stream_event>& events);
-  void RecordFirstEvent(relay_assignment& assignment, time_point sent_at);
+  void RecordFirstEvent(upstream_exchange& exchange);
   // The upstream has survived the start of the response.
   void RecordSurvival(const relay_assignment& assignment);
   bool WriteEvents(const http::response_header<>& header,
@@ -130,8 +163,8 @@
                         milliseconds retry_after,
                         asio::yield_context yield);
   void RespondToFailure(const attempt& last, asio::yield_context yield);
-  // How long to wait for the first event, and for each later one, before
-  // another upstream is tried.
+  // How long an upstream may be silent, before the first event and between
+  // events, until another one is tried beside it.
   milliseconds FirstEventTimeout(const relay_assignment& assignment) const;
   milliseconds EventGapTimeout(const relay_assignment& assignment) const;
   bool HasTimeLeft() const { return clock::now() < response_deadline_; }
@@ -156,6 +189,11 @@
   bool may_have_run_ = false;
   int sent_attempts_ = 0;
   int attempts_ = 0;
+  int stale_retries_ = 0;
+  // Attempts whose response may still arrive, in order of their start.
+  std::vector<std::unique_ptr<upstream_exchange>> open_;
+  // No further upstream is looked for before then, after none was found.
+  time_point next_repeat_at_;
   std::optional<std::int64_t> last_event_id_;
   bool stream_started_ = false;
   bool survived_start_ = false;  // the upstream went on after the first event
