The time in which an instance stood still does not count as its upstream's silence

Callers saw streams cut off, or requests run twice, right after their instance had been stopped or busy for a second.

Cause: the limit of an upstream's silence is a moment on the clock. When the instance could not read until after it, the timer's handler and the bytes that had arrived were both due, and the timer won; the upstream's health recorded a time-out, and its first event counted as slow.

Change: the time that stall_meter adds up is deducted from the silence and from the time of the first event.

Ruled out: checking for readable bytes when the timer fires (a stall before the upstream's next write still blames the upstream).

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -34,9 +34,6 @@
 // Interval at which several open exchanges are read in turn, and at which one
 // that is silent is checked.
 constexpr milliseconds kSilentPollPeriod{50};
-// How long to wait until another upstream is looked for again, beside silent
-// ones, while the retry budget is empty.
-constexpr milliseconds kRepeatCheckPeriod{250};
 
 }  // namespace
 
@@ -60,7 +57,7 @@
 }
 
 time_point relay_request::SilentAt(const upstream_exchange& exchange,
-                                   time_point /*now*/) const {
+                                   time_point now) const {
   const bool waits_for_event =
       exchange.kind != upstream_exchange::response_kind::kBody;
   if (!waits_for_event)
@@ -68,7 +65,8 @@
   const milliseconds timeout = exchange.first_event_seen
                                    ? EventGapTimeout(*exchange.assignment)
                                    : FirstEventTimeout(*exchange.assignment);
-  return exchange.heard_at + timeout;
+  return exchange.heard_at + timeout + services_.stalls.Total(now) -
+         exchange.stalled_at_progress;
 }
 
 bool relay_request::MayTryAnother() {
@@ -399,7 +397,9 @@
   exchange.assignment->EndPrefill();
   const time_point now = clock::now();
   const auto& upstream = exchange.upstream();
-  const duration waited = now - exchange.sent_at;
+  const duration waited =
+      now - exchange.sent_at -
+      (services_.stalls.Total(now) - exchange.stalled_at_send);
   upstream->health.RecordFirstEventTime(
       exchange.assignment->expected_first_event_ms, ToMilliseconds(waited),
       now);
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -35,9 +35,6 @@
 constexpr milliseconds kLivenessPollPeriod{2};
 // The pooled connections to one upstream tend to break together.
 constexpr int kMaxStaleRetries = 2;
-// How long to wait until another upstream is looked for again, beside silent
-// ones, after none was available.
-constexpr milliseconds kRepeatCheckPeriod{250};
 constexpr double kMillisecondsPerSecond = 1000;
 
 std::string_view ToView(boost::beast::string_view text) {
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -122,6 +122,10 @@
   // When the upstream has been silent for so long that another one is worth
   // trying. The time in which this process was stalled does not count.
   time_point SilentAt(const upstream_exchange& exchange, time_point now) const;
+  // How long to wait until another upstream is looked for again beside the open
+  // ones, after none was available or the retry budget was empty.
+  static constexpr milliseconds kRepeatCheckPeriod{250};
+
   bool HasAttemptsLeft() const {
     return route_->IsRetryable() && sent_attempts_ < route_->max_attempts;
   }
