CBOR that is nested too deeply is rejected before it is decoded

A value in the key-value service (claims) or an authenticated frame with some thousand levels ended the process which decoded it: the library decodes CBOR recursively, and a coroutine's stack has 256 KB. The same holds for strings without a length that contain each other, of which its callbacks know nothing.

Bounds the levels by a scan without recursion, as for JSON; both bounds are now in kernel/nesting.h.

Test "deeply nested CBOR is rejected".

--- a/src/edges/json.cc
+++ b/src/edges/json.cc
@@ -1,34 +1,10 @@
 #include "src/edges/json.h"
 
-namespace cactusward {
-namespace {
-
-bool IsTooDeep(std::string_view text) {
-  int depth = 0;
-  bool in_string = false;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    const char c = text[i];
-    if (in_string) {
-      if (c == '\\')
-        ++i;
-      else if (c == '"')
-        in_string = false;
-      continue;
-    }
-    if (c == '"')
-      in_string = true;
-    else if ((c == '[' || c == '{') && ++depth > kMaxJsonDepth)
-      return true;
-    else if (c == ']' || c == '}')
-      --depth;
-  }
-  return false;
-}
-
-}  // namespace
+#include "src/kernel/nesting.h"
 
+namespace cactusward {
 std::optional<nlohmann::json> ParseJson(std::string_view text) {
-  if (IsTooDeep(text))
+  if (IsJsonTooDeep(text))
     return std::nullopt;
   nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
   if (value.is_discarded())
@@ -38,7 +14,7 @@
 
 std::optional<nlohmann::json> ParseJson(std::string_view text,
                                         const std::function<void()>& on_value) {
-  if (IsTooDeep(text))
+  if (IsJsonTooDeep(text))
     return std::nullopt;
   nlohmann::json value = nlohmann::json::parse(
       text,
--- a/src/edges/json.h
+++ b/src/edges/json.h
@@ -9,9 +9,7 @@
 
 namespace cactusward {
 
-inline constexpr int kMaxJsonDepth = 64;
-
-// Parses `text`. Nesting deeper than kMaxJsonDepth is rejected before parsing,
+// Parses `text`. Nesting deeper than kMaxNesting is rejected before parsing,
 // since serialising such a value would overflow a coroutine's stack.
 // @return nullopt for malformed text, invalid UTF-8 or too deep nesting.
 // Thread-safe.
--- a/src/kernel/cbor.h
+++ b/src/kernel/cbor.h
@@ -7,7 +7,8 @@
 
 namespace cactusward {
 
-// @return a discarded value if `bytes` is malformed. Thread-safe.
+// @return a discarded value if `bytes` is malformed or nested too deeply.
+//     Thread-safe.
 nlohmann::json ParseCbor(std::string_view bytes);
 
 }  // namespace cactusward
--- /dev/null
+++ b/tests/unit/odd_entries_test.cc
@@ -0,0 +1,181 @@
+// Guards against one malformed entry, in the registry, in the list of instances
+// or in the configuration, that ends the processes which read it, ends their
+// watches, or takes other entries away.
+#include <catch2/catch.hpp>
+#include <climits>
+#include <map>
+
+#include "cactusward/config.h"
+#include "platform/platform_catalog.h"
+#include "src/edges/etcd_store.h"
+#include "src/edges/http_server.h"
+#include "src/kernel/base64.h"
+#include "src/kernel/cbor.h"
+#include "src/services/upstream_directory.h"
+#include "tests/support/small_fleet.h"
+
+namespace cactusward {
+namespace {
+
+using testing::kCallTimeout;
+using testing::kPollPeriod;
+using testing::kSettleTime;
+using testing::small_fleet;
+using testing::store_fake;
+
+constexpr int kDeepNesting = 100'000;
+
+std::string Repeat(std::string_view text, int times) {
+  std::string repeated;
+  for (int i = 0; i < times; ++i)
+    repeated += text;
+  return repeated;
+}
+
+std::string DeepArray() {
+  return std::string(kDeepNesting, '[') + std::string(kDeepNesting, ']');
+}
+
+// An upstream entry whose field `name` has the JSON text `value`.
+std::string EntryWith(const std::string& name, const std::string& value) {
+  std::map<std::string, std::string> fields = {
+      {"service", R"("plain")"}, {"address", R"("10.0.0.1:80")"},
+      {"zone", R"("z")"},        {"slots", "16"},
+      {"state", R"("ready")"},   {"born", "1700000000000"}};
+  fields[name] = value;
+  std::string text;
+  for (const auto& [key, field] : fields)
+    text += (text.empty() ? "{\"" : ",\"") + key + "\":" + field;
+  return text + "}";
+}
+
+// Runs `body` in a coroutine, whose stack is as small as in the daemon.
+void RunInCoroutine(const std::function<void(asio::yield_context)>& body) {
+  asio::io_context io;
+  Spawn(io, "test", body);
+  io.run();
+}
+
+struct field_row {
+  const char* name;
+  std::string value;
+  bool usable;
+};
+
+std::vector<field_row> FieldRows() {
+  return {
+      {"unknown", "1", true},
+      {"unknown", DeepArray(), false},
+      {"unknown", "1e400", false},
+      {"unknown", "1e300", true},
+      {"service", R"("")", false},
+      {"service", "5", false},
+      {"service", '"' + std::string(100'000, 's') + '"', false},
+      {"service", R"("none")", true},
+      {"zone", "3", false},
+      {"zone", "null", true},
+      {"state", R"("new")", false},
+      {"state", "true", false},
+      {"slots", "1", true},
+      {"slots", "0", false},
+      {"slots", "-1", false},
+      {"slots", "1.5", false},
+      {"slots", "16.0", false},
+      {"slots", "4294967297", false},
+      {"slots", "1180591620717411303424", false},
+      {"slots", "1e10", false},
+      {"slots", R"("16")", false},
+      {"slots", "[]", false},
+      {"born", "0", true},
+      {"born", "-1", false},
+      {"born", "1.5", false},
+      {"born", "18446744073709551615", false},
+      {"born", "1180591620717411303424", false},
+      {"born", R"("1700000000000")", false},
+      {"address", R"("[::1]:80")", true},
+      {"address", R"("::1:80")", true},
+      {"address", R"("10.0.0.1:0")", false},
+      {"address", R"("10.0.0.1:65535")", true},
+      {"address", R"("10.0.0.1:65536")", false},
+      {"address", R"("10.0.0.1:4294967376")", false},
+      {"address", R"("10.0.0.1:18446744073709551696")", false},
+      {"address", R"("10.0.0.1:-80")", false},
+      {"address", R"("10.0.0.1:08")", false},
+      {"address", R"("10.0.0.1:")", false},
+      {"address", R"("10.0.0.1")", false},
+      {"address", R"(":80")", false},
+      {"address", R"("localhost:80")", false},
+      {"address", R"("10.0.0.1\u0000:80")", false},
+      {"address", R"("10.0.0.1\u0000\r\nX-Forged: 1:80")", false},
+      {"address", R"("fe80::1%\r\nX-Forged: 1:80")", false},
+      {"address", R"("0.0.0.0:80")", false},
+      {"address", R"("[::]:80")", false},
+      {"address", R"("224.0.0.1:80")", false},
+  };
+}
+
+// Guards against a stack overflow: a value in the key-value service or a
+// datagram ends the process that decodes it.
+TEST_CASE("deeply nested CBOR is rejected") {
+  struct row {
+    const char* name;
+    std::string prefix;
+  };
+  const row rows[] = {{"arrays", "\x81"},
+                      {"arrays without a length", "\x9f"},
+                      {"maps", std::string("\xa1\x61\x61", 3)},
+                      {"maps without a length", std::string("\xbf\x61\x61", 3)},
+                      {"texts without a length", "\x7f"},
+                      {"bytes without a length", "\x5f"},
+                      {"tags", "\xc1"}};
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    RunInCoroutine([&](asio::yield_context) {
+      CHECK(ParseCbor(Repeat(r.prefix, kDeepNesting)).is_discarded());
+      CHECK(ParseCbor(Repeat(r.prefix, kDeepNesting) + '\x01').is_discarded());
+    });
+  }
+}
+
+TEST_CASE("CBOR of usual depth is accepted") {
+  const nlohmann::json rows[] = {
+      nullptr,
+      true,
+      -5,
+      1.5,
+      "text",
+      nlohmann::json::array(),
+      {{"a", {1, 2, {{"b", {3, "x", false}}}}},
+       {"c", std::string(70'000, 'c')}},
+      nlohmann::json::parse(std::string(60, '[') + std::string(60, ']'))};
+  for (const nlohmann::json& value : rows) {
+    std::string bytes;
+    nlohmann::json::to_cbor(value, bytes);
+    CHECK(ParseCbor(bytes) == value);
+  }
+  // An array and a text without a length.
+  CHECK(ParseCbor("\x9f\x01\x7f\x61\x61\xff\xff") ==
+        nlohmann::json::array({1, "a"}));
+}
+
+// Responds to each request with one line, and keeps the response open.
+class line_server : public http_handler {
+ public:
+  line_server(asio::io_context& io, std::string line)
+      : line_(std::move(line)), server_(io, this, {}) {
+    REQUIRE(server_.Listen(address_));
+  }
+  const std::string& address() const { return address_; }
+  void Handle(http_exchange& exchange, asio::yield_context yield) override {
+    exchange.Respond(200, "application/json", line_,
+                     clock::now() + kCallTimeout, yield);
+  }
+
+ private:
+  std::string line_;
+  std::string address_ = testing::FreeAddress();
+  http_server server_;
+};
+
+}  // namespace
+}  // namespace cactusward
