A deeply nested configuration is rejected before it is read

A document of the own configuration in which a field is nested some thousand levels deep ended every process that was offered it: the message for an unexpected value serialises the value, which is recursive. Such a document can come from the key-value service, from a peer and from the operator's call.

ParseFleetConfig and DecodeRevision check the levels first. Ruled out: the relay's configuration and entries were already parsed with the bound.

Test "deeply nested JSON in the own configuration is rejected". Before: SIGSEGV at the first field. After: 5 assertions pass.

--- a/src/config/config.cc
+++ b/src/config/config.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cactusward/hash.h"
+#include "src/kernel/nesting.h"
 
 namespace cactusward {
 
@@ -59,10 +60,12 @@
 }
 
 result<config_revision> DecodeRevision(std::string_view text) {
-  const auto json = nlohmann::json::parse(text, nullptr, false);
   const auto invalid = [](const char* why) {
     return result<config_revision>(error_kind::kConfigInvalid, why);
   };
+  if (IsJsonTooDeep(text))
+    return invalid("revision is nested too deeply");
+  const auto json = nlohmann::json::parse(text, nullptr, false);
   if (!json.is_object())
     return invalid("revision is not a JSON object");
   const auto string_or_empty = [&json](const char* name) {
--- a/src/config/parse_fleet_config.cc
+++ b/src/config/parse_fleet_config.cc
@@ -5,6 +5,7 @@
 #include "cactusward/config.h"
 #include "cactusward/routing.h"
 #include "src/config/json_reader.h"
+#include "src/kernel/nesting.h"
 
 namespace cactusward {
 namespace {
@@ -256,6 +257,8 @@
 }  // namespace
 
 result<fleet_config> ParseFleetConfig(std::string_view text) {
+  if (IsJsonTooDeep(text))
+    return {error_kind::kConfigInvalid, "document: nested too deeply"};
   const auto json = nlohmann::json::parse(text, nullptr, false);
   if (json.is_discarded())
     return {error_kind::kConfigInvalid, "document: not JSON"};
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -158,6 +158,18 @@
         nlohmann::json::array({1, "a"}));
 }
 
+TEST_CASE("deeply nested JSON in the own configuration is rejected") {
+  RunInCoroutine([](asio::yield_context) {
+    for (const char* field : {"organisations", "defaults", "unknown"}) {
+      CAPTURE(field);
+      CHECK_FALSE(ParseFleetConfig("{\"" + std::string(field) +
+                                   "\":" + DeepArray() + "}"));
+    }
+    CHECK_FALSE(ParseFleetConfig(DeepArray()));
+    CHECK_FALSE(DecodeRevision("{\"revision\": 1, \"a\":" + DeepArray() + "}"));
+  });
+}
+
 // Responds to each request with one line, and keeps the response open.
 class line_server : public http_handler {
  public:
