An odd event does not end a watch of the key-value service

An event whose type is not a text made the library throw; the exception ended the coroutine that watches the configuration, and the instance then followed it only by its periodic reads. Compares the type without converting it. The store's other responses are now parsed with the bound on nesting, too.

Test "odd events do not end a watch of the key-value service".

--- a/src/edges/etcd_store.cc
+++ b/src/edges/etcd_store.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 
+#include "src/edges/json.h"
 #include "src/kernel/base64.h"
 
 namespace cactusward {
@@ -90,16 +91,20 @@
 // Calls `handler` for each PUT event in one line of a watch stream.
 void HandleWatchLine(std::string_view line,
                      const key_value_store::change_handler& handler) {
-  const json event = json::parse(line, nullptr, false);
-  if (!event.is_object() || !event.contains("result") ||
-      !event["result"].is_object())
+  const auto event = ParseJson(line);
+  if (!event || !event->is_object() || !event->contains("result") ||
+      !(*event)["result"].is_object())
     return;
-  const auto events = event["result"].find("events");
-  if (events == event["result"].end() || !events->is_array())
+  const json& result = (*event)["result"];
+  const auto events = result.find("events");
+  if (events == result.end() || !events->is_array())
     return;
   for (const json& change : *events) {
-    if (!change.is_object() || change.value("type", "PUT") != "PUT" ||
-        !change.contains("kv"))
+    if (!change.is_object() || !change.contains("kv"))
+      continue;
+    // Absent for PUT.
+    const auto type = change.find("type");
+    if (type != change.end() && *type != "PUT")
       continue;
     if (const auto value = ReadKeyValue(change["kv"]))
       handler(*value);
@@ -119,16 +124,16 @@
   outgoing_request request;
   request.method = http::verb::post;
   request.target = target;
-  request.body = body.dump();
+  request.body = WriteJson(body);
   request.headers = {{"Content-Type", "application/json"}};
   const auto response = client_->Call(address_, request, deadline, yield);
   if (!response)
     return {error_kind::kStoreUnavailable, response.detail()};
-  json parsed = json::parse(response->body, nullptr, false);
-  if (response->status != 200 || !parsed.is_object())
+  auto parsed = ParseJson(response->body);
+  if (response->status != 200 || !parsed || !parsed->is_object())
     return {error_kind::kStoreUnavailable,
             "status " + std::to_string(response->status)};
-  return parsed;
+  return std::move(*parsed);
 }
 
 result<std::optional<stored_value>> etcd_store::Get(const std::string& key,
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -189,5 +189,47 @@
   http_server server_;
 };
 
+// Guards against a watch that ends by an exception: the configuration would
+// not be followed any more.
+TEST_CASE("odd events do not end a watch of the key-value service") {
+  const std::string sound = R"({"result": {"events": [{"kv": {"key": ")" +
+                            EncodeBase64("k") +
+                            R"(", "mod_revision": "7"}}]}})";
+  const std::string rows[] = {
+      "5",
+      R"({"result": {"events": [{"type": 5, "kv": {}}]}})",
+      R"({"result": {"events": [{"type": null, "kv": {}}]}})",
+      R"({"result": {"events": [{"kv": 5}]}})",
+      R"({"result": {"events": [5, {"kv": {"key": 5, "value": 6}}]}})",
+      R"({"result": {"events": [{"kv": {"key": "azE=",
+          "mod_revision": 1e300, "value": "*"}}]}})",
+      DeepArray(),
+      R"({"result": )" + DeepArray() + "}",
+  };
+  for (const std::string& row : rows) {
+    CAPTURE(row.substr(0, 80));
+    asio::io_context io;
+    line_server server(io, row + "\n" + sound + "\n");
+    http_client client(io);
+    etcd_store store(&client, server.address());
+    std::vector<std::int64_t> revisions;
+    bool ended = false;
+    Spawn(io, "watch", [&](asio::yield_context yield) {
+      store.Watch(
+          "k", 0,
+          [&](const stored_value& value) {
+            if (value.key == "k")
+              revisions.push_back(value.mod_revision);
+          },
+          yield);
+      ended = true;
+      io.stop();
+    });
+    io.run_for(std::chrono::seconds(2));
+    CHECK(ended);
+    CHECK(revisions == std::vector<std::int64_t>{7});
+  }
+}
+
 }  // namespace
 }  // namespace cactusward
