An odd entry of the instance list does not hide the others

One group or target that could not be read, such as a port out of range, made the whole list of instances unusable: for as long as it was there, no change of upstreams or peers was followed. Unreadable entries are now logged and left out. A list that has entries of which none can be read is still an error: as an empty one, it would remove all upstreams.

Addresses may no longer contain bytes that the address parser ignores (after a NUL, or in the scope of an IPv6 address), since they are passed on in header fields, nor ports with leading zeros. Lists and metrics are parsed with the bound on nesting.

Tests "an odd target does not take the others from the instance list" (before: failed at the first row, "5") and "metrics and lists that are deeply nested are rejected" (before: 1 of 2 assertions failed). After: all pass. The rows of "load metrics and instance lists" are unchanged.

--- a/src/edges/net.cc
+++ b/src/edges/net.cc
@@ -1,5 +1,6 @@
 #include "src/edges/net.h"
 
+#include <algorithm>
 #include <boost/coroutine/attributes.hpp>
 #include <charconv>
 
@@ -10,6 +11,17 @@
 
 constexpr std::size_t kCoroutineStackBytes = 256ULL * 1024;
 
+// Whether `host` may be part of a header field. The parser of addresses accepts
+// any bytes after a NUL and in the scope of an IPv6 address.
+bool HasAddressCharacters(std::string_view host) {
+  constexpr std::string_view kOtherCharacters = ".:%";
+  return std::all_of(host.begin(), host.end(), [=](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+           (c >= 'A' && c <= 'Z') ||
+           kOtherCharacters.find(c) != std::string_view::npos;
+  });
+}
+
 }  // namespace
 
 std::optional<host_port> ParseHostPort(std::string_view text) {
@@ -24,7 +36,8 @@
   const auto [end, error] =
       std::from_chars(digits.data(), digits.data() + digits.size(), port);
   if (error != std::errc() || end != digits.data() + digits.size() ||
-      port == 0 || port > UINT16_MAX)
+      port == 0 || port > UINT16_MAX || digits.front() == '0' ||
+      !HasAddressCharacters(host))
     return std::nullopt;
   boost::system::error_code bad_address;
   asio::ip::make_address(std::string(host), bad_address);
--- a/src/formats/upstream_formats.cc
+++ b/src/formats/upstream_formats.cc
@@ -1,6 +1,8 @@
 // Parses the platform's instance list and the upstreams' load metrics.
 #include <nlohmann/json.hpp>
 
+#include "src/edges/json.h"
+#include "src/kernel/log.h"
 #include "src/services/upstream_directory.h"
 
 namespace cactusward {
@@ -32,12 +34,11 @@
 std::optional<load_report> ParseLoadMetrics(std::string_view header) {
   if (header.substr(0, kMetricsFormat.size()) != kMetricsFormat)
     return std::nullopt;
-  const json parsed =
-      json::parse(header.substr(kMetricsFormat.size()), nullptr, false);
-  if (!parsed.is_object())
+  const auto parsed = ParseJson(header.substr(kMetricsFormat.size()));
+  if (!parsed || !parsed->is_object())
     return std::nullopt;
-  const auto metrics = parsed.find("named_metrics");
-  if (metrics == parsed.end() || !metrics->is_object())
+  const auto metrics = parsed->find("named_metrics");
+  if (metrics == parsed->end() || !metrics->is_object())
     return std::nullopt;
   load_report report;
   report.waiting_tokens = MetricValue(*metrics, "waiting_tokens");
@@ -52,20 +53,27 @@
 std::optional<std::vector<upstream_listing>> ParseInstanceList(
     std::string_view body,
     std::vector<std::string>* own_peers) {
-  const json parsed = json::parse(body, nullptr, false);
-  if (!parsed.is_array())
+  const auto parsed = ParseJson(body);
+  if (!parsed || !parsed->is_array())
     return std::nullopt;
   std::vector<upstream_listing> listings;
-  for (const json& group : parsed) {
+  std::size_t readable = 0;
+  std::size_t unreadable = 0;
+  for (const json& group : *parsed) {
     if (!group.is_object() || !group.contains("targets") ||
         !group["targets"].is_array() || !group.contains("labels") ||
-        !group["labels"].is_object())
-      return std::nullopt;
+        !group["labels"].is_object()) {
+      ++unreadable;
+      continue;
+    }
     const json& labels = group["labels"];
     const std::string service = LabelValue(labels, "service");
     for (const json& target : group["targets"]) {
-      if (!target.is_string() || !ParseHostPort(target.get<std::string>()))
-        return std::nullopt;
+      if (!target.is_string() || !ParseHostPort(target.get<std::string>())) {
+        ++unreadable;
+        continue;
+      }
+      ++readable;
       if (service == kOwnServiceName) {
         own_peers->push_back(target.get<std::string>());
         continue;
@@ -75,6 +83,12 @@
                           LabelValue(labels, "state") == "leaving"});
     }
   }
+  if (unreadable > 0)
+    Log(log_level::kWarning, "instance_list_entries_ignored",
+        {{"unreadable", unreadable}, {"readable", readable}});
+  // Not an empty list: that would remove all upstreams.
+  if (unreadable > 0 && readable == 0)
+    return std::nullopt;
   return listings;
 }
 
--- a/src/services/upstream_directory.h
+++ b/src/services/upstream_directory.h
@@ -24,9 +24,10 @@
 std::optional<load_report> ParseLoadMetrics(std::string_view header);
 
 // Parses the platform's instance list, in the JSON format of Prometheus HTTP
-// service discovery.
+// service discovery. Entries that are malformed are logged and left out.
 // @param own_peers receives the peer addresses of cactusward instances.
-// @return nullopt when it is malformed. Thread-safe.
+// @return nullopt when it is malformed, or when it has entries and none of them
+//     can be read. Thread-safe.
 std::optional<std::vector<upstream_listing>> ParseInstanceList(
     std::string_view body,
     std::vector<std::string>* own_peers);
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -170,6 +170,39 @@
   });
 }
 
+TEST_CASE("an odd target does not take the others from the instance list") {
+  const std::string sound =
+      R"({"targets": ["127.0.0.1:5"], "labels": {"service": "s"}})";
+  const std::string rows[] = {
+      "5",
+      "{}",
+      R"({"targets": 5, "labels": {}})",
+      R"({"targets": ["127.0.0.1:6"], "labels": 5})",
+      R"({"targets": ["127.0.0.1:65536"], "labels": {"service": "s"}})",
+      R"({"targets": ["host", 5, null], "labels": {"service": "s"}})",
+      R"({"targets": ["127.0.0.1:6\r\nX-Forged: 1"], "labels": {}})",
+      R"({"targets": [], "labels": {}, "a": )" + std::string(60, '[') +
+          std::string(60, ']') + "}",
+  };
+  for (const std::string& row : rows) {
+    CAPTURE(row);
+    std::vector<std::string> peers;
+    const auto list = ParseInstanceList("[" + row + "," + sound + "]", &peers);
+    REQUIRE(list);
+    REQUIRE(list->size() == 1);
+    CHECK(list->front().address == "127.0.0.1:5");
+  }
+}
+
+TEST_CASE("metrics and lists that are deeply nested are rejected") {
+  RunInCoroutine([](asio::yield_context) {
+    std::vector<std::string> peers;
+    CHECK_FALSE(ParseInstanceList(DeepArray(), &peers));
+    CHECK_FALSE(ParseLoadMetrics(
+        "JSON {\"named_metrics\":{\"a\":" + DeepArray() + "}}"));
+  });
+}
+
 // Responds to each request with one line, and keeps the response open.
 class line_server : public http_handler {
  public:
