--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -114,6 +114,82 @@
   };
 }
 
+TEST_CASE("numbers of a configuration are read within their ranges") {
+  http_client* none = nullptr;
+  const platform::platform_catalog catalog(none, "127.0.0.1:1");
+  const auto decode = [&](const std::string& field, const std::string& value) {
+    return catalog.DecodeConfig(
+        R"({"version": 3, "routes": [{"host": "h", "path_prefix": "/a/",
+            "kind": "idempotent", "service": "s", "timeout_ms": 1000, ")" +
+            field + "\": " + value + "}]}",
+        [] {});
+  };
+  struct row {
+    const char* value;
+    std::int64_t timeout_ms;
+    int max_attempts;
+  };
+  constexpr std::int64_t kMaxTimeoutMs = 24 * 3'600 * 1'000;
+  const row rows[] = {
+      {"2", 2, 2},
+      {"2.0", 2, 2},
+      {"2.75", 2, 2},
+      {"-1", 0, 1},
+      {"-1e300", 0, 1},
+      {"4294967298", kMaxTimeoutMs, INT_MAX},
+      {"9223372036854775807", kMaxTimeoutMs, INT_MAX},
+      {"1180591620717411303424", kMaxTimeoutMs, INT_MAX},
+      {"1e300", kMaxTimeoutMs, INT_MAX},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.value);
+    const auto by_timeout = decode("timeout_ms", r.value);
+    REQUIRE(by_timeout);
+    CHECK((*by_timeout)->routes()[0].timeout == milliseconds(r.timeout_ms));
+    const auto by_attempts = decode("max_attempts", r.value);
+    REQUIRE(by_attempts);
+    CHECK((*by_attempts)->routes()[0].max_attempts == r.max_attempts);
+  }
+  for (const char* version :
+       {"-1", "0", "0.5", "1.5", "1e300", "18446744073709551615", "1e400"}) {
+    CAPTURE(version);
+    CHECK_FALSE(catalog.DecodeConfig(
+        "{\"version\": " + std::string(version) + "}", [] {}));
+  }
+}
+
+// Guards against engines without a slot, with which the placement of prompts
+// divides by zero.
+TEST_CASE("engine parameters are positive") {
+  http_client* none = nullptr;
+  const platform::platform_catalog catalog(none, "127.0.0.1:1");
+  for (const char* field : {"slots", "kv_capacity", "stride"}) {
+    for (const char* value : {"0.5", "0", "-1", "1e300", "\"1\"", "[]"}) {
+      CAPTURE(field, value);
+      std::map<std::string, std::string> fields = {{"slots", "16"},
+                                                   {"kv_capacity", "1000"},
+                                                   {"stride", "1"},
+                                                   {"read_per_s", "1000"},
+                                                   {"step_ms", "1"}};
+      fields[field] = value;
+      std::string engine;
+      for (const auto& [key, text] : fields)
+        engine += (engine.empty() ? "\"" : ",\"") + key + "\":" + text;
+      const auto decoded = catalog.DecodeConfig(
+          R"({"version": 1, "services": [{"name": "s", "backend": {)" + engine +
+              "}}]}",
+          [] {});
+      REQUIRE(decoded);
+      const auto& parameters = (*decoded)->FindService("s")->engine;
+      if (!parameters)
+        continue;
+      CHECK(parameters->slots > 0);
+      CHECK(parameters->kv_capacity > 0);
+      CHECK(parameters->steps_per_pass > 0);
+    }
+  }
+}
+
 // Guards against a stack overflow: a value in the key-value service or a
 // datagram ends the process that decodes it.
 TEST_CASE("deeply nested CBOR is rejected") {
