An upstream entry with a field of another type names no upstream

An entry from another writer was used although a field could not be read as it is defined: slots of 1.5 or 2^32+1, a start before 1970 or beyond 64 bits, a zone that is a number, an address that ends with a NUL and more bytes, or one that no connection can lead to. Requests were offered there, and the entry's id and address went into header fields, with line feeds if it had any.

Integers must be integers within their range, names at most 200 bytes, and ids free of spaces and control characters. Fields that are absent have their defaults, as before.

--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -114,6 +114,102 @@
   };
 }
 
+TEST_CASE("a field out of its range makes an upstream entry unusable") {
+  http_client* none = nullptr;
+  const platform::platform_catalog catalog(none, "127.0.0.1:1");
+  for (const field_row& r : FieldRows()) {
+    CAPTURE(r.name, r.value.substr(0, 60));
+    bool usable = !r.usable;
+    RunInCoroutine([&](asio::yield_context) {
+      usable = catalog.DecodeUpstream("i-1", EntryWith(r.name, r.value)).ok();
+    });
+    CHECK(usable == r.usable);
+  }
+}
+
+// Guards against ids that inject header fields into requests to upstreams.
+TEST_CASE("an id that no header can carry makes an upstream entry unusable") {
+  http_client* none = nullptr;
+  const platform::platform_catalog catalog(none, "127.0.0.1:1");
+  struct row {
+    std::string id;
+    bool usable;
+  };
+  const row rows[] = {{"i-7f3a91c2", true},
+                      {"a/b&c?d=e#f%20+", true},
+                      {"\xc3\xa9", true},
+                      {"", false},
+                      {" i", false},
+                      {"i ", false},
+                      {"i\tj", false},
+                      {"i\r\nX-Forged: 1", false},
+                      {std::string("i\0", 2), false},
+                      {"i\x7f", false},
+                      {std::string(193, 'i'), false}};
+  for (const row& r : rows) {
+    CAPTURE(r.id);
+    CHECK(catalog.DecodeUpstream(r.id, EntryWith("unknown", "1")).ok() ==
+          r.usable);
+  }
+}
+
+// Each way that entries take to an instance: the list is read at the start, a
+// watch delivers the changes, peers report them to the other instances in
+// datagrams, and an instance that joins gets snapshots.
+TEST_CASE("instances follow the registry beside odd upstream entries") {
+  constexpr int kExtraInstances = 5;  // so that some do not watch the registry
+  small_fleet fleet;
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.RegisterRunners();
+  std::vector<std::string> documents = {"",
+                                        "null",
+                                        "[]",
+                                        "{}",
+                                        "\xff\xfe",
+                                        "{\"service\"",
+                                        "\"text\"",
+                                        DeepArray(),
+                                        "{\"a\":" + DeepArray(),
+                                        Repeat("{\"a\":", kDeepNesting)};
+  for (const field_row& r : FieldRows()) {
+    if (!r.usable)
+      documents.push_back(EntryWith(r.name, r.value));
+  }
+  const auto put_all = [&](const std::string& prefix) {
+    for (std::size_t i = 0; i < documents.size(); ++i)
+      fleet.store.Put("servers/" + prefix + std::to_string(i), documents[i]);
+    for (const char* id : {"", " ", "a b", "\r\nX-Forged: 1", "\xc3\xa9"})
+      fleet.store.Put("servers/" + std::string(id),
+                      fleet.plain[0]->Entry("none"));
+  };
+  put_all("a");
+  const testing::extra_instances extra(fleet, kExtraInstances,
+                                       platform::MakeAdapter);
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(extra.Start());
+    REQUIRE(fleet.WaitForStatus("/once/x", 200, yield));
+    Sleep(fleet.io, milliseconds(2'500), yield);
+    put_all("b");
+    for (const std::string& document : documents) {
+      fleet.store.Put("servers/one", document);
+      Sleep(fleet.io, kPollPeriod * 2, yield);
+    }
+    fleet.store.Remove("servers/p0");
+    fleet.store.Put("op/config", testing::ConfigDocument(2, "new"));
+    Sleep(fleet.io, milliseconds(1'500), yield);
+    const int before = fleet.plain[0]->arrivals();
+    for (const auto& each : extra.settings) {
+      std::swap(fleet.settings.listen, each->listen);
+      for (const char* path : {"/once/x", "/new/x", "/stream/x"}) {
+        for (int i = 0; i < 4; ++i)
+          CHECK(fleet.Call(path, "a", yield).status == 200);
+      }
+      std::swap(fleet.settings.listen, each->listen);
+    }
+    CHECK(fleet.plain[0]->arrivals() == before);
+  });
+}
+
 TEST_CASE("numbers of a configuration are read within their ranges") {
   http_client* none = nullptr;
   const platform::platform_catalog catalog(none, "127.0.0.1:1");
