--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -125,6 +125,11 @@
           {"lease_id", 0}};
 }
 
+void store_fake::AddExtraItem(json* list) const {
+  if (!extra_item_.empty() && !list->empty())
+    list->push_back(json::parse(extra_item_));
+}
+
 void store_fake::Handle(http_exchange& exchange, asio::yield_context yield) {
   ++calls_;
   exchange.SetHeader("Store-Era", std::to_string(era_));
@@ -162,12 +167,20 @@
   }
   json entries = json::array();
   const std::string prefix = exchange.Query("path_prefix");
+  const std::string after = exchange.Query("after");
+  bool has_more = false;
   for (const auto& [key, item] : items_) {
-    if (!item.removed && key.compare(0, prefix.size(), prefix) == 0)
-      entries.push_back(EncodeItem(key, item));
+    if (item.removed || key.compare(0, prefix.size(), prefix) != 0 ||
+        (!after.empty() && key <= after))
+      continue;
+    has_more = page_size_ > 0 && entries.size() == page_size_;
+    if (has_more)
+      break;
+    entries.push_back(EncodeItem(key, item));
   }
+  AddExtraItem(&entries);
   exchange.RespondJson(
-      {{"entries", entries}, {"has_more", false}, {"at", revision_}}, yield);
+      {{"entries", entries}, {"has_more", has_more}, {"at", revision_}}, yield);
 }
 
 void store_fake::Watch(http_exchange& exchange, asio::yield_context yield) {
@@ -189,6 +202,7 @@
     if (!events.empty() && !watch_events_suppressed_) {
       if (watch_delay_ > milliseconds(0))
         Sleep(io_, watch_delay_, yield);
+      AddExtraItem(&events);
       exchange.RespondJson({{"events", events}, {"at", revision_}}, yield);
       return;
     }
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -40,6 +40,11 @@
   void SetFixedResponseBody(std::string body) {
     fixed_response_body_ = std::move(body);
   }
+  // Most items of a page of the list; 0: all.
+  void SetPageSize(std::size_t items) { page_size_ = items; }
+  // Adds the JSON text `item` to each non-empty list of entries or events;
+  // empty: none.
+  void SetExtraItem(std::string item) { extra_item_ = std::move(item); }
   // Accepts requests and never responds.
   void SetUnresponsive(bool unresponsive) { unresponsive_ = unresponsive; }
   // Never responds to requests for a single value.
@@ -70,6 +75,7 @@
     bool removed = false;
   };
   nlohmann::json EncodeItem(const std::string& key, const item& item) const;
+  void AddExtraItem(nlohmann::json* list) const;
   void Watch(http_exchange& exchange, asio::yield_context yield);
 
   asio::io_context& io_;
@@ -88,6 +94,8 @@
   bool watch_events_suppressed_ = false;
   milliseconds watch_delay_{0};
   std::string fixed_response_body_;
+  std::size_t page_size_ = 0;
+  std::string extra_item_;
   bool unresponsive_ = false;
   bool value_reads_unresponsive_ = false;
   int abandoned_reads_ = 0;
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -210,6 +210,37 @@
   });
 }
 
+TEST_CASE("items that cannot be read do not hide the others of a list") {
+  const char* const rows[] = {"1",
+                              "null",
+                              "[]",
+                              "{}",
+                              R"({"key": 5, "revision": 2})",
+                              R"({"key": "servers/x", "revision": "2"})",
+                              R"({"key": "servers/x", "revision": 1e300})",
+                              R"({"key": "servers/x", "value": "*"})",
+                              R"({"key": "servers/x", "value": "====",
+                                  "revision": 1})"};
+  for (const char* item : rows) {
+    CAPTURE(item);
+    small_fleet fleet;
+    fleet.store.SetExtraItem(item);
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    fleet.RegisterRunners();
+    fleet.Run([&](asio::yield_context yield) {
+      CHECK(fleet.WaitForStatus("/once/x", 200, yield));
+      fleet.store.Put("op/config", testing::ConfigDocument(2, "new"));
+      fleet.store.Remove("servers/p0");
+      CHECK(fleet.WaitForStatus("/new/x", 200, yield));
+      Sleep(fleet.io, kSettleTime, yield);
+      const int before = fleet.plain[0]->arrivals();
+      for (int i = 0; i < 4; ++i)
+        CHECK(fleet.Call("/once/x", "a", yield).status == 200);
+      CHECK(fleet.plain[0]->arrivals() == before);
+    });
+  }
+}
+
 TEST_CASE("numbers of a configuration are read within their ranges") {
   http_client* none = nullptr;
   const platform::platform_catalog catalog(none, "127.0.0.1:1");
