--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -210,6 +210,24 @@
   });
 }
 
+// Guards against pages that are not requested by the key that ended the last
+// one: a page would be read again and again, or left out.
+TEST_CASE("pages of the registry's list continue after keys of any bytes") {
+  for (const char* id : {"a&b", "a b", "a#b", "a%41", "a+b", "a\r\nb",
+                         "\xc3\xa9", "?", "=", ""}) {
+    CAPTURE(id);
+    small_fleet fleet;
+    fleet.store.SetPageSize(1);
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    fleet.store.Put("servers/" + std::string(id), "{}");
+    fleet.RegisterRunners();
+    fleet.Run([&](asio::yield_context yield) {
+      CHECK(fleet.WaitForStatus("/once/x", 200, yield));
+      CHECK(fleet.Call("/stream/x", "a", yield).status == 200);
+    });
+  }
+}
+
 TEST_CASE("items that cannot be read do not hide the others of a list") {
   const char* const rows[] = {"1",
                               "null",
