--- a/src/edges/gossip_socket.cc
+++ b/src/edges/gossip_socket.cc
@@ -1,6 +1,7 @@
 #include "src/edges/gossip_socket.h"
 
 #include "cactusward/hash.h"
+#include "src/edges/listen_log.h"
 
 namespace cactusward {
 namespace {
@@ -20,16 +21,20 @@
 
 bool gossip_socket::Listen(const std::string& address) {
   const auto endpoint = ParseHostPort(address);
-  if (!endpoint)
+  if (!endpoint) {
+    LogListenFailure("gossip", address, "malformed address");
     return false;
+  }
   const udp::endpoint local(asio::ip::make_address(endpoint->host),
                             endpoint->port);
   boost::system::error_code error;
   socket_.open(local.protocol(), error);
   if (!error)
     socket_.bind(local, error);
-  if (error)
+  if (error) {
+    LogListenFailure("gossip", address, error.message());
     return false;
+  }
   socket_.non_blocking(true, error);
   Spawn(io_, "gossip",
         [this](asio::yield_context yield) { ReceiveDatagrams(yield); });
--- a/src/edges/http_server.cc
+++ b/src/edges/http_server.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include "src/edges/listen_log.h"
 #include "src/kernel/log.h"
 
 namespace cactusward {
@@ -245,8 +246,10 @@
 
 bool http_server::Listen(const std::string& address) {
   const auto endpoint = ParseTcpEndpoint(address);
-  if (!endpoint)
+  if (!endpoint) {
+    LogListenFailure("http", address, "malformed address");
     return false;
+  }
   boost::system::error_code error;
   acceptor_.open(endpoint->protocol(), error);
   if (!error)
@@ -255,8 +258,10 @@
     acceptor_.bind(*endpoint, error);
   if (!error)
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error)
+  if (error) {
+    LogListenFailure("http", address, error.message());
     return false;
+  }
   Spawn(io_, "accept",
         [this](asio::yield_context yield) { AcceptConnections(yield); });
   return true;
--- a/src/edges/peer_link.cc
+++ b/src/edges/peer_link.cc
@@ -7,6 +7,7 @@
 #include <websocketpp/server.hpp>
 
 #include "cactusward/hash.h"
+#include "src/edges/listen_log.h"
 #include "src/kernel/cbor.h"
 
 namespace cactusward {
@@ -73,13 +74,16 @@
 
   bool Listen(const std::string& address) {
     const auto endpoint = ParseTcpEndpoint(address);
-    if (!endpoint)
+    if (!endpoint) {
+      LogListenFailure("peer_link", address, "malformed address");
       return false;
+    }
     websocketpp::lib::error_code error;
     server_.listen(*endpoint, error);
+    if (!error)
+      server_.start_accept(error);
     if (error)
-      return false;
-    server_.start_accept(error);
+      LogListenFailure("peer_link", address, error.message());
     return !error;
   }
 
