Test fakes: processes never share a block of ports

KNOWN-RED.txt, "leaving upstreams get no requests while configurations change": catalog_age_test.cc:88, an instance could not bind an address.

Cause: platform_standin gave the fakes that it wraps an address of their own, so each stand-in process reserved one of the ten blocks of FreeAddress. A soak has seven, and three soaks ran when the test failed. A process that finds all blocks taken used the first one without a reservation; runners that the soak restarts bind its ports, among them those that the test has found free and binds 0.4 s later.

Ruled out: ports of outgoing connections (32768 and above), of the scenarios (10000 and above).

The stand-ins' fakes no longer listen, a process waits while all blocks are taken, and FreeAddress tests the port for UDP too.

--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -1,6 +1,7 @@
 #include "tests/support/platform_fakes.h"
 
 #include <algorithm>
+#include <thread>
 
 #include "src/edges/json.h"
 #include "src/kernel/base64.h"
@@ -17,6 +18,7 @@
 constexpr int kFirstPort = 5'000;
 constexpr int kPortBlocks = 10;
 constexpr int kPortsPerBlock = 500;
+constexpr milliseconds kBlockPollPeriod{100};
 constexpr std::string_view kPromptPrefix = "X-Prompt-Prefix";
 constexpr std::int64_t kRunnerCapacityTokens = 315'000;
 
@@ -41,17 +43,30 @@
   return !error;
 }
 
+// @return whether gossip could use `address`.
+bool CanBindUdp(const std::string& address) {
+  const auto endpoint = ParseTcpEndpoint(address);
+  asio::io_context io;
+  udp::socket socket(io, udp::v4());
+  boost::system::error_code error;
+  socket.bind({endpoint->address(), endpoint->port()}, error);
+  return !error;
+}
+
 // Reserves a block of ports for this process: the first one is bound, at
-// another loopback address, for as long as the process runs.
+// another loopback address, for as long as the process runs. Waits for a block
+// while other processes have all of them.
 int ReservePortBlock() {
   static asio::io_context io;
   static tcp::acceptor reservation(io);
-  for (int block = 0; block < kPortBlocks; ++block) {
-    const int first = kFirstPort + block * kPortsPerBlock;
-    if (TryBind(reservation, "127.0.0.2:" + std::to_string(first)))
-      return first;
+  while (true) {
+    for (int block = 0; block < kPortBlocks; ++block) {
+      const int first = kFirstPort + block * kPortsPerBlock;
+      if (TryBind(reservation, "127.0.0.2:" + std::to_string(first)))
+        return first;
+    }
+    std::this_thread::sleep_for(kBlockPollPeriod);
   }
-  return kFirstPort;
 }
 
 }  // namespace
@@ -64,7 +79,7 @@
     const std::string address =
         "127.0.0.1:" + std::to_string(first + next++ % kPortsPerBlock);
     tcp::acceptor acceptor(io);
-    if (TryBind(acceptor, address))
+    if (TryBind(acceptor, address) && CanBindUdp(address))
       return address;
   }
   return {};
@@ -92,7 +107,7 @@
 
 store_fake::store_fake(asio::io_context& io, std::string address)
     : io_(io), address_(std::move(address)), server_(io, this, Limits()) {
-  if (!server_.Listen(address_))
+  if (!address_.empty() && !server_.Listen(address_))
     address_.clear();
 }
 
@@ -204,7 +219,7 @@
       id_(std::move(id)),
       address_(std::move(address)),
       server_(io, this, Limits()) {
-  if (!server_.Listen(address_))
+  if (!address_.empty() && !server_.Listen(address_))
     address_.clear();
 }
 
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -15,14 +15,14 @@
 
 namespace cactusward::testing {
 
-// Returns a loopback address that is free now; ports are tried in order, in a
-// block that other processes which call this do not use.
+// Returns a loopback address that is free now, for TCP and UDP; ports are tried
+// in order, in a block that other processes which call this do not use.
 std::string FreeAddress();
 
 // The key-value store: items with revisions, and watches.
 class store_fake : public http_handler {
  public:
-  // Listens on `address`.
+  // Listens on `address`, unless it is empty.
   explicit store_fake(asio::io_context& io,
                       std::string address = FreeAddress());
   const std::string& address() const { return address_; }
@@ -115,7 +115,7 @@
 // A runner that counts the requests it executed.
 class runner_fake : public http_handler {
  public:
-  // Listens on `address`.
+  // Listens on `address`, unless it is empty.
   runner_fake(asio::io_context& io,
               std::string id,
               std::string address = FreeAddress());
--- a/tests/support/platform_standin.cc
+++ b/tests/support/platform_standin.cc
@@ -38,6 +38,8 @@
 namespace cactusward::testing {
 namespace {
 
+// The fakes' requests arrive through the processes' own servers.
+constexpr const char* kNoAddress = "";
 constexpr int kExitUsage = 2;
 constexpr int kExitCannotListen = 4;
 constexpr int kExitCrashed = 86;
@@ -45,7 +47,7 @@
 class store_process : public http_handler {
  public:
   store_process(asio::io_context& io, const std::string& address)
-      : io_(io), store_(io), server_(io, this, {}) {
+      : io_(io), store_(io, kNoAddress), server_(io, this, {}) {
     listens_ = server_.Listen(address);
   }
   bool listens() const { return listens_; }
@@ -91,7 +93,7 @@
 class runner_process : public http_handler {
  public:
   runner_process(asio::io_context& io, const std::string& address)
-      : runner_(io, absl::GetFlag(FLAGS_id)),
+      : runner_(io, absl::GetFlag(FLAGS_id), kNoAddress),
         server_(io, this, {}),
         record_(absl::GetFlag(FLAGS_record), std::ios::app) {
     runner_.SetEventPause(milliseconds(absl::GetFlag(FLAGS_event_pause_ms)));
