--- a/tests/support/platform_standin.cc
+++ b/tests/support/platform_standin.cc
@@ -5,12 +5,14 @@
 //
 // A runner appends the id of each request, and its time, to the record file
 // before executing it, so that the record survives a crash of the process; the
-// limits that it names are recorded in lines that begin with "#". It ends with
+// limits that it names are recorded in lines that begin with "#", the requests
+// that it refuses with Retry-After in lines "!ID;SECONDS TIME". It ends with
 // status 86 when it would begin to respond to a prompt with one of
 // --crashing_parts. POST /control:
 //   store:  {"put": {key: value}, "remove": [key], "down": bool, "mute": bool,
-//            "slow_ms": n, "compact": true}
-//   runner: {"fault": name, "requests": n} or {"limit": requests a second}
+//            "slow_ms": n, "compact": true, "backup": true, "restore": true}
+//   runner: {"fault": name, "requests": n} or some of {"limit": requests a
+//            second, "leaving": bool, "retry_after": seconds}
 // GET /held of a runner returns the KV tokens of its reservations.
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -78,6 +80,10 @@
       store_.SetWatchEventsSuppressed(body->value("mute", false));
     if (body->value("compact", false))
       store_.Compact();
+    if (body->value("backup", false))
+      store_.Backup();
+    if (body->value("restore", false))
+      store_.Restore();
     response_delay_ =
         milliseconds(body->value("slow_ms", response_delay_.count()));
     exchange.RespondJson({{"ok", true}}, yield);
@@ -99,8 +105,7 @@
     runner_.SetEventPause(milliseconds(absl::GetFlag(FLAGS_event_pause_ms)));
     runner_.SetRunTime(milliseconds(absl::GetFlag(FLAGS_run_time_ms)));
     runner_.OnRun([this](const http_request& request) {
-      record_ << request["X-Attempt-Id"] << ' ' << NowMs() << '\n'
-              << std::flush;
+      Record(std::string(request["X-Attempt-Id"]));
     });
     runner_.CrashOnParts(absl::GetFlag(FLAGS_crashing_parts), milliseconds(0));
     runner_.OnCrash([] { std::_Exit(kExitCrashed); });
@@ -112,10 +117,13 @@
   void Handle(http_exchange& exchange, asio::yield_context yield) override {
     if (exchange.Path() == "/held") {
       exchange.RespondJson({{"tokens", runner_.ReservedTokens()}}, yield);
-    } else if (exchange.Path() != "/control") {
-      runner_.Handle(exchange, yield);
-    } else {
+    } else if (exchange.Path() == "/control") {
       HandleControl(exchange, yield);
+    } else {
+      if (!retry_after_.empty() && exchange.Path() != "/order")
+        Record("!" + std::string(exchange.Header("X-Attempt-Id")) + ";" +
+               retry_after_);
+      runner_.Handle(exchange, yield);
     }
   }
 
@@ -126,34 +134,46 @@
         .count();
   }
 
+  void Record(const std::string& what) {
+    record_ << what << ' ' << NowMs() << '\n' << std::flush;
+  }
+
   void RecordLimit(const std::string& limit) {
-    record_ << "#" << (limit.empty() ? "none" : limit) << ' ' << NowMs() << '\n'
-            << std::flush;
+    Record("#" + (limit.empty() ? "none" : limit));
   }
 
   void HandleControl(http_exchange& exchange, asio::yield_context yield) {
     const auto body = ParseJson(exchange.request().body());
-    if (body && body->is_object() && body->contains("limit")) {
+    if (!body || !body->is_object()) {
+      exchange.RespondError(error_kind::kBadRequest, {}, yield);
+      return;
+    }
+    if (body->contains("limit")) {
       const std::string limit = body->value("limit", "");
       runner_.SetRequestLimit(limit);
       RecordLimit(limit);
-      exchange.RespondJson({{"ok", true}}, yield);
-      return;
     }
-    const auto fault = body && body->is_object()
-                           ? ParseRunnerFault(body->value("fault", ""))
-                           : std::nullopt;
-    if (!fault) {
-      exchange.RespondError(error_kind::kBadRequest, {}, yield);
-      return;
+    if (body->contains("leaving"))
+      runner_.SetLeaving(body->value("leaving", false));
+    if (body->contains("retry_after")) {
+      retry_after_ = body->value("retry_after", "");
+      runner_.SetRetryAfter(retry_after_);
+    }
+    if (body->contains("fault")) {
+      const auto fault = ParseRunnerFault(body->value("fault", ""));
+      if (!fault) {
+        exchange.RespondError(error_kind::kBadRequest, {}, yield);
+        return;
+      }
+      runner_.SetFault(*fault, body->value("requests", 1));
     }
-    runner_.SetFault(*fault, body->value("requests", 1));
     exchange.RespondJson({{"ok", true}}, yield);
   }
 
   runner_fake runner_;
   http_server server_;
   std::ofstream record_;
+  std::string retry_after_;  // as set in the fake
   bool listens_ = false;
 };
 
