Scenarios: a killed process ends before its successor starts

Cause: the scenario sent SIGKILL and started the successors at once. Under load the killed process still had its port, the successor could not bind it and ended, and so one instance was missing for the rest of the run: no fault of the daemon, and no bound of the scenario.

Restarts now wait until the killed process has been reaped, also in the soak.

--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -165,7 +165,17 @@
   return instance
 end
 
+-- Waits until the process `pid`, which was killed or stops, has ended and its
+-- ports are free.
+local kMaxEndMs = 10000
+function fleet.wait_for_end(pid)
+  check(fleet.wait(kMaxEndMs, function() return exited(pid) end),
+        "a killed process ends")
+end
+
+-- Starts a process that was killed or has ended again.
 function fleet_class:restart(instance)
+  fleet.wait_for_end(instance.pid)
   instance.pid = start(instance.name,
                        { "cactuswardd", "--settings=" .. instance.settings })
 end
--- a/tests/scenarios/platform_fleet.lua
+++ b/tests/scenarios/platform_fleet.lua
@@ -103,7 +103,9 @@
   instance.arguments = { "cactuswardd", "--settings=" .. instance.settings }
 end
 
+-- Starts `process`; one that was killed must end first.
 function class:start(process)
+  if process.pid then base.wait_for_end(process.pid) end
   process.pid = start(process.id, process.arguments)
   process.paused = false
 end
