Scenarios: runs never share a range of ports

A run now reserves its range, by ports bound at 127.0.0.2, and passes over ranges that are reserved.

--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -6,10 +6,22 @@
 fleet.peer_secret = "peer-secret-for-tests"
 
 -- The seed selects the port range, so that processes left over from another run
--- do not collide.
-local kFirstPort, kLastPort = 10000, 32000
+-- do not collide. A range that another run has reserved is passed over.
+local kFirstPort, kLastPort, kReservedPorts = 10000, 32000, 500
 local ports = tonumber((options or ""):match("ports=(%d+)") or 500)
-local next_port = kFirstPort + seed % ((kLastPort - kFirstPort) // ports) * ports
+local function reserve_ports()
+  local ranges = (kLastPort - kFirstPort) // ports
+  for n = 0, ranges - 1 do
+    local first = kFirstPort + (seed + n) % ranges * ports
+    local reserved = true
+    for port = first - first % kReservedPorts, first + ports - 1, kReservedPorts do
+      reserved = reserved and reserve_port(port)
+    end
+    if reserved then return first end
+  end
+  error("all port ranges are in use")
+end
+local next_port = reserve_ports()
 function fleet.address()
   next_port = next_port + 1
   return "127.0.0.1:" .. next_port
--- a/tests/support/scenario_runner.cc
+++ b/tests/support/scenario_runner.cc
@@ -50,6 +50,7 @@
 using nlohmann::json;
 
 constexpr milliseconds kPollInterval{20};
+constexpr const char* kReservationAddress = "127.0.0.2";
 
 struct scenario_state {
   asio::io_context io;
@@ -57,6 +58,7 @@
   process_table processes;
   std::vector<std::shared_ptr<scenario_call>> calls;
   std::vector<std::unique_ptr<fault_proxy>> proxies;
+  std::vector<std::unique_ptr<tcp::acceptor>> reserved_ports;
   std::string scenario;
   int checks = 0;
   int failures = 0;
@@ -157,6 +159,24 @@
   return 1;
 }
 
+// Binds a port at another loopback address, for as long as the run lasts, to
+// reserve the ports that it stands for.
+int LuaReservePort(lua_State* lua) {
+  scenario_state& state = GetState(lua);
+  auto reservation = std::make_unique<tcp::acceptor>(state.io);
+  boost::system::error_code error;
+  reservation->open(tcp::v4(), error);
+  if (!error) {
+    reservation->bind({asio::ip::make_address(kReservationAddress),
+                       static_cast<std::uint16_t>(luaL_checkinteger(lua, 1))},
+                      error);
+  }
+  if (!error)
+    state.reserved_ports.push_back(std::move(reservation));
+  lua_pushboolean(lua, error ? 0 : 1);
+  return 1;
+}
+
 int LuaCut(lua_State* lua) {
   GetState(lua)
       .proxies.at(static_cast<std::size_t>(luaL_checkinteger(lua, 1)))
@@ -306,6 +326,7 @@
                                 {"done", LuaDone},
                                 {"call", LuaCall},
                                 {"relay", LuaRelay},
+                                {"reserve_port", LuaReservePort},
                                 {"cut", LuaCut},
                                 {"fault", LuaFault},
                                 {"reset", LuaReset},
