Soak: silent sound runners, and streams through a paused instance

Runners stand still for 0.8 to 1.8 s, as processes or in the middle of a response, and this is no fault that excuses anything: a request that only sound runners ran must be answered, and its stream must not be cut, unless it has used its time. The same holds for streams through an instance that was paused itself.

--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -14,6 +14,8 @@
 local kMaxLeavingMs = strict and 2000 or 5000     -- the users' drain_ms
 local kStableMs = 3000                            -- the users' stable_window_ms
 local kLimitWindowMs = strict and 3000 or 8000
+-- The routes' time-out, less what an instance may need to keep to it.
+local kRouteTimeMs = 2700
 math.randomseed(seed)
 local instances = option("instances", 4)
 local kCrashingPart, kCrashedCode = "dead", 86
@@ -33,6 +35,7 @@
 
 local faults = require("soak_faults")(f)
 local pick_random, in_fault_span = faults.pick_random, faults.in_fault_span
+local kPause = { pause = true }
 
 local function watch_processes()
   for _, i in ipairs(f.instances) do
@@ -102,6 +105,7 @@
   entry.status = a.status
   entry.headers = a.headers or {}
   entry.ended_at = entry.at + a.took_ms
+  entry.verified_at = now()
   if a.status then i.responded_pid = entry.pid end
   local limit = entry.headers["Server-Limit"]
   local sender = (entry.headers["X-Response-Seal"] or ""):gsub("^seal%-", "")
@@ -123,6 +127,7 @@
   -- find that the process has ended.
   local stop = faults.stopped[entry.pid]
   local after_stop = stop and stop <= entry.at
+  entry.fault_explains = fault_explains or after_stop or entry.short_timeout
   if entry.short_timeout then return end
   if a.took_ms > kMaxResponseMs and not fault_explains then
     fail(where .. " took " .. math.floor(a.took_ms) .. " ms")
@@ -136,10 +141,13 @@
   elseif a.status == 200 then
     local streamed = entry.path == "stream" or entry.path == "fixed"
     local cut = a.error ~= nil
+    -- An instance that stood still does not end the streams of sound upstreams.
+    local cut_allowed = in_fault_span(i, entry.at, nil, kPause) or
+        faults.killed[entry.pid] or entry.down
     if cut and streamed and full_stream:sub(1, #a.body) ~= a.body then
       fail(where .. " was cut and got a wrong body of " .. #a.body .. " bytes")
     end
-    if cut and not fault_explains then
+    if cut and not cut_allowed then
       entry.cut_at = now()  -- checked at the end against the runners that ran it
     elseif not cut and (streamed and a.body ~= full_stream or
                         not streamed and not a.body:find("^answer of ")) then
@@ -356,9 +364,26 @@
     if count > 0 then fail(entry.id .. " was said not to have run, but it had") end
   end
   local where = entry.path .. " " .. entry.id .. " at " .. entry.instance.id
-  if entry.cut_at and not runner_in_fault_span(entry, entry.cut_at) then
+  -- Time that a runner was silent, or the instance paused, may use up a
+  -- request's time.
+  local delayed = in_fault_span(entry.instance, entry.at, entry.ended_at)
+  for _, r in ipairs(ran_at[entry.id] or {}) do
+    delayed = delayed or faults.in_silent_span(r, entry.at, entry.ended_at or now())
+  end
+  local used_time = delayed and entry.ended_at and entry.ended_at - entry.at > kRouteTimeMs
+  if entry.cut_at and not used_time and
+      not runner_in_fault_span(entry, entry.cut_at) then
     fail(where .. " was cut without a fault at its runners")
   end
+  -- A request that only sound runners ran, at a sound instance, is answered.
+  if count > 0 and entry.verified_at and entry.status ~= 200 and
+      entry.ended_at - entry.at <= kRouteTimeMs and not entry.fault_explains and
+      not entry.crashing and
+      not in_fault_span(entry.instance, entry.at - kStableMs, entry.verified_at) and
+      not runner_in_fault_span(entry, entry.verified_at) then
+    fail(string.format("%s ran at sound runners and ended with %s after %.0f ms", where,
+                       tostring(entry.status), entry.ended_at - entry.at))
+  end
   if entry.no_response_in_stop and count > 0 then
     fail(where .. " ran, and a planned stop lost its answer")
   end
--- a/tests/scenarios/soak_checks.lua
+++ b/tests/scenarios/soak_checks.lua
@@ -51,7 +51,8 @@
     end
     if count > kMaxAfterRefusal and not faults.ended(r, refusal.at, to) and
         not faults.in_fault_span(refused.instance, refusal.at, to, kNoDelay) and
-        not faults.in_fault_span(r, refusal.at, to, kNoDelay) then
+        not faults.in_fault_span(r, refusal.at, to, kNoDelay) and
+        not faults.in_silent_span(r, refusal.at, to) then
       run.fail(string.format("%s refused a request of %s for %.0f ms and got %d in that time",
                              r.id, refused.instance.id, refusal.retry_after_ms, count))
       break
--- a/tests/scenarios/soak_faults.lua
+++ b/tests/scenarios/soak_faults.lua
@@ -39,6 +39,19 @@
   return false
 end
 
+-- Times at which a target stood still although it is sound: {from, to}.
+local silent_spans = setmetatable({}, { __mode = "k" })
+local function mark_silent_span(target, ms)
+  silent_spans[target] = silent_spans[target] or {}
+  table.insert(silent_spans[target], { now(), now() + ms })
+end
+function faults.in_silent_span(target, from, to)
+  for _, span in ipairs(silent_spans[target] or {}) do
+    if span[1] <= to and span[2] >= from then return true end
+  end
+  return false
+end
+
 local scheduled = {}  -- faults in force: {at, action}
 local function schedule(ms, action) scheduled[#scheduled + 1] = { now() + ms, action } end
 
@@ -56,6 +69,21 @@
   end)
 end
 
+-- A sound runner stands still for a moment.
+local function silence(runner)
+  if runner.paused or runner.down then return end
+  local ms = math.random(800, 1800)
+  signal(runner.pid, "STOP")
+  runner.paused = true
+  mark_silent_span(runner, ms + 500)
+  local pid = runner.pid
+  schedule(ms, function()
+    signal(pid, "CONT")
+    if runner.pid == pid then runner.paused = false end
+    mark_silent_span(runner, 500)
+  end)
+end
+
 function faults.restart_later(process, ms)
   process.down = true
   process.ended_at = process.ended_at or {}
@@ -232,6 +260,18 @@
       inject_runner_fault(r, r == breaking and "breaks_midway" or "fails_continuation")
     end
   end,
+  silent_runner = function()
+    local r = pick_random(f.runners)
+    silence(r)
+    return r.id
+  end,
+  -- Requests at which a sound runner is silent in the middle.
+  runner_pauses = function()
+    local r = pick_random(f.runners)
+    control(r, { fault = "pauses", requests = math.random(8) })
+    mark_silent_span(r, math.huge)
+    return r.id
+  end,
   -- A runner that refuses all requests, and says for how long.
   retry_after = function()
     local r, seconds = pick_random(f.runners), pick_random{ "0.8", "1.5", "3" }
@@ -310,9 +350,11 @@
     call{ method = "POST", address = r.address, path = "/control",
           timeout_ms = 5000, body = to_json{ fault = "none", requests = 0,
                                              retry_after = "" } }
-    for _, span in ipairs(fault_spans[r] or {}) do
-      -- Requests that met the fault may still be running.
-      span[2] = math.min(span[2], now() + 3000)
+    for _, spans in ipairs{ fault_spans[r] or {}, silent_spans[r] or {} } do
+      for _, span in ipairs(spans) do
+        -- Requests that met the fault may still be running.
+        span[2] = math.min(span[2], now() + 3000)
+      end
     end
   end
 end
@@ -324,7 +366,7 @@
   faults.names[#faults.names + 1] = "crashing_part"
   faults.names[#faults.names + 1] = "request_limit"
 end
-for _, name in ipairs{ "retry_after", "retry_after" } do
+for _, name in ipairs{ "retry_after", "retry_after", "runner_pauses", "silent_runner" } do
   faults.names[#faults.names + 1] = name
 end
 table.sort(faults.names)
