Soak: a store that comes back from a copy some seconds old

The store returns to a copy that is 1 to 9 s old, directly or after an outage of up to 2 s; operator and runners write again what was lost within 2 s. A version in force must not go back, an acknowledged version must be in force in the users' time, counted from when it was written again, and upstreams whose announcement the store has forgotten get no new requests.

--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -14,6 +14,7 @@
 local kMaxLeavingMs = strict and 2000 or 5000     -- the users' drain_ms
 local kStableMs = 3000                            -- the users' stable_window_ms
 local kLimitWindowMs = strict and 3000 or 8000
+local kMaxApplyMs = strict and 3000 or 10000      -- the users' config_apply_ms
 -- The routes' time-out, less what an instance may need to keep to it.
 local kRouteTimeMs = 2700
 math.randomseed(seed)
@@ -35,7 +36,7 @@
 
 local faults = require("soak_faults")(f)
 local pick_random, in_fault_span = faults.pick_random, faults.in_fault_span
-local kPause = { pause = true }
+local kPause, kRestore = { pause = true }, { restore = true }
 
 local function watch_processes()
   for _, i in ipairs(f.instances) do
@@ -175,7 +176,7 @@
 end
 
 -- Probes find out which configuration version is in force at an instance.
-local probes = {}
+local probes, late_versions = {}, {}
 local function probe(instance)
   local p = { id = "probe" .. #probes + 1, instance = instance, version = faults.version,
               pid = instance.pid, at = now() }
@@ -195,6 +196,17 @@
       i.in_force.version >= p.version and i.in_force.since < p.at then
     fail(i.id .. " went back from version " .. i.in_force.version)
   end
+  local acknowledged = faults.acknowledged[p.version]
+  if status == 404 and acknowledged and p.at > acknowledged + kMaxApplyMs and
+      faults.version - p.version < fleet.kKeptRoutes and
+      not in_fault_span(i, p.at - kStableMs) and
+      not in_fault_span(f.store, p.at - kStableMs) and i.responded_pid == p.pid then
+    local what = i.id .. " does not know version " .. p.version
+    if not late_versions[what] then
+      fail(string.format("%s %.0f ms after its acknowledgement", what, p.at - acknowledged))
+    end
+    late_versions[what] = true
+  end
 end
 
 local open, open_probes = {}, {}
@@ -348,6 +360,17 @@
   end
 end
 
+-- When instances must have taken notice of an announcement in the store: the
+-- store may have lost it before they had to.
+local function known_from(span)
+  for _, at in ipairs(faults.restores) do
+    if at >= span.from and at < span.from + kMaxLeavingMs then
+      return math.max(at, span.again or math.huge)
+    end
+  end
+  return span.from
+end
+
 for _, p in ipairs(probes) do by_id[p.id] = p end
 require("soak_checks"){ runners = f.runners, sent = sent, by_id = by_id, ran_at = ran_at,
                         answers_of_leaving = answers_of_leaving, faults = faults,
@@ -390,10 +413,10 @@
   local stable_from = entry.at - kStableMs
   local ended_at = entry.ended_at or now()
   if not in_fault_span(entry.instance, stable_from, ended_at) and
-      not in_fault_span(f.store, stable_from, ended_at) then
+      not in_fault_span(f.store, stable_from, ended_at, kRestore) then
     for _, r in ipairs(ran_at[entry.id] or {}) do
       for _, span in ipairs(r.leave_spans or {}) do
-        if entry.at > span.from + kMaxLeavingMs and ended_at < (span.to or 0) then
+        if entry.at > known_from(span) + kMaxLeavingMs and ended_at < (span.to or 0) then
           fail(string.format("%s ran at %s %.0f ms after it had announced that it leaves",
                              where, r.id, entry.at - span.from))
         end
--- a/tests/scenarios/soak_faults.lua
+++ b/tests/scenarios/soak_faults.lua
@@ -4,7 +4,9 @@
 -- Precondition: `f` is a fleet of platform_fleet.lua.
 return function(f)
 local faults = { pick_random = pick_random, version = 1, killed = {}, stopped = {},
-                 crashes = {} }
+                 crashes = {},
+                 acknowledged = { [1] = now() },  -- versions that the store has
+                 restores = {} }                  -- times
 
 -- Times at which failures of a target are expected: {from, to, kind}.
 local fault_spans = setmetatable({}, { __mode = "k" })
@@ -165,6 +167,7 @@
   runner.leave_spans = runner.leave_spans or {}
   mark_fault_span(runner, ms + 3000, "leave")
   local span = {}
+  runner.leave_span = span
   if how ~= "store" then control(runner, { leaving = true }) end
   if how ~= "responses" then
     enqueue_for_store(function()
@@ -176,7 +179,7 @@
   schedule(ms, function()
     enqueue_for_store(function()
       span.to = now()
-      runner.leaving = nil
+      runner.leaving, runner.leave_span = nil, nil
       runner.born = runner.born + 1
       f:register_runner(runner)
       faults.kill(runner)
@@ -184,10 +187,15 @@
   end)
 end
 
+local function put_config()
+  local version = faults.version
+  if f:put_config(version).status == 200 then faults.acknowledged[version] = now() end
+end
+
 local function change_config()
   enqueue_for_store(function()
     faults.version = faults.version + 1
-    f:put_config(faults.version)
+    put_config()
   end)
 end
 
@@ -213,6 +221,51 @@
   odd_entry{ state = "unknown" }, "not JSON {", "", "null", "7", "[]", '"\\ud800"',
 }
 
+-- The store comes back from a copy some seconds old. Operator and runners then
+-- write again what was lost.
+local function write_again()
+  schedule(math.random(100, 1500), function() enqueue_for_store(put_config) end)
+  for _, r in ipairs(f.runners) do
+    schedule(math.random(100, 2000), function()
+      enqueue_for_store(function()
+        if f:register_runner(r).status == 200 and r.leave_span then
+          r.leave_span.again = now()
+        end
+      end)
+    end)
+  end
+  for key in pairs(odd_entries) do
+    schedule(math.random(100, 2000), function()
+      enqueue_for_store(function()
+        if not odd_entries[key] then f:store_control{ remove = { key, __array = true } } end
+      end)
+    end)
+  end
+end
+local function restore_store()
+  if faults.restoring then return end
+  faults.restoring = true
+  local age_ms, down_ms = math.random(1000, 9000), pick_random{ 0, math.random(200, 2000) }
+  enqueue_for_store(function() f:store_control{ backup = true } end)
+  schedule(age_ms, function()
+    mark_fault_span(f.store, down_ms + 500, "restore")
+    if down_ms > 0 then
+      enqueue_for_store(function() f:store_control{ down = true } end)
+    end
+    schedule(down_ms, function()
+      enqueue_for_store(function()
+        mark_fault_span(f.store, 500, "restore")
+        f:store_control{ restore = true, down = false }
+        table.insert(faults.restores, now())
+        faults.acknowledged = {}
+        faults.restoring = false
+        write_again()
+      end)
+    end)
+  end)
+  return string.format("copy of %d ms, down for %d ms", age_ms, down_ms)
+end
+
 local kRunnerFaults = { "refuses", "wrong_instance", "breaks_at_start",
   "breaks_midway", "unsigned", "crossed", "fails", "silent", "repeats_refusal",
   "fails_continuation" }
@@ -299,6 +352,7 @@
     end)
     return key .. " " .. value:sub(1, 100)
   end,
+  restore_store = restore_store,
   network_of_runner = function()
     local r = pick_random(f.runners)
     return inject_network_fault(r.relay, r) .. " at " .. r.id
@@ -366,7 +420,7 @@
   faults.names[#faults.names + 1] = "crashing_part"
   faults.names[#faults.names + 1] = "request_limit"
 end
-for _, name in ipairs{ "retry_after", "retry_after", "runner_pauses", "silent_runner" } do
+for _, name in ipairs{ "restore_store", "retry_after", "retry_after", "runner_pauses", "silent_runner" } do
   faults.names[#faults.names + 1] = name
 end
 table.sort(faults.names)
