Soak: options to trace a failure; every 429 and 503 is a promise

"only=NAME,..." and "runner_fault=NAME" restrict the faults that are drawn. A status that promises that a request was not run now counts on all routes: an instance sends it only if no byte was sent or every upstream refused (DESIGN.md).

--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -2,7 +2,8 @@
 -- what callers receive and what runners recorded.
 -- options: "seconds=N" length (default 40), "instances=N" (4),
 --   "strict" applies the users' time limits; without it the limits are wider,
---   since the machine may be busy with other work.
+--   since the machine may be busy with other work. To trace a failure:
+--   "only=NAME,..." these faults, "runner_fault=NAME" this fault of runners.
 local fleet = require("platform_fleet")
 local function option(name, default)
   return tonumber(options:match(name .. "=(%d+)") or default)
@@ -120,8 +121,7 @@
   end
   local error_body = type(a.json) == "table" and a.json.error
   local promise = a.status == 429 or a.status == 503 or a.status == 421 or a.status == 408
-  entry.not_run = type(error_body) == "table" and error_body.was_run == "no" or
-      promise and (entry.path == "once" or entry.path == "fixed")
+  entry.not_run = promise or type(error_body) == "table" and error_body.was_run == "no"
   local where = entry.path .. " " .. entry.id .. " at " .. i.id
   local fault_explains = in_fault_span(i, entry.at) or faults.killed[entry.pid] or entry.down
   -- Requests sent before a graceful shutdown must be answered; later ones may
--- a/tests/scenarios/soak_faults.lua
+++ b/tests/scenarios/soak_faults.lua
@@ -266,7 +266,8 @@
   return string.format("copy of %d ms, down for %d ms", age_ms, down_ms)
 end
 
-local kRunnerFaults = { "refuses", "wrong_instance", "breaks_at_start",
+local kRunnerFaults = options:match("runner_fault=([%w_]+)") and
+    { options:match("runner_fault=([%w_]+)") } or { "refuses", "wrong_instance", "breaks_at_start",
   "breaks_midway", "unsigned", "crossed", "fails", "silent", "repeats_refusal",
   "fails_continuation" }
 local function inject_runner_fault(runner, name)
@@ -423,6 +424,12 @@
 for _, name in ipairs{ "restore_store", "retry_after", "retry_after", "runner_pauses", "silent_runner" } do
   faults.names[#faults.names + 1] = name
 end
+-- To trace a failure, only some faults.
+local only = options:match("only=([%w_,]+)")
+if only then
+  faults.names = {}
+  for name in only:gmatch("[%w_]+") do faults.names[#faults.names + 1] = name end
+end
 table.sort(faults.names)
 
 -- Runs the actions that are due. @return whether no fault is in force.
