--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -6,10 +6,22 @@
 fleet.peer_secret = "peer-secret-for-tests"
 
 -- The seed selects the port range, so that processes left over from another run
--- do not collide.
-local kFirstPort, kLastPort = 10000, 32000
+-- do not collide. A range that another run has reserved is passed over.
+local kFirstPort, kLastPort, kReservedPorts = 10000, 32000, 500
 local ports = tonumber((options or ""):match("ports=(%d+)") or 500)
-local next_port = kFirstPort + seed % ((kLastPort - kFirstPort) // ports) * ports
+local function reserve_ports()
+  local ranges = (kLastPort - kFirstPort) // ports
+  for n = 0, ranges - 1 do
+    local first = kFirstPort + (seed + n) % ranges * ports
+    local reserved = true
+    for port = first - first % kReservedPorts, first + ports - 1, kReservedPorts do
+      reserved = reserved and reserve_port(port)
+    end
+    if reserved then return first end
+  end
+  error("all port ranges are in use")
+end
+local next_port = reserve_ports()
 function fleet.address()
   next_port = next_port + 1
   return "127.0.0.1:" .. next_port
@@ -165,7 +177,17 @@
   return instance
 end
 
+-- Waits until the process `pid`, which was killed or stops, has ended and its
+-- ports are free.
+local kMaxEndMs = 10000
+function fleet.wait_for_end(pid)
+  check(fleet.wait(kMaxEndMs, function() return exited(pid) end),
+        "a killed process ends")
+end
+
+-- Starts a process that was killed or has ended again.
 function fleet_class:restart(instance)
+  fleet.wait_for_end(instance.pid)
   instance.pid = start(instance.name,
                        { "cactuswardd", "--settings=" .. instance.settings })
 end
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -1,19 +1,23 @@
 -- Random overlapping faults under a steady load. The guarantees are checked against
 -- what callers receive and what runners recorded.
--- options: "seconds=N" length (default 20), "instances=N" (4),
+-- options: "seconds=N" length (default 40), "instances=N" (4),
 --   "strict" applies the users' time limits; without it the limits are wider,
---   since the machine may be busy with other work.
+--   since the machine may be busy with other work. To trace a failure:
+--   "only=NAME,..." these faults, "runner_fault=NAME" this fault of runners.
 local fleet = require("platform_fleet")
 local function option(name, default)
   return tonumber(options:match(name .. "=(%d+)") or default)
 end
-local seconds, strict = option("seconds", 20), options:find("strict") ~= nil
+local seconds, strict = option("seconds", 40), options:find("strict") ~= nil
 local kMaxResponseMs = strict and 4500 or 20000   -- route's 3 s and one look for faults
 local kMaxRecoveryMs = strict and 15000 or 60000  -- the users' recovery_s
 local kMaxDrainMs = strict and 10000 or 40000     -- drain_limit_ms and one probe
 local kMaxLeavingMs = strict and 2000 or 5000     -- the users' drain_ms
 local kStableMs = 3000                            -- the users' stable_window_ms
 local kLimitWindowMs = strict and 3000 or 8000
+local kMaxApplyMs = strict and 3000 or 10000      -- the users' config_apply_ms
+-- The routes' time-out, less what an instance may need to keep to it.
+local kRouteTimeMs = 2700
 math.randomseed(seed)
 local instances = option("instances", 4)
 local kCrashingPart, kCrashedCode = "dead", 86
@@ -33,6 +37,7 @@
 
 local faults = require("soak_faults")(f)
 local pick_random, in_fault_span = faults.pick_random, faults.in_fault_span
+local kPause, kRestore = { pause = true }, { restore = true }
 
 local function watch_processes()
   for _, i in ipairs(f.instances) do
@@ -94,28 +99,36 @@
 local full_stream = ""
 for i = 1, 5 do full_stream = full_stream .. "id: " .. i .. "\ndata: " .. i .. "\n\n" end
 
-local answers_with_limit = {}  -- {runner, limit, at}
+local answers_with_limit = {}   -- {runner, limit, at}
+local answers_of_leaving = {}   -- {runner, instance, pid, at}
 local function verify_response(entry)
   local a = finish(entry.handle)
   local i = entry.instance
   entry.status = a.status
   entry.headers = a.headers or {}
   entry.ended_at = entry.at + a.took_ms
+  entry.verified_at = now()
   if a.status then i.responded_pid = entry.pid end
   local limit = entry.headers["Server-Limit"]
+  local sender = (entry.headers["X-Response-Seal"] or ""):gsub("^seal%-", "")
   if limit then
     answers_with_limit[#answers_with_limit + 1] = {
-      runner = (entry.headers["X-Response-Seal"] or ""):gsub("^seal%-", ""),
-      limit = tonumber(limit), at = entry.ended_at }
+      runner = sender, limit = tonumber(limit), at = entry.ended_at }
+  end
+  if entry.headers["Server-Leaving"] == "1" then
+    answers_of_leaving[#answers_of_leaving + 1] = {
+      runner = sender, instance = i, pid = entry.pid, at = entry.ended_at }
   end
   local error_body = type(a.json) == "table" and a.json.error
-  entry.not_run = type(error_body) == "table" and error_body.was_run == "no"
+  local promise = a.status == 429 or a.status == 503 or a.status == 421 or a.status == 408
+  entry.not_run = promise or type(error_body) == "table" and error_body.was_run == "no"
   local where = entry.path .. " " .. entry.id .. " at " .. i.id
   local fault_explains = in_fault_span(i, entry.at) or faults.killed[entry.pid] or entry.down
   -- Requests sent before a graceful shutdown must be answered; later ones may
   -- find that the process has ended.
   local stop = faults.stopped[entry.pid]
   local after_stop = stop and stop <= entry.at
+  entry.fault_explains = fault_explains or after_stop or entry.short_timeout
   if entry.short_timeout then return end
   if a.took_ms > kMaxResponseMs and not fault_explains then
     fail(where .. " took " .. math.floor(a.took_ms) .. " ms")
@@ -129,7 +142,13 @@
   elseif a.status == 200 then
     local streamed = entry.path == "stream" or entry.path == "fixed"
     local cut = a.error ~= nil
-    if cut and not fault_explains then
+    -- An instance that stood still does not end the streams of sound upstreams.
+    local cut_allowed = in_fault_span(i, entry.at, nil, kPause) or
+        faults.killed[entry.pid] or entry.down
+    if cut and streamed and full_stream:sub(1, #a.body) ~= a.body then
+      fail(where .. " was cut and got a wrong body of " .. #a.body .. " bytes")
+    end
+    if cut and not cut_allowed then
       entry.cut_at = now()  -- checked at the end against the runners that ran it
     elseif not cut and (streamed and a.body ~= full_stream or
                         not streamed and not a.body:find("^answer of ")) then
@@ -157,11 +176,11 @@
 end
 
 -- Probes find out which configuration version is in force at an instance.
-local probes = {}
+local probes, late_versions = {}, {}
 local function probe(instance)
-  local p = { instance = instance, version = faults.version, pid = instance.pid, at = now() }
-  p.handle = begin(fleet.request(instance.address, "/r" .. faults.version .. "/x",
-                                 "probe" .. #probes + 1))
+  local p = { id = "probe" .. #probes + 1, instance = instance, version = faults.version,
+              pid = instance.pid, at = now() }
+  p.handle = begin(fleet.request(instance.address, "/r" .. faults.version .. "/x", p.id))
   probes[#probes + 1] = p
 end
 local function verify_probe(p)
@@ -177,6 +196,17 @@
       i.in_force.version >= p.version and i.in_force.since < p.at then
     fail(i.id .. " went back from version " .. i.in_force.version)
   end
+  local acknowledged = faults.acknowledged[p.version]
+  if status == 404 and acknowledged and p.at > acknowledged + kMaxApplyMs and
+      faults.version - p.version < fleet.kKeptRoutes and
+      not in_fault_span(i, p.at - kStableMs) and
+      not in_fault_span(f.store, p.at - kStableMs) and i.responded_pid == p.pid then
+    local what = i.id .. " does not know version " .. p.version
+    if not late_versions[what] then
+      fail(string.format("%s %.0f ms after its acknowledgement", what, p.at - acknowledged))
+    end
+    late_versions[what] = true
+  end
 end
 
 local open, open_probes = {}, {}
@@ -226,7 +256,7 @@
 
 local started_at, count = now(), 0
 while now() - started_at < seconds * 1000 do
-  local fault_period_end = now() + math.random(2000, 5000)
+  local fault_period_end = now() + math.random(3000, 8000)
   while now() < fault_period_end do
     local name = pick_random(faults.names)
     log(name .. " " .. tostring(faults.kinds[name]() or ""))
@@ -258,10 +288,14 @@
 
 local runs, ran_at = {}, {}  -- by request; ran_at: the runners
 for _, r in ipairs(f.runners) do
-  r.arrivals, r.limits = {}, {}
+  r.arrivals, r.limits, r.refusals = {}, {}, {}
   for id, ms in read_file(r.record):gmatch("(%S+) (%d+)\n") do
     if id:sub(1, 1) == "#" then
       r.limits[#r.limits + 1] = { limit = tonumber(id:sub(2)), at = tonumber(ms) }
+    elseif id:sub(1, 1) == "!" then
+      local refused_id, retry_after = id:match("^!(.*);([%d.]+)$")
+      r.refusals[#r.refusals + 1] = { id = refused_id, at = tonumber(ms),
+                                      retry_after_ms = 1000 * tonumber(retry_after) }
     else
       runs[id] = (runs[id] or 0) + 1
       ran_at[id] = ran_at[id] or {}
@@ -326,10 +360,26 @@
   end
 end
 
+-- When instances must have taken notice of an announcement in the store: the
+-- store may have lost it before they had to.
+local function known_from(span)
+  for _, at in ipairs(faults.restores) do
+    if at >= span.from and at < span.from + kMaxLeavingMs then
+      return math.max(at, span.again or math.huge)
+    end
+  end
+  return span.from
+end
+
+for _, p in ipairs(probes) do by_id[p.id] = p end
+require("soak_checks"){ runners = f.runners, sent = sent, by_id = by_id, ran_at = ran_at,
+                        answers_of_leaving = answers_of_leaving, faults = faults,
+                        max_leaving_ms = kMaxLeavingMs, fail = fail }
+
 local complete, refused, unanswered = 0, 0, 0
 for _, entry in ipairs(sent) do
   local count = runs[entry.id] or 0
-  if entry.path == "once" and count > 1 then
+  if (entry.path == "once" or entry.path == "fixed") and count > 1 then
     fail(entry.id .. " ran " .. count .. " times")
   end
   if entry.not_run then
@@ -337,19 +387,36 @@
     if count > 0 then fail(entry.id .. " was said not to have run, but it had") end
   end
   local where = entry.path .. " " .. entry.id .. " at " .. entry.instance.id
-  if entry.cut_at and not runner_in_fault_span(entry, entry.cut_at) then
+  -- Time that a runner was silent, or the instance paused, may use up a
+  -- request's time.
+  local delayed = in_fault_span(entry.instance, entry.at, entry.ended_at)
+  for _, r in ipairs(ran_at[entry.id] or {}) do
+    delayed = delayed or faults.in_silent_span(r, entry.at, entry.ended_at or now())
+  end
+  local used_time = delayed and entry.ended_at and entry.ended_at - entry.at > kRouteTimeMs
+  if entry.cut_at and not used_time and
+      not runner_in_fault_span(entry, entry.cut_at) then
     fail(where .. " was cut without a fault at its runners")
   end
+  -- A request that only sound runners ran, at a sound instance, is answered.
+  if count > 0 and entry.verified_at and entry.status ~= 200 and
+      entry.ended_at - entry.at <= kRouteTimeMs and not entry.fault_explains and
+      not entry.crashing and
+      not in_fault_span(entry.instance, entry.at - kStableMs, entry.verified_at) and
+      not runner_in_fault_span(entry, entry.verified_at) then
+    fail(string.format("%s ran at sound runners and ended with %s after %.0f ms", where,
+                       tostring(entry.status), entry.ended_at - entry.at))
+  end
   if entry.no_response_in_stop and count > 0 then
     fail(where .. " ran, and a planned stop lost its answer")
   end
   local stable_from = entry.at - kStableMs
   local ended_at = entry.ended_at or now()
   if not in_fault_span(entry.instance, stable_from, ended_at) and
-      not in_fault_span(f.store, stable_from, ended_at) then
+      not in_fault_span(f.store, stable_from, ended_at, kRestore) then
     for _, r in ipairs(ran_at[entry.id] or {}) do
       for _, span in ipairs(r.leave_spans or {}) do
-        if entry.at > span.from + kMaxLeavingMs and ended_at < (span.to or 0) then
+        if entry.at > known_from(span) + kMaxLeavingMs and ended_at < (span.to or 0) then
           fail(string.format("%s ran at %s %.0f ms after it had announced that it leaves",
                              where, r.id, entry.at - span.from))
         end
--- a/tests/scenarios/soak_faults.lua
+++ b/tests/scenarios/soak_faults.lua
@@ -4,17 +4,52 @@
 -- Precondition: `f` is a fleet of platform_fleet.lua.
 return function(f)
 local faults = { pick_random = pick_random, version = 1, killed = {}, stopped = {},
-                 crashes = {} }
+                 crashes = {},
+                 acknowledged = { [1] = now() },  -- versions that the store has
+                 restores = {} }                  -- times
 
--- Times at which failures of a target are expected: {from, to}.
+-- Times at which failures of a target are expected: {from, to, kind}.
 local fault_spans = setmetatable({}, { __mode = "k" })
-local function mark_fault_span(target, ms)
+local function mark_fault_span(target, ms, kind)
   fault_spans[target] = fault_spans[target] or {}
-  table.insert(fault_spans[target], { now(), now() + ms })
+  table.insert(fault_spans[target], { now(), now() + ms, kind or "any" })
 end
-function faults.in_fault_span(target, from, to)
+-- `ignored`: set of the kinds that do not count; nil: all count.
+function faults.in_fault_span(target, from, to, ignored)
   for _, span in ipairs(fault_spans[target] or {}) do
-    if span[1] <= (to or now()) and span[2] >= from then return true end
+    if span[1] <= (to or now()) and span[2] >= from and
+        not (ignored and ignored[span[3]]) then
+      return true
+    end
+  end
+  return false
+end
+
+-- Whether a process of `target` ended between `from` and `to`.
+function faults.ended(target, from, to)
+  for _, at in ipairs(target.ended_at or {}) do
+    if at >= from and at <= to then return true end
+  end
+  return false
+end
+
+-- Whether `target` was paused between `from` and `to`.
+function faults.in_pause(target, from, to)
+  for _, span in ipairs(fault_spans[target] or {}) do
+    if span[3] == "pause" and span[1] <= (to or now()) and span[2] >= from then return true end
+  end
+  return false
+end
+
+-- Times at which a target stood still although it is sound: {from, to}.
+local silent_spans = setmetatable({}, { __mode = "k" })
+local function mark_silent_span(target, ms)
+  silent_spans[target] = silent_spans[target] or {}
+  table.insert(silent_spans[target], { now(), now() + ms })
+end
+function faults.in_silent_span(target, from, to)
+  for _, span in ipairs(silent_spans[target] or {}) do
+    if span[1] <= to and span[2] >= from then return true end
   end
   return false
 end
@@ -27,17 +62,34 @@
   local ms = math.random(100, 2500)
   signal(process.pid, "STOP")
   process.paused = true
-  mark_fault_span(process, ms + 500)
+  mark_fault_span(process, ms + 500, "pause")
   local pid = process.pid
   schedule(ms, function()
     signal(pid, "CONT")
     if process.pid == pid then process.paused = false end
-    mark_fault_span(process, 500)
+    mark_fault_span(process, 500, "pause")
+  end)
+end
+
+-- A sound runner stands still for a moment.
+local function silence(runner)
+  if runner.paused or runner.down then return end
+  local ms = math.random(800, 1800)
+  signal(runner.pid, "STOP")
+  runner.paused = true
+  mark_silent_span(runner, ms + 500)
+  local pid = runner.pid
+  schedule(ms, function()
+    signal(pid, "CONT")
+    if runner.pid == pid then runner.paused = false end
+    mark_silent_span(runner, 500)
   end)
 end
 
 function faults.restart_later(process, ms)
   process.down = true
+  process.ended_at = process.ended_at or {}
+  table.insert(process.ended_at, now())
   schedule(ms, function()
     f:start(process)
     process.down, process.stopping = false, nil
@@ -46,7 +98,7 @@
 
 -- A runner has ended because of a part of a prompt.
 function faults.record_crash(runner)
-  mark_fault_span(runner, 3000)
+  mark_fault_span(runner, 3000, "kill")
   faults.crashes[#faults.crashes + 1] = now()
   faults.restart_later(runner, math.random(300, 1500))
 end
@@ -54,7 +106,7 @@
 function faults.kill(process)
   if process.down then return end
   faults.killed[process.pid] = true
-  mark_fault_span(process, 3000)
+  mark_fault_span(process, 3000, "kill")
   signal(process.pid, "KILL")
   faults.restart_later(process, math.random(50, 1500))
 end
@@ -99,38 +151,130 @@
   while #store_queue > 0 and not f.store.paused do table.remove(store_queue, 1)() end
 end
 
--- Lets `runner` leave for a while. Records the times between which the store has
--- acknowledged that it leaves.
+local function control(runner, settings)
+  call{ method = "POST", address = runner.address, path = "/control",
+        timeout_ms = 300, body = to_json(settings) }
+end
+
+-- Lets `runner` leave: it announces this in the store, in its responses or in
+-- both, goes on for a while, ends, and is replaced by a successor. Records the
+-- times between which the store has acknowledged the announcement, and when the
+-- runner ended.
 local function leave(runner)
   if runner.leaving then return end
-  local ms = math.random(500, 6000)
-  runner.leaving = true
+  local ms, how = math.random(500, 6000), pick_random{ "store", "responses", "both" }
+  runner.leaving = how
   runner.leave_spans = runner.leave_spans or {}
-  mark_fault_span(runner, ms + 3000)
+  mark_fault_span(runner, ms + 3000, "leave")
   local span = {}
-  enqueue_for_store(function()
-    if f:register_runner(runner, true).status ~= 200 then return end
-    span.from = now()
-    table.insert(runner.leave_spans, span)
-  end)
+  runner.leave_span = span
+  if how ~= "store" then control(runner, { leaving = true }) end
+  if how ~= "responses" then
+    enqueue_for_store(function()
+      if f:register_runner(runner).status ~= 200 then return end
+      span.from = now()
+      table.insert(runner.leave_spans, span)
+    end)
+  end
   schedule(ms, function()
     enqueue_for_store(function()
       span.to = now()
+      runner.leaving, runner.leave_span = nil, nil
+      runner.born = runner.born + 1
       f:register_runner(runner)
-      runner.leaving = false
+      faults.kill(runner)
     end)
   end)
 end
 
+local function put_config()
+  local version = faults.version
+  if f:put_config(version).status == 200 then faults.acknowledged[version] = now() end
+end
+
 local function change_config()
   enqueue_for_store(function()
     faults.version = faults.version + 1
-    f:put_config(faults.version)
+    put_config()
   end)
 end
 
-local kRunnerFaults = { "refuses", "wrong_instance", "breaks_at_start",
-  "breaks_midway", "unsigned", "crossed", "fails", "silent" }
+-- Entries of another writer, by key.
+local odd_entries = {}
+local function odd_entry(change)
+  local entry = { service = "plain", address = "127.0.0.1:1", zone = "z", slots = 16,
+                  state = "ready", born = 1 }
+  for name, value in pairs(change) do entry[name] = value end
+  return to_json(entry)
+end
+local kNestedLevels = 20000
+local kOddValues = {
+  string.rep("[", kNestedLevels) .. string.rep("]", kNestedLevels),
+  string.rep('{"service":', kNestedLevels) .. "1" .. string.rep("}", kNestedLevels),
+  (odd_entry{}:gsub("16", "1e400")),
+  (odd_entry{}:gsub("16", "99999999999999999999999999")),
+  (odd_entry{}:gsub('"born":1', '"born":-9223372036854775809')),
+  odd_entry{ slots = -1 }, odd_entry{ address = "127.0.0.1:70000" },
+  odd_entry{ address = "127.0.0.1:99999999999999999999" },
+  odd_entry{ address = "127.0.0.1:-1" }, odd_entry{ address = "[::1" },
+  odd_entry{ address = 7 }, odd_entry{ service = { "plain" } },
+  odd_entry{ state = "unknown" }, "not JSON {", "", "null", "7", "[]", '"\\ud800"',
+}
+
+-- The store comes back from a copy some seconds old. Operator and runners then
+-- write again what was lost.
+local function write_again()
+  schedule(math.random(100, 1500), function() enqueue_for_store(put_config) end)
+  for _, r in ipairs(f.runners) do
+    schedule(math.random(100, 2000), function()
+      enqueue_for_store(function()
+        if f:register_runner(r).status == 200 and r.leave_span then
+          r.leave_span.again = now()
+        end
+      end)
+    end)
+  end
+  for key in pairs(odd_entries) do
+    schedule(math.random(100, 2000), function()
+      enqueue_for_store(function()
+        if not odd_entries[key] then f:store_control{ remove = { key, __array = true } } end
+      end)
+    end)
+  end
+end
+local function restore_store()
+  if faults.restoring then return end
+  faults.restoring = true
+  local age_ms, down_ms = math.random(1000, 9000), pick_random{ 0, math.random(200, 2000) }
+  enqueue_for_store(function() f:store_control{ backup = true } end)
+  schedule(age_ms, function()
+    mark_fault_span(f.store, down_ms + 500, "restore")
+    if down_ms > 0 then
+      enqueue_for_store(function() f:store_control{ down = true } end)
+    end
+    schedule(down_ms, function()
+      enqueue_for_store(function()
+        mark_fault_span(f.store, 500, "restore")
+        f:store_control{ restore = true, down = false }
+        table.insert(faults.restores, now())
+        faults.acknowledged = {}
+        faults.restoring = false
+        write_again()
+      end)
+    end)
+  end)
+  return string.format("copy of %d ms, down for %d ms", age_ms, down_ms)
+end
+
+local kRunnerFaults = options:match("runner_fault=([%w_]+)") and
+    { options:match("runner_fault=([%w_]+)") } or { "refuses", "wrong_instance", "breaks_at_start",
+  "breaks_midway", "unsigned", "crossed", "fails", "silent", "repeats_refusal",
+  "fails_continuation" }
+local function inject_runner_fault(runner, name)
+  control(runner, { fault = name, requests = math.random(8) })
+  -- In force until that many requests have come, or it is cleared.
+  mark_fault_span(runner, math.huge, "runner")
+end
 faults.kinds = {
   kill_instance = function() faults.kill(pick_random(f.instances)) end,
   stop_instance = function() faults.stop(pick_random(f.instances)) end,
@@ -160,12 +304,56 @@
   pause_runner = function() pause(pick_random(f.runners)) end,
   fault_of_runner = function()
     local r, name = pick_random(f.runners), pick_random(kRunnerFaults)
-    call{ method = "POST", address = r.address, path = "/control", timeout_ms = 300,
-          body = to_json{ fault = name, requests = math.random(8) } }
-    -- In force until that many requests have come, or it is cleared.
-    mark_fault_span(r, math.huge)
+    inject_runner_fault(r, name)
     return name .. " at " .. r.id
   end,
+  -- Streams that break off, and no engine that continues them.
+  continuations_fail = function()
+    local breaking = pick_random(f.runners)
+    for _, r in ipairs(f.runners) do
+      inject_runner_fault(r, r == breaking and "breaks_midway" or "fails_continuation")
+    end
+  end,
+  silent_runner = function()
+    local r = pick_random(f.runners)
+    silence(r)
+    return r.id
+  end,
+  -- Requests at which a sound runner is silent in the middle.
+  runner_pauses = function()
+    local r = pick_random(f.runners)
+    control(r, { fault = "pauses", requests = math.random(8) })
+    mark_silent_span(r, math.huge)
+    return r.id
+  end,
+  -- A runner that refuses all requests, and says for how long.
+  retry_after = function()
+    local r, seconds = pick_random(f.runners), pick_random{ "0.8", "1.5", "3" }
+    if r.refusing or r.down or r.paused then return end
+    r.refusing = true
+    control(r, { retry_after = seconds })
+    mark_fault_span(r, 5000, "retry_after")
+    schedule(math.random(200, 2000), function()
+      control(r, { retry_after = "" })
+      -- Nothing has to reach it until then.
+      mark_fault_span(r, 1000 * tonumber(seconds) + 500, "retry_after")
+      schedule(1000 * tonumber(seconds), function() r.refusing = false end)
+    end)
+    return seconds .. " at " .. r.id
+  end,
+  odd_entry = function()
+    local key, value = "servers/odd-" .. math.random(4), pick_random(kOddValues)
+    odd_entries[key] = true
+    enqueue_for_store(function() f:store_control{ put = { [key] = value } } end)
+    schedule(math.random(500, 4000), function()
+      enqueue_for_store(function()
+        odd_entries[key] = false
+        f:store_control{ remove = { key, __array = true } }
+      end)
+    end)
+    return key .. " " .. value:sub(1, 100)
+  end,
+  restore_store = restore_store,
   network_of_runner = function()
     local r = pick_random(f.runners)
     return inject_network_fault(r.relay, r) .. " at " .. r.id
@@ -202,10 +390,7 @@
   end,
   request_limit = function()
     local r, limit = pick_random(f.runners), pick_random{ "0.4", "1.4", "3" }
-    local function set(text)
-      call{ method = "POST", address = r.address, path = "/control", timeout_ms = 300,
-            body = to_json{ limit = text } }
-    end
+    local function set(text) control(r, { limit = text }) end
     set(limit)
     schedule(math.random(4000, 9000), function() set("") end)
     return limit .. " at " .. r.id
@@ -218,10 +403,13 @@
 function faults.clear_runner_faults()
   for _, r in ipairs(f.runners) do
     call{ method = "POST", address = r.address, path = "/control",
-          timeout_ms = 5000, body = to_json{ fault = "none", requests = 0 } }
-    for _, span in ipairs(fault_spans[r] or {}) do
-      -- Requests that met the fault may still be running.
-      span[2] = math.min(span[2], now() + 3000)
+          timeout_ms = 5000, body = to_json{ fault = "none", requests = 0,
+                                             retry_after = "" } }
+    for _, spans in ipairs{ fault_spans[r] or {}, silent_spans[r] or {} } do
+      for _, span in ipairs(spans) do
+        -- Requests that met the fault may still be running.
+        span[2] = math.min(span[2], now() + 3000)
+      end
     end
   end
 end
@@ -233,6 +421,15 @@
   faults.names[#faults.names + 1] = "crashing_part"
   faults.names[#faults.names + 1] = "request_limit"
 end
+for _, name in ipairs{ "restore_store", "retry_after", "retry_after", "runner_pauses", "silent_runner" } do
+  faults.names[#faults.names + 1] = name
+end
+-- To trace a failure, only some faults.
+local only = options:match("only=([%w_,]+)")
+if only then
+  faults.names = {}
+  for name in only:gmatch("[%w_]+") do faults.names[#faults.names + 1] = name end
+end
 table.sort(faults.names)
 
 -- Runs the actions that are due. @return whether no fault is in force.
