A connection attempt without a response is no evidence of a crash

Callers saw answers in progress broken off, and their requests refused as suspects, while the upstream's process lived: a probe's connection that was not accepted within its time, or that this process could not open, was treated like a refused one. The directory then recorded a crash, blamed all requests in flight there and cancelled them, although their connections were intact.

Cause: http_client reports every failure to connect as kUpstreamUnreachable. Only a refused connection shows that no process listens.

--- a/src/services/upstream_directory.cc
+++ b/src/services/upstream_directory.cc
@@ -28,6 +28,16 @@
 constexpr milliseconds kOwnerProbePeriod{900};
 constexpr int kFailuresUntilUnreachable = 2;
 
+// Whether the connection was refused, which means that no process listens.
+// Other failures to connect, such as a connection attempt that gets no response
+// in time, do not tell whether the process lives.
+bool IsRefusedConnection(const result<http_response>& response) {
+  static const std::string kRefused =
+      boost::system::error_code(asio::error::connection_refused).message();
+  return response.kind() == error_kind::kUpstreamUnreachable &&
+         response.detail() == kRefused;
+}
+
 }  // namespace
 
 upstream_directory::upstream_directory(runtime& runtime) : runtime_(runtime) {}
@@ -169,7 +179,7 @@
     return;
   }
   state.next = now + kUnreachableProbePeriod;
-  const bool refused = response.kind() == error_kind::kUpstreamUnreachable;
+  const bool refused = IsRefusedConnection(response);
   if (refused || ++state.failures >= kFailuresUntilUnreachable)
     MarkUnreachable(pool, address, refused);
 }
@@ -222,7 +232,7 @@
       RecordResponse(pool, address, response->load_metrics);
       return;
     }
-    if (response.kind() == error_kind::kUpstreamUnreachable) {
+    if (IsRefusedConnection(response)) {
       MarkUnreachable(pool, address, true);
       return;
     }
