A silent upstream keeps the requests in progress

Callers saw answers broken off although the connection to the upstream was intact: a booking ended with outcome_unknown, and a stream ran a second time.

Cause: two probes without a response marked an upstream unreachable, and this cancelled all requests in progress there. Silence shows neither a crash nor a lost connection; a sound upstream may fall silent and go on.

Now silence only stops new requests from being placed there. Requests in progress end on evidence: a refused connection, a break of their own connection or their deadline. A crash is now recorded also for an upstream that was silent before. A machine that is lost without a reset is found by the connection's own keep-alive and TCP_USER_TIMEOUT, which were not set for these requests (checked by reading; a lost machine cannot be played on loopback).

A runner that hangs for good must not cost the answer either (answers.lua, "a stream on a stopped runner resumes elsewhere", unchanged): after four failed probes in a row, a request that may be repeated and has received nothing since is moved, but only if another upstream accepts requests and the retry budget is paid first.

Test: scenario silence, upstreams paused for 4.5 s in the middle of a stream and a booking.

--- a/src/request/call_run.cc
+++ b/src/request/call_run.cc
@@ -56,7 +56,7 @@
   placement.routing.prompt_tokens = 1;
   while (true) {
     const attempt_outcome outcome = attempts_.Run(
-        placement,
+        placement, call_->repeatable,
         [this, &yield](placed_request& placed) {
           return Exchange(placed, yield);
         },
@@ -83,6 +83,7 @@
     outgoing.headers.emplace_back(
         kIdempotencyHeader, std::string(exchange.Header(kIdempotencyHeader)));
   outgoing.fresh_connection = attempts_.claimed();
+  outgoing.dead_peer_timeout = kLostMachineTimeout;
   auto response =
       runtime_.client.Call(placed.address(), outgoing, context_.deadline(),
                            yield, kMaxAnswerBytes, attempts_.cancel());
--- a/src/request/completion_run.cc
+++ b/src/request/completion_run.cc
@@ -33,7 +33,7 @@
     return;
   while (true) {
     const attempt_outcome outcome = attempts_.Run(
-        BuildPlacement(),
+        BuildPlacement(), true,
         [this, &yield](placed_request& placed) { return Relay(placed, yield); },
         yield);
     if (outcome.kind == error_kind::kOk || TryCompleteResponse(outcome))
@@ -97,6 +97,7 @@
       EngineBody(parameters_, static_cast<int>(class_index_),
                  services_.dispatch->UsesPriorities(), text_, tokens_);
   outgoing.fresh_connection = attempts_.claimed();
+  outgoing.dead_peer_timeout = kLostMachineTimeout;
   return outgoing;
 }
 
@@ -152,6 +153,7 @@
     // A stream without its end marker is a failure, not a short response.
     if (bytes->empty())
       return {error_kind::kUpstreamFailed, "stream ended early", true};
+    placed.RecordBytes();
     events.clear();
     if (!splitter.Feed(*bytes, &events))
       return {error_kind::kUpstreamGarbled, "event too large", true};
--- a/src/request/request_attempts.cc
+++ b/src/request/request_attempts.cc
@@ -90,6 +90,7 @@
 
 attempt_outcome request_attempts::Run(
     placement_request placement,
+    bool repeatable,
     const std::function<attempt_outcome(placed_request&)>& attempt,
     asio::yield_context yield) {
   if (caller_gone_ && !claim_)
@@ -102,6 +103,9 @@
   placement.deadline = context_.deadline();
   placement.routing.isolated = isolated_;
   placement.routing.fingerprint = context_.fingerprint();
+  moved_ = false;
+  if (MayRunAgain(repeatable))
+    placement.may_move = [this] { return TryMove(); };
   const auto placed =
       services_.dispatch->Place(placement, cancel_.get(), yield);
   if (!placed)
@@ -126,6 +130,17 @@
   return outcome;
 }
 
+bool request_attempts::MayRunAgain(bool repeatable) const {
+  return !claim_ && repeatable &&
+         context_.record().attempts < context_.config().recovery.max_attempts;
+}
+
+bool request_attempts::TryMove() {
+  moved_ = moved_ || (!caller_gone_ && clock::now() < context_.deadline() &&
+                      services_.recovery->budget().TrySpend());
+  return moved_;
+}
+
 bool request_attempts::PrepareRetry(const attempt_outcome& outcome,
                                     bool repeatable,
                                     asio::yield_context yield) {
@@ -133,9 +148,8 @@
       clock::now() >= context_.deadline())
     return false;
   if (outcome.may_have_run) {
-    const int max_attempts = context_.config().recovery.max_attempts;
-    if (claim_ || !repeatable || context_.record().attempts >= max_attempts ||
-        !services_.recovery->budget().TrySpend())
+    if (!MayRunAgain(repeatable) ||
+        (!moved_ && !services_.recovery->budget().TrySpend()))
       return false;
   } else {
     // No upstream ran the request, so the retry costs them nothing and spends
--- a/src/request/request_attempts.h
+++ b/src/request/request_attempts.h
@@ -19,6 +19,11 @@
   bool may_have_run = false;  // the upstream may have run the request
 };
 
+// Connections whose peer does not acknowledge for this long are closed: the
+// machine is lost. Longer than a sound upstream's silence, as a full receive
+// window counts as well.
+constexpr milliseconds kLostMachineTimeout{4'000};
+
 // Whether a status (429 or 503) states that the upstream did not run the
 // request. Thread-safe.
 bool IsRefusal(int http_status);
@@ -43,9 +48,11 @@
 
   // Waits for an upstream, runs `attempt` there, and records the outcome in the
   // health statistics of the upstream.
+  // @param repeatable whether work that reached an upstream may run again.
   // @return the outcome of `attempt`, or why no upstream was assigned.
   attempt_outcome Run(
       placement_request placement,
+      bool repeatable,
       const std::function<attempt_outcome(placed_request&)>& attempt,
       asio::yield_context yield);
 
@@ -79,6 +86,11 @@
   // @return false when the stored response of an earlier request was sent.
   result<bool> ClaimIdempotencyKey(const std::string& target,
                                    asio::yield_context yield);
+  // Whether the attempt in progress may end in favour of another one, for which
+  // the retry budget is then spent.
+  bool TryMove();
+  // Whether work that may have run may run again, if the retry budget allows.
+  bool MayRunAgain(bool repeatable) const;
   // Cancels unclaimed work when the caller disconnects. Claimed work continues,
   // so that its outcome can be stored.
   void WatchCaller();
@@ -91,6 +103,7 @@
   std::unique_ptr<cancel_token> cancel_;
   bool isolated_ = false;  // keep apart from other suspected requests
   bool may_have_run_ = false;
+  bool moved_ = false;  // the attempt in progress; its retry is already paid
   bool caller_gone_ = false;
 };
 
--- a/src/services/dispatcher.cc
+++ b/src/services/dispatcher.cc
@@ -84,7 +84,8 @@
   sent.is_long = request.routing.is_long;
   sent.suspect = request.routing.isolated;
   sent.sent_at = now;
-  const std::uint64_t id = directory_->Begin(pool, sent, cancel);
+  const std::uint64_t id =
+      directory_->Begin(pool, sent, cancel, request.may_move);
   return std::make_unique<placed_request>(directory_, pool, id, sent.address);
 }
 
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -27,6 +27,8 @@
   std::uint64_t fingerprint = 0;
   time_point deadline;
   milliseconds min_decode_time{0};  // after the first token
+  // As for upstream_directory::Begin.
+  std::function<bool()> may_move;
 };
 
 // A request assigned to an upstream. Ends the dispatch when destroyed.
@@ -43,6 +45,7 @@
   const std::string& address() const { return address_; }
   upstream_pool* pool() const { return pool_; }
   void RecordFirstToken() { pool_->RecordFirstToken(id_); }
+  void RecordBytes() { directory_->RecordBytes(pool_, id_); }
 
  private:
   upstream_directory* directory_;
@@ -61,8 +64,9 @@
   void Start() override;
 
   // Waits until an upstream has capacity for the request.
-  // @param cancel cancelling it ends the wait. It is cancelled when the
-  //     upstream becomes unreachable. It must outlive the returned object.
+  // @param cancel cancelling it ends the wait. It is also
+  //     cancelled as for upstream_directory::Begin. It must outlive the
+  //     returned object.
   // @return kQueueFull, kOrganisationLimit, kDeadlineInfeasible, kNoUpstream
   //     or kCallerGone; nothing has been sent in any of these cases.
   result<std::unique_ptr<placed_request>> Place(
--- a/src/services/upstream_directory.cc
+++ b/src/services/upstream_directory.cc
@@ -1,5 +1,6 @@
 #include "src/services/upstream_directory.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "cactusward/hash.h"
@@ -27,6 +28,9 @@
 // The owner of an upstream probes it this often, on behalf of all instances.
 constexpr milliseconds kOwnerProbePeriod{900};
 constexpr int kFailuresUntilUnreachable = 2;
+// A sound upstream may be silent for a second or so. After this many failed
+// probes, requests that can be repeated are moved elsewhere.
+constexpr int kFailuresUntilMoved = 4;
 
 // Whether the connection was refused, which means that no process listens.
 // Other failures to connect, such as a connection attempt that gets no response
@@ -164,8 +168,9 @@
                                        asio::yield_context yield) {
   outgoing_request request;
   request.target = "/health";
-  const auto response = runtime_.client.Call(
-      address, request, clock::now() + kProbeTimeout, yield);
+  const time_point sent_at = clock::now();
+  const auto response =
+      runtime_.client.Call(address, request, sent_at + kProbeTimeout, yield);
   const time_point now = clock::now();
   probe_state& state = probes_[address];
   state.running = false;
@@ -179,22 +184,34 @@
     return;
   }
   state.next = now + kUnreachableProbePeriod;
-  const bool refused = IsRefusedConnection(response);
-  if (refused || ++state.failures >= kFailuresUntilUnreachable)
-    MarkUnreachable(pool, address, refused);
+  if (IsRefusedConnection(response))
+    return RecordCrash(pool, address);
+  if (++state.failures == 1)
+    state.silent_since = sent_at;
+  if (state.failures >= kFailuresUntilUnreachable)
+    MarkUnreachable(pool, address);
+  if (state.failures >= kFailuresUntilMoved)
+    MoveSilentDispatches(pool, address, state.silent_since);
 }
 
 void upstream_directory::MarkUnreachable(upstream_pool* pool,
-                                         const std::string& address,
-                                         bool crashed) {
-  if (!pool->SetReachable(address, false))
-    return;
+                                         const std::string& address) {
+  if (pool->SetReachable(address, false))
+    Log(log_level::kWarning, "upstream_unreachable",
+        {{"upstream", address}, {"service", pool->service().name}});
+}
+
+void upstream_directory::RecordCrash(upstream_pool* pool,
+                                     const std::string& address) {
+  MarkUnreachable(pool, address);
   // Only the first detection records the crash, for all requests in flight.
+  bool& crashed = probes_[address].crashed;
+  if (crashed)
+    return;
+  crashed = true;
   const auto in_flight = pool->InFlightAt(address);
-  if (crashed && !in_flight.empty())
+  if (!in_flight.empty())
     recovery_->RecordCrash(address, in_flight);
-  Log(log_level::kWarning, "upstream_unreachable",
-      {{"upstream", address}, {"service", pool->service().name}});
   std::vector<cancel_token*> cancelled;
   for (const auto& [key, open] : open_dispatches_) {
     if (key.first == pool && open.address == address && open.cancel)
@@ -204,6 +221,25 @@
     cancel->Cancel();
 }
 
+void upstream_directory::MoveSilentDispatches(upstream_pool* pool,
+                                              const std::string& address,
+                                              time_point silent_since) {
+  const auto rows = pool->Rows(clock::now());
+  const bool has_alternative =
+      std::any_of(rows.begin(), rows.end(),
+                  [](const upstream_pool::row& row) { return row.accepting; });
+  if (!has_alternative)
+    return;
+  std::vector<cancel_token*> moved;
+  for (const auto& [key, open] : open_dispatches_) {
+    if (key.first == pool && open.address == address && open.cancel &&
+        open.heard_at < silent_since && open.may_move && open.may_move())
+      moved.push_back(open.cancel);
+  }
+  for (cancel_token* cancel : moved)
+    cancel->Cancel();
+}
+
 void upstream_directory::RecordResponse(upstream_pool* pool,
                                         const std::string& address,
                                         std::string_view load_metrics) {
@@ -214,6 +250,7 @@
   pool->RecordReport(address, report, now);
   if (pool->LeavingReports(now).size() > before)
     membership_->PushUpdates();
+  probes_[address].crashed = false;
   if (pool->SetReachable(address, true))
     Log(log_level::kInfo, "upstream_reachable", {{"upstream", address}});
   NotifyCapacityFreed();
@@ -233,7 +270,7 @@
       return;
     }
     if (IsRefusedConnection(response)) {
-      MarkUnreachable(pool, address, true);
+      RecordCrash(pool, address);
       return;
     }
     // An exiting process closes its connections before its listening port, so a
@@ -248,12 +285,20 @@
 
 std::uint64_t upstream_directory::Begin(upstream_pool* pool,
                                         const dispatch& dispatch,
-                                        cancel_token* cancel) {
+                                        cancel_token* cancel,
+                                        std::function<bool()> may_move) {
   const std::uint64_t id = pool->Begin(dispatch);
-  open_dispatches_[{pool, id}] = {dispatch.address, cancel};
+  open_dispatches_[{pool, id}] = {dispatch.address, cancel, std::move(may_move),
+                                  clock::now()};
   return id;
 }
 
+void upstream_directory::RecordBytes(upstream_pool* pool, std::uint64_t id) {
+  const auto it = open_dispatches_.find({pool, id});
+  if (it != open_dispatches_.end())
+    it->second.heard_at = clock::now();
+}
+
 void upstream_directory::End(upstream_pool* pool, std::uint64_t id) {
   open_dispatches_.erase({pool, id});
   pool->End(id);
--- a/src/services/upstream_directory.h
+++ b/src/services/upstream_directory.h
@@ -45,12 +45,21 @@
   // The pools of all services, by service name.
   std::vector<upstream_pool*> Pools();
 
-  // Begins a dispatch. `cancel`, if not null, is cancelled when the upstream
-  // becomes unreachable; it must live until End.
+  // Begins a dispatch. `cancel`, if not null, is cancelled when the upstream's
+  // process has ended; it must live until End. An upstream that is only silent
+  // gets no new requests, but keeps those in progress: their own connection or
+  // deadline ends them.
+  // @param may_move asked when the upstream has been silent for several
+  //     seconds, and nothing was recorded with RecordBytes, while another one
+  //     accepts requests. If it returns true, `cancel` is cancelled, and the
+  //     request must be sent elsewhere. Empty: never moved.
   // @return the id to pass to End.
   std::uint64_t Begin(upstream_pool* pool,
                       const dispatch& dispatch,
-                      cancel_token* cancel);
+                      cancel_token* cancel,
+                      std::function<bool()> may_move = {});
+  // Records that bytes of the response arrived.
+  void RecordBytes(upstream_pool* pool, std::uint64_t id);
   void End(upstream_pool* pool, std::uint64_t id);
 
   // Records a response: applies its load metrics and marks the upstream
@@ -89,20 +98,27 @@
   void ProbeUpstream(const std::string& service,
                      const std::string& address,
                      asio::yield_context yield);
-  // @param crashed whether its process is known to have ended.
-  void MarkUnreachable(upstream_pool* pool,
-                       const std::string& address,
-                       bool crashed);
+  // Stops placing requests at the upstream until it responds.
+  void MarkUnreachable(upstream_pool* pool, const std::string& address);
+  // Handles the end of the upstream's process.
+  void RecordCrash(upstream_pool* pool, const std::string& address);
+  void MoveSilentDispatches(upstream_pool* pool,
+                            const std::string& address,
+                            time_point silent_since);
   void NotifyCapacityFreed();
 
   struct probe_state {
     bool running = false;
-    int failures = 0;
+    bool crashed = false;     // and has not responded since
+    int failures = 0;         // consecutive
+    time_point silent_since;  // start of the first of `failures`
     time_point next;
   };
   struct open_dispatch {
     std::string address;
     cancel_token* cancel = nullptr;
+    std::function<bool()> may_move;
+    time_point heard_at;
   };
 
   runtime& runtime_;
