Time in which the instance was stalled is not its upstreams' silence

A stall_meter adds up how late the probes' own tick is; a probe that failed while the process was stalled for over 0.2 s is repeated and not counted.

Test: probes that are answered after 0.3 s, and a directory whose thread stands still for 1.1 s in four of them.

--- a/src/services/upstream_directory.cc
+++ b/src/services/upstream_directory.cc
@@ -27,6 +27,9 @@
 constexpr milliseconds kUnreachableProbePeriod{500};
 // The owner of an upstream probes it this often, on behalf of all instances.
 constexpr milliseconds kOwnerProbePeriod{900};
+// A probe that failed says nothing if this process was stalled for longer
+// meanwhile.
+constexpr milliseconds kMaxStallDuringProbe{200};
 constexpr int kFailuresUntilUnreachable = 2;
 // A sound upstream may be silent for a second or so. After this many failed
 // probes, requests that can be repeated are moved elsewhere.
@@ -44,7 +47,8 @@
 
 }  // namespace
 
-upstream_directory::upstream_directory(runtime& runtime) : runtime_(runtime) {}
+upstream_directory::upstream_directory(runtime& runtime)
+    : runtime_(runtime), stalls_(kProbeCheckPeriod, clock::now()) {}
 
 void upstream_directory::Start() {
   config_ = runtime_.registry.Find<config_service>(kConfigServiceName);
@@ -54,8 +58,11 @@
   config_->tracker().Subscribe([this](const active_config&) { ApplyConfig(); });
   Spawn(runtime_.io, "instance_list",
         [this](asio::yield_context yield) { PollInstanceList(yield); });
-  probe_timer_ = runtime_.timers.Every(
-      kProbeCheckPeriod, [this](time_point now) { StartDueProbes(now); });
+  probe_timer_ =
+      runtime_.timers.Every(kProbeCheckPeriod, [this](time_point now) {
+        stalls_.Tick(now);
+        StartDueProbes(now);
+      });
 }
 
 void upstream_directory::ApplyConfig() {
@@ -169,6 +176,7 @@
   outgoing_request request;
   request.target = "/health";
   const time_point sent_at = clock::now();
+  const duration stalled_before = stalls_.Total(sent_at);
   const auto response =
       runtime_.client.Call(address, request, sent_at + kProbeTimeout, yield);
   const time_point now = clock::now();
@@ -183,9 +191,15 @@
     RecordResponse(pool, address, response->load_metrics);
     return;
   }
-  state.next = now + kUnreachableProbePeriod;
-  if (IsRefusedConnection(response))
+  if (IsRefusedConnection(response)) {
+    state.next = now + kUnreachableProbePeriod;
     return RecordCrash(pool, address);
+  }
+  if (stalls_.Total(now) - stalled_before > kMaxStallDuringProbe) {
+    state.next = now;
+    return;
+  }
+  state.next = now + kUnreachableProbePeriod;
   if (++state.failures == 1)
     state.silent_since = sent_at;
   if (state.failures >= kFailuresUntilUnreachable)
--- a/src/services/upstream_directory.h
+++ b/src/services/upstream_directory.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cactusward/stall_meter.h"
 #include "cactusward/upstreams.h"
 #include "src/daemon/names.h"
 #include "src/daemon/runtime.h"
@@ -122,6 +123,7 @@
   };
 
   runtime& runtime_;
+  stall_meter stalls_;
   config_service* config_ = nullptr;
   membership_service* membership_ = nullptr;
   recovery_service* recovery_ = nullptr;
--- a/tests/unit/upstream_directory_test.cc
+++ b/tests/unit/upstream_directory_test.cc
@@ -217,5 +217,24 @@
   CHECK_FALSE(fixture.reachable());
 }
 
+// Guards against the time in which this process stood still being counted as
+// the upstream's.
+TEST_CASE("a stall of this process does not make upstreams unreachable") {
+  upstream_fake upstream;
+  directory_fixture fixture(upstream.address());
+  REQUIRE(fixture.RunUntil([&] { return upstream.probes() > 0; }));
+  upstream.SetDelay(milliseconds(300));
+  bool was_reachable = true;
+  for (int i = 0; i < 4; ++i) {
+    const int before = upstream.probes();
+    REQUIRE(fixture.RunUntil([&] { return upstream.probes() > before; }));
+    std::this_thread::sleep_for(milliseconds(1'100));
+    fixture.RunFor(milliseconds(20));
+    was_reachable = was_reachable && fixture.reachable();
+  }
+  CHECK(was_reachable);
+  CHECK_FALSE(fixture.cancelled());
+}
+
 }  // namespace
 }  // namespace cactusward
