Log the era of the registry beside its revisions

The log lines name revisions, which a registry that is restored from a copy gives out again for other changes: they cannot tell whether an instance compares revisions of two histories or was never told of the newer one. Responses of the registry now carry the position (era and revision) that they were given at. No decision uses it yet.

--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -446,6 +446,8 @@
   response.load_metrics = (*stream)->Header("endpoint-load-metrics");
   response.request_id = (*stream)->Header("X-Request-Id");
   response.entity_tag = (*stream)->Header("ETag");
+  if (!request.response_header.empty())
+    response.requested_header = (*stream)->Header(request.response_header);
   while (true) {
     const auto bytes = (*stream)->Read(deadline, yield);
     if (!bytes)
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -30,6 +30,8 @@
   // Closes the connection when the peer's TCP stack does not respond for this
   // long, also while waiting for a response. 0: only the deadline applies.
   milliseconds dead_peer_timeout{0};
+  // Name of a response header to return; empty: none.
+  std::string response_header;
 };
 
 // Options of http_client::Send.
@@ -56,6 +58,8 @@
   std::string load_metrics;  // the endpoint-load-metrics header
   std::string request_id;    // the X-Request-Id header
   std::string entity_tag;    // the ETag header
+  // The header named by outgoing_request::response_header; empty if absent.
+  std::string requested_header;
 };
 
 class http_client;
--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -177,7 +177,7 @@
     return;
   }
   catalog_batch batch;
-  batch.revision = revision->get<std::int64_t>();
+  batch.position.revision = revision->get<std::int64_t>();
   if (!config->get_ref<const std::string&>().empty())
     batch.items.push_back({catalog_item_kind::kConfig, "",
                            config_revision->get<std::int64_t>(),
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -124,17 +124,20 @@
 
 void catalog_service::Confirm(asio::yield_context yield) {
   const time_point asked_at = clock::now();
-  const auto newest = source_->ReadRevision(yield);
+  const auto newest = source_->ReadPosition(yield);
   if (!newest) {
     RecordQueryFailure("revision", newest.detail());
     confirm_due_ = clock::now() + kConfirmRetryDelay;
     return;
   }
-  if (*newest > revision_)
+  RecordEra(*newest, "revision");
+  if (newest->revision > revision_)
     Sleep(runtime_.io, kWatchDelay, yield);
-  if (*newest > revision_) {
+  if (newest->revision > revision_) {
     Log(log_level::kInfo, "watch_behind",
-        {{"known_revision", revision_}, {"newest", *newest}});
+        {{"catalog_era", era_},
+         {"known_revision", revision_},
+         {"newest", newest->revision}});
     const auto read = ReadRegistry(yield);
     if (!read) {
       RecordQueryFailure("read", read.detail());
@@ -182,21 +185,23 @@
   const auto upstreams = source_->ReadUpstreams(yield);
   if (!upstreams)
     return {upstreams.kind(), upstreams.detail()};
+  RecordEra(upstreams->position, "read");
   ApplySnapshot(*upstreams, "registry", yield);
   const auto config = ReadConfig(yield);
   if (!config)
     return {config.kind(), config.detail()};
   // Read later than the upstreams.
-  RecordConfigKnown(upstreams->revision);
-  return upstreams->revision;
+  RecordConfigKnown(upstreams->position.revision);
+  return upstreams->position.revision;
 }
 
 result<bool> catalog_service::ReadConfig(asio::yield_context yield) {
   const auto config = source_->ReadConfig(yield);
   if (!config)
     return {config.kind(), config.detail()};
+  RecordEra(config->position, "configuration");
   ApplyConfigs(*config, "registry", yield);
-  RecordConfigKnown(config->revision);
+  RecordConfigKnown(config->position.revision);
   return true;
 }
 
@@ -231,12 +236,12 @@
   }
   for (const auto& [id, raw] : raw_upstreams_) {
     if (present.count(id) == 0)
-      changes.push_back(
-          {catalog_item_kind::kUpstream, id, batch.revision, std::nullopt});
+      changes.push_back({catalog_item_kind::kUpstream, id,
+                         batch.position.revision, std::nullopt});
   }
   if (revision_ == 0 || changes.size() > kMaxRecentChanges / 2) {
     recent_changes_.clear();
-    recent_changes_after_ = batch.revision;
+    recent_changes_after_ = batch.position.revision;
     return;
   }
   std::stable_sort(changes.begin(), changes.end(),
@@ -245,14 +250,15 @@
                    });
   for (const catalog_item& item : changes)
     RecordChange(item);
-  RecordChange({catalog_item_kind::kConfig, {}, batch.revision, std::nullopt});
+  RecordChange(
+      {catalog_item_kind::kConfig, {}, batch.position.revision, std::nullopt});
 }
 
 bool catalog_service::WatchOnce(asio::yield_context yield) {
   const auto batch = source_->WaitForChanges(watched_revision_, yield);
   if (!batch && batch.kind() == error_kind::kNotFound) {
     Log(log_level::kInfo, "registry_history_lost",
-        {{"after", watched_revision_}});
+        {{"catalog_era", era_}, {"after", watched_revision_}});
     needs_full_read_ = true;
     return false;
   }
@@ -261,14 +267,15 @@
     return false;
   }
   RecordSuccess();
+  RecordEra(batch->position, "watch");
   const time_point received_at = clock::now();
-  const bool newer = batch->revision > revision_;
+  const bool newer = batch->position.revision > revision_;
   ApplyChanges(*batch, yield);
-  RecordConfigKnown(batch->revision);
+  RecordConfigKnown(batch->position.revision);
   RecordOwnConfirmation(received_at);
   if (newer)
     membership_->Broadcast();
-  watched_revision_ = std::max(watched_revision_, batch->revision);
+  watched_revision_ = std::max(watched_revision_, batch->position.revision);
   return true;
 }
 
@@ -288,6 +295,20 @@
   Sleep(runtime_.io, (delay + jitter) / 2, yield);
 }
 
+void catalog_service::RecordEra(const registry_position& position,
+                                const char* origin) {
+  if (position.era <= era_)
+    return;
+  if (revision_ > 0)
+    Log(log_level::kWarning, "registry_restored",
+        {{"era_before", era_},
+         {"revision_before", revision_},
+         {"catalog_era", position.era},
+         {"revision", position.revision},
+         {"origin", origin}});
+  era_ = position.era;
+}
+
 void catalog_service::RecordSuccess() {
   if (failures_ >= kOutageAfterFailures)
     Log(log_level::kInfo, "registry_regained",
@@ -322,6 +343,7 @@
   Log(log_level::kInfo, "config_in_force",
       {{"version", config_->version()},
        {"before", before},
+       {"catalog_era", era_},
        {"revision", item.revision},
        {"origin", origin},
        {"routes", config_->routes().size()}});
@@ -339,6 +361,7 @@
             {{"upstream", item.id},
              {"service", entry->service},
              {"leaving", entry->leaving},
+             {"catalog_era", era_},
              {"revision", item.revision}});
       return changed;
     }
@@ -350,6 +373,7 @@
   Log(log_level::kInfo, "upstream_unlisted",
       {{"upstream", item.id},
        {"in_force", changed},
+       {"catalog_era", era_},
        {"revision", item.revision}});
   return changed;
 }
@@ -383,17 +407,19 @@
     all.push_back({*entry, item.revision});
     raw[item.id] = {*item.document, item.revision};
   }
-  if (batch.revision >= revision_) {
-    const bool changed = upstreams_.Replace(all, batch.revision, clock::now());
+  if (batch.position.revision >= revision_) {
+    const bool changed =
+        upstreams_.Replace(all, batch.position.revision, clock::now());
     RecordDifference(batch);
     raw_upstreams_ = std::move(raw);
-    revision_ = batch.revision;
+    revision_ = batch.position.revision;
     if (changed)
       NotifyListeners();
   }
   Log(log_level::kInfo, "catalog_read",
       {{"origin", origin},
-       {"revision", batch.revision},
+       {"catalog_era", era_},
+       {"revision", batch.position.revision},
        {"upstreams", upstreams_.entries().size()}});
   ApplyConfigs(batch, origin, yield);
 }
@@ -428,7 +454,7 @@
       RecordChange(
           is_upstream ? item : catalog_item{item.kind, {}, item.revision, {}});
   }
-  revision_ = std::max(revision_, batch.revision);
+  revision_ = std::max(revision_, batch.position.revision);
   if (changed)
     NotifyListeners();
   const bool has_config = std::any_of(
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -36,6 +36,8 @@
   std::shared_ptr<const forward_config> Config() const { return config_; }
   const upstream_catalog& upstreams() const { return upstreams_; }
   std::int64_t revision() const { return revision_; }
+  // Era of the newest response of the registry; 0: none, or not reported.
+  std::int64_t era() const { return era_; }
   // Time since the registry confirmed, to this instance or to a peer, that the
   // catalog is complete; empty if it never has.
   std::optional<duration> Age(time_point now) const;
@@ -83,6 +85,8 @@
   // @return the revision that is complete then; kStoreUnavailable when a part
   //     could not be read.
   result<std::int64_t> ReadRegistry(asio::yield_context yield);
+  // Logs a change of the registry's era.
+  void RecordEra(const registry_position& position, const char* origin);
   void RecordSuccess();
   // Records a failed registry request that was not made by the read loop.
   void RecordQueryFailure(const char* what, const std::string& detail);
@@ -149,6 +153,7 @@
   std::int64_t decoding_revision_ = 0;
   upstream_catalog upstreams_;
   std::map<std::string, raw_upstream> raw_upstreams_;
+  std::int64_t era_ = 0;
   // All changes of upstreams up to this registry revision are known.
   std::int64_t revision_ = 0;
   // The configuration in force, or the one being decoded, was the registry's
--- a/src/relay/catalog_source.h
+++ b/src/relay/catalog_source.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cactusward/forward_config.h"
+#include "cactusward/registry_position.h"
 #include "cactusward/result.h"
 #include "cactusward/upstream_catalog.h"
 #include "src/edges/net.h"
@@ -23,7 +24,7 @@
 struct catalog_item {
   catalog_item_kind kind = catalog_item_kind::kOther;
   std::string id;             // of the upstream; empty for other kinds
-  std::int64_t revision = 0;  // of its last change
+  std::int64_t revision = 0;  // of its last change, in the batch's era
   std::optional<std::string> document;  // empty if the value was removed
 
   friend bool operator==(const catalog_item& a, const catalog_item& b) {
@@ -34,10 +35,10 @@
 
 struct catalog_batch {
   std::vector<catalog_item> items;
-  std::int64_t revision = 0;  // registry revision that the batch covers
+  registry_position position;  // up to which the batch covers the registry
 
   friend bool operator==(const catalog_batch& a, const catalog_batch& b) {
-    return a.items == b.items && a.revision == b.revision;
+    return a.items == b.items && a.position == b.position;
   }
 };
 
@@ -59,8 +60,8 @@
   // Reads only the configuration; an empty batch when there is none.
   // @return kStoreUnavailable.
   virtual result<catalog_batch> ReadConfig(asio::yield_context yield) = 0;
-  // Reads the registry's current revision. @return kStoreUnavailable.
-  virtual result<std::int64_t> ReadRevision(asio::yield_context yield) = 0;
+  // Reads the registry's current position. @return kStoreUnavailable.
+  virtual result<registry_position> ReadPosition(asio::yield_context yield) = 0;
 
   // Calls `pause` between steps of well under a millisecond, so that requests
   // are not delayed while a large configuration is decoded.
--- a/tests/support/slow_catalog.h
+++ b/tests/support/slow_catalog.h
@@ -32,8 +32,8 @@
   result<catalog_batch> ReadConfig(asio::yield_context yield) override {
     return catalog_->ReadConfig(yield);
   }
-  result<std::int64_t> ReadRevision(asio::yield_context yield) override {
-    return catalog_->ReadRevision(yield);
+  result<registry_position> ReadPosition(asio::yield_context yield) override {
+    return catalog_->ReadPosition(yield);
   }
   result<std::shared_ptr<const forward_config>> DecodeConfig(
       const std::string& document,
--- a/tests/unit/catalog_age_test.cc
+++ b/tests/unit/catalog_age_test.cc
@@ -30,10 +30,10 @@
       return {error_kind::kStoreUnavailable, "rejected"};
     return slow_catalog::ReadUpstreams(yield);
   }
-  result<std::int64_t> ReadRevision(asio::yield_context yield) override {
+  result<registry_position> ReadPosition(asio::yield_context yield) override {
     if (rejects_reads_)
       return {error_kind::kStoreUnavailable, "rejected"};
-    return slow_catalog::ReadRevision(yield);
+    return slow_catalog::ReadPosition(yield);
   }
 
  private:
