Positions of a registry are ordered by its era, then by revision

Cause: the catalog orders everything that it reads, watches or hears from peers by the registry's revision. A registry that is restored from a copy gives out its revisions again. Class: a counter is compared across two histories of its writer.

Entries that the copy lacks get the time to register again that they have after an outage.

Format version 7 of gossip: as with earlier versions, instances of the previous build ignore its messages, and the other way round.

Ruled out: raising the known revision at each restore (two instances would choose different offsets); dropping everything at a new era (reverts the configuration and refuses requests until upstreams have registered again).

forwarding_test.cc and catalog_age_test.cc: revisions became positions, and the peer of the test names the era of the registry. No check changed.

--- a/include/cactusward/membership.h
+++ b/include/cactusward/membership.h
@@ -15,6 +15,7 @@
 
 #include "cactusward/load_tracker.h"
 #include "cactusward/part_quarantine.h"
+#include "cactusward/registry_position.h"
 #include "cactusward/result.h"
 #include "cactusward/time.h"
 #include "cactusward/upstream_limits.h"
@@ -84,7 +85,7 @@
 // A change to the registry entry of one upstream.
 struct catalog_change {
   std::string id;
-  std::int64_t revision = 0;
+  std::int64_t revision = 0;            // in the sender's era
   std::optional<std::string> document;  // absent if the entry was removed
 
   friend bool operator==(const catalog_change& a, const catalog_change& b) {
@@ -108,9 +109,10 @@
   std::vector<suspect_report> suspects;
   std::vector<in_flight_report> in_flight;
   std::vector<leaving_report> leaving;
-  std::int64_t catalog_revision = 0;  // registry revision known to the sender
-  // Every change to upstreams after this revision, up to and including
-  // `catalog_revision`, is in `changes`; -1: changes are not included.
+  registry_position catalog_position;  // known to the sender
+  // Every change to upstreams after this revision of the same era, up to and
+  // including `catalog_position`, is in `changes`; -1: changes are not
+  // included.
   std::int64_t changes_after = -1;
   std::vector<catalog_change> changes;
   std::vector<upstream_load> loads;   // load of the sender's requests
@@ -126,7 +128,7 @@
            a.config_number == b.config_number &&
            a.confirmed_age_ms == b.confirmed_age_ms && a.members == b.members &&
            a.suspects == b.suspects && a.in_flight == b.in_flight &&
-           a.leaving == b.leaving && a.catalog_revision == b.catalog_revision &&
+           a.leaving == b.leaving && a.catalog_position == b.catalog_position &&
            a.loads == b.loads && a.crashes == b.crashes &&
            a.quarantines == b.quarantines && a.sound_parts == b.sound_parts &&
            a.limits == b.limits;
--- a/include/cactusward/upstream_catalog.h
+++ b/include/cactusward/upstream_catalog.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "cactusward/registry_position.h"
 #include "cactusward/time.h"
 
 namespace cactusward {
@@ -21,29 +22,35 @@
   int slots = 1;
   bool leaving = false;
   std::int64_t started_at_ms = 0;  // Unix time of its start; 0: unknown
+  // Rises with each registration since that start; 0: unknown.
+  std::int64_t sequence = 0;
 
   friend bool operator==(const upstream_entry& a, const upstream_entry& b) {
     return a.id == b.id && a.service == b.service && a.address == b.address &&
            a.availability_zone == b.availability_zone && a.slots == b.slots &&
-           a.leaving == b.leaving && a.started_at_ms == b.started_at_ms;
+           a.leaving == b.leaving && a.started_at_ms == b.started_at_ms &&
+           a.sequence == b.sequence;
   }
 };
 
-// A registered value and the registry's revision of it.
+// A registered value and the position at which it was registered.
 struct registered_upstream {
   upstream_entry entry;
-  std::int64_t revision = 0;
+  registry_position position;
 
   friend bool operator==(const registered_upstream& a,
                          const registered_upstream& b) {
-    return a.entry == b.entry && a.revision == b.revision;
+    return a.entry == b.entry && a.position == b.position;
   }
 };
 
 // Upstreams that may be used. Entries expire in the registry when an upstream
 // stops renewing them. During an outage of the registry healthy upstreams
 // cannot renew their entries, so entries that are missing after an outage stay
-// usable for a grace period in which upstreams register again. Not thread-safe.
+// usable for a grace period in which upstreams register again. When the
+// registry is restored from a copy, entries of the copy do not replace newer
+// ones of the era before, nor do they return when they had been removed. Not
+// thread-safe.
 class upstream_catalog {
  public:
   // @param reregistration_grace time after an outage of the registry in which
@@ -54,16 +61,19 @@
   // Records that the registry did not respond, or refused, at `now`.
   void RecordOutage(time_point now);
 
-  // Adds or replaces an entry. Ignores older revisions, and entries of an
-  // earlier process with the same id. @return whether anything changed.
-  bool Put(const upstream_entry& entry, std::int64_t revision);
+  // Adds or replaces an entry. Ignores older positions, entries of an earlier
+  // process with the same id, and entries that are older than one of an earlier
+  // era. @return whether anything that matters to requests changed.
+  bool Put(const upstream_entry& entry, const registry_position& position);
   // The registry holds no usable entry for `id` any more.
   // @return whether anything changed.
-  bool Remove(const std::string& id, std::int64_t revision, time_point now);
-  // Replaces all entries by those of the registry as of `revision`.
+  bool Remove(const std::string& id,
+              const registry_position& position,
+              time_point now);
+  // Replaces all entries by those of the registry as of `position`.
   // @return whether anything changed.
   bool Replace(const std::vector<registered_upstream>& all,
-               std::int64_t revision,
+               const registry_position& position,
                time_point now);
   // Removes entries whose grace period has passed.
   // @return whether anything changed.
@@ -77,10 +87,19 @@
   bool IsInOutageGracePeriod(time_point now) const;
 
  private:
+  void Erase(const std::string& id, time_point now);
+
+  // An entry that was removed, as it was last.
+  struct removed_upstream {
+    registered_upstream last;
+    time_point at;
+  };
+
   duration reregistration_grace_;
   std::map<std::string, registered_upstream> entries_;
   // By id of a missing entry: when the entry is removed.
   std::map<std::string, time_point> grace_deadlines_;
+  std::map<std::string, removed_upstream> removed_;
   std::optional<time_point> last_outage_;
 };
 
--- a/src/membership/gossip_codec.cc
+++ b/src/membership/gossip_codec.cc
@@ -10,8 +10,8 @@
 
 using nlohmann::json;
 
-constexpr int kFormatVersion = 6;
-constexpr std::size_t kMessageFields = 20;
+constexpr int kFormatVersion = 7;
+constexpr std::size_t kMessageFields = 21;
 constexpr std::size_t kMemberFields = 6;
 constexpr std::size_t kMaxListItems = 512;
 
@@ -212,7 +212,7 @@
              static_cast<std::uint64_t>(gossip_kind::kUpdate) &&
          value[2].is_number_unsigned() && value[4].is_string() &&
          value[5].is_string() && IsInteger(value[6]) && IsInteger(value[7]) &&
-         IsInteger(value[12]) && IsInteger(value[14]);
+         IsInteger(value[12]) && IsInteger(value[14]) && IsInteger(value[20]);
 }
 
 }  // namespace
@@ -256,17 +256,27 @@
     changes.push_back(
         json::array({item.id, item.revision,
                      item.document ? json(*item.document) : json(nullptr)}));
-  const json encoded =
-      json::array({kFormatVersion,           static_cast<int>(message.kind),
-                   message.sequence,         MemberToJson(message.sender),
-                   message.target,           message.target_address,
-                   message.config_number,    message.confirmed_age_ms,
-                   std::move(members),       std::move(suspects),
-                   std::move(in_flight),     std::move(leaving),
-                   message.catalog_revision, std::move(loads),
-                   message.changes_after,    std::move(changes),
-                   std::move(crashes),       std::move(quarantines),
-                   std::move(sound_parts),   std::move(limits)});
+  const json encoded = json::array({kFormatVersion,
+                                    static_cast<int>(message.kind),
+                                    message.sequence,
+                                    MemberToJson(message.sender),
+                                    message.target,
+                                    message.target_address,
+                                    message.config_number,
+                                    message.confirmed_age_ms,
+                                    std::move(members),
+                                    std::move(suspects),
+                                    std::move(in_flight),
+                                    std::move(leaving),
+                                    message.catalog_position.revision,
+                                    std::move(loads),
+                                    message.changes_after,
+                                    std::move(changes),
+                                    std::move(crashes),
+                                    std::move(quarantines),
+                                    std::move(sound_parts),
+                                    std::move(limits),
+                                    message.catalog_position.era});
   std::string bytes;
   json::to_cbor(encoded, bytes);
   return bytes;
@@ -285,7 +295,8 @@
   message.target_address = value[5].get<std::string>();
   message.config_number = value[6].get<std::int64_t>();
   message.confirmed_age_ms = value[7].get<std::int64_t>();
-  message.catalog_revision = value[12].get<std::int64_t>();
+  message.catalog_position = {value[20].get<std::int64_t>(),
+                              value[12].get<std::int64_t>()};
   message.changes_after = value[14].get<std::int64_t>();
   if (!ReadMember(value[3], &message.sender) ||
       !ReadMembers(value[8], &message.members) ||
--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -28,16 +28,18 @@
   for (const auto& [id, raw] : raw_upstreams_)
     upstreams.push_back(
         nlohmann::json::array({id, raw.document, raw.revision}));
-  return {{"revision", revision_},
+  return {{"era", position_.era},
+          {"revision", position_.revision},
           {"config", config_ && config_->version() > known_version
                          ? config_document_
                          : std::string()},
-          {"config_revision", config_revision_},
+          {"config_era", config_position_.era},
+          {"config_revision", config_position_.revision},
           {"upstreams", std::move(upstreams)}};
 }
 
 void catalog_service::AddFields(gossip_message* message, time_point now) {
-  message->catalog_revision = revision_;
+  message->catalog_position = position_;
   message->config_number = config_ ? config_->version() : 0;
   // The newest changes that fit.
   std::size_t first = recent_changes_.size();
@@ -68,20 +70,23 @@
 
 bool catalog_service::ApplyPeerChanges(const gossip_message& message,
                                        time_point now) {
-  if (message.changes_after < 0 || message.changes_after > revision_)
+  if (message.catalog_position.era != position_.era ||
+      message.changes_after < 0 || message.changes_after > position_.revision)
     return false;
   bool changed = false;
   for (const catalog_change& change : message.changes) {
-    if (change.revision <= revision_)
+    if (change.revision <= position_.revision)
       continue;
-    const catalog_item item{catalog_item_kind::kUpstream, change.id,
-                            change.revision, change.document};
+    const catalog_item item{catalog_item_kind::kUpstream,
+                            change.id,
+                            {position_.era, change.revision},
+                            change.document};
     changed = ApplyUpstream(item, now) || changed;
     RecordChange(item);
   }
   // All other changes up to that revision are changes of the configuration.
-  RecordChange({catalog_item_kind::kConfig, {}, message.catalog_revision, {}});
-  revision_ = message.catalog_revision;
+  RecordChange({catalog_item_kind::kConfig, {}, message.catalog_position, {}});
+  position_ = message.catalog_position;
   upstreams_pacer_.RecordCaughtUp();
   if (changed)
     NotifyListeners();
@@ -89,20 +94,21 @@
 }
 
 void catalog_service::OnMessage(const gossip_message& message, time_point now) {
-  if (message.catalog_revision > revision_)
+  if (message.catalog_position > position_)
     ApplyPeerChanges(message, now);
-  const bool upstreams_behind = message.catalog_revision > revision_;
+  const bool upstreams_behind = message.catalog_position > position_;
   const bool config_behind = message.config_number > ConfigVersion();
   const std::string& peer = message.sender.peer_address;
   if (upstreams_behind)
     CatchUpUpstreams(peer, now);
   if (config_behind)
     CatchUpConfig(peer, now);
-  if (message.catalog_revision != revision_ ||
+  if (message.catalog_position != position_ ||
       message.config_number != ConfigVersion() || message.confirmed_age_ms < 0)
     return;
   RecordConfirmation(now - milliseconds(message.confirmed_age_ms));
-  RecordConfigKnown(revision_);
+  RecordRegistryVersion(position_.era, ConfigVersion());
+  RecordConfigKnown(position_);
 }
 
 void catalog_service::CatchUpUpstreams(const std::string& peer,
@@ -118,7 +124,7 @@
 
 void catalog_service::CatchUpConfig(const std::string& peer, time_point now) {
   // The peer most likely reports the configuration that is being decoded here.
-  if (decoding_revision_ > 0)
+  if (decoding_position_ != registry_position())
     return;
   // Instances that do not watch the registry learn of a new configuration only
   // from peers.
@@ -149,7 +155,7 @@
   if (!read)
     RecordQueryFailure("configuration", read.detail());
   // Another coroutine may have read it first and be decoding it now.
-  if (decoding_revision_ == 0 && ConfigVersion() <= before)
+  if (decoding_position_ == registry_position() && ConfigVersion() <= before)
     PullFrom(peer, before, yield);
 }
 
@@ -164,6 +170,13 @@
         {{"peer", peer}, {"detail", response.detail()}});
     return;
   }
+  // Instances of a build without eras do not report one.
+  const auto era_of = [&response](const char* name) {
+    const auto found = response->find(name);
+    return found != response->end() && found->is_number_integer()
+               ? found->get<std::int64_t>()
+               : 0;
+  };
   const auto revision = response->find("revision");
   const auto config = response->find("config");
   const auto config_revision = response->find("config_revision");
@@ -177,11 +190,13 @@
     return;
   }
   catalog_batch batch;
-  batch.position.revision = revision->get<std::int64_t>();
+  batch.position = {era_of("era"), revision->get<std::int64_t>()};
   if (!config->get_ref<const std::string&>().empty())
-    batch.items.push_back({catalog_item_kind::kConfig, "",
-                           config_revision->get<std::int64_t>(),
-                           config->get<std::string>()});
+    batch.items.push_back(
+        {catalog_item_kind::kConfig,
+         "",
+         {era_of("config_era"), config_revision->get<std::int64_t>()},
+         config->get<std::string>()});
   for (const auto& item : *upstreams) {
     // Reject the whole list: applying only part of it would remove the other
     // upstreams.
@@ -190,9 +205,10 @@
       Log(log_level::kWarning, "catalog_pull_malformed", {{"peer", peer}});
       return;
     }
-    batch.items.push_back(
-        {catalog_item_kind::kUpstream, item[0].get<std::string>(),
-         item[2].get<std::int64_t>(), item[1].get<std::string>()});
+    batch.items.push_back({catalog_item_kind::kUpstream,
+                           item[0].get<std::string>(),
+                           {batch.position.era, item[2].get<std::int64_t>()},
+                           item[1].get<std::string>()});
   }
   upstreams_pacer_.RecordCaughtUp();
   ApplySnapshot(batch, "peer", yield);
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -84,14 +84,20 @@
   if (at <= confirmed_at_)
     return;
   confirmed_at_ = at;
+  PostponeConfirmation(at);
+}
+
+void catalog_service::PostponeConfirmation(time_point from) {
   const auto spread = std::min(
       kMaxConfirmSpread,
       kConfirmSpreadPerInstance * static_cast<int>(membership_->LiveCount()));
-  confirm_due_ = at + kConfirmPeriod +
+  confirm_due_ = from + kConfirmPeriod +
                  milliseconds(runtime_.random() % (spread.count() + 1));
 }
 
 void catalog_service::RecordOwnConfirmation(time_point at) {
+  if (IsRegistryConfigOlder())
+    return PostponeConfirmation(clock::now());
   own_confirmed_at_ = std::max(own_confirmed_at_, at);
   RecordConfirmation(at);
 }
@@ -118,7 +124,9 @@
   // Log once per outage: requests are retried while it lasts.
   if (now - registry_failed_at_ > kSameOutageGap)
     Log(log_level::kWarning, "registry_unanswered",
-        {{"during", what}, {"detail", detail}, {"known_revision", revision_}});
+        {{"during", what},
+         {"detail", detail},
+         {"known_revision", position_.revision}});
   registry_failed_at_ = now;
 }
 
@@ -130,13 +138,17 @@
     confirm_due_ = clock::now() + kConfirmRetryDelay;
     return;
   }
-  RecordEra(*newest, "revision");
-  if (newest->revision > revision_)
+  if (newest->era < position_.era) {
+    // Read before the registry was restored.
+    confirm_due_ = clock::now() + kConfirmRetryDelay;
+    return;
+  }
+  if (*newest > position_)
     Sleep(runtime_.io, kWatchDelay, yield);
-  if (newest->revision > revision_) {
+  if (*newest > position_) {
     Log(log_level::kInfo, "watch_behind",
-        {{"catalog_era", era_},
-         {"known_revision", revision_},
+        {{"catalog_era", newest->era},
+         {"known_revision", position_.revision},
          {"newest", newest->revision}});
     const auto read = ReadRegistry(yield);
     if (!read) {
@@ -144,7 +156,7 @@
       confirm_due_ = clock::now() + kConfirmRetryDelay;
       return;
     }
-  } else if (config_known_revision_ < revision_) {
+  } else if (config_known_position_ < position_ || IsRegistryConfigOlder()) {
     const auto read = ReadConfig(yield);
     if (!read) {
       RecordQueryFailure("configuration", read.detail());
@@ -160,8 +172,8 @@
   while (true) {
     if (!needs_full_read_ && !IsWatcher()) {
       Sleep(runtime_.io, kWatcherPollPeriod, yield);
-      watched_revision_ = std::max(watched_revision_,
-                                   std::min(revision_, config_known_revision_));
+      watched_position_ = std::max(watched_position_,
+                                   std::min(position_, config_known_position_));
       continue;
     }
     if (!needs_full_read_) {
@@ -169,40 +181,43 @@
       continue;
     }
     const time_point asked_at = clock::now();
-    const auto revision = ReadRegistry(yield);
-    if (!revision) {
-      BackOffAfterFailure(revision.detail(), "read", yield);
+    const auto position = ReadRegistry(yield);
+    if (!position) {
+      BackOffAfterFailure(position.detail(), "read", yield);
       continue;
     }
     RecordSuccess();
     needs_full_read_ = false;
-    watched_revision_ = *revision;
+    watched_position_ = *position;
     RecordOwnConfirmation(asked_at);
   }
 }
 
-result<std::int64_t> catalog_service::ReadRegistry(asio::yield_context yield) {
+result<registry_position> catalog_service::ReadRegistry(
+    asio::yield_context yield) {
   const auto upstreams = source_->ReadUpstreams(yield);
   if (!upstreams)
     return {upstreams.kind(), upstreams.detail()};
-  RecordEra(upstreams->position, "read");
+
   ApplySnapshot(*upstreams, "registry", yield);
-  const auto config = ReadConfig(yield);
-  if (!config)
-    return {config.kind(), config.detail()};
+  const auto config_era = ReadConfig(yield);
+  if (!config_era)
+    return {config_era.kind(), config_era.detail()};
+  if (upstreams->position.era != position_.era || *config_era != position_.era)
+    return {error_kind::kStoreUnavailable, "restored while it was read"};
   // Read later than the upstreams.
-  RecordConfigKnown(upstreams->position.revision);
-  return upstreams->position.revision;
+  RecordConfigKnown(upstreams->position);
+  return upstreams->position;
 }
 
-result<bool> catalog_service::ReadConfig(asio::yield_context yield) {
+result<std::int64_t> catalog_service::ReadConfig(asio::yield_context yield) {
   const auto config = source_->ReadConfig(yield);
   if (!config)
     return {config.kind(), config.detail()};
-  RecordEra(config->position, "configuration");
+
   ApplyConfigs(*config, "registry", yield);
-  RecordConfigKnown(config->position.revision);
-  return true;
+  RecordConfigKnown(config->position);
+  return config->position.era;
 }
 
 bool catalog_service::IsWatcher() const {
@@ -217,7 +232,7 @@
 
 void catalog_service::RecordChange(const catalog_item& item) {
   recent_changes_.push_back(
-      {{item.id, item.revision, item.document}, clock::now()});
+      {{item.id, item.position.revision, item.document}, clock::now()});
   if (recent_changes_.size() > kMaxRecentChanges) {
     recent_changes_after_ = recent_changes_.front().change.revision;
     recent_changes_.pop_front();
@@ -231,34 +246,39 @@
     if (item.kind != catalog_item_kind::kUpstream)
       continue;
     present.insert(item.id);
-    if (item.revision > revision_)
+    if (item.position > position_)
       changes.push_back(item);
   }
   for (const auto& [id, raw] : raw_upstreams_) {
     if (present.count(id) == 0)
-      changes.push_back({catalog_item_kind::kUpstream, id,
-                         batch.position.revision, std::nullopt});
+      changes.push_back(
+          {catalog_item_kind::kUpstream, id, batch.position, std::nullopt});
   }
-  if (revision_ == 0 || changes.size() > kMaxRecentChanges / 2) {
+  if (batch.position.era != position_.era || position_.revision == 0 ||
+      changes.size() > kMaxRecentChanges / 2) {
     recent_changes_.clear();
     recent_changes_after_ = batch.position.revision;
     return;
   }
   std::stable_sort(changes.begin(), changes.end(),
                    [](const catalog_item& a, const catalog_item& b) {
-                     return a.revision < b.revision;
+                     return a.position < b.position;
                    });
   for (const catalog_item& item : changes)
     RecordChange(item);
-  RecordChange(
-      {catalog_item_kind::kConfig, {}, batch.position.revision, std::nullopt});
+  RecordChange({catalog_item_kind::kConfig, {}, batch.position, std::nullopt});
 }
 
 bool catalog_service::WatchOnce(asio::yield_context yield) {
-  const auto batch = source_->WaitForChanges(watched_revision_, yield);
+  if (watched_position_.era != position_.era) {
+    needs_full_read_ = true;
+    return false;
+  }
+  const auto batch = source_->WaitForChanges(watched_position_, yield);
   if (!batch && batch.kind() == error_kind::kNotFound) {
     Log(log_level::kInfo, "registry_history_lost",
-        {{"catalog_era", era_}, {"after", watched_revision_}});
+        {{"catalog_era", watched_position_.era},
+         {"after", watched_position_.revision}});
     needs_full_read_ = true;
     return false;
   }
@@ -267,15 +287,18 @@
     return false;
   }
   RecordSuccess();
-  RecordEra(batch->position, "watch");
+  if (batch->position.era != position_.era) {
+    needs_full_read_ = true;
+    return false;
+  }
   const time_point received_at = clock::now();
-  const bool newer = batch->position.revision > revision_;
+  const bool newer = batch->position > position_;
   ApplyChanges(*batch, yield);
-  RecordConfigKnown(batch->position.revision);
+  RecordConfigKnown(batch->position);
   RecordOwnConfirmation(received_at);
   if (newer)
     membership_->Broadcast();
-  watched_revision_ = std::max(watched_revision_, batch->position.revision);
+  watched_position_ = std::max(watched_position_, batch->position);
   return true;
 }
 
@@ -287,7 +310,9 @@
     upstreams_.RecordOutage(clock::now());
   if (failures_ == kOutageAfterFailures)
     Log(log_level::kWarning, "registry_lost",
-        {{"during", what}, {"detail", detail}, {"known_revision", revision_}});
+        {{"during", what},
+         {"detail", detail},
+         {"known_revision", position_.revision}});
   const auto delay = std::min(
       kMaxRetryDelay, kInitialRetryDelay * (1 << std::min(failures_ - 1, 4)));
   // Jitter prevents all instances from reconnecting at the same time.
@@ -295,56 +320,85 @@
   Sleep(runtime_.io, (delay + jitter) / 2, yield);
 }
 
-void catalog_service::RecordEra(const registry_position& position,
-                                const char* origin) {
-  if (position.era <= era_)
-    return;
-  if (revision_ > 0)
-    Log(log_level::kWarning, "registry_restored",
-        {{"era_before", era_},
-         {"revision_before", revision_},
-         {"catalog_era", position.era},
-         {"revision", position.revision},
-         {"origin", origin}});
-  era_ = position.era;
+void catalog_service::EnterEra(const registry_position& next,
+                               const char* origin) {
+  Log(log_level::kWarning, "registry_restored",
+      {{"era_before", position_.era},
+       {"revision_before", position_.revision},
+       {"catalog_era", next.era},
+       {"revision", next.revision},
+       {"origin", origin}});
+  upstreams_.RecordOutage(clock::now());
+  registry_version_ = 0;
+}
+
+void catalog_service::RecordRegistryVersion(std::int64_t era,
+                                            std::int64_t version) {
+  if (era == position_.era)
+    registry_version_ = std::max(registry_version_, version);
 }
 
 void catalog_service::RecordSuccess() {
   if (failures_ >= kOutageAfterFailures)
     Log(log_level::kInfo, "registry_regained",
-        {{"failures", failures_}, {"known_revision", revision_}});
+        {{"failures", failures_}, {"known_revision", position_.revision}});
   failures_ = 0;
 }
 
 bool catalog_service::ApplyConfig(const catalog_item& item,
                                   const char* origin,
                                   asio::yield_context yield) {
-  // A complete read returns the configuration in force again.
-  if (!item.document || (config_ && item.revision <= config_revision_) ||
-      item.revision <= decoding_revision_)
+  if (!item.document)
+    return false;
+  // A complete read returns the configuration in force again, and a registry
+  // that was restored may get it back at another position.
+  if (config_ && *item.document == config_document_) {
+    config_position_ = std::max(config_position_, item.position);
+    RecordRegistryVersion(item.position.era, config_->version());
+    return false;
+  }
+  if (*item.document == older_document_) {
+    RecordRegistryVersion(item.position.era, older_version_);
+    return false;
+  }
+  // Positions of two eras do not order configurations: their versions do.
+  const auto is_covered = [&item](const registry_position& known) {
+    return item.position.era == known.era && item.position <= known;
+  };
+  if ((config_ && is_covered(config_position_)) ||
+      is_covered(decoding_position_) || *item.document == decoding_document_)
     return false;
-  decoding_revision_ = item.revision;
+  decoding_position_ = item.position;
+  decoding_document_ = *item.document;
   const auto decoded = source_->DecodeConfig(
       *item.document, [&] { asio::post(runtime_.io, yield); });
-  if (decoding_revision_ == item.revision)
-    decoding_revision_ = 0;
+  if (decoding_position_ == item.position) {
+    decoding_position_ = {};
+    decoding_document_.clear();
+  }
   if (!decoded) {
     Log(log_level::kError, "config_rejected",
-        {{"revision", item.revision}, {"detail", decoded.detail()}});
+        {{"catalog_era", item.position.era},
+         {"revision", item.position.revision},
+         {"detail", decoded.detail()}});
     return false;
   }
-  const std::int64_t before = config_ ? config_->version() : 0;
-  if ((*decoded)->version() <= before)
+  RecordRegistryVersion(item.position.era, (*decoded)->version());
+  const std::int64_t before = ConfigVersion();
+  if ((*decoded)->version() <= before) {
+    older_document_ = *item.document;
+    older_version_ = (*decoded)->version();
     return false;
+  }
   config_ = *decoded;
   config_pacer_.RecordCaughtUp();
   config_document_ = *item.document;
-  config_revision_ = item.revision;
+  config_position_ = item.position;
   Log(log_level::kInfo, "config_in_force",
       {{"version", config_->version()},
        {"before", before},
-       {"catalog_era", era_},
-       {"revision", item.revision},
+       {"catalog_era", item.position.era},
+       {"revision", item.position.revision},
        {"origin", origin},
        {"routes", config_->routes().size()}});
   return true;
@@ -354,30 +408,47 @@
   if (item.document) {
     const auto entry = source_->DecodeUpstream(item.id, *item.document);
     if (entry) {
-      raw_upstreams_[item.id] = {*item.document, item.revision};
-      const bool changed = upstreams_.Put(*entry, item.revision);
+      const bool changed = upstreams_.Put(*entry, item.position);
+      if (auto in_force = DocumentInForce(item, *entry))
+        raw_upstreams_[item.id] = std::move(*in_force);
+      else
+        raw_upstreams_.erase(item.id);
       if (changed)
         Log(log_level::kInfo, "upstream_listed",
             {{"upstream", item.id},
              {"service", entry->service},
              {"leaving", entry->leaving},
-             {"catalog_era", era_},
-             {"revision", item.revision}});
+             {"catalog_era", item.position.era},
+             {"revision", item.position.revision}});
       return changed;
     }
     Log(log_level::kWarning, "upstream_entry_rejected",
         {{"upstream", item.id}, {"detail", entry.detail()}});
   }
   raw_upstreams_.erase(item.id);
-  const bool changed = upstreams_.Remove(item.id, item.revision, now);
+  const bool changed = upstreams_.Remove(item.id, item.position, now);
   Log(log_level::kInfo, "upstream_unlisted",
       {{"upstream", item.id},
        {"in_force", changed},
-       {"catalog_era", era_},
-       {"revision", item.revision}});
+       {"catalog_era", item.position.era},
+       {"revision", item.position.revision}});
   return changed;
 }
 
+std::optional<catalog_service::raw_upstream> catalog_service::DocumentInForce(
+    const catalog_item& item,
+    const upstream_entry& entry) const {
+  const auto held = upstreams_.entries().find(item.id);
+  if (held == upstreams_.entries().end())
+    return std::nullopt;
+  if (held->second.entry == entry)
+    return raw_upstream{*item.document, item.position.revision};
+  const auto known = raw_upstreams_.find(item.id);
+  if (known == raw_upstreams_.end())
+    return std::nullopt;
+  return raw_upstream{known->second.document, item.position.revision};
+}
+
 void catalog_service::ApplyConfigs(const catalog_batch& batch,
                                    const char* origin,
                                    asio::yield_context yield) {
@@ -393,8 +464,12 @@
 void catalog_service::ApplySnapshot(const catalog_batch& batch,
                                     const char* origin,
                                     asio::yield_context yield) {
+  struct listed_upstream {
+    const catalog_item* item;
+    upstream_entry entry;
+  };
   std::vector<registered_upstream> all;
-  std::map<std::string, raw_upstream> raw;
+  std::vector<listed_upstream> listed;
   for (const catalog_item& item : batch.items) {
     if (item.kind != catalog_item_kind::kUpstream || !item.document)
       continue;
@@ -404,21 +479,27 @@
           {{"upstream", item.id}, {"detail", entry.detail()}});
       continue;
     }
-    all.push_back({*entry, item.revision});
-    raw[item.id] = {*item.document, item.revision};
+    all.push_back({*entry, item.position});
+    listed.push_back({&item, *entry});
   }
-  if (batch.position.revision >= revision_) {
-    const bool changed =
-        upstreams_.Replace(all, batch.position.revision, clock::now());
+  if (batch.position >= position_) {
+    if (batch.position.era != position_.era && position_.revision > 0)
+      EnterEra(batch.position, origin);
+    const bool changed = upstreams_.Replace(all, batch.position, clock::now());
     RecordDifference(batch);
+    std::map<std::string, raw_upstream> raw;
+    for (const listed_upstream& each : listed) {
+      if (auto in_force = DocumentInForce(*each.item, each.entry))
+        raw[each.item->id] = std::move(*in_force);
+    }
     raw_upstreams_ = std::move(raw);
-    revision_ = batch.position.revision;
+    position_ = batch.position;
     if (changed)
       NotifyListeners();
   }
   Log(log_level::kInfo, "catalog_read",
       {{"origin", origin},
-       {"catalog_era", era_},
+       {"catalog_era", batch.position.era},
        {"revision", batch.position.revision},
        {"upstreams", upstreams_.entries().size()}});
   ApplyConfigs(batch, origin, yield);
@@ -446,15 +527,15 @@
   for (const catalog_item& item : batch.items) {
     const bool is_upstream = item.kind == catalog_item_kind::kUpstream;
     // Already applied from a peer's message or snapshot.
-    if (item.revision <= revision_ && is_upstream)
+    if (item.position <= position_ && is_upstream)
       continue;
     if (is_upstream)
       changed = ApplyUpstream(item, now) || changed;
-    if (item.revision > revision_)
+    if (item.position > position_)
       RecordChange(
-          is_upstream ? item : catalog_item{item.kind, {}, item.revision, {}});
+          is_upstream ? item : catalog_item{item.kind, {}, item.position, {}});
   }
-  revision_ = std::max(revision_, batch.position.revision);
+  position_ = std::max(position_, batch.position);
   if (changed)
     NotifyListeners();
   const bool has_config = std::any_of(
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -35,9 +35,8 @@
   // The configuration in force; null until one has been received.
   std::shared_ptr<const forward_config> Config() const { return config_; }
   const upstream_catalog& upstreams() const { return upstreams_; }
-  std::int64_t revision() const { return revision_; }
-  // Era of the newest response of the registry; 0: none, or not reported.
-  std::int64_t era() const { return era_; }
+  // Up to where all changes of upstreams are known.
+  const registry_position& position() const { return position_; }
   // Time since the registry confirmed, to this instance or to a peer, that the
   // catalog is complete; empty if it never has.
   std::optional<duration> Age(time_point now) const;
@@ -57,7 +56,7 @@
  private:
   struct raw_upstream {
     std::string document;
-    std::int64_t revision = 0;
+    std::int64_t revision = 0;  // in the era of `position_`
   };
 
   struct recent_change {
@@ -74,7 +73,7 @@
   // all recorded changes when the differences are too many to be sent.
   void RecordDifference(const catalog_batch& batch);
   // Applies changes reported by a peer. @return false when changes between the
-  // known revision and the reported ones are missing.
+  // known position and the reported ones are missing.
   bool ApplyPeerChanges(const gossip_message& message, time_point now);
   // @return whether the watch may continue.
   bool WatchOnce(asio::yield_context yield);
@@ -82,11 +81,13 @@
                            const char* what,
                            asio::yield_context yield);
   // Reads and applies the whole registry, upstreams first.
-  // @return the revision that is complete then; kStoreUnavailable when a part
-  //     could not be read.
-  result<std::int64_t> ReadRegistry(asio::yield_context yield);
-  // Logs a change of the registry's era.
-  void RecordEra(const registry_position& position, const char* origin);
+  // @return the position that is complete then; kStoreUnavailable when a part
+  //     could not be read, or the parts are of different eras.
+  result<registry_position> ReadRegistry(asio::yield_context yield);
+  // Prepares for a complete list of upstreams at `next`, of a later era:
+  // nothing that the registry said of its configuration holds any more, and
+  // upstreams that the copy lacks may register again.
+  void EnterEra(const registry_position& next, const char* origin);
   void RecordSuccess();
   // Records a failed registry request that was not made by the read loop.
   void RecordQueryFailure(const char* what, const std::string& detail);
@@ -106,21 +107,39 @@
   bool ApplyConfig(const catalog_item& item,
                    const char* origin,
                    asio::yield_context yield);
+  // Precondition: `item` is of the era of `position_`.
   bool ApplyUpstream(const catalog_item& item, time_point now);
+  // The document to pass on for an upstream that the registry lists as `item`.
+  // The list may hold a newer entry than a copy of the registry, or none.
+  std::optional<raw_upstream> DocumentInForce(
+      const catalog_item& item,
+      const upstream_entry& entry) const;
   // Reads the registry's revision when no instance has done so recently: a
   // watch without events does not prove that nothing has changed.
   void ConfirmIfDue(time_point now);
   void Confirm(asio::yield_context yield);
-  // The registry's revision was not higher than `revision_` at `at`.
+  // The registry's position was not higher than `position_` at `at`.
   void RecordConfirmation(time_point at);
-  // The same, established by this instance's own request to the registry.
+  // The same, established by this instance's own request to the registry. Has
+  // no effect while the registry's configuration is older than the one in
+  // force.
   void RecordOwnConfirmation(time_point at);
-  void RecordConfigKnown(std::int64_t revision) {
-    config_known_revision_ = std::max(config_known_revision_, revision);
+  // Delays the next confirmation, by a different time at each instance.
+  void PostponeConfirmation(time_point from);
+  void RecordConfigKnown(const registry_position& position) {
+    config_known_position_ = std::max(config_known_position_, position);
   }
-  // Whether the configuration in force was the newest at `revision_`.
+  // The registry held the configuration `version` at a position of `era`.
+  void RecordRegistryVersion(std::int64_t era, std::int64_t version);
+  // Whether the registry lost the configuration in force and has not got it
+  // back.
+  bool IsRegistryConfigOlder() const {
+    return registry_version_ < ConfigVersion();
+  }
+  // Whether the configuration in force was the newest at `position_`.
   bool IsConfigCurrent() const {
-    return decoding_revision_ == 0 && config_known_revision_ >= revision_;
+    return decoding_position_ == registry_position() &&
+           config_known_position_ >= position_ && !IsRegistryConfigOlder();
   }
   std::int64_t ConfigVersion() const {
     return config_ ? config_->version() : 0;
@@ -131,8 +150,8 @@
   void CatchUpUpstreams(const std::string& peer, time_point now);
   void CatchUpConfig(const std::string& peer, time_point now);
   // Reads and applies the registry's configuration.
-  // @return kStoreUnavailable.
-  result<bool> ReadConfig(asio::yield_context yield);
+  // @return the era that it is of; kStoreUnavailable.
+  result<std::int64_t> ReadConfig(asio::yield_context yield);
   // Fetches a newer configuration from the registry, or from `peer` if the
   // registry does not provide one.
   void FetchConfig(const std::string& peer, asio::yield_context yield);
@@ -148,21 +167,27 @@
   peer_link* peers_;
   std::shared_ptr<const forward_config> config_;
   std::string config_document_;
-  std::int64_t config_revision_ = 0;
-  // Revision of the newest configuration being decoded; 0 if there is none.
-  std::int64_t decoding_revision_ = 0;
+  registry_position config_position_;
+  // The newest configuration being decoded; empty if there is none.
+  registry_position decoding_position_;
+  std::string decoding_document_;
+  // The last configuration that was older than the one in force.
+  std::string older_document_;
+  std::int64_t older_version_ = 0;
+  // Version of the newest configuration that the registry held in the era of
+  // `position_`.
+  std::int64_t registry_version_ = 0;
   upstream_catalog upstreams_;
   std::map<std::string, raw_upstream> raw_upstreams_;
-  std::int64_t era_ = 0;
-  // All changes of upstreams up to this registry revision are known.
-  std::int64_t revision_ = 0;
+  // All changes of upstreams up to this position of the registry are known.
+  registry_position position_;
   // The configuration in force, or the one being decoded, was the registry's
-  // newest at this revision. Peers report changes of upstreams before they have
+  // newest at this position. Peers report changes of upstreams before they have
   // decoded a configuration that preceded them.
-  std::int64_t config_known_revision_ = 0;
-  // Revision that the watch has reached. Lower than `revision_` after changes
+  registry_position config_known_position_;
+  // Position that the watch has reached. Lower than `position_` after changes
   // were received from a peer.
-  std::int64_t watched_revision_ = 0;
+  registry_position watched_position_;
   bool needs_full_read_ = true;
   int failures_ = 0;
   std::uint64_t snapshots_served_ = 0;
@@ -179,7 +204,8 @@
   catch_up_pacer upstreams_pacer_;
   catch_up_pacer config_pacer_;
   std::deque<recent_change> recent_changes_;
-  // The last revision before the first of `recent_changes_`.
+  // The last revision before the first of `recent_changes_`, which are all of
+  // the era of `position_`.
   std::int64_t recent_changes_after_ = 0;
   std::vector<listener> listeners_;
   membership_service* membership_ = nullptr;
--- a/src/relay/catalog_source.h
+++ b/src/relay/catalog_source.h
@@ -23,12 +23,12 @@
 // One value stored in the registry.
 struct catalog_item {
   catalog_item_kind kind = catalog_item_kind::kOther;
-  std::string id;             // of the upstream; empty for other kinds
-  std::int64_t revision = 0;  // of its last change, in the batch's era
+  std::string id;              // of the upstream; empty for other kinds
+  registry_position position;  // of its last change
   std::optional<std::string> document;  // empty if the value was removed
 
   friend bool operator==(const catalog_item& a, const catalog_item& b) {
-    return a.kind == b.kind && a.id == b.id && a.revision == b.revision &&
+    return a.kind == b.kind && a.id == b.id && a.position == b.position &&
            a.document == b.document;
   }
 };
@@ -52,12 +52,14 @@
   // included.
   // @return kStoreUnavailable when the registry did not respond or refused.
   virtual result<catalog_batch> ReadUpstreams(asio::yield_context yield) = 0;
-  // Waits for changes after `revision`; an empty batch when there were none.
+  // Waits for changes after `after`; an empty batch when there were none.
   // @return kStoreUnavailable; kNotFound when the registry's history does not
-  //     reach back to `revision`, so that a complete read is required.
-  virtual result<catalog_batch> WaitForChanges(std::int64_t revision,
+  //     contain `after`, since it was discarded or the registry restored, so
+  //     that a complete read is required.
+  virtual result<catalog_batch> WaitForChanges(const registry_position& after,
                                                asio::yield_context yield) = 0;
-  // Reads only the configuration; an empty batch when there is none.
+  // Reads only the configuration; a batch without items, whose position may
+  // have no revision, when there is none.
   // @return kStoreUnavailable.
   virtual result<catalog_batch> ReadConfig(asio::yield_context yield) = 0;
   // Reads the registry's current position. @return kStoreUnavailable.
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -143,8 +143,8 @@
   const auto config = catalog_.Config();
   out << report_.MetricsText() << "cactusward_config_version "
       << (config ? config->version() : 0) << '\n'
-      << "cactusward_catalog_era " << catalog_.era() << '\n'
-      << "cactusward_catalog_revision " << catalog_.revision() << '\n'
+      << "cactusward_catalog_era " << catalog_.position().era << '\n'
+      << "cactusward_catalog_revision " << catalog_.position().revision << '\n'
       << "cactusward_catalog_age_milliseconds "
       << ToMilliseconds(catalog_.Age(clock::now()).value_or(duration(0)))
       << '\n'
--- a/tests/support/slow_catalog.h
+++ b/tests/support/slow_catalog.h
@@ -25,9 +25,9 @@
   result<catalog_batch> ReadUpstreams(asio::yield_context yield) override {
     return catalog_->ReadUpstreams(yield);
   }
-  result<catalog_batch> WaitForChanges(std::int64_t revision,
+  result<catalog_batch> WaitForChanges(const registry_position& after,
                                        asio::yield_context yield) override {
-    return catalog_->WaitForChanges(revision, yield);
+    return catalog_->WaitForChanges(after, yield);
   }
   result<catalog_batch> ReadConfig(asio::yield_context yield) override {
     return catalog_->ReadConfig(yield);
--- a/tests/unit/catalog_age_test.cc
+++ b/tests/unit/catalog_age_test.cc
@@ -16,6 +16,8 @@
 // shortest `drain_ms` of the deployments.
 constexpr milliseconds kDrainBound{2'000};
 constexpr int kExtraInstances = 5;  // so that some do not watch the registry
+// Era of a registry that was never restored.
+constexpr std::int64_t kEra = 1;
 // Instances contact missing peers once a second.
 constexpr milliseconds kJoinTime{2'500};
 
@@ -194,7 +196,7 @@
   // revision.
   void Ping(const std::string& address, std::int64_t revision) {
     gossip_message ping = table_.JoinPing(address).message;
-    ping.catalog_revision = revision;
+    ping.catalog_position = {kEra, revision};
     ping.confirmed_age_ms = revision > 0 ? 0 : -1;
     socket_.Send(address, EncodeGossip(ping));
   }
@@ -203,7 +205,7 @@
                   std::int64_t after,
                   const catalog_change& change) {
     gossip_message update = table_.BuildMessage(gossip_kind::kUpdate);
-    update.catalog_revision = change.revision;
+    update.catalog_position = {kEra, change.revision};
     update.changes_after = after;
     update.changes = {change};
     socket_.Send(address, EncodeGossip(update));
@@ -266,7 +268,7 @@
     gossip_peer peer(fleet, [&](const gossip_message& message) {
       if (message.sender.peer_address != observed ||
           message.confirmed_age_ms < 0 || !changed_at ||
-          message.catalog_revision > revision_before)
+          message.catalog_position.revision > revision_before)
         return;
       ++reports;
       const time_point confirmed_at =
--- a/tests/unit/forwarding_test.cc
+++ b/tests/unit/forwarding_test.cc
@@ -231,10 +231,10 @@
   for (const row& r : rows) {
     CAPTURE(r.name);
     upstream_catalog catalog(kReturn);
-    catalog.Put(Entry("a", r.leaving), 1);
+    catalog.Put(Entry("a", r.leaving), {1, 1});
     if (r.outage_at >= 0)
       catalog.RecordOutage(At(r.outage_at));
-    catalog.Remove("a", 2, At(r.removed_at));
+    catalog.Remove("a", {1, 2}, At(r.removed_at));
     catalog.Expire(At(r.checked_at));
     CHECK((catalog.entries().count("a") == 1) == r.listed);
   }
@@ -242,30 +242,31 @@
 
 TEST_CASE("an entry that is registered again in time is not removed") {
   upstream_catalog catalog(milliseconds(2'000));
-  catalog.Put(Entry("a"), 1);
+  catalog.Put(Entry("a"), {1, 1});
   catalog.RecordOutage(kStart);
-  catalog.Remove("a", 2, At(10));
-  catalog.Put(Entry("a"), 3);
+  catalog.Remove("a", {1, 2}, At(10));
+  catalog.Put(Entry("a"), {1, 3});
   CHECK_FALSE(catalog.Expire(At(10'000)));
   CHECK(catalog.entries().count("a") == 1);
 }
 
 TEST_CASE("neither older revisions nor earlier starts replace an entry") {
   upstream_catalog catalog(milliseconds(2'000));
-  CHECK(catalog.Put(Entry("a", true), 5));
-  CHECK_FALSE(catalog.Put(Entry("a", false), 4));
+  CHECK(catalog.Put(Entry("a", true), {1, 5}));
+  CHECK_FALSE(catalog.Put(Entry("a", false), {1, 4}));
   upstream_entry earlier = Entry("a", false);
   earlier.started_at_ms = 500;
-  CHECK_FALSE(catalog.Put(earlier, 6));
+  CHECK_FALSE(catalog.Put(earlier, {1, 6}));
   CHECK(catalog.entries().at("a").entry.leaving);
-  CHECK_FALSE(catalog.Remove("a", 4, kStart));
+  CHECK_FALSE(catalog.Remove("a", {1, 4}, kStart));
 }
 
 TEST_CASE("a full list removes entries that are not in it") {
   upstream_catalog catalog(milliseconds(2'000));
-  catalog.Put(Entry("a"), 1);
-  catalog.Put(Entry("b"), 2);
-  CHECK(catalog.Replace({{Entry("b"), 2}, {Entry("c"), 3}}, 3, kStart));
+  catalog.Put(Entry("a"), {1, 1});
+  catalog.Put(Entry("b"), {1, 2});
+  CHECK(catalog.Replace({{Entry("b"), {1, 2}}, {Entry("c"), {1, 3}}}, {1, 3},
+                        kStart));
   CHECK(catalog.entries().size() == 2);
   CHECK(catalog.entries().count("a") == 0);
 }
--- a/tests/unit/restored_store_test.cc
+++ b/tests/unit/restored_store_test.cc
@@ -2,6 +2,8 @@
 // since then is lost, and its revisions are given out again.
 #include <nlohmann/json.hpp>
 
+#include "cactusward/membership.h"
+#include "cactusward/upstream_catalog.h"
 #include "tests/support/slow_catalog.h"
 #include "tests/support/small_fleet.h"
 
@@ -384,5 +386,126 @@
   }
 }
 
+// Guards against entries of a copy that replace newer ones, at the first and at
+// each further complete read of the registry.
+TEST_CASE("entries of a copy do not replace newer ones") {
+  struct version {
+    std::int64_t revision;
+    std::int64_t started_at_ms;
+    std::int64_t sequence;
+    bool leaving;
+  };
+  struct row {
+    const char* name;
+    version known;
+    bool removed;  // after `known`
+    version restored;
+    bool listed;
+    bool leaving;
+  };
+  const row rows[] = {
+      {"the same entry",
+       {5, 1, 9, false},
+       false,
+       {5, 1, 9, false},
+       true,
+       false},
+      {"written again", {5, 1, 9, false}, false, {4, 1, 10, true}, true, true},
+      {"announced its leaving",
+       {5, 1, 9, true},
+       false,
+       {3, 1, 7, false},
+       true,
+       true},
+      {"the same without a count",
+       {5, 1, 0, true},
+       false,
+       {3, 1, 0, false},
+       true,
+       true},
+      {"restarted", {5, 2, 1, false}, false, {3, 1, 7, true}, true, false},
+      {"restarted after the copy",
+       {5, 1, 9, true},
+       false,
+       {4, 2, 1, false},
+       true,
+       false},
+      {"was removed", {5, 1, 9, false}, true, {5, 1, 9, false}, false, false},
+      {"was removed, an older entry",
+       {5, 1, 9, false},
+       true,
+       {3, 1, 7, false},
+       false,
+       false},
+      {"was removed, written again",
+       {5, 1, 9, false},
+       true,
+       {4, 1, 10, false},
+       true,
+       false},
+      {"was removed, written again as it was",
+       {5, 1, 9, false},
+       true,
+       {8, 1, 9, false},
+       true,
+       false},
+      {"was removed, an earlier start",
+       {5, 2, 1, false},
+       true,
+       {3, 1, 7, true},
+       false,
+       false},
+  };
+  const auto at = [](const version& v, std::int64_t era) {
+    upstream_entry entry;
+    entry.id = "a";
+    entry.started_at_ms = v.started_at_ms;
+    entry.sequence = v.sequence;
+    entry.leaving = v.leaving;
+    return registered_upstream{entry, {era, v.revision}};
+  };
+  constexpr std::int64_t kLast = 20;  // revision of each complete read
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    upstream_catalog catalog(kApplyBound);
+    const time_point now = clock::now();
+    catalog.Replace({at(r.known, 1)}, {1, kLast}, now);
+    if (r.removed)
+      catalog.Remove("a", {1, kLast + 1}, now);
+    // The registry is restored twice, from the same copy.
+    for (const std::int64_t era : {2, 2, 3, 3}) {
+      CAPTURE(era);
+      catalog.Replace({at(r.restored, era)}, {era, kLast}, now);
+      REQUIRE((catalog.entries().count("a") == 1) == r.listed);
+      if (r.listed)
+        CHECK(catalog.entries().at("a").entry.leaving == r.leaving);
+    }
+  }
+}
+
+// Guards against a message that loses the era of its revisions.
+TEST_CASE("gossip tells the position of the catalog") {
+  gossip_message message;
+  message.sender.name = "a";
+  message.catalog_position = {3, 40};
+  const auto decoded = DecodeGossip(EncodeGossip(message));
+  REQUIRE(decoded);
+  CHECK(decoded->catalog_position == registry_position{3, 40});
+}
+
+TEST_CASE("positions are ordered by era, then by revision") {
+  const registry_position ordered[] = {{0, 0},  {0, 9}, {1, 2},
+                                       {1, 50}, {2, 1}, {2, 50}};
+  for (const registry_position& a : ordered) {
+    for (const registry_position& b : ordered) {
+      CHECK((a < b) == (&a < &b));
+      CHECK((a > b) == (&a > &b));
+      CHECK((a == b) == (&a == &b));
+      CHECK((a <= b) == (&a <= &b));
+      CHECK((a >= b) == (&a >= &b));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace cactusward
