--- a/src/relay/catalog_source.h
+++ b/src/relay/catalog_source.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cactusward/forward_config.h"
+#include "cactusward/registry_position.h"
 #include "cactusward/result.h"
 #include "cactusward/upstream_catalog.h"
 #include "src/edges/net.h"
@@ -22,22 +23,22 @@
 // One value stored in the registry.
 struct catalog_item {
   catalog_item_kind kind = catalog_item_kind::kOther;
-  std::string id;             // of the upstream; empty for other kinds
-  std::int64_t revision = 0;  // of its last change
+  std::string id;              // of the upstream; empty for other kinds
+  registry_position position;  // of its last change
   std::optional<std::string> document;  // empty if the value was removed
 
   friend bool operator==(const catalog_item& a, const catalog_item& b) {
-    return a.kind == b.kind && a.id == b.id && a.revision == b.revision &&
+    return a.kind == b.kind && a.id == b.id && a.position == b.position &&
            a.document == b.document;
   }
 };
 
 struct catalog_batch {
   std::vector<catalog_item> items;
-  std::int64_t revision = 0;  // registry revision that the batch covers
+  registry_position position;  // up to which the batch covers the registry
 
   friend bool operator==(const catalog_batch& a, const catalog_batch& b) {
-    return a.items == b.items && a.revision == b.revision;
+    return a.items == b.items && a.position == b.position;
   }
 };
 
@@ -51,16 +52,18 @@
   // included.
   // @return kStoreUnavailable when the registry did not respond or refused.
   virtual result<catalog_batch> ReadUpstreams(asio::yield_context yield) = 0;
-  // Waits for changes after `revision`; an empty batch when there were none.
+  // Waits for changes after `after`; an empty batch when there were none.
   // @return kStoreUnavailable; kNotFound when the registry's history does not
-  //     reach back to `revision`, so that a complete read is required.
-  virtual result<catalog_batch> WaitForChanges(std::int64_t revision,
+  //     contain `after`, since it was discarded or the registry restored, so
+  //     that a complete read is required.
+  virtual result<catalog_batch> WaitForChanges(const registry_position& after,
                                                asio::yield_context yield) = 0;
-  // Reads only the configuration; an empty batch when there is none.
+  // Reads only the configuration; a batch without items, whose position may
+  // have no revision, when there is none.
   // @return kStoreUnavailable.
   virtual result<catalog_batch> ReadConfig(asio::yield_context yield) = 0;
-  // Reads the registry's current revision. @return kStoreUnavailable.
-  virtual result<std::int64_t> ReadRevision(asio::yield_context yield) = 0;
+  // Reads the registry's current position. @return kStoreUnavailable.
+  virtual result<registry_position> ReadPosition(asio::yield_context yield) = 0;
 
   // Calls `pause` between steps of well under a millisecond, so that requests
   // are not delayed while a large configuration is decoded.
