Heed upstreams that leave or want no requests for a time

An upstream may say in any response that it leaves, or refuse a request with 503 and a time to retry after. Neither was read: callers' requests were sent to an upstream that was leaving until the registry said so, and to one that had asked for none, where they were refused again.

Renewals and releases are still sent: they belong to requests that the upstream runs. What is said in the response to another request, or by another upstream that has the address now, is not believed.

AllHeldBack, which covered request limits, now covers both causes. It is also asked while a request is queued and when all upstreams were tried, so that a caller is refused as soon as no upstream can take the request in time, with the shortest remaining time.

Not done: telling peers. A time to retry after is meant for one instance, and each hears of leaving with its next response or from the registry.

--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -47,6 +47,7 @@
         UpdateLimitHolders(now);
         for (const std::uint32_t expired : limits_.Expire(now))
           LogLimit(expired, "expiry", now);
+        ExpireAnnouncements(now);
         if (tracker_.own_requests() > 0)
           OnLoadChanged(false);
       });
@@ -67,7 +68,7 @@
       upstream = std::make_shared<fleet_upstream>();
     upstream->entry = entry;
     upstream->key = UpstreamKey(id);
-    upstream->limit_key =
+    upstream->process_key =
         UpstreamKey(id + "@" + std::to_string(entry.started_at_ms));
     upstream->rank = Hash64(id);
     by_service_[entry.service].push_back(upstream);
@@ -91,9 +92,16 @@
   return found == by_service_.end() ? none : found->second;
 }
 
+bool fleet_service::AcceptsRequests(const fleet_upstream& upstream,
+                                    time_point now) const {
+  return upstream.IsRegistered() &&
+         announcements_.MaySend(upstream.process_key, now);
+}
+
 bool fleet_service::IsUsable(const fleet_upstream& upstream,
                              time_point now) const {
-  if (!upstream.AcceptsRequests() || !limits_.MaySend(upstream.limit_key, now))
+  if (!AcceptsRequests(upstream, now) ||
+      !limits_.MaySend(upstream.process_key, now))
     return false;
   if (!upstream.health.IsAvoided(now))
     return true;
@@ -116,20 +124,50 @@
                                 std::optional<double> per_second,
                                 time_point sent_at) {
   const time_point now = clock::now();
-  if (!limits_.RecordResponse(upstream.limit_key, per_second, sent_at, now))
+  if (!limits_.RecordResponse(upstream.process_key, per_second, sent_at, now))
     return;
   UpdateLimitHolders(now);
-  LogLimit(upstream.limit_key, "own", now);
+  LogLimit(upstream.process_key, "own", now);
   OnLoadChanged(true);
 }
 
-void fleet_service::LogLimit(std::uint32_t limit_key,
+void fleet_service::RecordLeaving(const fleet_upstream& upstream) {
+  if (!announcements_.RecordLeaving(upstream.process_key, clock::now()))
+    return;
+  Log(log_level::kInfo, "upstream_leaving_announced",
+      {{"upstream", upstream.entry.id},
+       {"started_at_ms", upstream.entry.started_at_ms},
+       {"registered", upstream.IsRegistered()},
+       {"in_flight", upstream.running.size()}});
+}
+
+void fleet_service::RecordBackoff(const fleet_upstream& upstream,
+                                  milliseconds time) {
+  if (!announcements_.RecordBackoff(upstream.process_key, time, clock::now()))
+    return;
+  Log(log_level::kInfo, "upstream_backed_off",
+      {{"upstream", upstream.entry.id},
+       {"started_at_ms", upstream.entry.started_at_ms},
+       {"retry_after_ms", time.count()},
+       {"in_flight", upstream.running.size()}});
+}
+
+void fleet_service::ExpireAnnouncements(time_point now) {
+  if (announcements_.size() == 0)
+    return;
+  std::set<std::uint32_t> listed;
+  for (const auto& [id, upstream] : by_id_)
+    listed.insert(upstream->process_key);
+  announcements_.Expire(listed, now);
+}
+
+void fleet_service::LogLimit(std::uint32_t process_key,
                              std::string_view origin,
                              time_point now) const {
   for (const auto& [id, upstream] : by_id_) {
-    if (upstream->limit_key != limit_key)
+    if (upstream->process_key != process_key)
       continue;
-    const auto per_second = limits_.LimitOf(limit_key);
+    const auto per_second = limits_.LimitOf(process_key);
     if (!per_second) {
       Log(log_level::kInfo, "upstream_limit_ended",
           {{"upstream", id}, {"origin", origin}});
@@ -140,27 +178,38 @@
     Log(log_level::kInfo, "upstream_limited",
         {{"upstream", id},
          {"per_second", *per_second},
-         {"age_ms", ToMilliseconds(limits_.AgeOf(limit_key, now))},
+         {"age_ms", ToMilliseconds(limits_.AgeOf(process_key, now))},
          {"origin", origin},
          {"instances", instances},
          {"holders", share.holders},
-         {"holds_share", limits_.NextGrant(limit_key, now).has_value()},
+         {"holds_share", limits_.NextGrant(process_key, now).has_value()},
          {"share_per_second", share.per_second}});
   }
 }
 
 std::vector<fleet_service::held_back> fleet_service::AllHeldBack(
     const std::string& service,
+    const std::set<std::string>& except,
     time_point now) const {
   std::vector<held_back> all;
   for (const auto& upstream : Upstreams(service)) {
-    if (!upstream->AcceptsRequests())
+    const std::uint32_t process = upstream->process_key;
+    if (!upstream->IsRegistered() || announcements_.IsLeaving(process) ||
+        except.count(upstream->entry.id) > 0)
       continue;
-    if (limits_.MaySend(upstream->limit_key, now))
+    const auto backoff_end = announcements_.BackoffEnd(process, now);
+    held_back held;
+    held.upstream = upstream->entry.id;
+    held.backs_off = backoff_end.has_value();
+    held.until = limits_.NextGrant(process, now);
+    if (!held.backs_off && held.until && *held.until <= now)
       return {};
-    all.push_back({upstream->entry.id, *limits_.LimitOf(upstream->limit_key),
-                   limits_.AgeOf(upstream->limit_key, now),
-                   limits_.NextGrant(upstream->limit_key, now)});
+    if (held.until && backoff_end)
+      held.until = std::max(*held.until, *backoff_end);
+    held.per_second = limits_.LimitOf(process);
+    if (held.per_second)
+      held.age = limits_.AgeOf(process, now);
+    all.push_back(std::move(held));
   }
   return all;
 }
--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -6,12 +6,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "cactusward/engine_placement.h"
 #include "cactusward/load_tracker.h"
 #include "cactusward/suspects.h"
+#include "cactusward/upstream_announcements.h"
 #include "cactusward/upstream_catalog.h"
 #include "cactusward/upstream_health.h"
 #include "cactusward/upstream_limits.h"
@@ -27,13 +29,14 @@
 struct fleet_upstream {
   upstream_entry entry;
   std::uint32_t key = 0;  // UpstreamKey of its id
-  // Of its id and its start: a limit ends with the process that named it.
-  std::uint32_t limit_key = 0;
+  // Of its id and its start: what an upstream says about the requests that it
+  // takes ends with the process that said it.
+  std::uint32_t process_key = 0;
   std::uint64_t rank = 0;  // sort key; the same on all instances
   bool listed = true;
   upstream_health health;
-  // Whether it is registered and has not announced that it leaves.
-  bool AcceptsRequests() const { return listed && !entry.leaving; }
+  // Whether the registry has it and does not say that it leaves.
+  bool IsRegistered() const { return listed && !entry.leaving; }
   // Requests sent by this instance, by tracking id.
   std::map<std::uint64_t, running_request> running;
   // A test connection is in progress after a failed exchange.
@@ -52,34 +55,44 @@
   // leaving.
   const std::vector<std::shared_ptr<fleet_upstream>>& Upstreams(
       const std::string& service) const;
-  // Whether new requests may be sent to `upstream`.
+  // Whether `upstream` is registered and has not announced that it leaves, or
+  // that it wants no requests now.
+  bool AcceptsRequests(const fleet_upstream& upstream, time_point now) const;
+  // Whether new requests may be placed on `upstream`.
   bool IsUsable(const fleet_upstream& upstream, time_point now) const;
   load_tracker& tracker() { return tracker_; }
   // Counts a request, or a part of one, against the limit of `upstream`.
   void SpendLimit(const fleet_upstream& upstream, time_point now) {
-    limits_.Spend(upstream.limit_key, now);
+    limits_.Spend(upstream.process_key, now);
   }
   // Records the request limit that a response states, if any.
   // @param sent_at when its request was sent.
   void RecordLimit(const fleet_upstream& upstream,
                    std::optional<double> per_second,
                    time_point sent_at);
-  // An upstream to which this instance may send nothing now, because of its
-  // limit.
+  // Records that a response of `upstream` announces that it leaves.
+  void RecordLeaving(const fleet_upstream& upstream);
+  // Records that `upstream`, by a response that was received now, wants no
+  // requests for `time`.
+  void RecordBackoff(const fleet_upstream& upstream, milliseconds time);
+  // An upstream to which this instance may send nothing now.
   struct held_back {
     std::string upstream;
-    double per_second = 0;
-    duration age{0};                  // of the response that states the limit
-    std::optional<time_point> until;  // nullopt: it holds no share
+    std::optional<time_point> until;  // nullopt: it holds no share of the limit
+    bool backs_off = false;           // the upstream wants no requests
+    std::optional<double> per_second;  // its request limit
+    duration age{0};                   // of the response that states the limit
 
     friend bool operator==(const held_back& a, const held_back& b) {
-      return a.upstream == b.upstream && a.per_second == b.per_second &&
-             a.age == b.age && a.until == b.until;
+      return a.upstream == b.upstream && a.until == b.until &&
+             a.backs_off == b.backs_off && a.per_second == b.per_second &&
+             a.age == b.age;
     }
   };
-  // The upstreams of `service` that are held back. Empty unless all that accept
-  // requests are.
+  // The upstreams of `service`, other than those with the ids `except`, that
+  // are held back. Empty unless all of them are that do not leave.
   std::vector<held_back> AllHeldBack(const std::string& service,
+                                     const std::set<std::string>& except,
                                      time_point now) const;
   std::size_t limited_upstreams() const { return limits_.size(); }
   // Whether this instance has started too recently to have received the load
@@ -103,7 +116,8 @@
   void ScheduleBroadcast(duration delay);
   void NotifyCapacityFreed();
   void UpdateLimitHolders(time_point now);
-  void LogLimit(std::uint32_t limit_key,
+  void ExpireAnnouncements(time_point now);
+  void LogLimit(std::uint32_t process_key,
                 std::string_view origin,
                 time_point now) const;
 
@@ -112,6 +126,7 @@
   membership_service* membership_ = nullptr;
   load_tracker tracker_;
   upstream_limits limits_;
+  upstream_announcements announcements_;
   time_point started_at_;
   std::map<std::string, std::shared_ptr<fleet_upstream>> by_id_;
   std::map<std::string, std::vector<std::shared_ptr<fleet_upstream>>>
--- a/src/relay/memory_reservation.cc
+++ b/src/relay/memory_reservation.cc
@@ -26,45 +26,75 @@
       protocol_(protocol),
       state_(std::make_shared<state>(runtime.io)) {}
 
+milliseconds memory_reservation::Ttl() const {
+  return std::min(kReservationTtl,
+                  runtime_.settings.forwarding->max_reservation);
+}
+
 result<bool> memory_reservation::SendControlRequest(
     runtime& runtime,
-    const std::string& address,
+    const relay_protocol& protocol,
+    const fleet_upstream& upstream,
     const outgoing_request& request,
     asio::yield_context yield) {
-  const auto answer =
-      runtime.client.Call(address, request, clock::now() + kControlTimeout,
-                          yield, kMaxControlResponseBytes);
-  if (!answer)
-    return {answer.kind(), answer.detail()};
-  if (answer->status == kStatusOk || answer->status == kStatusAccepted)
+  const time_point deadline = clock::now() + kControlTimeout;
+  const auto response =
+      runtime.client.Open(upstream.entry.address, request, deadline, yield);
+  if (!response)
+    return {response.kind(), response.detail()};
+  const int status = (*response)->status();
+  const upstream_reply reply =
+      protocol.ParseReply(status, (*response)->header());
+  auto* fleet = runtime.registry.Find<fleet_service>(kFleetServiceName);
+  if (reply.leaving && !reply.wrong_upstream)
+    fleet->RecordLeaving(upstream);
+  if (reply.retry_after)
+    fleet->RecordBackoff(upstream, *reply.retry_after);
+  // Read to its end, so that the connection can be reused.
+  for (std::size_t received = 0;;) {
+    const auto bytes = (*response)->Read(deadline, yield);
+    if (!bytes)
+      return {bytes.kind(), bytes.detail()};
+    received += bytes->size();
+    if (received > kMaxControlResponseBytes)
+      return {error_kind::kUpstreamGarbled, "response exceeds the size limit"};
+    if (bytes->empty())
+      break;
+  }
+  if (status == kStatusOk || status == kStatusAccepted)
     return true;
-  return {error_kind::kUpstreamRefused,
-          "status " + std::to_string(answer->status)};
+  return {error_kind::kUpstreamRefused, "status " + std::to_string(status)};
+}
+
+result<bool> memory_reservation::Reserve(const allocation& next,
+                                         time_point deadline,
+                                         asio::yield_context yield) {
+  const auto* fleet = runtime_.registry.Find<fleet_service>(kFleetServiceName);
+  const time_point now = clock::now();
+  if (now >= deadline)
+    return {error_kind::kTimedOut, "no time is left"};
+  if (!fleet->AcceptsRequests(*next.upstream, now))
+    return {error_kind::kUpstreamRefused, "upstream accepts no requests"};
+  // A control request without a response may have been executed, so its
+  // allocation is recorded first and released as well.
+  state_->allocations.push_back(next);
+  return SendControlRequest(
+      runtime_, protocol_, *next.upstream,
+      protocol_.MakeReserveRequest({next.id, next.tokens, Ttl()}), yield);
 }
 
 result<bool> memory_reservation::Acquire(const std::string& id_prefix,
                                          std::vector<allocation> allocations,
                                          time_point deadline,
                                          asio::yield_context yield) {
-  const milliseconds ttl =
-      std::min(kReservationTtl, runtime_.settings.forwarding->max_reservation);
   for (std::size_t i = 0; i < allocations.size(); ++i) {
     allocation& next = allocations[i];
     next.id = id_prefix + "-" + std::to_string(i);
-    // A control request without a response may have been executed, so its
-    // allocation is recorded first and released as well.
-    state_->allocations.push_back(next);
-    const result<bool> granted =
-        clock::now() < deadline
-            ? SendControlRequest(
-                  runtime_, next.address,
-                  protocol_.MakeReserveRequest({next.id, next.tokens, ttl}),
-                  yield)
-            : result<bool>(error_kind::kTimedOut, "no time is left");
+    const result<bool> granted = Reserve(next, deadline, yield);
     if (!granted) {
       Log(log_level::kInfo, "reservation_refused",
           {{"reservation", next.id},
-           {"upstream_address", next.address},
+           {"upstream_address", next.upstream->entry.address},
            {"tokens", next.tokens},
            {"detail", granted.detail()}});
       return {error_kind::kUpstreamRefused, "memory was not granted"};
@@ -78,16 +108,14 @@
 void memory_reservation::StartRenewal() {
   Spawn(runtime_.io, "reservation",
         [&runtime = runtime_, &protocol = protocol_, state = state_,
-         ttl = std::min(kReservationTtl,
-                        runtime_.settings.forwarding->max_reservation)](
-            asio::yield_context yield) {
+         ttl = Ttl()](asio::yield_context yield) {
           while (state->active) {
             WaitOn(state->timer, clock::now() + kRenewPeriod, yield);
             for (std::size_t i = 0;
                  state->active && i < state->allocations.size(); ++i) {
               const allocation& held = state->allocations[i];
               const auto renewed = SendControlRequest(
-                  runtime, held.address,
+                  runtime, protocol, *held.upstream,
                   protocol.MakeReserveRequest({held.id, held.tokens, ttl}),
                   yield);
               if (!renewed)
@@ -108,8 +136,8 @@
             std::string detail;
             for (int i = 0; i < kMaxReleaseAttempts; ++i) {
               const auto released = SendControlRequest(
-                  runtime, held.address, protocol.MakeReleaseRequest(held.id),
-                  yield);
+                  runtime, protocol, *held.upstream,
+                  protocol.MakeReleaseRequest(held.id), yield);
               if (released)
                 return;
               detail = released.detail();
--- a/src/relay/memory_reservation.h
+++ b/src/relay/memory_reservation.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/daemon/runtime.h"
+#include "src/relay/fleet_service.h"
 #include "src/relay/relay_protocol.h"
 
 namespace cactusward {
@@ -16,7 +17,7 @@
 class memory_reservation {
  public:
   struct allocation {
-    std::string address;
+    std::shared_ptr<fleet_upstream> upstream;
     std::int64_t tokens = 0;
     std::string id;
   };
@@ -28,7 +29,8 @@
   memory_reservation& operator=(const memory_reservation&) = delete;
 
   // Reserves all allocations. @return kUpstreamRefused when one of them was not
-  // granted or `deadline` has passed; the destructor then releases the others.
+  // granted, its upstream does not accept requests or `deadline` has passed;
+  // the destructor then releases the others.
   result<bool> Acquire(const std::string& id_prefix,
                        std::vector<allocation> allocations,
                        time_point deadline,
@@ -40,15 +42,22 @@
  private:
   struct state {
     explicit state(asio::io_context& io) : timer(io) {}
-    std::vector<allocation> allocations;
+    std::vector<allocation> allocations;  // that were requested
     asio::steady_timer timer;
     bool active = true;
   };
+  // Sends a control request, and records what the response says about the
+  // requests that the upstream takes.
   // @return true, or why the upstream did not execute the control request.
   static result<bool> SendControlRequest(runtime& runtime,
-                                         const std::string& address,
+                                         const relay_protocol& protocol,
+                                         const fleet_upstream& upstream,
                                          const outgoing_request& request,
                                          asio::yield_context yield);
+  result<bool> Reserve(const allocation& next,
+                       time_point deadline,
+                       asio::yield_context yield);
+  milliseconds Ttl() const;
   void StartRenewal();
 
   runtime& runtime_;
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -24,6 +24,25 @@
   return ToMilliseconds(at - now);
 }
 
+// nullopt if none of them ends, as far as this instance knows.
+std::optional<time_point> EarliestEnd(
+    const std::vector<fleet_service::held_back>& upstreams) {
+  std::optional<time_point> earliest;
+  for (const fleet_service::held_back& upstream : upstreams) {
+    if (upstream.until && (!earliest || *upstream.until < *earliest))
+      earliest = upstream.until;
+  }
+  return earliest;
+}
+
+// The time to retry after, when this instance may send nothing until `end`.
+milliseconds RetryAfterEnd(std::optional<time_point> end, time_point now) {
+  // Another instance may hold a share.
+  if (!end)
+    return kMinRetryAfter;
+  return std::max(kMinRetryAfter, std::chrono::ceil<milliseconds>(*end - now));
+}
+
 }  // namespace
 
 relay_assignment::~relay_assignment() {
@@ -35,10 +54,12 @@
 }
 
 bool relay_assignment::TargetsAcceptRequests() const {
-  return primary.upstream->AcceptsRequests() &&
-         std::all_of(helpers.begin(), helpers.end(), [](const target& helper) {
-           return helper.upstream->AcceptsRequests();
-         });
+  const time_point now = clock::now();
+  return fleet_->AcceptsRequests(*primary.upstream, now) &&
+         std::all_of(helpers.begin(), helpers.end(),
+                     [this, now](const target& helper) {
+                       return fleet_->AcceptsRequests(*helper.upstream, now);
+                     });
 }
 
 void relay_assignment::EndPrefill() {
@@ -216,35 +237,42 @@
 bool relay_dispatcher::IsHeldBack(const placement_demand& demand,
                                   dispatch_failure* reason,
                                   time_point now) const {
-  const auto upstreams = fleet_->AllHeldBack(demand.service, now);
+  auto upstreams =
+      fleet_->AllHeldBack(demand.service, demand.tried_upstreams, now);
+  const auto until = EarliestEnd(upstreams);
+  if (until && *until < demand.queue_deadline)
+    return false;
+  // Perhaps all of them were tried.
+  if (upstreams.empty())
+    upstreams = fleet_->AllHeldBack(demand.service, {}, now);
   if (upstreams.empty())
     return false;
-  std::optional<time_point> until;
+  reason->retry_after = RetryAfterEnd(EarliestEnd(upstreams), now);
   auto described = nlohmann::json::array();
-  for (const fleet_service::held_back& upstream : upstreams) {
-    if (upstream.until && (!until || *upstream.until < *until))
-      until = upstream.until;
+  for (const fleet_service::held_back& upstream : upstreams)
     described.push_back(
         {{"upstream", upstream.upstream},
-         {"per_second", upstream.per_second},
+         {"backs_off", upstream.backs_off},
+         {"per_second", upstream.per_second.value_or(-1)},
          {"age_ms", ToMilliseconds(upstream.age)},
          {"wait_ms",
           upstream.until ? ToMilliseconds(*upstream.until - now) : -1}});
-  }
-  if (until && *until < demand.queue_deadline)
-    return false;
-  // Another instance may hold a share.
-  reason->retry_after =
-      until ? std::max(kMinRetryAfter,
-                       std::chrono::duration_cast<milliseconds>(*until - now))
-            : kMinRetryAfter;
   Log(log_level::kInfo, "request_held_back",
       {{"service", demand.service},
        {"retry_after_ms", reason->retry_after.count()},
-       {"limits", std::move(described)}});
+       {"upstreams", std::move(described)}});
   return true;
 }
 
+std::optional<milliseconds> relay_dispatcher::HeldBackTime(
+    const std::string& service,
+    time_point now) const {
+  const auto upstreams = fleet_->AllHeldBack(service, {}, now);
+  if (upstreams.empty())
+    return std::nullopt;
+  return RetryAfterEnd(EarliestEnd(upstreams), now);
+}
+
 std::unique_ptr<relay_assignment> relay_dispatcher::Acquire(
     const placement_demand& demand,
     cancel_token* cancel,
@@ -260,18 +288,22 @@
   waiters_.push_back(&self);
   cancel->OnCancel([&self] { self.timer.cancel(); });
   ScheduleDispatch();
-  while (!self.assignment && !cancel->cancelled() &&
+  bool held_back = false;
+  while (!self.assignment && !cancel->cancelled() && !held_back &&
          clock::now() < demand.queue_deadline &&
          !(demand.is_refused && demand.is_refused())) {
     WaitOn(self.timer,
            std::min(demand.queue_deadline, clock::now() + kDispatchPeriod),
            yield);
+    held_back = !self.assignment && IsHeldBack(demand, reason, clock::now());
     ScheduleDispatch();
   }
   cancel->OnCancel({});
   waiters_.remove(&self);
   if (self.assignment)
     return std::move(self.assignment);
+  if (held_back)
+    return nullptr;
   reason->kind =
       cancel->cancelled() ? error_kind::kCallerGone : error_kind::kQueueFull;
   reason->retry_after = RetryAfter(demand, clock::now());
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -53,7 +53,7 @@
     return primary.upstream;
   }
   // Whether all targets still accept requests. The assignment may be older than
-  // the announcement that a target leaves.
+  // the announcement that a target leaves, or that it wants no requests.
   bool TargetsAcceptRequests() const;
   // Reports that prefill is complete on all targets. Idempotent.
   void EndPrefill();
@@ -90,6 +90,10 @@
                                             cancel_token* cancel,
                                             dispatch_failure* reason,
                                             asio::yield_context yield);
+  // For how long no upstream of `service` takes a request from this instance;
+  // nullopt if one does.
+  std::optional<milliseconds> HeldBackTime(const std::string& service,
+                                           time_point now) const;
   std::size_t waiting() const { return waiters_.size(); }
 
  private:
@@ -110,8 +114,9 @@
       const placement_demand& demand,
       const engine_parameters& engine,
       time_point now);
-  // Whether the limits of all upstreams of the service let this instance send
-  // nothing before the request leaves the queue.
+  // Whether no upstream that the request may still be sent to takes one from
+  // this instance before the request leaves the queue, because of its request
+  // limit or because it wants none for a time.
   bool IsHeldBack(const placement_demand& demand,
                   dispatch_failure* reason,
                   time_point now) const;
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -101,7 +101,7 @@
   }
   const upstream_reply reply =
       services_.protocol.ParseReply((*stream)->status(), (*stream)->header());
-  services_.fleet.RecordLimit(*upstream, reply.request_limit, sent_at);
+  RecordReply(assignment, reply, sent_at);
   // This is the late response to an earlier request.
   if (!reply.attempt_id.empty() && reply.attempt_id != caller_.attempt_id) {
     (*stream)->DisableConnectionReuse();
--- a/src/relay/relay_protocol.h
+++ b/src/relay/relay_protocol.h
@@ -69,6 +69,10 @@
   bool signed_by_upstream = false;
   bool encoded = false;  // content-encoded: not the body the upstream sent
   std::string at_fault;  // address of the upstream named as the cause
+  bool leaving = false;  // the upstream will end and wants no more requests
+  // Set in a refusal: for how long the upstream wants no requests from this
+  // instance.
+  std::optional<milliseconds> retry_after;
   // Requests a second that the upstream takes from all instances together.
   std::optional<double> request_limit;
 
@@ -77,6 +81,7 @@
            a.wrong_upstream == b.wrong_upstream &&
            a.signed_by_upstream == b.signed_by_upstream &&
            a.encoded == b.encoded && a.at_fault == b.at_fault &&
+           a.leaving == b.leaving && a.retry_after == b.retry_after &&
            a.request_limit == b.request_limit;
   }
 };
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -249,8 +249,7 @@
   std::vector<memory_reservation::allocation> allocations;
   for (const relay_assignment::target* engine : engines) {
     if (engine->reserved_kv_tokens > 0)
-      allocations.push_back(
-          {engine->upstream->entry.address, engine->reserved_kv_tokens, {}});
+      allocations.push_back({engine->upstream, engine->reserved_kv_tokens, {}});
   }
   if (!allocations.empty()) {
     const std::string id_prefix =
@@ -352,6 +351,26 @@
   return assignment.upstream();
 }
 
+void relay_request::RecordReply(const relay_assignment& assignment,
+                                const upstream_reply& reply,
+                                time_point sent_at) {
+  const fleet_upstream& upstream = *assignment.upstream();
+  services_.fleet.RecordLimit(upstream, reply.request_limit, sent_at);
+  // It may repeat what was said to an earlier request, or by another process.
+  if (reply.wrong_upstream ||
+      (!reply.attempt_id.empty() && reply.attempt_id != caller_.attempt_id))
+    return;
+  if (reply.leaving)
+    services_.fleet.RecordLeaving(upstream);
+  if (!reply.retry_after)
+    return;
+  services_.fleet.RecordBackoff(upstream, *reply.retry_after);
+  for (const relay_assignment::target& helper : assignment.helpers) {
+    if (helper.upstream->entry.address == reply.at_fault)
+      services_.fleet.RecordBackoff(*helper.upstream, *reply.retry_after);
+  }
+}
+
 void relay_request::RecordOutcome(const relay_assignment& assignment,
                                   const attempt& last) {
   const auto& upstream = ResponsibleUpstream(assignment, last);
@@ -379,7 +398,8 @@
         upstream->health.Record(exchange_outcome::kTimedOut, now);
       break;
     case attempt_result::kNotSent:
-      if (assignment.helpers.empty())
+      // A request that was withheld says nothing about the upstream.
+      if (assignment.helpers.empty() && assignment.TargetsAcceptRequests())
         upstream->health.Record(exchange_outcome::kUnreachable, now);
       break;
     case attempt_result::kCallerGone:
@@ -451,7 +471,9 @@
     return RespondWithError(
         HasTimeLeft() ? error_kind::kUpstreamRefused
                       : error_kind::kDeadlineInfeasible,
-        milliseconds(ErrorResponseFor(error_kind::kDraining).retry_after_ms),
+        services_.dispatcher.HeldBackTime(service_, clock::now())
+            .value_or(milliseconds(
+                ErrorResponseFor(error_kind::kDraining).retry_after_ms)),
         yield);
   RespondWithError(
       HasTimeLeft() ? error_kind::kUpstreamFailed : error_kind::kTimedOut,
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -111,6 +111,11 @@
   // Whether another attempt may follow. Spends retry budget for it.
   bool PrepareRetry(const attempt& last);
   void RecordOutcome(const relay_assignment& assignment, const attempt& last);
+  // Records what the header of a response says about the requests that the
+  // upstream takes. @param sent_at when the request was sent.
+  void RecordReply(const relay_assignment& assignment,
+                   const upstream_reply& reply,
+                   time_point sent_at);
   // Finds out whether an upstream has crashed. Returns when it is known, if the
   // request may be the cause.
   void CheckLiveness(const std::shared_ptr<fleet_upstream>& upstream,
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -267,6 +267,7 @@
   if (request->value("operation", "") == "release") {
     reservations_.erase(id);
   } else {
+    ++reserve_requests_;
     reservations_.erase(id);
     const std::int64_t tokens = request->value("token_count", 0);
     if (ReservedTokens() + tokens > kRunnerCapacityTokens) {
@@ -278,7 +279,14 @@
   }
   if (control_delay_ > milliseconds(0))
     Sleep(io_, control_delay_, yield);
-  exchange.RespondWith(MakeResponse(200, "{}"), deadline, yield);
+  auto response = MakeResponse(200, "{}");
+  SetLeavingField(&response);
+  exchange.RespondWith(response, deadline, yield);
+}
+
+void runner_fake::SetLeavingField(http::fields* fields) const {
+  if (leaving_)
+    fields->set("Server-Leaving", "1");
 }
 
 std::string runner_fake::Entry(const std::string& service,
@@ -304,11 +312,14 @@
   response.set("X-Response-Seal", "seal-" + id_);
   if (!request_limit_.empty())
     response.set("Server-Limit", request_limit_);
-  if (leaving_)
-    response.set("Server-Leaving", "1");
+  SetLeavingField(&response);
   if (!retry_after_.empty()) {
     response = MakeResponse(503, "{}");
-    response.set("X-Attempt-Id", std::string(exchange.Header("X-Attempt-Id")));
+    SetLeavingField(&response);
+    response.set("X-Attempt-Id",
+                 fault == runner_fault::kCrossed
+                     ? "another"
+                     : std::string(exchange.Header("X-Attempt-Id")));
     response.set("X-Not-Executed", "1");
     response.set("Retry-After", retry_after_);
     exchange.RespondWith(response, deadline, yield);
@@ -320,17 +331,22 @@
     response = MakeResponse(503, "{}");
     response.set("X-Not-Executed", "1");
     response.set("At-Server", refused_helper_);
+    if (!helper_retry_after_.empty())
+      response.set("Retry-After", helper_retry_after_);
     exchange.RespondWith(response, deadline, yield);
     return;
   }
   switch (fault) {
     case runner_fault::kRefuses:
       response = MakeResponse(503, "{}");
+      SetLeavingField(&response);
       response.set("X-Not-Executed", "1");
       exchange.RespondWith(response, deadline, yield);
       return;
     case runner_fault::kWrongInstance:
-      exchange.RespondWith(MakeResponse(421, "{}"), deadline, yield);
+      response = MakeResponse(421, "{}");
+      SetLeavingField(&response);
+      exchange.RespondWith(response, deadline, yield);
       return;
     case runner_fault::kSilent:
       Run(exchange, yield);
@@ -404,8 +420,7 @@
     begin.set("X-Response-Seal", "seal-" + id_);
   if (!request_limit_.empty())
     begin.set("Server-Limit", request_limit_);
-  if (leaving_)
-    begin.set("Server-Leaving", "1");
+  SetLeavingField(&begin);
   if (fault == runner_fault::kFails)
     begin.result(500);
   exchange.BeginStreamWith(begin, deadline, yield);
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -132,9 +132,10 @@
     faulty_requests_ = requests;
   }
   // Refuses requests that list `helper` as prefill helper, and names the helper
-  // as the cause.
-  void RefuseHelper(const runner_fake& helper) {
+  // as the cause. `retry_after`: seconds; empty: not stated.
+  void RefuseHelper(const runner_fake& helper, std::string retry_after = {}) {
     refused_helper_ = helper.address();
+    helper_retry_after_ = std::move(retry_after);
   }
   // Crashes when it would begin to respond to a request whose prompt has one of
   // `parts`, by id. It then breaks all requests, refuses connections for
@@ -162,9 +163,11 @@
   void SetEventPause(milliseconds pause) { event_pause_ = pause; }
   // KV tokens of unexpired reservations.
   std::int64_t ReservedTokens() const;
-  // Announces in all responses that it leaves.
+  // Announces in all responses that it leaves, in those of control requests as
+  // well.
   void SetLeaving(bool leaving) { leaving_ = leaving; }
-  // Refuses requests with 503 and this time to retry after; empty: none.
+  // Refuses requests with 503 and this time to retry after; empty: none. The
+  // fault kCrossed makes it the refusal of another request.
   void SetRetryAfter(std::string seconds) { retry_after_ = std::move(seconds); }
   // Number of events in a complete stream.
   static constexpr int kEvents = 5;
@@ -172,6 +175,8 @@
   // before the response to a call.
   static constexpr milliseconds kPauseTime{1'800};
   int runs() const { return runs_; }
+  // Number of requests for memory, renewals included.
+  int reserve_requests() const { return reserve_requests_; }
   int arrivals() const { return arrivals_; }
   // Requests in order of arrival.
   const std::vector<http_request>& received_requests() const {
@@ -188,6 +193,7 @@
   runner_fault NextFault();
   // @return whether the upstream still runs afterwards.
   bool Run(const http_exchange& exchange, asio::yield_context yield);
+  void SetLeavingField(http::fields* fields) const;
   bool HasCrashingPart(const http_exchange& exchange) const;
   void Crash();
   void HandleReservation(http_exchange& exchange, asio::yield_context yield);
@@ -204,6 +210,7 @@
   std::function<void(const http_request&)> on_run_;
   std::function<void()> on_crash_;
   std::string refused_helper_;
+  std::string helper_retry_after_;
   milliseconds control_delay_{0};
   milliseconds run_time_{0};
   milliseconds event_pause_{0};
@@ -215,6 +222,7 @@
   bool leaving_ = false;
   std::string retry_after_;
   int runs_ = 0;
+  int reserve_requests_ = 0;
   int arrivals_ = 0;
   std::vector<http_request> received_requests_;
 };
