--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -235,8 +235,7 @@
   http_stream& stream = *exchange.stream;
   const upstream_reply reply =
       services_.protocol.ParseReply(stream.status(), stream.header());
-  services_.fleet.RecordLimit(*exchange.upstream(), reply.request_limit,
-                              exchange.sent_at);
+  RecordReply(*exchange.assignment, reply, exchange.sent_at);
   // This is the late response to an earlier request.
   if (!reply.attempt_id.empty() && reply.attempt_id != caller_.attempt_id) {
     stream.DisableConnectionReuse();
