A configuration of the next era does not confirm the list of this one

Found by reading the diff; no caller has seen it. An instance may read the configuration of a restored registry before its list of upstreams. Its confirmation of the list, which belongs to the era before, was then reported to peers as if the configuration had been the newest at that position. Both must be of one era now. No test shows it on its own: the report carries its true age, so that the window is that of one read.

Also a test that changes which peers report apply only within one era.

--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -214,7 +214,6 @@
   const auto config = source_->ReadConfig(yield);
   if (!config)
     return {config.kind(), config.detail()};
-
   ApplyConfigs(*config, "registry", yield);
   RecordConfigKnown(config->position);
   return config->position.era;
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -139,6 +139,7 @@
   // Whether the configuration in force was the newest at `position_`.
   bool IsConfigCurrent() const {
     return decoding_position_ == registry_position() &&
+           config_known_position_.era == position_.era &&
            config_known_position_ >= position_ && !IsRegistryConfigOlder();
   }
   std::int64_t ConfigVersion() const {
--- a/tests/unit/catalog_age_test.cc
+++ b/tests/unit/catalog_age_test.cc
@@ -203,9 +203,10 @@
   // Reports all changes of upstreams after a revision, up to that of `change`.
   void SendChange(const std::string& address,
                   std::int64_t after,
-                  const catalog_change& change) {
+                  const catalog_change& change,
+                  std::int64_t era = kEra) {
     gossip_message update = table_.BuildMessage(gossip_kind::kUpdate);
-    update.catalog_position = {kEra, change.revision};
+    update.catalog_position = {era, change.revision};
     update.changes_after = after;
     update.changes = {change};
     socket_.Send(address, EncodeGossip(update));
@@ -321,5 +322,44 @@
   });
 }
 
+// Guards against changes of another history of the registry that are taken for
+// the next ones, since their revisions follow.
+TEST_CASE("changes that peers report apply only within one era") {
+  struct row {
+    const char* name;
+    std::int64_t era;
+    bool applied;
+  };
+  const row rows[] = {
+      {"the lost history", 1, false},
+      {"the registry's era", 2, true},
+      {"a later era", 3, false},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    constexpr int kCalls = 20;
+    small_fleet fleet;
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    fleet.RegisterRunners();
+    fleet.store.Backup();
+    fleet.store.Restore();
+    REQUIRE(fleet.store.era() == 2);
+    gossip_peer peer(fleet, [](const gossip_message&) {});
+    fleet.Run([&](asio::yield_context yield) {
+      REQUIRE(fleet.WaitForStatus("/often/x", 200, yield));
+      REQUIRE(peer.Listen());
+      const std::int64_t known = fleet.store.revision();
+      peer.SendChange(fleet.settings.peer_advertise, known,
+                      {"p0", known + 1, fleet.plain[0]->Entry("plain", true)},
+                      r.era);
+      Sleep(fleet.io, testing::kSettleTime, yield);
+      const int before = fleet.plain[0]->arrivals();
+      for (int i = 0; i < kCalls; ++i)
+        CHECK(fleet.Call("/often/x", "a", yield).status == 200);
+      CHECK((fleet.plain[0]->arrivals() == before) == r.applied);
+    });
+  }
+}
+
 }  // namespace
 }  // namespace cactusward
