Claims that a restored store forgot are not granted again

Callers whose key-value service came back from an older copy saw one key run twice, outcomes lost, and every claim refused for up to a quarter of the retention.

Cause: a revision was taken for the identity of what it was given to, and what the store had acknowledged for what it still has. A restored store gives revisions out again and has forgotten writes and leases: - an owner's cached head was confirmed by a revision given to another owner's write, and its next write succeeded over that one; - an owner that read its bucket again dropped the claims the store had lost; - an outcome was dropped when its claim was gone; - a lease that was gone stayed cached, so that no write succeeded.

CompareAndSwap now compares the value beside the revision; a bucket's head names a segment, and no name is used twice. An owner that misses a segment before its expiry keeps its claims and writes them again. An outcome is stored without its claim. A lease is dropped after a write without success.

Four tests, with a fake store that can be restored and refuses unknown leases. One of them first expected one attempt of the direct store to be enough; it now retries once, as Complete's contract says.

--- a/include/cactusward/claim_index.h
+++ b/include/cactusward/claim_index.h
@@ -44,7 +44,8 @@
   void SetRetention(duration retention) { retention_ = retention; }
   // Applies an entry. Entries must be applied in the order in which they were
   // stored. Claiming a key that is already claimed has no effect, nor has a
-  // completion or release with another nonce.
+  // completion or release with another nonce. Completing a key without a claim
+  // claims it, as the claim may have been forgotten by the store.
   void Apply(const claim_entry& entry);
   // The claim on `key` in force at `now_ms`.
   std::optional<claim_record> Find(const std::string& key,
@@ -52,6 +53,10 @@
   // Removes claims older than the retention.
   void Expire(std::int64_t now_ms);
   void Clear();
+  // The entries that bring `other` all claims and outcomes of this index that
+  // it does not have.
+  std::vector<claim_entry> MissingIn(const claim_index& other,
+                                     std::int64_t now_ms) const;
   std::size_t size() const { return claims_.size(); }
 
  private:
--- a/include/cactusward/key_value_store.h
+++ b/include/cactusward/key_value_store.h
@@ -39,7 +39,10 @@
   std::optional<stored_value> current;  // stored value, if not applied
 };
 
-// A key-value service with compare-and-swap, leases and watches. Every call
+// A key-value service with compare-and-swap, leases and watches. It may come
+// back from a copy that is some seconds old: writes that it acknowledged are
+// then gone, leases too, and revisions are given out again. A revision alone
+// therefore identifies neither a value nor a state of the service. Every call
 // returns kStoreUnavailable if no response arrives by `deadline`; a write may
 // then have taken effect. Not thread-safe; call from the coroutine that owns
 // `yield`.
@@ -61,10 +64,11 @@
       time_point deadline,
       boost::asio::yield_context yield) = 0;
 
-  // Applies `writes` atomically if `key` is at `expected_revision` (0: absent).
+  // Applies `writes` atomically if `key` has the value and revision of
+  // `expected` (no value: if it is absent).
   virtual result<swap_outcome> CompareAndSwap(
       const std::string& key,
-      std::int64_t expected_revision,
+      const std::optional<stored_value>& expected,
       const std::vector<key_write>& writes,
       time_point deadline,
       boost::asio::yield_context yield) = 0;
--- a/src/claims/claim_bucket.cc
+++ b/src/claims/claim_bucket.cc
@@ -1,6 +1,7 @@
 #include "cactusward/claim_bucket.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace cactusward {
@@ -115,7 +116,7 @@
   }
 
   void RunWriter(asio::yield_context yield) {
-    while (RemoveAbandoned()) {
+    while (RemoveAbandoned() || (loaded_ && !forgotten_.empty())) {
       const time_point due = NextWriteTime();
       if (clock::now() < due) {
         SleepUntil(due, yield);
@@ -126,7 +127,7 @@
         continue;
       }
       operation_list batch = TakeBatch();
-      if (batch.empty())
+      if (batch.empty() && forgotten_.empty())
         continue;
       last_write_ = clock::now();
       if (!WriteSegment(batch, yield)) {
@@ -160,7 +161,7 @@
         pending_.begin(), pending_.end(), [](const auto& operation) {
           return operation->entry.change == claim_change::kClaim;
         });
-    if (has_claim)
+    if (has_claim || pending_.empty())
       return earliest;
     return std::max(earliest, pending_.front()->queued_at + settings_.linger);
   }
@@ -198,22 +199,30 @@
     const std::int64_t lease = AcquireLease(deadline, yield);
     if (lease == 0)
       return false;
-    std::vector<claim_entry> entries;
-    entries.reserve(batch.size());
+    std::vector<claim_entry> entries = TakeForgotten();
+    const auto restored = static_cast<std::ptrdiff_t>(entries.size());
+    entries.reserve(entries.size() + batch.size());
     for (const auto& operation : batch)
       entries.push_back(operation->entry);
     const std::string segment =
         prefix_ + "segments/" + writer_id_ + "-" + std::to_string(++sequence_);
     ++writes_;
     const auto swap = store_->CompareAndSwap(
-        prefix_ + "head", head_revision_,
+        prefix_ + "head", head_,
         {{prefix_ + "head", segment}, {segment, EncodeSegment(entries), lease}},
         deadline, yield);
-    if (!swap || !swap->applied)
+    if (!swap || !swap->applied) {
+      // The store may have forgotten the lease.
+      if (!swap)
+        lease_ = 0;
+      forgotten_.insert(forgotten_.begin(), entries.begin(),
+                        entries.begin() + restored);
       return false;
-    head_revision_ = swap->mod_revision;
+    }
+    head_ = stored_value{prefix_ + "head", segment, swap->mod_revision};
     verified_at_ = clock::now();
     const std::int64_t now_ms = NowMs();
+    segments_[segment] = now_ms;
     index_.Expire(now_ms);
     for (const auto& operation : batch) {
       index_.Apply(operation->entry);
@@ -233,14 +242,16 @@
         store_->Get(prefix_ + "head", read_started_at + kStoreTimeout, yield);
     if (!head)
       return false;
-    if ((head->has_value() ? (*head)->mod_revision : 0) != head_revision_)
+    if (!(*head == head_))
       return Load(yield);
     verified_at_ = read_started_at;
     return true;
   }
 
-  // Reads the whole bucket. The head is read first: a segment written between
-  // the two reads makes the next write fail, and the bucket is read again.
+  // Reads the whole bucket. What the store has forgotten of it is kept: a
+  // claim that was granted must not be granted again. The head is read first: a
+  // segment written between the two reads makes the next write fail, and the
+  // bucket is read again.
   bool Load(asio::yield_context yield) {
     const time_point read_started_at = clock::now();
     const time_point deadline = read_started_at + kLoadTimeout;
@@ -254,7 +265,8 @@
               [](const stored_value& a, const stored_value& b) {
                 return a.mod_revision < b.mod_revision;
               });
-    index_.Clear();
+    claim_index index(settings_.retention);
+    std::map<std::string, std::int64_t> found;
     for (const stored_value& segment : *segments) {
       const auto entries = DecodeSegment(segment.value);
       // An unreadable segment may contain claims. Granting claims without it
@@ -262,14 +274,50 @@
       if (!entries)
         return false;
       for (const claim_entry& entry : *entries)
-        index_.Apply(entry);
+        index.Apply(entry);
+      found[segment.key] = entries->empty() ? 0 : entries->back().timestamp_ms;
+    }
+    const std::int64_t now_ms = NowMs();
+    if (HasForgotten(found, now_ms)) {
+      const auto missing = index_.MissingIn(index, now_ms);
+      forgotten_.assign(missing.begin(), missing.end());
     }
-    head_revision_ = head->has_value() ? (*head)->mod_revision : 0;
+    for (const claim_entry& entry : forgotten_)
+      index.Apply(entry);
+    index_ = std::move(index);
+    segments_ = std::move(found);
+    head_ = *head;
     loaded_ = true;
     verified_at_ = read_started_at;
     return true;
   }
 
+  // Whether segments that this instance knows are gone before they expire: the
+  // store came back from an older copy.
+  bool HasForgotten(const std::map<std::string, std::int64_t>& found,
+                    std::int64_t now_ms) const {
+    const auto retention_ms =
+        std::chrono::duration_cast<milliseconds>(settings_.retention).count();
+    return std::any_of(segments_.begin(), segments_.end(),
+                       [&](const auto& known) {
+                         return found.count(known.first) == 0 &&
+                                now_ms - known.second < retention_ms;
+                       });
+  }
+
+  // Removes as many forgotten entries as one segment may contain.
+  std::vector<claim_entry> TakeForgotten() {
+    std::vector<claim_entry> entries;
+    std::size_t bytes = 0;
+    while (!forgotten_.empty() && entries.size() < kMaxSegmentEntries &&
+           bytes + forgotten_.front().record.body.size() <= kMaxSegmentBytes) {
+      bytes += forgotten_.front().record.body.size();
+      entries.push_back(std::move(forgotten_.front()));
+      forgotten_.pop_front();
+    }
+    return entries;
+  }
+
   // @return 0 if no lease was granted.
   std::int64_t AcquireLease(time_point deadline, asio::yield_context yield) {
     const duration period = settings_.retention / kLeasesPerRetention;
@@ -291,7 +339,11 @@
   claim_index index_;
   asio::steady_timer writer_timer_;
   std::deque<std::shared_ptr<pending_operation>> pending_;
-  std::int64_t head_revision_ = 0;
+  std::optional<stored_value> head_;
+  // Stored segments, with the time of their last entry.
+  std::map<std::string, std::int64_t> segments_;
+  // Claims and outcomes that the store forgot, to be written again.
+  std::deque<claim_entry> forgotten_;
   std::int64_t lease_ = 0;
   time_point lease_granted_;
   time_point last_write_;
--- a/src/claims/claim_index.cc
+++ b/src/claims/claim_index.cc
@@ -83,6 +83,11 @@
       expiry_queue_.emplace_back(entry.timestamp_ms, entry.key);
       return;
     case claim_change::kComplete:
+      if (!exists) {
+        claims_[entry.key] = {entry.record, entry.timestamp_ms};
+        expiry_queue_.emplace_back(entry.timestamp_ms, entry.key);
+        return;
+      }
       if (same_claimant && it->second.record.state == claim_state::kClaimed)
         it->second.record = entry.record;
       return;
@@ -111,6 +116,25 @@
   }
 }
 
+std::vector<claim_entry> claim_index::MissingIn(const claim_index& other,
+                                                std::int64_t now_ms) const {
+  std::vector<claim_entry> missing;
+  for (const auto& [key, claim] : claims_) {
+    if (IsExpired(claim.timestamp_ms, now_ms))
+      continue;
+    const auto found = other.Find(key, now_ms);
+    const bool done = claim.record.state == claim_state::kDone;
+    if (!found)
+      missing.push_back({done ? claim_change::kComplete : claim_change::kClaim,
+                         key, claim.record, claim.timestamp_ms});
+    else if (done && found->nonce == claim.record.nonce &&
+             found->state == claim_state::kClaimed)
+      missing.push_back(
+          {claim_change::kComplete, key, claim.record, claim.timestamp_ms});
+  }
+  return missing;
+}
+
 void claim_index::Clear() {
   claims_.clear();
   expiry_queue_.clear();
--- a/src/claims/direct_claim_store.cc
+++ b/src/claims/direct_claim_store.cc
@@ -121,12 +121,15 @@
     const auto lease = AcquireLease(until, yield);
     if (lease) {
       const auto swap = store_->CompareAndSwap(
-          StorageKey(key), 0, {{StorageKey(key), EncodeClaim(record), *lease}},
-          until, yield);
+          StorageKey(key), std::nullopt,
+          {{StorageKey(key), EncodeClaim(record), *lease}}, until, yield);
       if (swap && swap->applied)
         return record;
       if (swap && swap->current)
         return DecodeClaim(swap->current->value);
+      // The store may have forgotten the lease.
+      if (!swap)
+        lease_ = 0;
     }
     SleepFor(backoff, deadline, yield);
     backoff = std::min(backoff * 2, kMaxBackoff);
@@ -141,21 +144,24 @@
   const auto current = store_->Get(StorageKey(key), deadline, yield);
   if (!current)
     return {current.kind(), current.detail()};
-  if (!current->has_value())
-    return false;
-  const auto stored = DecodeClaim((*current)->value);
-  if (!stored || stored->nonce != record.nonce)
-    return false;
-  if (stored->state == claim_state::kDone)
-    return true;
+  // A claim that the store forgot is stored again with its outcome.
+  if (current->has_value()) {
+    const auto stored = DecodeClaim((*current)->value);
+    if (!stored || stored->nonce != record.nonce)
+      return false;
+    if (stored->state == claim_state::kDone)
+      return true;
+  }
   const auto lease = AcquireLease(deadline, yield);
   if (!lease)
     return {lease.kind(), lease.detail()};
   const auto swap = store_->CompareAndSwap(
-      StorageKey(key), (*current)->mod_revision,
+      StorageKey(key), *current,
       {{StorageKey(key), EncodeClaim(record), *lease}}, deadline, yield);
-  if (!swap)
+  if (!swap) {
+    lease_ = 0;
     return {swap.kind(), swap.detail()};
+  }
   return swap->applied;
 }
 
@@ -171,9 +177,9 @@
   const auto stored = DecodeClaim((*current)->value);
   if (!stored || stored->nonce != nonce || stored->state == claim_state::kDone)
     return true;
-  const auto swap = store_->CompareAndSwap(
-      StorageKey(key), (*current)->mod_revision,
-      {{StorageKey(key), std::nullopt}}, deadline, yield);
+  const auto swap = store_->CompareAndSwap(StorageKey(key), *current,
+                                           {{StorageKey(key), std::nullopt}},
+                                           deadline, yield);
   if (!swap)
     return {swap.kind(), swap.detail()};
   return swap->applied;
--- a/src/edges/etcd_store.cc
+++ b/src/edges/etcd_store.cc
@@ -158,18 +158,25 @@
 
 result<swap_outcome> etcd_store::CompareAndSwap(
     const std::string& key,
-    std::int64_t expected_revision,
+    const std::optional<stored_value>& expected,
     const std::vector<key_write>& writes,
     time_point deadline,
     asio::yield_context yield) {
   json success = json::array();
   for (const key_write& write : writes)
     success.push_back(EncodeWrite(write));
-  const json body = {{"compare",
-                      {{{"key", EncodeBase64(key)},
-                        {"target", "MOD"},
-                        {"result", "EQUAL"},
-                        {"mod_revision", std::to_string(expected_revision)}}}},
+  json compare =
+      json::array({{{"key", EncodeBase64(key)},
+                    {"target", "MOD"},
+                    {"result", "EQUAL"},
+                    {"mod_revision",
+                     std::to_string(expected ? expected->mod_revision : 0)}}});
+  if (expected)
+    compare.push_back({{"key", EncodeBase64(key)},
+                       {"target", "VALUE"},
+                       {"result", "EQUAL"},
+                       {"value", EncodeBase64(expected->value)}});
+  const json body = {{"compare", std::move(compare)},
                      {"success", std::move(success)},
                      {"failure", {{{"request_range", KeyRange(key)}}}}};
   const auto response = Post("/v3/kv/txn", body, deadline, yield);
--- a/src/edges/etcd_store.h
+++ b/src/edges/etcd_store.h
@@ -22,11 +22,12 @@
   result<std::vector<stored_value>> List(const std::string& prefix,
                                          time_point deadline,
                                          asio::yield_context yield) override;
-  result<swap_outcome> CompareAndSwap(const std::string& key,
-                                      std::int64_t expected_revision,
-                                      const std::vector<key_write>& writes,
-                                      time_point deadline,
-                                      asio::yield_context yield) override;
+  result<swap_outcome> CompareAndSwap(
+      const std::string& key,
+      const std::optional<stored_value>& expected,
+      const std::vector<key_write>& writes,
+      time_point deadline,
+      asio::yield_context yield) override;
   result<std::int64_t> GrantLease(milliseconds time_to_live,
                                   time_point deadline,
                                   asio::yield_context yield) override;
--- a/src/model/platform_standin.cc
+++ b/src/model/platform_standin.cc
@@ -130,10 +130,14 @@
   bool compare_succeeded = true;
   for (const json& compare : request.value("compare", json::array())) {
     const auto it = values_.find(ReadBytes(compare, "key"));
-    const std::int64_t found =
-        it == values_.end() ? 0 : it->second.mod_revision;
-    compare_succeeded =
-        compare_succeeded && found == ReadInteger(compare, "mod_revision");
+    const bool exists = it != values_.end();
+    if (compare.value("target", "") == "VALUE")
+      compare_succeeded = compare_succeeded && exists &&
+                          it->second.value == ReadBytes(compare, "value");
+    else
+      compare_succeeded =
+          compare_succeeded && (exists ? it->second.mod_revision : 0) ==
+                                   ReadInteger(compare, "mod_revision");
   }
   // All writes of a transaction share one revision.
   if (compare_succeeded)
--- a/src/services/config_service.cc
+++ b/src/services/config_service.cc
@@ -176,9 +176,7 @@
       continue;
     }
     std::int64_t found = 0;
-    std::int64_t mod_revision = 0;
     if (current->has_value()) {
-      mod_revision = (*current)->mod_revision;
       const auto known = DecodeRevision((*current)->value);
       if (!known)
         return {error_kind::kInternal, "stored revision is not understood"};
@@ -204,7 +202,7 @@
                   " is in force"};
     }
     const auto swap = runtime_.store->CompareAndSwap(
-        key, mod_revision, {{key, encoded}}, until, yield);
+        key, *current, {{key, encoded}}, until, yield);
     if (swap && swap->applied) {
       OfferRevision(encoded);
       return edit_outcome{next.number, next.digest};
--- a/tests/unit/claims_test.cc
+++ b/tests/unit/claims_test.cc
@@ -1,8 +1,10 @@
-// Claims with a key-value store whose requests and responses can be lost.
+// Claims with a key-value store whose requests and responses can be lost, and
+// that may come back from an older copy.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 
 #include "cactusward/claim_bucket.h"
 
@@ -35,20 +37,24 @@
     }
     return values;
   }
-  result<swap_outcome> CompareAndSwap(const std::string& key,
-                                      std::int64_t expected,
-                                      const std::vector<key_write>& batch,
-                                      time_point,
-                                      asio::yield_context) override {
+  result<swap_outcome> CompareAndSwap(
+      const std::string& key,
+      const std::optional<stored_value>& expected,
+      const std::vector<key_write>& batch,
+      time_point,
+      asio::yield_context) override {
     if (dropped_requests > 0) {
       --dropped_requests;
       return {error_kind::kStoreUnavailable, ""};
     }
+    for (const key_write& write : batch) {
+      if (write.lease != 0 && leases_.count(write.lease) == 0)
+        return {error_kind::kStoreUnavailable, "requested lease not found"};
+    }
     swap_outcome outcome;
     const auto it = values_.find(key);
-    const std::int64_t found =
-        it == values_.end() ? 0 : it->second.mod_revision;
-    outcome.applied = found == expected;
+    outcome.applied =
+        it == values_.end() ? !expected : expected && *expected == it->second;
     if (outcome.applied)
       outcome.mod_revision = ++revision_;
     if (outcome.applied) {
@@ -71,7 +77,8 @@
   result<std::int64_t> GrantLease(milliseconds,
                                   time_point,
                                   asio::yield_context) override {
-    return std::int64_t{1};
+    leases_.insert(++last_lease_);
+    return last_lease_;
   }
   std::error_code Watch(const std::string&,
                         std::int64_t,
@@ -80,9 +87,26 @@
     return error_kind::kStoreUnavailable;
   }
 
+  // Keeps a copy for Restore.
+  void Save() { saved_ = {values_, leases_, revision_}; }
+  // Forgets everything written since Save. Leases have new ids after it.
+  void Restore() {
+    values_ = saved_.values;
+    leases_ = saved_.leases;
+    revision_ = saved_.revision;
+  }
+
  private:
+  struct copy {
+    std::map<std::string, stored_value> values;
+    std::set<std::int64_t> leases;
+    std::int64_t revision = 0;
+  };
   std::map<std::string, stored_value> values_;
+  std::set<std::int64_t> leases_;
+  std::int64_t last_lease_ = 0;
   std::int64_t revision_ = 0;
+  copy saved_;
 };
 
 void RunInCoroutine(const std::function<void(asio::yield_context)>& body) {
@@ -247,6 +271,114 @@
   io.run();
 }
 
+// Guards against a key being granted twice because a restored store gave the
+// revision of an owner's last write to another owner's write.
+TEST_CASE("a revision that was given out again does not confirm a bucket") {
+  fake_store store;
+  asio::io_context io;
+  claim_bucket owner1(io, &store, "b", "w1", ShortIntervals());
+  claim_bucket owner2(io, &store, "b", "w2", ShortIntervals());
+  asio::spawn(io, [&](asio::yield_context yield) {
+    const time_point deadline = clock::now() + std::chrono::seconds(30);
+    owner1.Claim("first", MakeRecord("one"), deadline, yield);
+    store.Save();
+    owner1.Claim("second", MakeRecord("one"), deadline, yield);
+    store.Restore();
+    CHECK(owner2.Claim("k", MakeRecord("two"), deadline, yield)->nonce ==
+          "two");
+    CHECK(owner1.Claim("k", MakeRecord("one"), deadline, yield)->nonce ==
+          "two");
+  });
+  io.run();
+}
+
+// Guards against a key being granted twice after the store forgot its claim,
+// although the owner that wrote it lives.
+TEST_CASE("an owner keeps and restores the claims that the store forgot") {
+  const bool another_owner_wrote = GENERATE(false, true);
+  fake_store store;
+  asio::io_context io;
+  claim_bucket owner(io, &store, "b", "w1", ShortIntervals());
+  claim_bucket other(io, &store, "b", "w2", ShortIntervals());
+  claim_bucket successor(io, &store, "b", "w3", ShortIntervals());
+  asio::spawn(io, [&](asio::yield_context yield) {
+    const time_point deadline = clock::now() + std::chrono::seconds(30);
+    owner.Claim("before", MakeRecord("one"), deadline, yield);
+    store.Save();
+    claim_record done = MakeRecord("one");
+    done.state = claim_state::kDone;
+    done.body = "answer";
+    owner.Claim("running", MakeRecord("one"), deadline, yield);
+    owner.Claim("done", MakeRecord("one"), deadline, yield);
+    owner.Claim("released", MakeRecord("one"), deadline, yield);
+    owner.Complete("done", done, deadline, yield);
+    owner.Complete("before", done, deadline, yield);
+    owner.Release("released", "one", deadline, yield);
+    store.Restore();
+    if (another_owner_wrote)
+      other.Claim("unrelated", MakeRecord("two"), deadline, yield);
+    owner.Claim("next", MakeRecord("one"), deadline, yield);
+    for (claim_bucket* bucket : {&owner, &successor}) {
+      for (const char* key : {"done", "before"})
+        CHECK(*bucket->Claim(key, MakeRecord("three"), deadline, yield) ==
+              done);
+      CHECK(bucket->Claim("running", MakeRecord("three"), deadline, yield)
+                ->nonce == "one");
+    }
+    CHECK(successor.Claim("released", MakeRecord("three"), deadline, yield)
+              ->nonce == "three");
+  });
+  io.run();
+}
+
+// Guards against finished work being run again because the store forgot its
+// claim before its outcome was stored.
+TEST_CASE("the outcome of a claim that the store forgot is stored") {
+  fake_store store;
+  asio::io_context io;
+  claim_bucket bucket(io, &store, "b", "w1", ShortIntervals());
+  claim_bucket successor(io, &store, "b", "w2", ShortIntervals());
+  direct_claim_store direct(&store, std::chrono::hours(1));
+  asio::spawn(io, [&](asio::yield_context yield) {
+    const time_point deadline = clock::now() + std::chrono::seconds(30);
+    store.Save();
+    bucket.Claim("k", MakeRecord("one"), deadline, yield);
+    direct.Claim("k", MakeRecord("one"), deadline, yield);
+    store.Restore();
+    claim_record done = MakeRecord("one");
+    done.state = claim_state::kDone;
+    CHECK(*successor.Complete("k", done, deadline, yield));
+    CHECK(*successor.Claim("k", MakeRecord("two"), deadline, yield) == done);
+    // The first attempt finds that the lease is gone.
+    auto stored = direct.Complete("k", done, deadline, yield);
+    if (!stored)
+      stored = direct.Complete("k", done, deadline, yield);
+    REQUIRE(stored);
+    CHECK(*stored);
+    CHECK(*direct.Claim("k", MakeRecord("two"), deadline, yield) == done);
+  });
+  io.run();
+}
+
+// Guards against claims being refused for minutes because the store forgot the
+// lease that they share.
+TEST_CASE("claims go on when the store forgot their lease") {
+  fake_store store;
+  asio::io_context io;
+  claim_bucket bucket(io, &store, "b", "w1", ShortIntervals());
+  direct_claim_store direct(&store, std::chrono::hours(1));
+  asio::spawn(io, [&](asio::yield_context yield) {
+    store.Save();
+    const auto deadline = [] { return clock::now() + milliseconds(1'500); };
+    CHECK(bucket.Claim("before", MakeRecord("one"), deadline(), yield));
+    CHECK(direct.Claim("before", MakeRecord("one"), deadline(), yield));
+    store.Restore();
+    CHECK(bucket.Claim("after", MakeRecord("one"), deadline(), yield));
+    CHECK(direct.Claim("after", MakeRecord("one"), deadline(), yield));
+  });
+  io.run();
+}
+
 TEST_CASE("claims expire after the retention") {
   claim_index index(std::chrono::seconds(1));
   index.Apply({claim_change::kClaim, "k", MakeRecord("one"), 1'000});
