A configuration that the store forgot is written back

An operator whose edit had been accepted saw it undone by a restart of all instances after the key-value service had come back from an older copy; while they ran, the edit stayed in force only in their memories.

Cause: an instance that read an older revision than its own ignored it. The watch, too, started from the highest store revision ever seen, which the restored service had not reached: changes were found only by the periodic read.

An instance that reads an older revision than the one in force now writes its own back by compare-and-swap on what it read. The watch starts from the latest read. Edits based on the number in force were and are accepted.

Test: scenario restored_store; the stand-in gets the control calls save and restore. The start of the watch is covered by the periodic read within the bound and has no test of its own.

--- a/src/model/platform_standin.cc
+++ b/src/model/platform_standin.cc
@@ -242,6 +242,13 @@
     faults_.lose_answers = body->value("lose_answers", faults_.lose_answers);
     faults_.watch_lag_ms = body->value("watch_lag_ms", faults_.watch_lag_ms);
     faults_.stale_reads = body->value("stale_reads", faults_.stale_reads);
+    if (body->value("save", false))
+      saved_ = {values_, leases_, revision_};
+    if (body->value("restore", false)) {
+      values_ = saved_.values;
+      leases_ = saved_.leases;
+      revision_ = saved_.revision;
+    }
     WakeWatchers();
   }
   exchange.RespondJson({{"reads", reads_},
--- a/src/model/platform_standin.h
+++ b/src/model/platform_standin.h
@@ -1,7 +1,7 @@
 // Stand-in for the platform: the key-value service (a subset of the etcd v3
 // JSON gateway) and the list of instances, which lags behind changes. Can
-// simulate outages, slow responses, and responses lost after a write took
-// effect.
+// simulate outages, slow responses, responses lost after a write took effect,
+// and a service that comes back from an older copy.
 #ifndef CACTUSWARD_SRC_MODEL_PLATFORM_STANDIN_H_
 #define CACTUSWARD_SRC_MODEL_PLATFORM_STANDIN_H_
 
@@ -72,6 +72,12 @@
   std::set<watcher*> watchers_;
   std::string instance_list_ = "[]";
   std::int64_t revision_ = 0;
+  // Written by the control call "save", returned to by "restore".
+  struct {
+    std::map<std::string, stored_entry> values;
+    std::map<std::int64_t, time_point> leases;
+    std::int64_t revision = 0;
+  } saved_;
   std::int64_t next_lease_ = 1;
   std::int64_t reads_ = 0;
   std::int64_t writes_ = 0;
--- a/src/services/config_service.cc
+++ b/src/services/config_service.cc
@@ -57,8 +57,7 @@
     runtime_.store->Watch(
         std::string(kConfigKey), seen_mod_revision_,
         [this](const stored_value& change) {
-          seen_mod_revision_ =
-              std::max(seen_mod_revision_, change.mod_revision);
+          seen_mod_revision_ = change.mod_revision;
           confirmed_at_ = clock::now();
           OfferRevision(change.value);
         },
@@ -90,16 +89,41 @@
       // The response may be as old as the request, so the confirmation counts
       // from the time of the request.
       confirmed_at_ = std::max(confirmed_at_.value_or(asked_at), asked_at);
-      if (value->has_value()) {
-        seen_mod_revision_ =
-            std::max(seen_mod_revision_, (*value)->mod_revision);
+      // Not the highest one seen: revisions go back when the service is
+      // restored, and a watch from a later one would report nothing.
+      seen_mod_revision_ = value->has_value() ? (*value)->mod_revision : 0;
+      if (value->has_value())
         OfferRevision((*value)->value);
-      }
+      WriteBack(*value, yield);
     }
     Sleep(runtime_.io, ConfirmPeriod(), yield);
   }
 }
 
+void config_service::WriteBack(const std::optional<stored_value>& stored,
+                               asio::yield_context yield) {
+  const auto active = Current();
+  if (!active)
+    return;
+  std::int64_t stored_number = 0;
+  if (stored) {
+    const auto known = DecodeRevision(stored->value);
+    if (!known)
+      return;
+    stored_number = known->number;
+  }
+  if (stored_number >= active->revision.number)
+    return;
+  // Only one of all instances succeeds; an edit made meanwhile stays.
+  const std::string key(kConfigKey);
+  const auto swap =
+      runtime_.store->CompareAndSwap(key, stored, {{key, tracker_.Encoded()}},
+                                     clock::now() + kStoreTimeout, yield);
+  if (swap && swap->applied)
+    Log(log_level::kWarning, "config_written_back",
+        {{"stored", stored_number}, {"revision", active->revision.number}});
+}
+
 void config_service::OnPeerRevision(const std::string& peer_address,
                                     std::int64_t number,
                                     std::int64_t confirmed_age_ms) {
--- a/src/services/config_service.h
+++ b/src/services/config_service.h
@@ -66,6 +66,10 @@
   // Reads the stored revision periodically, to confirm that the one in force is
   // the newest.
   void Confirm(asio::yield_context yield);
+  // Writes the revision in force if the key-value service has an older one: it
+  // was restored from a copy. `stored` is the result of a read.
+  void WriteBack(const std::optional<stored_value>& stored,
+                 asio::yield_context yield);
   // Fetches the encoded revision from a peer.
   void Pull(const std::string& peer_address,
             std::int64_t number,
@@ -79,7 +83,7 @@
   peer_link* peers_;
   membership_service* membership_ = nullptr;
   config_tracker tracker_;
-  std::int64_t seen_mod_revision_ = 0;  // of the key-value service
+  std::int64_t seen_mod_revision_ = 0;  // of the key-value service, last read
   std::optional<time_point> confirmed_at_;
   time_point started_at_;
   bool pulling_ = false;
