Keep the last load report when a response has none

A response without load metrics, such as a refusal, counted as a report of an idle upstream that does not leave. An upstream that had announced that it leaves was used again after it had refused a request, until its next report, and its backlog was taken as zero.

RecordReport now takes an optional report, and one that is missing only renews the time of the last contact.

The new test fails when a missing report is taken as an empty one, as before (accepting; backlog 0 instead of 7,000), and passes now. Checked with the pool; no run with processes.

--- a/include/cactusward/upstreams.h
+++ b/include/cactusward/upstreams.h
@@ -92,8 +92,10 @@
   void SetService(const upstream_service& service) { service_ = service; }
   void SetMaxEjectedShare(double share) { ejection_.max_ejected_share = share; }
 
+  // Records a response of an upstream.
+  // @param report nullopt if the response has none; the last one then stays.
   void RecordReport(const std::string& address,
-                    const load_report& report,
+                    const std::optional<load_report>& report,
                     time_point now);
   // Records that a peer learned at `observed_at` that an upstream leaves. Valid
   // for kLeavingTtl, unless a later report of the upstream itself disagrees.
--- a/src/routing/upstream_pool.cc
+++ b/src/routing/upstream_pool.cc
@@ -74,20 +74,22 @@
 }
 
 void upstream_pool::RecordReport(const std::string& address,
-                                 const load_report& report,
+                                 const std::optional<load_report>& report,
                                  time_point now) {
   entry* entry = Find(address);
   if (!entry)
     return;
+  entry->last_contact = now;
+  if (!report)
+    return;
   entry->report = report;
   entry->reported_at = now;
-  entry->last_contact = now;
-  if (report.leaving)
-    entry->leaving_observed_at = now - report.lag;
+  if (report->leaving)
+    entry->leaving_observed_at = now - report->lag;
   else if (entry->leaving_observed_at &&
-           *entry->leaving_observed_at < now - report.lag)
+           *entry->leaving_observed_at < now - report->lag)
     entry->leaving_observed_at.reset();
-  const time_point covered = now - report.lag - kReportMargin;
+  const time_point covered = now - report->lag - kReportMargin;
   while (!entry->unreported.empty()) {
     const auto it = entry->dispatches.find(entry->unreported.front());
     if (it != entry->dispatches.end() && it->second.sent.sent_at > covered)
--- a/src/services/upstream_directory.cc
+++ b/src/services/upstream_directory.cc
@@ -198,10 +198,8 @@
                                         const std::string& address,
                                         std::string_view load_metrics) {
   const time_point now = clock::now();
-  const load_report report =
-      ParseLoadMetrics(load_metrics).value_or(load_report());
   const auto before = pool->LeavingReports(now).size();
-  pool->RecordReport(address, report, now);
+  pool->RecordReport(address, ParseLoadMetrics(load_metrics), now);
   if (pool->LeavingReports(now).size() > before)
     membership_->PushUpdates();
   if (pool->SetReachable(address, true))
--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -228,6 +228,18 @@
                                   t0_ + milliseconds(600)));
 }
 
+// Guards against requests to a leaving upstream whose refusals have no report.
+TEST_CASE_METHOD(pool_fixture, "a response without a report changes none") {
+  load_report report;
+  report.waiting_tokens = 8'000;
+  report.leaving = true;
+  pool_.RecordReport(Address(2), report, t0_);
+  pool_.RecordReport(Address(2), std::nullopt, t0_ + milliseconds(100));
+  CHECK_FALSE(ViewOf(Address(2), t0_ + milliseconds(100)).accepting);
+  CHECK(ViewOf(Address(2), t0_ + milliseconds(100)).backlog_tokens == 7'000);
+  CHECK(pool_.LastContact(Address(2)) == t0_ + milliseconds(100));
+}
+
 TEST_CASE_METHOD(pool_fixture, "an unlisted upstream stays while in use") {
   const auto id = Send(3, 100, t0_);
   listings_.erase(listings_.begin() + 3);
