Back off from upstreams that refuse with a time to retry after

The product's own interface did not read Retry-After of an upstream's 503. Requests, and retries 20 ms later, were sent to an upstream that had asked for none, until it was ejected after three failures; at most 30 % of a service's upstreams are ejected.

upstream_pool keeps until when an upstream wants no requests; the end that is latest holds, as in upstream_announcements. Health checks go on: they take no work and show when an upstream leaves. When no available upstream wants requests before a request's time is up, it is refused at once (no_upstream) instead of waiting in the queue until then.

Not covered: a request whose connection is being established when another one is refused is still sent; the Retry-After of our own refusal is the fixed one of its kind; a process that starts again at the same address within the time is used only after it, unless it was unlisted meanwhile.

The tests of the pool use calls that did not exist before. The path from a refusal to the pool (call_run, completion_run) has no test yet.

--- a/include/cactusward/upstreams.h
+++ b/include/cactusward/upstreams.h
@@ -97,6 +97,15 @@
   void RecordReport(const std::string& address,
                     const std::optional<load_report>& report,
                     time_point now);
+  // Records that an upstream refused a request at `now` and wants no others for
+  // `time`. An earlier refusal for longer stays in force: responses on
+  // different connections may overtake each other.
+  void RecordBackoff(const std::string& address,
+                     milliseconds time,
+                     time_point now);
+  // When an upstream wants requests again; nullopt unless all that are listed,
+  // reachable and do not leave want none at `now`.
+  std::optional<time_point> BackoffEnd(time_point now) const;
   // Records that a peer learned at `observed_at` that an upstream leaves. Valid
   // for kLeavingTtl, unless a later report of the upstream itself disagrees.
   // @return whether the upstream now counts as leaving and did not before.
@@ -166,6 +175,7 @@
     int consecutive_failures = 0;
     int ejections = 0;
     time_point ejected_until;
+    time_point backoff_end;
     int suspects = 0;
     token_sums sums;
     std::map<std::uint64_t, open_dispatch> dispatches;
@@ -176,6 +186,8 @@
   entry* Find(const std::string& address);
   const entry* Find(const std::string& address) const;
   static bool IsLeaving(const entry& entry, time_point now);
+  // Whether it is listed, can be reached and does not leave.
+  static bool IsAvailable(const entry& entry, time_point now);
   entry* FindDispatch(std::uint64_t id);
   token_sums Unreported(const entry& entry) const;
   std::size_t EjectedCount(time_point now) const;
--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -446,6 +446,7 @@
   response.load_metrics = (*stream)->Header("endpoint-load-metrics");
   response.request_id = (*stream)->Header("X-Request-Id");
   response.entity_tag = (*stream)->Header("ETag");
+  response.retry_after = (*stream)->Header("Retry-After");
   while (true) {
     const auto bytes = (*stream)->Read(deadline, yield);
     if (!bytes)
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -56,6 +56,7 @@
   std::string load_metrics;  // the endpoint-load-metrics header
   std::string request_id;    // the X-Request-Id header
   std::string entity_tag;    // the ETag header
+  std::string retry_after;   // the Retry-After header
 };
 
 class http_client;
--- a/src/request/call_run.cc
+++ b/src/request/call_run.cc
@@ -92,7 +92,8 @@
   services_.directory->RecordResponse(placed.pool(), placed.address(),
                                       response->load_metrics);
   if (IsRefusal(response->status))
-    return {error_kind::kUpstreamRefused, {}, false};
+    return attempts_.RecordRefusal(placed, response->status,
+                                   response->retry_after);
   if (!response->request_id.empty() &&
       response->request_id != context_.request_id())
     return {error_kind::kUpstreamGarbled, "answer to another request", true};
--- a/src/request/completion_run.cc
+++ b/src/request/completion_run.cc
@@ -132,7 +132,8 @@
       (*stream)->Header("endpoint-load-metrics"));
   const int status = (*stream)->status();
   if (IsRefusal(status))
-    return {error_kind::kUpstreamRefused, {}, false};
+    return attempts_.RecordRefusal(placed, status,
+                                   (*stream)->Header("Retry-After"));
   if (status != 200)
     return {error_kind::kUpstreamFailed,
             "upstream status " + std::to_string(status), true};
--- a/src/request/request_attempts.cc
+++ b/src/request/request_attempts.cc
@@ -1,6 +1,7 @@
 #include "src/request/request_attempts.h"
 
 #include "cactusward/hash.h"
+#include "src/edges/retry_after.h"
 #include "src/kernel/log.h"
 #include "src/services/claim_service.h"
 #include "src/services/config_service.h"
@@ -12,6 +13,7 @@
 constexpr std::string_view kIdempotencyHeader = "Idempotency-Key";
 constexpr milliseconds kResponseWriteTimeout{10'000};
 constexpr milliseconds kRetryDelay{20};
+constexpr int kServiceUnavailable = 503;
 
 bool IsUpstreamFault(error_kind kind) {
   return kind == error_kind::kUpstreamUnreachable ||
@@ -23,7 +25,7 @@
 }  // namespace
 
 bool IsRefusal(int http_status) {
-  return http_status == 429 || http_status == 503;
+  return http_status == 429 || http_status == kServiceUnavailable;
 }
 
 request_attempts::request_attempts(runtime& runtime, request_context& context)
@@ -88,6 +90,20 @@
   });
 }
 
+attempt_outcome request_attempts::RecordRefusal(const placed_request& placed,
+                                                int http_status,
+                                                std::string_view retry_after) {
+  const auto time = http_status == kServiceUnavailable
+                        ? ParseRetryAfter(retry_after)
+                        : std::nullopt;
+  if (time && time->count() > 0) {
+    placed.pool()->RecordBackoff(placed.address(), *time, clock::now());
+    Log(log_level::kInfo, "upstream_backed_off",
+        {{"upstream", placed.address()}, {"retry_after_ms", time->count()}});
+  }
+  return {error_kind::kUpstreamRefused, {}, false};
+}
+
 attempt_outcome request_attempts::Run(
     placement_request placement,
     const std::function<attempt_outcome(placed_request&)>& attempt,
--- a/src/request/request_attempts.h
+++ b/src/request/request_attempts.h
@@ -41,6 +41,11 @@
   //     of an earlier request with the same key.
   bool AdmitAndClaim(std::int64_t tokens, asio::yield_context yield);
 
+  // Records a refusal by the upstream of `placed`, which may state for how long
+  // it wants no other requests. @return the outcome of the attempt.
+  static attempt_outcome RecordRefusal(const placed_request& placed,
+                                       int http_status,
+                                       std::string_view retry_after);
   // Waits for an upstream, runs `attempt` there, and records the outcome in the
   // health statistics of the upstream.
   // @return the outcome of `attempt`, or why no upstream was assigned.
--- a/src/routing/upstream_pool.cc
+++ b/src/routing/upstream_pool.cc
@@ -104,6 +104,30 @@
           now - *entry.leaving_observed_at < kLeavingTtl);
 }
 
+bool upstream_pool::IsAvailable(const entry& entry, time_point now) {
+  return entry.listed && entry.reachable && !IsLeaving(entry, now);
+}
+
+void upstream_pool::RecordBackoff(const std::string& address,
+                                  milliseconds time,
+                                  time_point now) {
+  if (entry* entry = Find(address))
+    entry->backoff_end = std::max(entry->backoff_end, now + time);
+}
+
+std::optional<time_point> upstream_pool::BackoffEnd(time_point now) const {
+  std::optional<time_point> earliest;
+  for (const entry* entry : order_) {
+    if (!IsAvailable(*entry, now))
+      continue;
+    if (entry->backoff_end <= now)
+      return std::nullopt;
+    if (!earliest || entry->backoff_end < *earliest)
+      earliest = entry->backoff_end;
+  }
+  return earliest;
+}
+
 bool upstream_pool::RecordLeaving(std::uint32_t upstream,
                                   time_point observed_at,
                                   time_point now) {
@@ -248,8 +272,8 @@
 upstream_view upstream_pool::ViewAt(std::size_t index, time_point now) const {
   const entry& entry = *order_[index];
   upstream_view view;
-  view.accepting = entry.listed && entry.reachable && !IsLeaving(entry, now) &&
-                   entry.ejected_until <= now;
+  view.accepting = IsAvailable(entry, now) && entry.ejected_until <= now &&
+                   entry.backoff_end <= now;
   view.has_suspect = entry.suspects > 0;
   view.same_zone = entry.listing.availability_zone == own_zone_;
   view.in_flight = static_cast<int>(entry.dispatches.size());
--- a/src/services/dispatcher.cc
+++ b/src/services/dispatcher.cc
@@ -67,8 +67,14 @@
       request.routing.isolated
           ? PlaceIsolated(request.routing, view, policy_settings_.max_in_flight)
           : policy_->Choose(request.routing, view, runtime_.random());
-  if (!chosen)
+  if (!chosen) {
+    // No upstream wants the request in time.
+    const auto backoff_end = pool->BackoffEnd(now);
+    if (backoff_end &&
+        *backoff_end > request.deadline - request.min_decode_time)
+      *failure = error_kind::kNoUpstream;
     return nullptr;
+  }
   const time_point expected_end =
       now + chosen->expected_first_token + request.min_decode_time;
   if (pool->service().kind == service_kind::kModel &&
--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -240,6 +240,54 @@
   CHECK(pool_.LastContact(Address(2)) == t0_ + milliseconds(100));
 }
 
+// Guards against requests to an upstream in the time for which its refusal asks
+// for none.
+TEST_CASE_METHOD(pool_fixture,
+                 "an upstream is not accepting while backed off") {
+  struct row {
+    const char* name;
+    std::vector<std::pair<int, int>> asked;  // received at, time; in ms
+    int end_ms;
+  };
+  const row rows[] = {
+      {"once", {{0, 500}}, 500},
+      {"zero", {{0, 0}}, 0},
+      {"longer", {{0, 500}, {100, 600}}, 700},
+      {"shorter", {{0, 500}, {100, 200}}, 500},
+  };
+  const row& r = rows[GENERATE(range(0, 4))];
+  CAPTURE(r.name);
+  for (const auto& [received_at, time] : r.asked)
+    pool_.RecordBackoff(Address(1), milliseconds(time),
+                        t0_ + milliseconds(received_at));
+  const time_point end = t0_ + milliseconds(r.end_ms);
+  if (r.end_ms > 0)
+    CHECK_FALSE(ViewOf(Address(1), end - milliseconds(1)).accepting);
+  CHECK(ViewOf(Address(1), end).accepting);
+  // The others may send.
+  CHECK(ViewOf(Address(0), t0_).accepting);
+  CHECK_FALSE(pool_.BackoffEnd(t0_));
+}
+
+TEST_CASE_METHOD(pool_fixture, "a pool backs off when no upstream is left") {
+  for (int i = 0; i < 3; ++i)
+    pool_.RecordBackoff(Address(i), milliseconds(500 + 100 * i), t0_);
+  CHECK_FALSE(pool_.BackoffEnd(t0_));
+  enum class rest { kLeaves, kUnreachable, kBacksOff };
+  const rest how = GENERATE(rest::kLeaves, rest::kUnreachable, rest::kBacksOff);
+  if (how == rest::kLeaves) {
+    listings_[3].leaving = true;
+    pool_.SetListings(listings_);
+  } else if (how == rest::kUnreachable) {
+    pool_.SetReachable(Address(3), false);
+  } else {
+    pool_.RecordBackoff(Address(3), milliseconds(300), t0_);
+  }
+  const milliseconds first(how == rest::kBacksOff ? 300 : 500);
+  CHECK(pool_.BackoffEnd(t0_) == t0_ + first);
+  CHECK_FALSE(pool_.BackoffEnd(t0_ + first));
+}
+
 TEST_CASE_METHOD(pool_fixture, "an unlisted upstream stays while in use") {
   const auto id = Send(3, 100, t0_);
   listings_.erase(listings_.begin() + 3);
