--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -58,6 +58,7 @@
   std::string load_metrics;  // the endpoint-load-metrics header
   std::string request_id;    // the X-Request-Id header
   std::string entity_tag;    // the ETag header
+  std::string retry_after;   // the Retry-After header
   // The header named by outgoing_request::response_header; empty if absent.
   std::string requested_header;
 };
