An exception does not end the following of the registry

An exception while an entry or a configuration was read ended the coroutine that had read it. When that was the one that follows the registry, the instance kept what it had until its process ended; a configuration that was being decoded blocked all later ones, a confirmation or a pull from a peer was not tried again, and a datagram ended the receiving of datagrams.

Loops that must not end are started with SpawnRestarting; the catalog then reads everything again. Flags and counts of operations in progress are reset on all ways out. Timers and the receiver of datagrams log an exception and go on. No odd entry is known that makes the code throw; the odd event of a watch that did is fixed by itself.

Test "an exception does not end the following of the registry". Before: failed in the rows "configuration at the start" (14 assertions) and "entry at the start" (at least 5; the output was cut there). After: all 126 pass.

--- a/src/edges/asio_timer_service.cc
+++ b/src/edges/asio_timer_service.cc
@@ -1,5 +1,7 @@
 #include "src/edges/asio_timer_service.h"
 
+#include "src/kernel/log.h"
+
 namespace cactusward {
 namespace {
 
@@ -17,7 +19,11 @@
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (error || !self->active)
             return;
-          self->callback(clock::now());
+          try {
+            self->callback(clock::now());
+          } catch (const std::exception& thrown) {
+            Log(log_level::kError, "timer_failed", {{"error", thrown.what()}});
+          }
           if (self->active)
             self->Arm();
         });
--- a/src/edges/gossip_socket.cc
+++ b/src/edges/gossip_socket.cc
@@ -1,6 +1,7 @@
 #include "src/edges/gossip_socket.h"
 
 #include "cactusward/hash.h"
+#include "src/kernel/log.h"
 
 namespace cactusward {
 namespace {
@@ -73,7 +74,11 @@
       continue;
     }
     ++counters_.received;
-    handler_(datagram.substr(kMacBytes));
+    try {
+      handler_(datagram.substr(kMacBytes));
+    } catch (const std::exception& thrown) {
+      Log(log_level::kError, "datagram_failed", {{"error", thrown.what()}});
+    }
   }
 }
 
--- a/src/edges/net.cc
+++ b/src/edges/net.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kCoroutineStackBytes = 256ULL * 1024;
+// Well below the two seconds within which a change must take effect.
+constexpr milliseconds kRestartDelay{200};
 
 // Whether `host` may be part of a header field. The parser of addresses accepts
 // any bytes after a NUL and in the scope of an IPv6 address.
@@ -22,6 +24,20 @@
   });
 }
 
+// Logs an uncaught exception. @return whether there was one.
+bool Throws(const std::string& what,
+            const std::function<void(asio::yield_context)>& body,
+            asio::yield_context yield) {
+  try {
+    body(yield);
+    return false;
+  } catch (const std::exception& error) {
+    Log(log_level::kError, "coroutine_failed",
+        {{"what", what}, {"error", error.what()}});
+    return true;
+  }
+}
+
 }  // namespace
 
 std::optional<host_port> ParseHostPort(std::string_view text) {
@@ -75,14 +91,20 @@
            std::function<void(asio::yield_context)> body) {
   asio::spawn(
       io,
-      [what = std::string(what),
+      [what = std::string(what), body = std::move(body)](
+          asio::yield_context yield) { Throws(what, body, yield); },
+      boost::coroutines::attributes(kCoroutineStackBytes));
+}
+
+void SpawnRestarting(asio::io_context& io,
+                     std::string_view what,
+                     std::function<void(asio::yield_context)> body) {
+  asio::spawn(
+      io,
+      [&io, what = std::string(what),
        body = std::move(body)](asio::yield_context yield) {
-        try {
-          body(yield);
-        } catch (const std::exception& error) {
-          Log(log_level::kError, "coroutine_failed",
-              {{"what", what}, {"error", error.what()}});
-        }
+        while (Throws(what, body, yield))
+          Sleep(io, kRestartDelay, yield);
       },
       boost::coroutines::attributes(kCoroutineStackBytes));
 }
--- a/src/edges/net.h
+++ b/src/edges/net.h
@@ -85,6 +85,12 @@
            std::string_view what,
            std::function<void(asio::yield_context)> body);
 
+// As Spawn, for loops that must not end: `body` is called again some time after
+// an uncaught exception.
+void SpawnRestarting(asio::io_context& io,
+                     std::string_view what,
+                     std::function<void(asio::yield_context)> body);
+
 // Waits until `deadline` or until `timer` is cancelled.
 // @return whether it was cancelled.
 bool WaitOn(asio::steady_timer& timer,
--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "src/kernel/log.h"
+#include "src/kernel/scope_guard.h"
 #include "src/relay/catalog_service.h"
 
 namespace cactusward {
@@ -110,9 +111,9 @@
   if (!upstreams_pacer_.TryBegin(now, kRegistryLagTolerance))
     return;
   Spawn(runtime_.io, "upstreams_pull", [this, peer](asio::yield_context yield) {
+    const scope_guard end([this] { upstreams_pacer_.End(); });
     // Without a configuration.
     PullFrom(peer, std::numeric_limits<std::int64_t>::max(), yield);
-    upstreams_pacer_.End();
   });
 }
 
@@ -133,11 +134,11 @@
   const bool ask_registry = first && failures_ == 0;
   Spawn(runtime_.io, "config_pull",
         [this, ask_registry, peer](asio::yield_context yield) {
+          const scope_guard end([this] { config_pacer_.End(); });
           if (ask_registry)
             FetchConfig(peer, yield);
           else
             PullFrom(peer, ConfigVersion(), yield);
-          config_pacer_.End();
         });
 }
 
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -5,6 +5,7 @@
 
 #include "cactusward/hash.h"
 #include "src/kernel/log.h"
+#include "src/kernel/scope_guard.h"
 
 namespace cactusward {
 namespace {
@@ -69,8 +70,8 @@
       config_pacer_(kCatchUp) {}
 
 void catalog_service::Start() {
-  Spawn(runtime_.io, "catalog",
-        [this](asio::yield_context yield) { Run(yield); });
+  SpawnRestarting(runtime_.io, "catalog",
+                  [this](asio::yield_context yield) { Run(yield); });
   membership_ =
       runtime_.registry.Find<membership_service>(kMembershipServiceName);
   tick_timer_ = runtime_.timers.Every(kTickPeriod, [this](time_point now) {
@@ -107,8 +108,8 @@
     return;
   confirming_ = true;
   Spawn(runtime_.io, "catalog_confirm", [this](asio::yield_context yield) {
+    const scope_guard end([this] { confirming_ = false; });
     Confirm(yield);
-    confirming_ = false;
   });
 }
 
@@ -154,6 +155,8 @@
 }
 
 void catalog_service::Run(asio::yield_context yield) {
+  // An exception may have left a batch half applied.
+  needs_full_read_ = true;
   while (true) {
     if (!needs_full_read_ && !IsWatcher()) {
       Sleep(runtime_.io, kWatcherPollPeriod, yield);
@@ -303,10 +306,14 @@
       item.revision <= decoding_revision_)
     return false;
   decoding_revision_ = item.revision;
-  const auto decoded = source_->DecodeConfig(
-      *item.document, [&] { asio::post(runtime_.io, yield); });
-  if (decoding_revision_ == item.revision)
-    decoding_revision_ = 0;
+  const auto decoded = [&] {
+    const scope_guard end([&] {
+      if (decoding_revision_ == item.revision)
+        decoding_revision_ = 0;
+    });
+    return source_->DecodeConfig(*item.document,
+                                 [&] { asio::post(runtime_.io, yield); });
+  }();
   if (!decoded) {
     Log(log_level::kError, "config_rejected",
         {{"revision", item.revision}, {"detail", decoded.detail()}});
--- a/src/services/config_service.cc
+++ b/src/services/config_service.cc
@@ -2,6 +2,7 @@
 
 #include "cactusward/hash.h"
 #include "src/kernel/log.h"
+#include "src/kernel/scope_guard.h"
 #include "src/services/membership_service.h"
 
 namespace cactusward {
@@ -35,10 +36,10 @@
 void config_service::Start() {
   membership_ =
       runtime_.registry.Find<membership_service>(kMembershipServiceName);
-  Spawn(runtime_.io, "config_watch",
-        [this](asio::yield_context yield) { Watch(yield); });
-  Spawn(runtime_.io, "config_confirm",
-        [this](asio::yield_context yield) { Confirm(yield); });
+  SpawnRestarting(runtime_.io, "config_watch",
+                  [this](asio::yield_context yield) { Watch(yield); });
+  SpawnRestarting(runtime_.io, "config_confirm",
+                  [this](asio::yield_context yield) { Confirm(yield); });
 }
 
 void config_service::OfferRevision(const std::string& encoded) {
@@ -112,8 +113,8 @@
   pulling_ = true;
   Spawn(runtime_.io, "config_pull",
         [this, peer_address, number](asio::yield_context yield) {
+          const scope_guard end([this] { pulling_ = false; });
           Pull(peer_address, number, yield);
-          pulling_ = false;
         });
 }
 
--- a/src/services/upstream_directory.cc
+++ b/src/services/upstream_directory.cc
@@ -38,8 +38,9 @@
       runtime_.registry.Find<membership_service>(kMembershipServiceName);
   recovery_ = runtime_.registry.Find<recovery_service>(kRecoveryServiceName);
   config_->tracker().Subscribe([this](const active_config&) { ApplyConfig(); });
-  Spawn(runtime_.io, "instance_list",
-        [this](asio::yield_context yield) { PollInstanceList(yield); });
+  SpawnRestarting(
+      runtime_.io, "instance_list",
+      [this](asio::yield_context yield) { PollInstanceList(yield); });
   probe_timer_ = runtime_.timers.Every(
       kProbeCheckPeriod, [this](time_point now) { StartDueProbes(now); });
 }
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -424,6 +424,130 @@
   });
 }
 
+// A registry client that throws a few times at each of its operations.
+class throwing_catalog : public catalog_source {
+ public:
+  struct faults {
+    int watch = 0;
+    int decode_config = 0;
+    int decode_upstream = 0;
+    int read_revision = 0;
+  };
+  // Precondition: `faults` outlives the catalog.
+  throwing_catalog(std::unique_ptr<catalog_source> catalog, faults* faults)
+      : catalog_(std::move(catalog)), faults_(faults) {}
+  result<catalog_batch> ReadUpstreams(asio::yield_context yield) override {
+    return catalog_->ReadUpstreams(yield);
+  }
+  result<catalog_batch> WaitForChanges(std::int64_t revision,
+                                       asio::yield_context yield) override {
+    auto batch = catalog_->WaitForChanges(revision, yield);
+    MayThrow(&faults_->watch);
+    return batch;
+  }
+  result<catalog_batch> ReadConfig(asio::yield_context yield) override {
+    return catalog_->ReadConfig(yield);
+  }
+  result<std::int64_t> ReadRevision(asio::yield_context yield) override {
+    MayThrow(&faults_->read_revision);
+    return catalog_->ReadRevision(yield);
+  }
+  result<std::shared_ptr<const forward_config>> DecodeConfig(
+      const std::string& document,
+      const std::function<void()>& pause) const override {
+    MayThrow(&faults_->decode_config);
+    return catalog_->DecodeConfig(document, pause);
+  }
+  result<upstream_entry> DecodeUpstream(
+      const std::string& id,
+      const std::string& document) const override {
+    MayThrow(&faults_->decode_upstream);
+    return catalog_->DecodeUpstream(id, document);
+  }
+
+ private:
+  static void MayThrow(int* left) {
+    if (*left > 0) {
+      --*left;
+      throw std::out_of_range("a fault of the test");
+    }
+  }
+  std::unique_ptr<catalog_source> catalog_;
+  faults* faults_;
+};
+
+// Guards against an instance that stops following the registry or its peers
+// when one entry makes the code that reads it throw.
+TEST_CASE("an exception does not end the following of the registry") {
+  struct row {
+    const char* name;
+    int throwing_catalog::faults::*fault;
+    bool at_start;
+    bool watches_deliver;
+  };
+  using faults = throwing_catalog::faults;
+  const row rows[] = {
+      {"configuration at the start", &faults::decode_config, true, true},
+      {"entry at the start", &faults::decode_upstream, true, true},
+      {"watch", &faults::watch, false, true},
+      {"configuration from a watch", &faults::decode_config, false, true},
+      {"entry from a watch", &faults::decode_upstream, false, true},
+      {"revision", &faults::read_revision, false, false},
+      {"entry from a complete read", &faults::decode_upstream, false, false},
+  };
+  constexpr int kExtraInstances = 4;  // so that some do not watch the registry
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    small_fleet fleet;
+    throwing_catalog::faults left;
+    const auto make_adapter = [&](const forwarding_settings& settings,
+                                  http_client* client) {
+      relay_adapter adapter = platform::MakeAdapter(settings, client);
+      adapter.catalog =
+          std::make_unique<throwing_catalog>(std::move(adapter.catalog), &left);
+      return adapter;
+    };
+    fleet.make_adapter = make_adapter;
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    fleet.RegisterRunners();
+    fleet.store.SetWatchEventsSuppressed(!r.watches_deliver);
+    if (r.at_start)
+      left.*r.fault = kExtraInstances;
+    const testing::extra_instances extra(fleet, kExtraInstances, make_adapter);
+    fleet.Run([&](asio::yield_context yield) {
+      REQUIRE(extra.Start());
+      CHECK(fleet.WaitForStatus("/once/x", 200, yield));
+      Sleep(fleet.io, milliseconds(1'200), yield);
+      // Once for each change and instance at most.
+      left.*r.fault = 2 * kExtraInstances;
+      fleet.store.Put("op/config", testing::ConfigDocument(2, "new"));
+      fleet.store.Put("servers/p0", fleet.plain[0]->Entry("plain", true));
+      Sleep(fleet.io, milliseconds(1'500), yield);
+      fleet.store.Remove("servers/p0");
+      for (const auto& each : extra.settings) {
+        std::swap(fleet.settings.listen, each->listen);
+        CHECK(fleet.WaitForStatus("/new/x", 200, yield));
+        std::swap(fleet.settings.listen, each->listen);
+      }
+      CHECK(fleet.WaitForStatus("/new/x", 200, yield));
+      Sleep(fleet.io, milliseconds(1'500), yield);
+      left = {};
+      const int before = fleet.plain[0]->arrivals();
+      for (int i = 0; i < 4; ++i)
+        CHECK(fleet.Call("/once/x", "a", yield).status == 200);
+      CHECK(fleet.plain[0]->arrivals() == before);
+      // Nothing is left that could hold back a later change.
+      fleet.store.Put("op/config", testing::ConfigDocument(3, "newer"));
+      for (const auto& each : extra.settings) {
+        std::swap(fleet.settings.listen, each->listen);
+        CHECK(fleet.WaitForStatus("/newer/x", 200, yield));
+        std::swap(fleet.settings.listen, each->listen);
+      }
+      CHECK(fleet.WaitForStatus("/newer/x", 200, yield));
+    });
+  }
+}
+
 // Responds to each request with one line, and keeps the response open.
 class line_server : public http_handler {
  public:
