HTTP client: an interim response of any code is skipped

Callers got status 103 and an empty body as the final response when an upstream sent 103 before its response. The class of a response was read from the library's list of codes, which lacks 103: it was taken for the final response, whatever followed on the connection. Reads the class from the number.

Test "interim responses of any code are skipped": passes after; not run by itself on the code before.

--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t kMaxParseBufferBytes = 64ULL * 1024;
 // Responses with status 1xx before the final one.
 constexpr int kMaxInterimResponses = 4;
+constexpr int kStatusClassSize = 100;
+constexpr int kInformationalClass = 1;
 constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr milliseconds kMaxIdleTime{10'000};
 constexpr milliseconds kConnectTimeout{1'000};
@@ -262,8 +264,8 @@
               "upstream no longer accepts requests"};
     if (connection_->read_error)
       return {RecordReadError(), connection_->read_error.message()};
-    if (http::to_status_class(connection_->parser->get().result()) !=
-        http::status_class::informational) {
+    // The library does not know all codes, such as 103.
+    if (status() / kStatusClassSize != kInformationalClass) {
       finished_ = connection_->parser->is_done();
       return true;
     }
