A response on a kept connection must name its request

An upstream that wrote an earlier refusal once more on a kept connection made callers believe that the request which was sent there had not run ("not run, try again"), while the upstream ran it; and an earlier success became the response to another request. The id which upstreams echo was compared only when it was there.

On a kept connection, a response without the request's id now proves nothing: the request may have run, and the connection is closed. Requests without an id are sent on connections of their own. On a new connection there is no earlier request, so that a refusal without an id is believed as before. Ruled out: requests that must not run twice are never sent on kept connections; repeats that arrive while a connection is idle, or with the first one, prevent its reuse.

Test "a refusal that is written once more refuses no other request" and "a refusal that names its request is believed".

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -121,7 +121,8 @@
   fields.last_event_id = last_event_id_;
   fields.helpers = helpers;
   send_options options;
-  options.fresh_connection = !route_->IsRetryable();
+  options.fresh_connection =
+      !route_->IsRetryable() || caller_.attempt_id.empty();
   options.max_idle_time = kMaxConnectionIdleTime;
   options.dead_peer_timeout = kDeadPeerTimeout;
   options.may_send = [this, assignment = exchange.assignment.get()] {
@@ -237,8 +238,10 @@
       services_.protocol.ParseReply(stream.status(), stream.header());
   services_.fleet.RecordLimit(*exchange.upstream(), reply.request_limit,
                               exchange.sent_at);
-  // This is the late response to an earlier request.
-  if (!reply.attempt_id.empty() && reply.attempt_id != caller_.attempt_id) {
+  // An upstream may send a response to an earlier request late, or twice. On a
+  // kept connection, only the id shows which request is meant.
+  if ((!reply.attempt_id.empty() || stream.reused()) &&
+      reply.attempt_id != caller_.attempt_id) {
     stream.DisableConnectionReuse();
     may_have_run_ = true;
     return attempt{attempt_result::kInvalidResponse,
