A continuation that brings no event does not complete a stream

A stream had broken off, and the upstream that was to continue it responded with a stream that had no new event: none at all, a comment, earlier events, or an error event without an id. The caller got the stream ended as if it were complete, with the error's text in it. A stream whose events have no ids was sent from its beginning by the second upstream, so that the caller got all of its events twice.

A continuation that ends without a new event has failed, and what it sends before its first new event is dropped unless it has an id. A stream that no id continues is not sent again. A stream that breaks off between its last event and its end is now cut, too: an empty continuation does not show which of both it was. Ruled out by rows of the test: failure responses of any status, successes that are no stream, unsigned or encoded streams, gaps, and bytes that are no HTTP never reached the caller, and cut the stream.

Tests "a continuation that fails leaves the stream incomplete" and "a stream that no id continues is not sent again".

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -332,6 +332,11 @@
       return attempt{attempt_result::kInvalidResponse,
                      "stream ended in the middle of an event", false,
                      std::nullopt};
+    // What follows the last event, if anything does, is not known.
+    if (stream_started_ && !exchange.delivered)
+      return attempt{attempt_result::kInvalidResponse,
+                     "stream continuation without a new event", false,
+                     std::nullopt};
     if (!stream_started_ && !WriteEvents(stream.header(), {}, yield))
       return attempt{attempt_result::kCallerGone, "caller accepts no bytes",
                      false, std::nullopt};
@@ -348,7 +353,8 @@
     return attempt{attempt_result::kInvalidResponse,
                    "event exceeds the size limit", false, std::nullopt};
   const auto previous_event_id = last_event_id_;
-  const auto next = CollectNewEvents(events);
+  const auto next =
+      CollectNewEvents(events, stream_started_ && !exchange.delivered);
   if (!next)
     return attempt{attempt_result::kInvalidResponse, "gap in the event ids",
                    false, std::nullopt};
@@ -370,6 +376,7 @@
     exchange.first_event_seen = true;
     RecordFirstEvent(exchange);
   }
+  exchange.delivered = exchange.delivered || !new_bytes.empty();
   if (!new_bytes.empty() && !WriteEvents(stream.header(), new_bytes, yield))
     return attempt{attempt_result::kCallerGone, "caller accepts no bytes",
                    false, std::nullopt};
@@ -380,9 +387,12 @@
 }
 
 std::optional<std::string> relay_request::CollectNewEvents(
-    const std::vector<stream_event>& events) {
+    const std::vector<stream_event>& events,
+    bool continues) {
   std::string bytes;
   for (const stream_event& event : events) {
+    if (!event.id && continues && bytes.empty())
+      continue;
     // An upstream that continues a stream may start at an earlier event than
     // requested.
     if (event.id && last_event_id_ && *event.id <= *last_event_id_)
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -221,6 +221,9 @@
     return false;
   if (may_have_run_ && !route_->IsRetryable())
     return false;
+  // It could not be continued after the events that the caller has.
+  if (stream_started_ && !last_event_id_)
+    return false;
   if (sent_attempts_ >= route_->max_attempts)
     return false;
   if (services_.recovery.VerdictFor(fingerprint_) == suspect_verdict::kRefuse)
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -138,9 +138,12 @@
                            const attempt& last,
                            asio::yield_context yield);
   // Collects the bytes of the events that the caller has not received yet.
+  // @param continues no event of this exchange was passed on, but others were:
+  //     drops events without an id before the first new one.
   // @return empty when an event is missing from the sequence.
   std::optional<std::string> CollectNewEvents(
-      const std::vector<stream_event>& events);
+      const std::vector<stream_event>& events,
+      bool continues);
   void RecordFirstEvent(upstream_exchange& exchange);
   // The upstream has survived the start of the response.
   void RecordSurvival(const relay_assignment& assignment);
