--- a/src/edges/gossip_socket.cc
+++ b/src/edges/gossip_socket.cc
@@ -2,6 +2,7 @@
 
 #include "cactusward/hash.h"
 #include "src/edges/listen_log.h"
+#include "src/kernel/log.h"
 
 namespace cactusward {
 namespace {
@@ -78,7 +79,11 @@
       continue;
     }
     ++counters_.received;
-    handler_(datagram.substr(kMacBytes));
+    try {
+      handler_(datagram.substr(kMacBytes));
+    } catch (const std::exception& thrown) {
+      Log(log_level::kError, "datagram_failed", {{"error", thrown.what()}});
+    }
   }
 }
 
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -121,7 +121,8 @@
   fields.last_event_id = last_event_id_;
   fields.helpers = helpers;
   send_options options;
-  options.fresh_connection = !route_->IsRetryable();
+  options.fresh_connection =
+      !route_->IsRetryable() || caller_.attempt_id.empty();
   options.max_idle_time = kMaxConnectionIdleTime;
   options.dead_peer_timeout = kDeadPeerTimeout;
   options.may_send = [this, assignment = exchange.assignment.get()] {
@@ -193,8 +194,8 @@
         });
     if (!all_silent || !HasAttemptsLeft())
       continue;
-    const attempt silent{attempt_result::kSilent, "nothing received in time",
-                         false, std::nullopt};
+    attempt silent{attempt_result::kSilent, "nothing received in time", false,
+                   std::nullopt};
     RecordSilence(silent, yield);
     if (MayTryAnother())
       return silent;
@@ -235,9 +236,12 @@
   http_stream& stream = *exchange.stream;
   const upstream_reply reply =
       services_.protocol.ParseReply(stream.status(), stream.header());
-  RecordReply(*exchange.assignment, reply, exchange.sent_at);
-  // This is the late response to an earlier request.
-  if (!reply.attempt_id.empty() && reply.attempt_id != caller_.attempt_id) {
+  // An upstream may send a response to an earlier request late, or twice. On a
+  // kept connection, only the id shows which request is meant.
+  const bool names_request = reply.attempt_id == caller_.attempt_id ||
+                             (reply.attempt_id.empty() && !stream.reused());
+  RecordReply(exchange, reply, names_request);
+  if (!names_request) {
     stream.DisableConnectionReuse();
     may_have_run_ = true;
     return attempt{attempt_result::kInvalidResponse,
@@ -328,6 +332,11 @@
       return attempt{attempt_result::kInvalidResponse,
                      "stream ended in the middle of an event", false,
                      std::nullopt};
+    // What follows the last event, if anything does, is not known.
+    if (stream_started_ && !exchange.delivered)
+      return attempt{attempt_result::kInvalidResponse,
+                     "stream continuation without a new event", false,
+                     std::nullopt};
     if (!stream_started_ && !WriteEvents(stream.header(), {}, yield))
       return attempt{attempt_result::kCallerGone, "caller accepts no bytes",
                      false, std::nullopt};
@@ -344,7 +353,8 @@
     return attempt{attempt_result::kInvalidResponse,
                    "event exceeds the size limit", false, std::nullopt};
   const auto previous_event_id = last_event_id_;
-  const auto next = CollectNewEvents(events);
+  const auto next =
+      CollectNewEvents(events, stream_started_ && !exchange.delivered);
   if (!next)
     return attempt{attempt_result::kInvalidResponse, "gap in the event ids",
                    false, std::nullopt};
@@ -366,6 +376,7 @@
     exchange.first_event_seen = true;
     RecordFirstEvent(exchange);
   }
+  exchange.delivered = exchange.delivered || !new_bytes.empty();
   if (!new_bytes.empty() && !WriteEvents(stream.header(), new_bytes, yield))
     return attempt{attempt_result::kCallerGone, "caller accepts no bytes",
                    false, std::nullopt};
@@ -376,9 +387,12 @@
 }
 
 std::optional<std::string> relay_request::CollectNewEvents(
-    const std::vector<stream_event>& events) {
+    const std::vector<stream_event>& events,
+    bool continues) {
   std::string bytes;
   for (const stream_event& event : events) {
+    if (!event.id && continues && bytes.empty())
+      continue;
     // An upstream that continues a stream may start at an earlier event than
     // requested.
     if (event.id && last_event_id_ && *event.id <= *last_event_id_)
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -221,6 +221,9 @@
     return false;
   if (may_have_run_ && !route_->IsRetryable())
     return false;
+  // It could not be continued after the events that the caller has.
+  if (stream_started_ && !last_event_id_)
+    return false;
   if (sent_attempts_ >= route_->max_attempts)
     return false;
   if (services_.recovery.VerdictFor(fingerprint_) == suspect_verdict::kRefuse)
@@ -378,21 +381,20 @@
   return assignment.upstream();
 }
 
-void relay_request::RecordReply(const relay_assignment& assignment,
+void relay_request::RecordReply(const upstream_exchange& exchange,
                                 const upstream_reply& reply,
-                                time_point sent_at) {
-  const fleet_upstream& upstream = *assignment.upstream();
-  services_.fleet.RecordLimit(upstream, reply.request_limit, sent_at);
+                                bool names_request) {
+  const fleet_upstream& upstream = *exchange.upstream();
+  services_.fleet.RecordLimit(upstream, reply.request_limit, exchange.sent_at);
   // It may repeat what was said to an earlier request, or by another process.
-  if (reply.wrong_upstream ||
-      (!reply.attempt_id.empty() && reply.attempt_id != caller_.attempt_id))
+  if (reply.wrong_upstream || !names_request)
     return;
   if (reply.leaving)
     services_.fleet.RecordLeaving(upstream);
   if (!reply.retry_after)
     return;
   services_.fleet.RecordBackoff(upstream, *reply.retry_after);
-  for (const relay_assignment::target& helper : assignment.helpers) {
+  for (const relay_assignment::target& helper : exchange.assignment->helpers) {
     if (helper.upstream->entry.address == reply.at_fault)
       services_.fleet.RecordBackoff(*helper.upstream, *reply.retry_after);
   }
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -138,9 +138,12 @@
                            const attempt& last,
                            asio::yield_context yield);
   // Collects the bytes of the events that the caller has not received yet.
+  // @param continues no event of this exchange was passed on, but others were:
+  //     drops events without an id before the first new one.
   // @return empty when an event is missing from the sequence.
   std::optional<std::string> CollectNewEvents(
-      const std::vector<stream_event>& events);
+      const std::vector<stream_event>& events,
+      bool continues);
   void RecordFirstEvent(upstream_exchange& exchange);
   // The upstream has survived the start of the response.
   void RecordSurvival(const relay_assignment& assignment);
@@ -151,10 +154,10 @@
   bool PrepareRetry(const attempt& last);
   void RecordOutcome(const relay_assignment& assignment, const attempt& last);
   // Records what the header of a response says about the requests that the
-  // upstream takes. @param sent_at when the request was sent.
-  void RecordReply(const relay_assignment& assignment,
+  // upstream takes. @param names_request whether it responds to this request.
+  void RecordReply(const upstream_exchange& exchange,
                    const upstream_reply& reply,
-                   time_point sent_at);
+                   bool names_request);
   // Finds out whether an upstream has crashed. Returns when it is known, if the
   // request may be the cause.
   void CheckLiveness(const std::shared_ptr<fleet_upstream>& upstream,
