--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -99,6 +99,10 @@
 local full_stream = ""
 for i = 1, 5 do full_stream = full_stream .. "id: " .. i .. "\ndata: " .. i .. "\n\n" end
 
+local function is_promise(status)  -- that a request was not run
+  return status == 429 or status == 503 or status == 421 or status == 408
+end
+
 local answers_with_limit = {}   -- {runner, limit, at}
 local answers_of_leaving = {}   -- {runner, instance, pid, at}
 local function verify_response(entry)
@@ -120,8 +124,7 @@
       runner = sender, instance = i, pid = entry.pid, at = entry.ended_at }
   end
   local error_body = type(a.json) == "table" and a.json.error
-  local promise = a.status == 429 or a.status == 503 or a.status == 421 or a.status == 408
-  entry.not_run = promise or type(error_body) == "table" and error_body.was_run == "no"
+  entry.not_run = is_promise(a.status) or type(error_body) == "table" and error_body.was_run == "no"
   local where = entry.path .. " " .. entry.id .. " at " .. i.id
   local fault_explains = in_fault_span(i, entry.at) or faults.killed[entry.pid] or entry.down
   -- Requests sent before a graceful shutdown must be answered; later ones may
@@ -185,6 +188,7 @@
 end
 local function verify_probe(p)
   local status = finish(p.handle).status
+  p.not_run = is_promise(status)
   local i = p.instance
   if p.pid ~= i.pid then return end
   if status == 200 then
@@ -371,7 +375,10 @@
   return span.from
 end
 
-for _, p in ipairs(probes) do by_id[p.id] = p end
+for _, p in ipairs(probes) do
+  by_id[p.id] = p
+  if p.not_run and runs[p.id] then fail(p.id .. " was said not to have run, but it had") end
+end
 require("soak_checks"){ runners = f.runners, sent = sent, by_id = by_id, ran_at = ran_at,
                         answers_of_leaving = answers_of_leaving, faults = faults,
                         max_leaving_ms = kMaxLeavingMs, fail = fail }
--- a/tests/scenarios/soak_faults.lua
+++ b/tests/scenarios/soak_faults.lua
@@ -314,6 +314,17 @@
       inject_runner_fault(r, r == breaking and "breaks_midway" or "fails_continuation")
     end
   end,
+  -- Single refusals that are repeated when their connection is in use again.
+  refusals_repeat = function()
+    in_series(math.random(2, 6), 200, function()
+      for _, r in ipairs(f.runners) do
+        if not r.paused and not r.down then
+          control(r, { fault = "repeats_refusal", requests = 1 })
+          mark_fault_span(r, math.huge, "runner")
+        end
+      end
+    end)
+  end,
   silent_runner = function()
     local r = pick_random(f.runners)
     silence(r)
