Test that a restored registry confirms only the configuration that it has

Guards the rule of "Positions of a registry are ordered by its era": while the registry's configuration is older than the one in force, an instance reports no confirmation to its peers, serves on, and reports again when the registry has it back.

--- a/tests/unit/catalog_age_test.cc
+++ b/tests/unit/catalog_age_test.cc
@@ -361,5 +361,53 @@
   }
 }
 
+// Guards against a registry that confirms a configuration which it has lost.
+TEST_CASE("a restored registry confirms only the configuration that it has") {
+  constexpr milliseconds kObservedTime{1'200};
+  constexpr milliseconds kPingPeriod{50};
+  small_fleet fleet;
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.RegisterRunners();
+  const std::string observed = fleet.settings.peer_advertise;
+  int messages = 0;
+  int confirmations = 0;
+  gossip_peer peer(fleet, [&](const gossip_message& message) {
+    if (message.sender.peer_address != observed)
+      return;
+    ++messages;
+    if (message.confirmed_age_ms >= 0)
+      ++confirmations;
+  });
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(peer.Listen());
+    const auto observe = [&] {
+      messages = 0;
+      confirmations = 0;
+      const time_point until = clock::now() + kObservedTime;
+      while (clock::now() < until) {
+        peer.Ping(observed, 0);
+        Sleep(fleet.io, kPingPeriod, yield);
+      }
+      CHECK(messages > 0);
+    };
+    const std::string lost = testing::ConfigDocument(2, "lost");
+    fleet.store.Backup();
+    fleet.store.Put("op/config", lost);
+    REQUIRE(fleet.WaitForStatus("/lost/x", 200, yield));
+    observe();
+    CHECK(confirmations == messages);
+    fleet.store.Restore();
+    // The registry is read again.
+    Sleep(fleet.io, kObservedTime, yield);
+    observe();
+    CHECK(confirmations == 0);
+    CHECK(fleet.Call("/lost/x", "a", yield).status == 200);
+    fleet.store.Put("op/config", lost);
+    Sleep(fleet.io, testing::kSettleTime, yield);
+    observe();
+    CHECK(confirmations == messages);
+  });
+}
+
 }  // namespace
 }  // namespace cactusward
