--- a/src/services/upstream_directory.cc
+++ b/src/services/upstream_directory.cc
@@ -39,10 +39,10 @@
 // Other failures to connect, such as a connection attempt that gets no response
 // in time, do not tell whether the process lives.
 bool IsRefusedConnection(const result<http_response>& response) {
-  static const std::string kRefused =
+  static const std::string refused =
       boost::system::error_code(asio::error::connection_refused).message();
   return response.kind() == error_kind::kUpstreamUnreachable &&
-         response.detail() == kRefused;
+         response.detail() == refused;
 }
 
 }  // namespace
