Tests of odd entries use positions of the registry

The registry's interface names positions since 'Positions of a registry are ordered by its era, then by revision'; the test had been written against bare revisions. No check changes.

--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -431,7 +431,7 @@
     int watch = 0;
     int decode_config = 0;
     int decode_upstream = 0;
-    int read_revision = 0;
+    int read_position = 0;
   };
   // Precondition: `faults` outlives the catalog.
   throwing_catalog(std::unique_ptr<catalog_source> catalog, faults* faults)
@@ -439,18 +439,18 @@
   result<catalog_batch> ReadUpstreams(asio::yield_context yield) override {
     return catalog_->ReadUpstreams(yield);
   }
-  result<catalog_batch> WaitForChanges(std::int64_t revision,
+  result<catalog_batch> WaitForChanges(const registry_position& after,
                                        asio::yield_context yield) override {
-    auto batch = catalog_->WaitForChanges(revision, yield);
+    auto batch = catalog_->WaitForChanges(after, yield);
     MayThrow(&faults_->watch);
     return batch;
   }
   result<catalog_batch> ReadConfig(asio::yield_context yield) override {
     return catalog_->ReadConfig(yield);
   }
-  result<std::int64_t> ReadRevision(asio::yield_context yield) override {
-    MayThrow(&faults_->read_revision);
-    return catalog_->ReadRevision(yield);
+  result<registry_position> ReadPosition(asio::yield_context yield) override {
+    MayThrow(&faults_->read_position);
+    return catalog_->ReadPosition(yield);
   }
   result<std::shared_ptr<const forward_config>> DecodeConfig(
       const std::string& document,
@@ -492,7 +492,7 @@
       {"watch", &faults::watch, false, true},
       {"configuration from a watch", &faults::decode_config, false, true},
       {"entry from a watch", &faults::decode_upstream, false, true},
-      {"revision", &faults::read_revision, false, false},
+      {"revision", &faults::read_position, false, false},
       {"entry from a complete read", &faults::decode_upstream, false, false},
   };
   constexpr int kExtraInstances = 4;  // so that some do not watch the registry
