--- a/benchmark/decision_cost.cc
+++ b/benchmark/decision_cost.cc
@@ -25,7 +25,7 @@
   pool.SetListings(listings);
   for (std::int64_t i = 0; i < upstreams; ++i) {
     pool.RecordReport(NumberedName("u", i),
-                      {i * 100 % 9'000, 0, 50'000, false, {}}, now);
+                      load_report{i * 100 % 9'000, 0, 50'000, false, {}}, now);
     for (int n = 0; n < kRequestsPerUpstream; ++n)
       pool.Begin({NumberedName("u", i), 2'000, 2'100, 1, false, false, now});
   }
