A response that does not name the request does not change a request limit

A 421 of another process, or an earlier response that an upstream repeats on a kept connection, ended a request limit on all instances, since it lacks the header. Found by review; the limits are now recorded behind the check that already covers leaving and backing off. No test of its own: the soak's repeated refusals and request limits overlap.

--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -385,10 +385,10 @@
                                 const upstream_reply& reply,
                                 bool names_request) {
   const fleet_upstream& upstream = *exchange.upstream();
-  services_.fleet.RecordLimit(upstream, reply.request_limit, exchange.sent_at);
   // It may repeat what was said to an earlier request, or by another process.
   if (reply.wrong_upstream || !names_request)
     return;
+  services_.fleet.RecordLimit(upstream, reply.request_limit, exchange.sent_at);
   if (reply.leaving)
     services_.fleet.RecordLeaving(upstream);
   if (!reply.retry_after)
