Attempts beside a silent one: what a review of the fix found

- An attempt that was silent and then broke was taken for a stale connection, so that a request could run on more upstreams than max_attempts, and a crash was not attributed to it.
- While another attempt connected (up to 1 s), reserved memory or waited for a liveness check, the silent one was not read: its events came up to a second late.
The connection now has 0.15 s, assignments that need reservations are not used beside an open attempt, and the liveness check runs beside it.
- Progress is what was passed on, not an event id: a stream of events without ids no longer counts as silent, and the first bytes of one attempt close the others even if they have no id.
- The conditions of a retry are checked before an upstream is acquired for it (MayRepeat), instead of every 0.25 s after it.

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -34,6 +34,9 @@
 // Interval at which several open exchanges are read in turn, and at which one
 // that is silent is checked.
 constexpr milliseconds kSilentPollPeriod{50};
+// A silent upstream is not read while a connection to another one is opened,
+// which takes a few round trips.
+constexpr milliseconds kConnectTimeoutBesideSilent{150};
 
 }  // namespace
 
@@ -71,7 +74,7 @@
 
 bool relay_request::MayTryAnother() {
   const time_point now = clock::now();
-  if (now < next_repeat_at_ || now >= response_deadline_)
+  if (now < next_repeat_at_ || !MayRepeat())
     return false;
   if (services_.retries.ForService(service_).Available(now) >= 1)
     return true;
@@ -129,13 +132,13 @@
     return assignment->TargetsAcceptRequests() && !CheckQuarantine();
   };
   options.may_abort_write = route_->IsRetryable();
-  const bool can_repeat =
-      route_->IsRetryable() && sent_attempts_ + 1 < route_->max_attempts;
-  const time_point connect_deadline =
-      can_repeat
-          ? std::min(response_deadline_,
-                     exchange.sent_at + FirstEventTimeout(*exchange.assignment))
-          : response_deadline_;
+  time_point connect_deadline = response_deadline_;
+  if (!open_.empty())
+    connect_deadline = exchange.sent_at + kConnectTimeoutBesideSilent;
+  else if (route_->IsRetryable() && sent_attempts_ + 1 < route_->max_attempts)
+    connect_deadline =
+        exchange.sent_at + FirstEventTimeout(*exchange.assignment);
+  connect_deadline = std::min(connect_deadline, response_deadline_);
   cancel_.OnCancel([&exchange] { exchange.cancel.Cancel(); });
   auto stream = services_.daemon.client.Start(
       upstream->entry.address,
@@ -162,7 +165,7 @@
           until, std::max(SilentAt(exchange, now), now + kSilentPollPeriod));
     if (open_.size() > 1)
       until = std::min(until, now + kSilentPollPeriod);
-    const std::int64_t events_before = last_event_id_.value_or(-1);
+    const std::size_t delivered_before = exchange.delivered_bytes;
     const auto ended = Advance(exchange, until, yield);
     if (ended && (ended->end == attempt_result::kCompleted ||
                   ended->end == attempt_result::kCallerGone)) {
@@ -184,7 +187,7 @@
     const bool responds =
         exchange.kind == upstream_exchange::response_kind::kBody
             ? !stream_started_ && exchange.stream->status() / 100 == 2
-            : last_event_id_.value_or(-1) != events_before;
+            : exchange.delivered_bytes != delivered_before;
     if (responds)
       CloseAllExcept(&exchange);
     const time_point checked_at = clock::now();
@@ -275,7 +278,7 @@
     error_kind kind,
     const std::string& detail) const {
   const bool stale = kind == error_kind::kUpstreamFailed &&
-                     exchange.stream->reused() &&
+                     !exchange.silence_recorded && exchange.stream->reused() &&
                      exchange.stream->BrokeBeforeResponse();
   return {kind == error_kind::kTimedOut ? attempt_result::kTimedOut
                                         : attempt_result::kInvalidResponse,
@@ -333,7 +336,7 @@
                      "stream ended in the middle of an event", false,
                      std::nullopt};
     // What follows the last event, if anything does, is not known.
-    if (stream_started_ && !exchange.delivered)
+    if (stream_started_ && exchange.delivered_bytes == 0)
       return attempt{attempt_result::kInvalidResponse,
                      "stream continuation without a new event", false,
                      std::nullopt};
@@ -353,8 +356,8 @@
     return attempt{attempt_result::kInvalidResponse,
                    "event exceeds the size limit", false, std::nullopt};
   const auto previous_event_id = last_event_id_;
-  const auto next =
-      CollectNewEvents(events, stream_started_ && !exchange.delivered);
+  const auto next = CollectNewEvents(
+      events, stream_started_ && exchange.delivered_bytes == 0);
   if (!next)
     return attempt{attempt_result::kInvalidResponse, "gap in the event ids",
                    false, std::nullopt};
@@ -376,12 +379,12 @@
     exchange.first_event_seen = true;
     RecordFirstEvent(exchange);
   }
-  exchange.delivered = exchange.delivered || !new_bytes.empty();
+  exchange.delivered_bytes += new_bytes.size();
   if (!new_bytes.empty() && !WriteEvents(stream.header(), new_bytes, yield))
     return attempt{attempt_result::kCallerGone, "caller accepts no bytes",
                    false, std::nullopt};
   // Measured from here, since the caller may have been slow to accept bytes.
-  if (has_new_event)
+  if (!new_bytes.empty())
     RecordProgress(exchange);
   return std::nullopt;
 }
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -201,6 +201,10 @@
       return RespondWithError(reason.kind, reason.retry_after, yield);
     if (!assignment && open_.empty())
       return RespondToFailure(last, yield);
+    // Reservations take so long that the silent upstream may go on meanwhile.
+    if (!open_.empty() && assignment &&
+        assignment->primary.reserved_kv_tokens > 0)
+      assignment.reset();
     if (!open_.empty() && (!assignment || !PrepareRetry(last)))
       next_repeat_at_ = clock::now() + kRepeatCheckPeriod;
     else if (auto failed = StartAttempt(std::move(assignment), yield))
@@ -219,7 +223,7 @@
   }
 }
 
-bool relay_request::PrepareRetry(const attempt& last) {
+bool relay_request::MayRepeat() const {
   if (!HasTimeLeft() || cancel_.cancelled())
     return false;
   if (may_have_run_ && !route_->IsRetryable())
@@ -231,7 +235,11 @@
     return false;
   if (services_.recovery.VerdictFor(fingerprint_) == suspect_verdict::kRefuse)
     return false;
-  if (may_have_run_ && (trial_start_ || CheckQuarantine()))
+  return !may_have_run_ || (!trial_start_ && !CheckQuarantine());
+}
+
+bool relay_request::PrepareRetry(const attempt& last) {
+  if (!MayRepeat())
     return false;
   // Attempts that did not reach an upstream do not use up the retry budget.
   if (last.end == attempt_result::kNotSent && !may_have_run_)
@@ -325,7 +333,7 @@
                                         const attempt& last,
                                         asio::yield_context yield) {
   if (last.end == attempt_result::kInvalidResponse && !last.stale_connection)
-    CheckLiveness(exchange.upstream(), yield);
+    CheckLiveness(exchange, yield);
   RecordOutcome(*exchange.assignment, last);
   // A broken reused connection says nothing about the upstream, which may be
   // tried again.
@@ -338,13 +346,16 @@
 
 // After a failed exchange, a refused connection means that the upstream has
 // crashed.
-void relay_request::CheckLiveness(
-    const std::shared_ptr<fleet_upstream>& upstream,
-    asio::yield_context yield) {
+void relay_request::CheckLiveness(const upstream_exchange& exchange,
+                                  asio::yield_context yield) {
+  const std::shared_ptr<fleet_upstream> upstream = exchange.upstream();
   if (!upstream->liveness_check_pending)
     BeginLivenessCheck(services_, upstream);
+  const bool others_open = std::any_of(
+      open_.begin(), open_.end(),
+      [&exchange](const auto& open) { return open.get() != &exchange; });
   // A retry must not be sent before the crash counts against the request.
-  while (upstream->liveness_check_pending && !survived_start_)
+  while (upstream->liveness_check_pending && !survived_start_ && !others_open)
     Sleep(services_.daemon.io, kLivenessPollPeriod, yield);
 }
 
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -150,6 +150,8 @@
   bool WriteEvents(const http::response_header<>& header,
                    std::string_view bytes,
                    asio::yield_context yield);
+  // Whether another attempt may follow, apart from the retry budget.
+  bool MayRepeat() const;
   // Whether another attempt may follow. Spends retry budget for it.
   bool PrepareRetry(const attempt& last);
   void RecordOutcome(const relay_assignment& assignment, const attempt& last);
@@ -160,7 +162,7 @@
                    bool names_request);
   // Finds out whether an upstream has crashed. Returns when it is known, if the
   // request may be the cause.
-  void CheckLiveness(const std::shared_ptr<fleet_upstream>& upstream,
+  void CheckLiveness(const upstream_exchange& exchange,
                      asio::yield_context yield);
   static void BeginLivenessCheck(
       const relay_services& services,
--- a/src/relay/upstream_exchange.h
+++ b/src/relay/upstream_exchange.h
@@ -51,7 +51,7 @@
   response_kind kind = response_kind::kUnknown;
   event_stream_splitter splitter;
   bool first_event_seen = false;
-  bool delivered = false;  // the caller got some of its events
+  std::size_t delivered_bytes = 0;  // of its events, to the caller
   std::size_t bytes_without_event = 0;
   std::string body;
   buffer_pool::share buffered;  // memory of `body` or a partial event
