An upstream that reads a long request late is not taken for a lost one

Callers would get 502, or their request a second run, when a sound upstream did not read for two seconds.

Cause: TCP_USER_TIMEOUT was set for every message. It also ends connections whose peer has full buffers and acknowledges the kernel's probes: silence of a sound upstream, decided by the kernel. Found by review.

Change: it is set only for messages that fit into the peer's buffers. A machine that is lost while a longer message is written is found by the attempt's own limits.

Test: 'a peer that reads late is not taken for lost': with 64 MB and a pause of 3.5 s the exchange failed before (kUpstreamFailed after the limit of 1 s), and completes now.

--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -28,6 +28,8 @@
 // request in flight when the peer closes the connection would be lost.
 constexpr milliseconds kKeepAliveMargin{500};
 constexpr int kKeepAliveProbes = 2;
+// Every peer buffers a message of this size without reading it.
+constexpr std::size_t kMaxBufferedMessageBytes = 8ULL * 1024;
 // Interval at which a message that is being written is checked. Short against
 // the seconds in which an upstream that leaves still accepts messages.
 constexpr milliseconds kWriteCheckPeriod{100};
@@ -57,8 +59,12 @@
 
 // Makes the kernel close the connection when the peer no longer responds:
 // TCP_USER_TIMEOUT covers unacknowledged data, keep-alive probes cover the time
-// in which nothing is sent.
-void SetDeadPeerTimeout(tcp::socket& socket, milliseconds limit) {
+// in which nothing is sent. TCP_USER_TIMEOUT also covers data that waits since
+// the peer's buffers are full: a peer that does not read for a while would be
+// taken for a dead one. So it is set only if all data fits into them.
+void SetDeadPeerTimeout(tcp::socket& socket,
+                        milliseconds limit,
+                        std::size_t message_bytes) {
   if (limit.count() <= 0)
     return;
   const int handle = socket.native_handle();
@@ -68,11 +74,13 @@
   const auto set = [handle](int level, int option, int value) {
     return ::setsockopt(handle, level, option, &value, sizeof(value)) == 0;
   };
+  const int unacknowledged_ms =
+      message_bytes <= kMaxBufferedMessageBytes ? limit_ms : 0;
   if (!set(SOL_SOCKET, SO_KEEPALIVE, 1) ||
       !set(IPPROTO_TCP, TCP_KEEPIDLE, probe_s) ||
       !set(IPPROTO_TCP, TCP_KEEPINTVL, probe_s) ||
       !set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes) ||
-      !set(IPPROTO_TCP, TCP_USER_TIMEOUT, limit_ms))
+      !set(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms))
     Log(log_level::kWarning, "socket_option_refused",
         {{"limit_ms", limit_ms},
          {"outcome", "connection loss is detected only at the deadline"}});
@@ -394,7 +402,8 @@
   {
     const auto message = BuildMessage(address, request);
     tcp::socket* connection = stream->connection_->socket.get();
-    SetDeadPeerTimeout(*connection, request.dead_peer_timeout);
+    SetDeadPeerTimeout(*connection, request.dead_peer_timeout,
+                       request.body.size());
     deadline_guard guard(connection, deadline);
     boost::system::error_code error;
     http::async_write(*connection, message, yield[error]);
@@ -457,7 +466,7 @@
   if (options.may_send && !options.may_send())
     return {error_kind::kUpstreamRefused,
             "upstream no longer accepts requests"};
-  SetDeadPeerTimeout(*socket, options.dead_peer_timeout);
+  SetDeadPeerTimeout(*socket, options.dead_peer_timeout, message.body().size());
   auto stream =
       std::make_unique<http_stream>(this, address, std::move(socket), cancel);
   stream->reused_ = reused;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -250,5 +250,56 @@
   }
 }
 
+// Guards against a sound upstream that reads a long request late being taken
+// for a lost one.
+TEST_CASE("a peer that reads late is not taken for lost") {
+  struct row {
+    const char* name;
+    std::size_t body_bytes;
+  };
+  const row rows[] = {
+      {"a short message", 100},
+      {"more than the buffers of both sides hold", 64ULL * 1024 * 1024},
+  };
+  constexpr milliseconds kDeadPeerTimeout{1'000};
+  constexpr milliseconds kPause{3'500};
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    asio::io_context io;
+    tcp::acceptor acceptor(io,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    http_client client(io);
+    asio::spawn(io, [&](asio::yield_context yield) {
+      tcp::socket peer(io);
+      acceptor.async_accept(peer, yield);
+      Sleep(io, kPause, yield);
+      boost::system::error_code error;
+      std::string buffer(1024ULL * 1024, '\0');
+      std::size_t received = 0;
+      while (!error && received < r.body_bytes)
+        received += peer.async_read_some(asio::buffer(buffer), yield[error]);
+      asio::async_write(peer, asio::buffer(kAnswer), yield[error]);
+    });
+    error_kind kind = error_kind::kOk;
+    asio::spawn(io, [&](asio::yield_context yield) {
+      http::request<http::string_body> message(http::verb::post, "/", 11);
+      message.body() = std::string(r.body_bytes, 'x');
+      message.prepare_payload();
+      send_options options;
+      options.dead_peer_timeout = kDeadPeerTimeout;
+      send_failure failure;
+      kind = client
+                 .Send(address, std::move(message), options,
+                       clock::now() + std::chrono::seconds(15), yield, nullptr,
+                       &failure)
+                 .kind();
+    });
+    io.run();
+    CHECK(kind == error_kind::kOk);
+  }
+}
+
 }  // namespace
 }  // namespace cactusward
