A request that arrived before its connection closes is served

Callers got no response to a request that they had sent on a kept connection while an instance that stops was handling the one before.

Cause: once idle connections are closed, a connection ended after its response without a look at what had arrived. Found by review.

Change: a connection ends when nothing has arrived. The request handler of an instance that stops announces the close in each response, as before.

Test: 'a request that arrived before its connection closes is served': 2 of 3 rows failed before (1 of 2 responses), none now.

--- a/src/edges/http_server.cc
+++ b/src/edges/http_server.cc
@@ -314,11 +314,12 @@
 bool http_server::WaitForRequest(tcp::socket& socket,
                                  bool is_first,
                                  asio::yield_context yield) {
+  boost::system::error_code error;
+  // A request that has already arrived was sent before the caller could know.
   if (closing_ && !is_first)
-    return false;
+    return socket.available(error) > 0;
   if (!is_first)
     idle_sockets_.insert(&socket);
-  boost::system::error_code error;
   {
     deadline_guard guard(&socket, clock::now() + limits_.idle_timeout);
     socket.async_wait(tcp::socket::wait_read, yield[error]);
@@ -392,7 +393,7 @@
     socket.close(ignored);
     return false;
   }
-  return !exchange.closes_connection() && !exchange.disconnected() && !closing_;
+  return !exchange.closes_connection() && !exchange.disconnected();
 }
 
 }  // namespace cactusward
--- /dev/null
+++ b/tests/unit/http_server_test.cc
@@ -0,0 +1,82 @@
+// Tests of the connections of callers.
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "src/edges/http_server.h"
+#include "tests/support/platform_fakes.h"
+
+namespace cactusward {
+namespace {
+
+constexpr std::string_view kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr milliseconds kHandleTime{200};
+
+// Responds to each request after kHandleTime.
+class slow_handler : public http_handler {
+ public:
+  explicit slow_handler(asio::io_context& io) : io_(io) {}
+  void Handle(http_exchange& exchange, asio::yield_context yield) override {
+    ++requests;
+    Sleep(io_, kHandleTime, yield);
+    exchange.Respond(200, "text/plain", "ok",
+                     clock::now() + std::chrono::seconds(2), yield);
+  }
+  int requests = 0;
+
+ private:
+  asio::io_context& io_;
+};
+
+// Guards against requests that get no response because the server stops while
+// it handles the one before them on the connection.
+TEST_CASE("a request that arrived before its connection closes is served") {
+  struct row {
+    const char* name;
+    std::vector<std::string_view> parts;  // written 50 ms apart
+    int responses;
+  };
+  const row rows[] = {
+      {"a single request", {kRequest}, 1},
+      {"two requests in one piece",
+       {"GET /x HTTP/1.1\r\nHost: h\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n"},
+       2},
+      {"a request during the one before", {kRequest, kRequest}, 2},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    asio::io_context io;
+    slow_handler handler(io);
+    http_server server(io, &handler, {});
+    const std::string address = testing::FreeAddress();
+    REQUIRE(server.Listen(address));
+    std::string received;
+    Spawn(io, "caller", [&](asio::yield_context yield) {
+      tcp::socket socket(io);
+      socket.async_connect(*ParseTcpEndpoint(address), yield);
+      for (const std::string_view part : r.parts) {
+        asio::async_write(socket, asio::buffer(part), yield);
+        Sleep(io, milliseconds(50), yield);
+      }
+      server.CloseIdleConnections();
+      boost::system::error_code error;
+      std::string bytes(4096, '\0');
+      while (!error) {
+        const std::size_t size =
+            socket.async_read_some(asio::buffer(bytes), yield[error]);
+        received.append(bytes, 0, size);
+      }
+      io.stop();
+    });
+    io.run();
+    int responses = 0;
+    for (auto at = received.find("HTTP/1.1 200"); at != std::string::npos;
+         at = received.find("HTTP/1.1 200", at + 1))
+      ++responses;
+    CHECK(responses == r.responses);
+    CHECK(handler.requests == r.responses);
+  }
+}
+
+}  // namespace
+}  // namespace cactusward
