A restored registry does not hide that an upstream leaves

Requests would go on to an upstream that had announced its leaving right after a restore.

Cause: an entry of the new era was taken for one of the copy when it had the same count of registrations and a lower revision; revisions of two eras are not ordered. Found by review.

Change: leaving is final for a process, so it decides before the count; the revision counts only for entries that are equal otherwise.

--- a/src/forwarding/upstream_catalog.cc
+++ b/src/forwarding/upstream_catalog.cc
@@ -10,7 +10,8 @@
 
 // Whether `entry`, which a registry lists at `position`, is older than `known`,
 // which it listed in another era: it comes from the copy then. The revisions of
-// two eras are not ordered, so the upstream's own count decides.
+// two eras are not ordered, so what the upstream says decides: a process that
+// leaves never stops leaving, and it counts its registrations.
 bool IsFromCopy(const upstream_entry& entry,
                 const registry_position& position,
                 const registered_upstream& known) {
@@ -18,9 +19,12 @@
     return false;
   if (entry.started_at_ms != known.entry.started_at_ms)
     return entry.started_at_ms < known.entry.started_at_ms;
+  if (entry.leaving != known.entry.leaving)
+    return known.entry.leaving;
   if (entry.sequence != known.entry.sequence)
     return entry.sequence < known.entry.sequence;
-  return position.revision <= known.position.revision;
+  // The copy has entries that have not changed since at their old revision.
+  return entry == known.entry && position.revision <= known.position.revision;
 }
 
 }  // namespace
