Cleanup of the registry's coroutines does not run on destroyed services

unit_tests ended with a corrupted heap ('instances report only what they have confirmed and applied', 'upstream changes do not wait for a configuration'): a scope guard in a coroutine that waits when the I/O context is destroyed ran after the service whose members it sets. A running instance ends without unwinding, so no instance was affected.

The guard is replaced by RunAndCleanUp, which runs the cleanup after normal ends and exceptions (the fault that the guards were added for), but not when the coroutine is destroyed.

--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -4,7 +4,7 @@
 #include <limits>
 
 #include "src/kernel/log.h"
-#include "src/kernel/scope_guard.h"
+#include "src/kernel/run_and_clean_up.h"
 #include "src/relay/catalog_service.h"
 
 namespace cactusward {
@@ -117,9 +117,10 @@
   if (!upstreams_pacer_.TryBegin(now, kRegistryLagTolerance))
     return;
   Spawn(runtime_.io, "upstreams_pull", [this, peer](asio::yield_context yield) {
-    const scope_guard end([this] { upstreams_pacer_.End(); });
     // Without a configuration.
-    PullFrom(peer, std::numeric_limits<std::int64_t>::max(), yield);
+    constexpr auto kNoConfig = std::numeric_limits<std::int64_t>::max();
+    RunAndCleanUp([&] { PullFrom(peer, kNoConfig, yield); },
+                  [this] { upstreams_pacer_.End(); });
   });
 }
 
@@ -140,11 +141,14 @@
   const bool ask_registry = first && failures_ == 0;
   Spawn(runtime_.io, "config_pull",
         [this, ask_registry, peer](asio::yield_context yield) {
-          const scope_guard end([this] { config_pacer_.End(); });
-          if (ask_registry)
-            FetchConfig(peer, yield);
-          else
-            PullFrom(peer, ConfigVersion(), yield);
+          RunAndCleanUp(
+              [&] {
+                if (ask_registry)
+                  FetchConfig(peer, yield);
+                else
+                  PullFrom(peer, ConfigVersion(), yield);
+              },
+              [this] { config_pacer_.End(); });
         });
 }
 
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -5,7 +5,7 @@
 
 #include "cactusward/hash.h"
 #include "src/kernel/log.h"
-#include "src/kernel/scope_guard.h"
+#include "src/kernel/run_and_clean_up.h"
 
 namespace cactusward {
 namespace {
@@ -114,8 +114,7 @@
     return;
   confirming_ = true;
   Spawn(runtime_.io, "catalog_confirm", [this](asio::yield_context yield) {
-    const scope_guard end([this] { confirming_ = false; });
-    Confirm(yield);
+    RunAndCleanUp([&] { Confirm(yield); }, [this] { confirming_ = false; });
   });
 }
 
@@ -372,16 +371,17 @@
     return false;
   decoding_position_ = item.position;
   decoding_document_ = *item.document;
-  const auto decoded = [&] {
-    const scope_guard end([&] {
-      if (decoding_position_ != item.position)
-        return;
-      decoding_position_ = {};
-      decoding_document_.clear();
-    });
-    return source_->DecodeConfig(*item.document,
-                                 [&] { asio::post(runtime_.io, yield); });
-  }();
+  const auto decoded = RunAndCleanUp(
+      [&] {
+        return source_->DecodeConfig(*item.document,
+                                     [&] { asio::post(runtime_.io, yield); });
+      },
+      [&] {
+        if (decoding_position_ != item.position)
+          return;
+        decoding_position_ = {};
+        decoding_document_.clear();
+      });
   if (!decoded) {
     Log(log_level::kError, "config_rejected",
         {{"catalog_era", item.position.era},
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -4,7 +4,7 @@
 
 #include "cactusward/hash.h"
 #include "src/kernel/log.h"
-#include "src/kernel/scope_guard.h"
+#include "src/kernel/run_and_clean_up.h"
 
 namespace cactusward {
 namespace {
@@ -139,11 +139,11 @@
       for (const auto& open : open_)
         open->cancel.Cancel();
     });
-    const scope_guard close([this] {
-      exchange_.OnDisconnect({});
-      open_.clear();
-    });
-    RunAttempts(yield);
+    RunAndCleanUp([&] { RunAttempts(yield); },
+                  [this] {
+                    exchange_.OnDisconnect({});
+                    open_.clear();
+                  });
   }
   record_.attempts = attempts_;
   record_.status = exchange_.status();
--- a/src/services/config_service.cc
+++ b/src/services/config_service.cc
@@ -2,7 +2,7 @@
 
 #include "cactusward/hash.h"
 #include "src/kernel/log.h"
-#include "src/kernel/scope_guard.h"
+#include "src/kernel/run_and_clean_up.h"
 #include "src/services/membership_service.h"
 
 namespace cactusward {
@@ -137,8 +137,8 @@
   pulling_ = true;
   Spawn(runtime_.io, "config_pull",
         [this, peer_address, number](asio::yield_context yield) {
-          const scope_guard end([this] { pulling_ = false; });
-          Pull(peer_address, number, yield);
+          RunAndCleanUp([&] { Pull(peer_address, number, yield); },
+                        [this] { pulling_ = false; });
         });
 }
 
