--- a/tests/unit/repeated_response_test.cc
+++ b/tests/unit/repeated_response_test.cc
@@ -17,7 +17,8 @@
   return "X-Attempt-Id: " + attempt + "\r\n";
 }
 
-TEST_CASE("a refusal that is written once more refuses no other request") {
+TEST_CASE("a refusal that is written once more refuses no other request",
+          "[path]") {
   struct row {
     const char* name;
     std::string repeated;  // written when the next request has arrived
@@ -88,7 +89,7 @@
 
 // Guards against an interim response of a code that the HTTP library does not
 // know being passed on as the final one.
-TEST_CASE("interim responses of any code are skipped") {
+TEST_CASE("interim responses of any code are skipped", "[path]") {
   for (const int status : {100, 102, 103, 199}) {
     CAPTURE(status);
     small_fleet fleet;
@@ -111,7 +112,7 @@
   }
 }
 
-TEST_CASE("a refusal that names its request is believed") {
+TEST_CASE("a refusal that names its request is believed", "[path]") {
   struct row {
     const char* name;
     bool on_kept_connection;
--- a/tests/unit/restored_store_test.cc
+++ b/tests/unit/restored_store_test.cc
@@ -149,7 +149,7 @@
 
 // Guards against a configuration in force that is replaced by the older one of
 // the copy, and against a newer one that is missed afterwards.
-TEST_CASE("a restored registry does not revert the configuration") {
+TEST_CASE("a restored registry does not revert the configuration", "[path]") {
   struct row {
     const char* name;
     bool written_again;  // the lost configuration
@@ -318,7 +318,8 @@
 
 // Guards against an instance that starts while the registry is a copy and
 // believes it, though its peers hold a newer configuration.
-TEST_CASE("an instance that reads a copy takes newer configurations of peers") {
+TEST_CASE("an instance that reads a copy takes newer configurations of peers",
+          "[path]") {
   small_fleet fleet;
   fleet.store.Put("op/config", testing::ConfigDocument(1));
   fleet.RegisterRunners();
@@ -388,7 +389,7 @@
 
 // Guards against entries of a copy that replace newer ones, at the first and at
 // each further complete read of the registry.
-TEST_CASE("entries of a copy do not replace newer ones") {
+TEST_CASE("entries of a copy do not replace newer ones", "[path]") {
   struct version {
     std::int64_t revision;
     std::int64_t started_at_ms;
@@ -496,7 +497,7 @@
 }
 
 // Guards against a message that loses the era of its revisions.
-TEST_CASE("gossip tells the position of the catalog") {
+TEST_CASE("gossip tells the position of the catalog", "[path]") {
   gossip_message message;
   message.sender.name = "a";
   message.catalog_position = {3, 40};
@@ -505,7 +506,7 @@
   CHECK(decoded->catalog_position == registry_position{3, 40});
 }
 
-TEST_CASE("positions are ordered by era, then by revision") {
+TEST_CASE("positions are ordered by era, then by revision", "[path]") {
   const registry_position ordered[] = {{0, 0},  {0, 9}, {1, 2},
                                        {1, 50}, {2, 1}, {2, 50}};
   for (const registry_position& a : ordered) {
--- a/tests/unit/silent_upstream_test.cc
+++ b/tests/unit/silent_upstream_test.cc
@@ -23,7 +23,7 @@
 
 // Guards against responses that are broken off, or failed, because their
 // upstream was silent for a while and no other upstream could take over.
-TEST_CASE("a sound upstream that pauses completes its response") {
+TEST_CASE("a sound upstream that pauses completes its response", "[path]") {
   struct row {
     const char* name;
     const char* path;
@@ -84,7 +84,8 @@
 
 // Guards against an instance that was stopped or busy blaming the upstream for
 // what it did not read in that time, and sending the request to another one.
-TEST_CASE("the time in which an instance stood still is not an upstream's") {
+TEST_CASE("the time in which an instance stood still is not an upstream's",
+          "[path]") {
   struct row {
     const char* name;
     const char* path;
@@ -132,7 +133,7 @@
 }
 
 // Guards against delays that are counted twice or not at all.
-TEST_CASE("a stall meter adds up how late its ticks are") {
+TEST_CASE("a stall meter adds up how late its ticks are", "[path]") {
   struct row {
     const char* name;
     std::vector<int> ticks_ms;
--- a/tests/unit/stream_continuation_test.cc
+++ b/tests/unit/stream_continuation_test.cc
@@ -70,7 +70,7 @@
   }
 }
 
-TEST_CASE("a continuation that fails leaves the stream incomplete") {
+TEST_CASE("a continuation that fails leaves the stream incomplete", "[path]") {
   struct row {
     const char* name;
     std::string continuation;
@@ -159,7 +159,7 @@
 
 // Guards against events that are delivered twice: without an id, an upstream
 // that continues a stream begins at its first event.
-TEST_CASE("a stream that no id continues is not sent again") {
+TEST_CASE("a stream that no id continues is not sent again", "[path]") {
   const std::string rows[] = {"data: 1\n\ndata: 2\n\n",
                               "event: error\ndata: x\n\n",
                               "id: x\ndata: 1\n\n"};
--- a/tests/unit/upstream_announcements_test.cc
+++ b/tests/unit/upstream_announcements_test.cc
@@ -65,7 +65,7 @@
   return time_point() + std::chrono::hours(10) + milliseconds(ms);
 }
 
-TEST_CASE("the longest time that an upstream asks for is kept") {
+TEST_CASE("the longest time that an upstream asks for is kept", "[path]") {
   struct row {
     const char* name;
     std::vector<std::pair<int, int>> announced;  // received at, time; in ms
@@ -107,7 +107,7 @@
   }
 }
 
-TEST_CASE("an announcement is kept as long as its process may run") {
+TEST_CASE("an announcement is kept as long as its process may run", "[path]") {
   constexpr int kMinute = 60'000;
   struct row {
     const char* name;
@@ -148,7 +148,7 @@
   }
 }
 
-TEST_CASE("announcements are read from the header of a response") {
+TEST_CASE("announcements are read from the header of a response", "[path]") {
   struct row {
     int status;
     const char* name;
@@ -228,7 +228,8 @@
 
 // Guards against requests to an upstream that has said in a response that it
 // leaves, while the registry does not say so yet.
-TEST_CASE("an upstream that announces that it leaves gets no more requests") {
+TEST_CASE("an upstream that announces that it leaves gets no more requests",
+          "[path]") {
   struct row {
     const char* name;
     const char* path;
@@ -270,7 +271,7 @@
 
 // Guards against requests to a leaving upstream whose entry is out of date, and
 // against a restarted upstream that stays unused.
-TEST_CASE("an upstream leaves for good, until it starts again") {
+TEST_CASE("an upstream leaves for good, until it starts again", "[path]") {
   struct row {
     const char* name;
     bool is_removed;  // the entry, before it is written again
@@ -308,7 +309,8 @@
 
 // Guards against requests to an upstream in the time for which its refusal asks
 // for none.
-TEST_CASE("an upstream gets no requests until the time to retry after") {
+TEST_CASE("an upstream gets no requests until the time to retry after",
+          "[path]") {
   constexpr milliseconds kBackoff{900};
   // For the requests of this test to be sent, and for its timers.
   constexpr milliseconds kMargin{150};
@@ -329,7 +331,8 @@
 
 // Guards against an upstream that is avoided for what another process said, or
 // another request got, and against a second instance that keeps away as well.
-TEST_CASE("only the refused instance backs off, from the process that asked") {
+TEST_CASE("only the refused instance backs off, from the process that asked",
+          "[path]") {
   enum class change { kNone, kRestart, kOtherInstance, kCrossed };
   struct row {
     const char* name;
@@ -370,7 +373,8 @@
 
 // Guards against callers who wait for upstreams that want no requests, and
 // against a time to retry after at which none of them wants any.
-TEST_CASE("callers are refused at once while no upstream wants requests") {
+TEST_CASE("callers are refused at once while no upstream wants requests",
+          "[path]") {
   struct row {
     const char* name;
     const char* path;
@@ -421,7 +425,8 @@
 
 // Guards against a caller who waits, or is told to retry soon, after the last
 // upstream has refused the request for a time.
-TEST_CASE("the refusal of the last upstream reaches the caller at once") {
+TEST_CASE("the refusal of the last upstream reaches the caller at once",
+          "[path]") {
   const bool other_leaves = GENERATE(false, true);
   CAPTURE(other_leaves);
   announcing_fleet fleet;
@@ -445,7 +450,8 @@
 
 // Guards against queued requests that are sent to upstreams that have asked for
 // none since, or that wait for them.
-TEST_CASE("queued requests leave the queue when no upstream wants any") {
+TEST_CASE("queued requests leave the queue when no upstream wants any",
+          "[path]") {
   constexpr int kCalls = 120;  // more than the engines take at once
   constexpr milliseconds kRunTime{700};
   // Of those that run, and of the refusals that follow.
@@ -483,7 +489,8 @@
 
 // Guards against engines that prefill a part of a prompt, or reserve memory for
 // it, although they leave or have asked for no requests.
-TEST_CASE("prompts are not split over engines that want no requests") {
+TEST_CASE("prompts are not split over engines that want no requests",
+          "[path]") {
   struct row {
     const char* name;
     const char* tokens_per_second;
@@ -534,7 +541,7 @@
 
 // Guards against backing off only from one of the engines that took part in a
 // refused prompt: the one that answered, and the helper that it names.
-TEST_CASE("a refusal that names a helper holds for both engines") {
+TEST_CASE("a refusal that names a helper holds for both engines", "[path]") {
   announcing_fleet fleet;
   // Two are left, which split the prompt.
   fleet.engines.push_back(std::make_unique<runner_fake>(fleet.io, "e2"));
@@ -582,7 +589,8 @@
 
 // Guards against a request that is sent to upstreams that have announced
 // something while memory was being reserved for it.
-TEST_CASE("a placed request is not sent to upstreams that want none since") {
+TEST_CASE("a placed request is not sent to upstreams that want none since",
+          "[path]") {
   constexpr milliseconds kControlDelay{300};
   struct row {
     const char* name;
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -32,12 +32,15 @@
   excluded="$excluded ~\"$name\""
   run "unit: $name" "$folder/unit_tests" "$name"
 done < <(sed -n 's/^unit: //p' KNOWN-RED.txt)
-# The long unit tests mostly wait, so they run beside everything else.
-(
-  timeout 300 "$folder/unit_tests" "[long]${excluded}" >"$work/long.txt" 2>&1
-  echo $? >"$work/long.status"
-) &
-run unit_tests "$folder/unit_tests" "~[long]${excluded}"
+# These groups of unit tests mostly wait, so they run beside everything else.
+beside="long path"
+for group in $beside; do
+  (
+    timeout 300 "$folder/unit_tests" "[$group]${excluded}" >"$work/$group.txt" 2>&1
+    echo $? >"$work/$group.status"
+  ) &
+done
+run unit_tests "$folder/unit_tests" "~[long]~[path]${excluded}"
 run embed_routing "$folder/examples/embed_routing"
 for settings in examples/*/instance-*.json; do
   run "settings_$(basename "$(dirname "$settings")")_$(basename "$settings" .json)" \
@@ -52,7 +55,9 @@
     --work="$work/$name" --seed="$seed" "$scenario"
   seed=$((seed + 1))
 done
-run long_unit_tests bash -c "until [ -s '$work/long.status' ]; do sleep 1; done
-  cat '$work/long.txt'; exit \$(cat '$work/long.status')"
+for group in $beside; do
+  run "${group}_unit_tests" bash -c "until [ -s '$work/$group.status' ]; do sleep 1; done
+    cat '$work/$group.txt'; exit \$(cat '$work/$group.status')"
+done
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
