Setting: source address of connections

On a host with several addresses, connections to the registry and to upstreams can be opened from a given one. It also lets tests tell the instances apart that run on one host, so that a fault can be injected into the path of one of them. The new field is validated; formats_test covers a value that is no IP number.

--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -22,6 +22,16 @@
   return address;
 }
 
+std::string ReadSourceAddress(object_reader& reader) {
+  const std::string address = reader.String("source_address", "");
+  boost::system::error_code error;
+  if (!address.empty())
+    asio::ip::make_address(address, error);
+  if (error)
+    reader.AddError("source_address", "\"" + address + "\"", "an IP number");
+  return address;
+}
+
 log_level ReadLogLevel(object_reader& reader) {
   const std::string level =
       reader.Choice("log_level", "info", {"debug", "info", "warning", "error"});
@@ -38,6 +48,7 @@
   settings.readiness_listen = ReadAddress(reader, "readiness_listen");
   settings.metrics_listen = ReadAddress(reader, "metrics_listen");
   settings.registry = ReadAddress(reader, "registry");
+  settings.source_address = ReadSourceAddress(reader);
   settings.retries.ratio =
       reader.Number("retry_ratio", settings.retries.ratio, 0, 1);
   settings.retries.extra_retries = static_cast<int>(reader.Integer(
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -20,6 +20,9 @@
   std::string readiness_listen;  // readiness checks of the load balancer
   std::string metrics_listen;    // metrics scrapers
   std::string registry;          // source of configuration and upstreams
+  // IP number from which connections to the registry and to upstreams are
+  // opened; empty: any address of the host.
+  std::string source_address;
   shared_retry_settings retries;
   // How long an upstream may take to register again after the registry becomes
   // available.
@@ -32,7 +35,7 @@
     return a.protocol == b.protocol &&
            a.readiness_listen == b.readiness_listen &&
            a.metrics_listen == b.metrics_listen && a.registry == b.registry &&
-           a.retries == b.retries &&
+           a.source_address == b.source_address && a.retries == b.retries &&
            a.reregistration_grace == b.reregistration_grace &&
            a.max_reservation == b.max_reservation;
   }
--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -360,6 +360,12 @@
   return count;
 }
 
+void http_client::SetSourceAddress(const std::string& address) {
+  source_address_.reset();
+  if (!address.empty())
+    source_address_ = asio::ip::make_address(address);
+}
+
 result<std::unique_ptr<tcp::socket>> http_client::Connect(
     const std::string& address,
     time_point deadline,
@@ -377,10 +383,15 @@
       socket->close(ignored);
     });
   boost::system::error_code error;
-  if (socket->is_open() || !cancel || !cancel->cancelled())
-    socket->async_connect(*endpoint, yield[error]);
-  else
+  if (source_address_) {
+    socket->open(endpoint->protocol(), error);
+    if (!error)
+      socket->bind(tcp::endpoint(*source_address_, 0), error);
+  }
+  if (cancel && cancel->cancelled())
     error = asio::error::operation_aborted;
+  if (!error)
+    socket->async_connect(*endpoint, yield[error]);
   if (cancel)
     cancel->OnCancel({});
   if (error)
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -173,6 +173,10 @@
  public:
   explicit http_client(asio::io_context& io) : io_(io) {}
 
+  // Opens connections from this address of the host; empty: from any.
+  // Precondition: an IP number, or empty.
+  void SetSourceAddress(const std::string& address);
+
   // Sends `request` and reads the response header. When a reused connection
   // closes before a response, the request is sent again on a new connection;
   // fresh_connection prevents this.
@@ -257,6 +261,7 @@
       cancel_token* cancel);
 
   asio::io_context& io_;
+  std::optional<asio::ip::address> source_address_;
   std::int64_t connections_opened_ = 0;
   std::map<std::string, std::deque<idle_connection>> idle_connections_;
 };
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -66,6 +66,7 @@
   membership_.AddExtension(static_cast<gossip_extension*>(&fleet_));
   membership_.AddExtension(static_cast<gossip_extension*>(&quarantine_));
   catalog_.Subscribe([this] { ApplyLimits(); });
+  client_.SetSourceAddress(settings->forwarding->source_address);
 }
 
 bool relay_gateway::Start() {
--- a/tests/unit/formats_test.cc
+++ b/tests/unit/formats_test.cc
@@ -55,11 +55,9 @@
     const char* field;
     json value;
   };
-  const row rows[] = {{"registry", "nowhere"},
-                      {"retry_ratio", 2},
-                      {"retry_extra", -1},
-                      {"protocol", ""},
-                      {"unknown", 1}};
+  const row rows[] = {{"registry", "nowhere"},       {"retry_ratio", 2},
+                      {"retry_extra", -1},           {"protocol", ""},
+                      {"source_address", "nowhere"}, {"unknown", 1}};
   for (const row& r : rows) {
     CAPTURE(r.field);
     json broken = ValidForwarding();
