A request whose response has begun is not sent again by the client

http_client::Open sends a request again when its kept connection breaks, since the peer may have closed it just before. It did so too when bytes of the response had arrived, which show that the peer has read the request: a response cut in its head was followed by a second execution that no retry budget was spent on. The same mistake with interim responses: BrokeBeforeResponse forgot them, so that an attempt that an upstream had begun to answer did not count against max_attempts.

Open now asks whether any byte of a response has arrived, and BrokeBeforeResponse knows of interim responses.

--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -408,7 +408,9 @@
     std::unique_ptr<tcp::socket> socket,
     time_point deadline,
     asio::yield_context yield,
-    cancel_token* cancel) {
+    cancel_token* cancel,
+    bool* unanswered) {
+  *unanswered = true;
   auto stream =
       std::make_unique<http_stream>(this, address, std::move(socket), cancel);
   {
@@ -423,6 +425,7 @@
       return {ReadErrorKind(error, guard.expired()), error.message()};
   }
   const auto header = stream->ReadHeader(deadline, yield);
+  *unanswered = stream->BrokeBeforeResponse();
   if (!header)
     return {header.kind(), header.detail()};
   return stream;
@@ -435,14 +438,16 @@
     asio::yield_context yield,
     cancel_token* cancel) {
   bool maybe_sent = false;
+  bool unanswered = true;
   if (!request.fresh_connection) {
     if (auto idle = TakeIdleConnection(address, kMaxIdleTime)) {
       auto stream = SendAndReadHeader(address, request, std::move(idle),
-                                      deadline, yield, cancel);
+                                      deadline, yield, cancel, &unanswered);
       const bool cancelled = cancel && cancel->cancelled();
       // The upstream may have closed the idle connection just before the
       // request was sent: send it again on a new connection.
-      if (stream || cancelled || stream.kind() != error_kind::kUpstreamFailed)
+      if (stream || cancelled || !unanswered ||
+          stream.kind() != error_kind::kUpstreamFailed)
         return stream;
       maybe_sent = true;
     }
@@ -455,7 +460,7 @@
   if (!socket)
     return {socket.kind(), socket.detail()};
   return SendAndReadHeader(address, request, std::move(*socket), deadline,
-                           yield, cancel);
+                           yield, cancel, &unanswered);
 }
 
 result<std::unique_ptr<http_stream>> http_client::Start(
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -105,8 +105,8 @@
   bool reused() const { return reused_; }
   // Whether the connection broke before any byte of the response.
   bool BrokeBeforeResponse() const {
-    return broken_ && !connection_->parser->got_some() &&
-           connection_->buffer.size() == 0;
+    return broken_ && interim_responses_ == 0 &&
+           !connection_->parser->got_some() && connection_->buffer.size() == 0;
   }
   // Closes the connection with this stream instead of reusing it.
   void DisableConnectionReuse() { connection_reuse_disabled_ = true; }
@@ -178,8 +178,8 @@
   explicit http_client(asio::io_context& io) : io_(io) {}
 
   // Sends `request` and reads the response header. When a reused connection
-  // closes before a response, the request is sent again on a new connection;
-  // fresh_connection prevents this.
+  // closes before any byte of a response, the request is sent again on a new
+  // connection; fresh_connection prevents this.
   // @param cancel closes the connection when cancelled; may be null. Must
   //     outlive the stream.
   // @return kUpstreamUnreachable when no byte was sent; kUpstreamFailed,
@@ -252,13 +252,16 @@
                                                time_point deadline,
                                                asio::yield_context yield,
                                                cancel_token* cancel);
+  // @param unanswered whether the connection broke before any byte of the
+  //     response.
   result<std::unique_ptr<http_stream>> SendAndReadHeader(
       const std::string& address,
       const outgoing_request& request,
       std::unique_ptr<tcp::socket> socket,
       time_point deadline,
       asio::yield_context yield,
-      cancel_token* cancel);
+      cancel_token* cancel,
+      bool* unanswered);
 
   asio::io_context& io_;
   std::int64_t connections_opened_ = 0;
--- a/tests/unit/cut_response_test.cc
+++ b/tests/unit/cut_response_test.cc
@@ -127,6 +127,7 @@
                                Request(r.method, cut_upstream::kWholeTarget),
                                api, yield)
                           .body == "whole");
+              const int requests_before = upstream.cut_requests();
               const exchange_result result =
                   Exchange(client, upstream.address(),
                            Request(r.method, "/cut"), api, yield);
@@ -142,6 +143,9 @@
               if (complete && r.ends_with_connection)
                 CHECK(result.body ==
                       whole.substr(r.head.size(), length - r.head.size()));
+              // A response that has begun shows that the request was executed.
+              const int most = kept && length == 0 && api == api::kCall ? 2 : 1;
+              CHECK(upstream.cut_requests() - requests_before <= most);
             }
             upstream.Close();
           });
