Own interface: a response to another request is not believed in anything

call_run.cc looked at the status before it compared X-Request-Id, and completion_run.cc did not compare it: a refusal (429, 503) that was sent late, on a kept connection, for an earlier request, told the caller "not run" of a request that ran, and set the time for which the upstream was left alone. The connection was also reused, with the response to the present request still to come on it.

http_client compares the id when the head has arrived, for all users that send one. A response with another id is kUpstreamGarbled (the request may have run), and its connection is closed. A response without an id is taken as before: upstreams need not send one.

--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -34,6 +34,7 @@
 // the seconds in which an upstream that leaves still accepts messages.
 constexpr milliseconds kWriteCheckPeriod{100};
 constexpr int kMillisecondsPerSecond = 1000;
+constexpr std::string_view kRequestIdHeader = "X-Request-Id";
 
 error_kind ReadErrorKind(const boost::system::error_code& error, bool expired) {
   if (expired)
@@ -100,6 +101,19 @@
                                     kKeepAliveMargin);
 }
 
+// Whether a response with this id, which is empty if it names none, may be the
+// response to `request`.
+bool NamesRequest(const outgoing_request& request,
+                  std::string_view response_id) {
+  if (response_id.empty())
+    return true;
+  return std::all_of(request.headers.begin(), request.headers.end(),
+                     [response_id](const auto& header) {
+                       return header.first != kRequestIdHeader ||
+                              header.second == response_id;
+                     });
+}
+
 http::request<http::string_body> BuildMessage(const std::string& address,
                                               const outgoing_request& request) {
   http::request<http::string_body> message(request.method, request.target, 11);
@@ -428,6 +442,10 @@
   *unanswered = stream->BrokeBeforeResponse();
   if (!header)
     return {header.kind(), header.detail()};
+  if (!NamesRequest(request, stream->Header(kRequestIdHeader))) {
+    stream->DisableConnectionReuse();
+    return {error_kind::kUpstreamGarbled, "response to another request"};
+  }
   return stream;
 }
 
@@ -542,7 +560,6 @@
   response.status = (*stream)->status();
   response.content_type = (*stream)->Header("Content-Type");
   response.load_metrics = (*stream)->Header("endpoint-load-metrics");
-  response.request_id = (*stream)->Header("X-Request-Id");
   response.entity_tag = (*stream)->Header("ETag");
   response.retry_after = (*stream)->Header("Retry-After");
   if (!request.response_header.empty())
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -56,7 +56,6 @@
   std::string content_type;
   std::string body;
   std::string load_metrics;  // the endpoint-load-metrics header
-  std::string request_id;    // the X-Request-Id header
   std::string entity_tag;    // the ETag header
   std::string retry_after;   // the Retry-After header
   // The header named by outgoing_request::response_header; empty if absent.
@@ -184,6 +183,8 @@
   //     outlive the stream.
   // @return kUpstreamUnreachable when no byte was sent; kUpstreamFailed,
   //     kUpstreamGarbled or kTimedOut when some bytes may have been sent.
+  //     kUpstreamGarbled also when the response has another X-Request-Id than
+  //     the request.
   result<std::unique_ptr<http_stream>> Open(const std::string& address,
                                             const outgoing_request& request,
                                             time_point deadline,
--- a/src/request/call_run.cc
+++ b/src/request/call_run.cc
@@ -95,9 +95,6 @@
   if (IsRefusal(response->status))
     return attempts_.RecordRefusal(placed, response->status,
                                    response->retry_after);
-  if (!response->request_id.empty() &&
-      response->request_id != context_.request_id())
-    return {error_kind::kUpstreamGarbled, "answer to another request", true};
   response_ = std::move(*response);
   return {error_kind::kOk, {}, true};
 }
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "src/edges/http_client.h"
+#include "tests/support/scripted_upstream.h"
 
 namespace cactusward {
 namespace {
@@ -115,6 +116,60 @@
   CHECK(kind == error_kind::kUpstreamUnreachable);
 }
 
+// Guards against a refusal that was meant for another request, which would make
+// its caller believe that a request is not executed that is.
+TEST_CASE("a response that names another request is believed in nothing") {
+  struct row {
+    const char* name;
+    std::string_view fields;
+    error_kind kind;
+  };
+  const row rows[] = {
+      {"the request", "X-Request-Id: own\r\n", error_kind::kOk},
+      {"no request", "", error_kind::kOk},
+      {"another request", "X-Request-Id: other\r\n",
+       error_kind::kUpstreamGarbled},
+  };
+  for (const row& r : rows) {
+    for (const std::string_view status : {"200", "429", "503", "500"}) {
+      for (const bool kept : {false, true}) {
+        CAPTURE(r.name, status, kept);
+        const auto script = [&](const http_request& request, int) {
+          const bool first = request.target() == "/first";
+          return testing::scripted_upstream::reply{
+              {{testing::ResponseBytes(
+                    first ? 200 : std::stoi(std::string(status)),
+                    std::string(first ? "" : r.fields), "body"),
+                {}}},
+              false};
+        };
+        asio::io_context io;
+        testing::scripted_upstream upstream(io, script);
+        http_client client(io);
+        error_kind kind = error_kind::kOk;
+        std::size_t reusable = 0;
+        Spawn(io, "test", [&](asio::yield_context yield) {
+          const time_point deadline = clock::now() + std::chrono::seconds(20);
+          outgoing_request request;
+          request.headers = {{"X-Request-Id", "own"}};
+          request.target = "/first";
+          if (kept)
+            REQUIRE(client.Call(upstream.address(), request, deadline, yield));
+          request.target = "/second";
+          const auto response =
+              client.Call(upstream.address(), request, deadline, yield);
+          kind = response ? error_kind::kOk : response.kind();
+          reusable = client.idle_connections();
+          io.stop();
+        });
+        io.run();
+        CHECK(kind == r.kind);
+        CHECK(reusable == (r.kind == error_kind::kOk ? 1 : 0));
+      }
+    }
+  }
+}
+
 // Guards against the rest of a long request reaching an upstream seconds after
 // it announced that it leaves.
 TEST_CASE("a message is not written on when it must no longer be sent") {
