--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -56,7 +56,6 @@
   std::string content_type;
   std::string body;
   std::string load_metrics;  // the endpoint-load-metrics header
-  std::string request_id;    // the X-Request-Id header
   std::string entity_tag;    // the ETag header
   std::string retry_after;   // the Retry-After header
   // The header named by outgoing_request::response_header; empty if absent.
@@ -105,8 +104,8 @@
   bool reused() const { return reused_; }
   // Whether the connection broke before any byte of the response.
   bool BrokeBeforeResponse() const {
-    return broken_ && !connection_->parser->got_some() &&
-           connection_->buffer.size() == 0;
+    return broken_ && interim_responses_ == 0 &&
+           !connection_->parser->got_some() && connection_->buffer.size() == 0;
   }
   // Closes the connection with this stream instead of reusing it.
   void DisableConnectionReuse() { connection_reuse_disabled_ = true; }
@@ -136,6 +135,7 @@
     http::request<http::string_body> message;
     bool done = false;
     bool aborted = false;  // by `guard`
+    boost::system::error_code error;
     std::shared_ptr<write_guard> guard;
   };
 
@@ -147,6 +147,9 @@
   bool AwaitRead(time_point deadline, asio::yield_context yield);
   // The result of a read that ended with an error.
   error_kind RecordReadError();
+  // Turns the end of the connection, where it completes the response, into an
+  // error if the connection was reset.
+  void CheckConnectionEnd();
 
   http_client* client_;
   std::string address_;
@@ -178,12 +181,14 @@
   void SetSourceAddress(const std::string& address);
 
   // Sends `request` and reads the response header. When a reused connection
-  // closes before a response, the request is sent again on a new connection;
-  // fresh_connection prevents this.
+  // closes before any byte of a response, the request is sent again on a new
+  // connection; fresh_connection prevents this.
   // @param cancel closes the connection when cancelled; may be null. Must
   //     outlive the stream.
   // @return kUpstreamUnreachable when no byte was sent; kUpstreamFailed,
   //     kUpstreamGarbled or kTimedOut when some bytes may have been sent.
+  //     kUpstreamGarbled also when the response has another X-Request-Id than
+  //     the request.
   result<std::unique_ptr<http_stream>> Open(const std::string& address,
                                             const outgoing_request& request,
                                             time_point deadline,
@@ -252,13 +257,16 @@
                                                time_point deadline,
                                                asio::yield_context yield,
                                                cancel_token* cancel);
+  // @param unanswered whether the connection broke before any byte of the
+  //     response.
   result<std::unique_ptr<http_stream>> SendAndReadHeader(
       const std::string& address,
       const outgoing_request& request,
       std::unique_ptr<tcp::socket> socket,
       time_point deadline,
       asio::yield_context yield,
-      cancel_token* cancel);
+      cancel_token* cancel,
+      bool* unanswered);
 
   asio::io_context& io_;
   std::optional<asio::ip::address> source_address_;
