Log: why a request was not placed

A request that leaves the queue unassigned is refused with 429 queue_full, and nothing told which upstreams this instance could have used: held back by a limit, avoided, or busy. The line request_not_placed gives the state of the upstreams, at most one line in 0.1 s and 8 upstreams each.

--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -113,6 +113,21 @@
          kMaxAvoidedShare * static_cast<double>(all.size());
 }
 
+std::string_view fleet_service::DescribeUse(const fleet_upstream& upstream,
+                                            time_point now) const {
+  if (IsUsable(upstream, now))
+    return "usable";
+  if (!upstream.IsRegistered())
+    return "not_registered";
+  if (!announcements_.MaySend(upstream.process_key, now))
+    return announcements_.IsLeaving(upstream.process_key) ? "leaving"
+                                                          : "backs_off";
+  if (!limits_.MaySend(upstream.process_key, now))
+    return limits_.NextGrant(upstream.process_key, now) ? "limit_spent"
+                                                        : "no_limit_share";
+  return "avoided";
+}
+
 void fleet_service::UpdateLimitHolders(time_point now) {
   std::vector<std::string> names;
   for (const member& peer : membership_->Live())
--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -60,6 +60,9 @@
   bool AcceptsRequests(const fleet_upstream& upstream, time_point now) const;
   // Whether new requests may be placed on `upstream`.
   bool IsUsable(const fleet_upstream& upstream, time_point now) const;
+  // Why IsUsable is false, for the log; "usable" if it is true.
+  std::string_view DescribeUse(const fleet_upstream& upstream,
+                               time_point now) const;
   load_tracker& tracker() { return tracker_; }
   // Counts a request, or a part of one, against the limit of `upstream`.
   void SpendLimit(const fleet_upstream& upstream, time_point now) {
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -19,6 +19,9 @@
 // well below the deadlines in use.
 constexpr milliseconds kMinRetryAfter{300};
 constexpr milliseconds kMaxRetryAfter{4'000};
+// Bounds of the log of requests that were not placed.
+constexpr milliseconds kNotPlacedLogInterval{100};
+constexpr std::size_t kMaxLoggedUpstreams = 8;
 
 double MsUntil(time_point at, time_point now) {
   return ToMilliseconds(at - now);
@@ -307,9 +310,51 @@
   reason->kind =
       cancel->cancelled() ? error_kind::kCallerGone : error_kind::kQueueFull;
   reason->retry_after = RetryAfter(demand, clock::now());
+  if (!cancel->cancelled())
+    LogNotPlaced(demand, clock::now());
   return nullptr;
 }
 
+void relay_dispatcher::LogNotPlaced(const placement_demand& demand,
+                                    time_point now) {
+  if (now - not_placed_logged_at_ < kNotPlacedLogInterval)
+    return;
+  not_placed_logged_at_ = now;
+  const auto loads = fleet_->tracker().Loads(now);
+  std::map<std::string_view, int> uses;
+  auto described = nlohmann::json::array();
+  for (const auto& upstream : fleet_->Upstreams(demand.service)) {
+    const std::string_view use =
+        demand.tried_upstreams.count(upstream->entry.id) > 0
+            ? "tried"
+            : fleet_->DescribeUse(*upstream, now);
+    ++uses[use];
+    if (described.size() == kMaxLoggedUpstreams)
+      continue;
+    const auto found = loads.find(upstream->key);
+    const upstream_load load =
+        found == loads.end() ? upstream_load() : found->second;
+    described.push_back({{"upstream", upstream->entry.id},
+                         {"use", use},
+                         {"running", load.running},
+                         {"interactive", load.interactive},
+                         {"prefill_ms", load.prefill_ms},
+                         {"kv_tokens", load.kv_tokens},
+                         {"slowdown", upstream->health.Slowdown(now)}});
+  }
+  auto counts = nlohmann::json::object();
+  for (const auto& [use, count] : uses)
+    counts[std::string(use)] = count;
+  Log(log_level::kInfo, "request_not_placed",
+      {{"service", demand.service},
+       {"prompt_tokens", demand.prompt ? demand.prompt->prompt_tokens : 0},
+       {"objective_ms", MsUntil(demand.objective_at, now)},
+       {"caller_timeout_ms", MsUntil(demand.caller_timeout_at, now)},
+       {"waiting", waiters_.size()},
+       {"uses", std::move(counts)},
+       {"upstreams", std::move(described)}});
+}
+
 void relay_dispatcher::ScheduleDispatch() {
   if (dispatch_scheduled_ || waiters_.empty())
     return;
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -121,6 +121,8 @@
                   dispatch_failure* reason,
                   time_point now) const;
   milliseconds RetryAfter(const placement_demand& demand, time_point now) const;
+  // Logs the state of the upstreams when a request leaves the queue unassigned.
+  void LogNotPlaced(const placement_demand& demand, time_point now);
   placement_settings PlacementSettings(const std::string& service) const;
   const engine_parameters* FindEngine(const std::string& service) const;
   void ScheduleDispatch();
@@ -130,6 +132,7 @@
   catalog_service* catalog_ = nullptr;
   fleet_service* fleet_ = nullptr;
   std::list<waiter*> waiters_;
+  time_point not_placed_logged_at_;
   bool dispatch_scheduled_ = false;
   std::unique_ptr<asio::steady_timer> dispatch_timer_;
 };
