--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -3,7 +3,9 @@
 -- options: "seconds=N" length (default 40), "instances=N" (4),
 --   "strict" applies the users' time limits; without it the limits are wider,
 --   since the machine may be busy with other work. To trace a failure:
---   "only=NAME,..." these faults, "runner_fault=NAME" this fault of runners.
+--   "only=NAME,..." these faults, "runner_fault=NAME" this fault of runners,
+--   "calm=N" length in ms of the time without a fault after faults (1000),
+--   "long_prompts=N" prompts of 45,000 tokens in 200 (7).
 local fleet = require("platform_fleet")
 local function option(name, default)
   return tonumber(options:match(name .. "=(%d+)") or default)
@@ -66,11 +68,12 @@
 end
 
 -- Prompt tokens: mostly few, sometimes too many for one engine.
+local last_long_draw = 2 + option("long_prompts", 7)
 local function prompt_tokens()
   local draw = math.random(200)
   if draw == 1 then return 330000 end
   if draw == 2 then return 220000 end
-  return draw < 10 and 45000 or 1000
+  return draw <= last_long_draw and 45000 or 1000
 end
 local function send(instance, path, fault_free)
   local n = #sent + 1
@@ -278,7 +281,7 @@
   -- The after-effects of the faults must end within the users' limit for it.
   local grace_end = now() + 2500
   while now() < grace_end do tick(false) end
-  local fault_free_end = now() + 1000
+  local fault_free_end = now() + option("calm", 1000)
   while now() < fault_free_end do tick(true) end
   for _, entry in ipairs(open) do verify_response(entry) end
   open = {}
