Best-effort prompts use idle engines behind busy ones

Callers of a small service saw 429 queue_full for a prompt of 45,000 tokens that had waited for 0.4 of its time, while engines were idle.

The first usable engines of the view, as many as the interactive requests need, are kept free of long prefills. They were counted among the engines that had passed the other conditions. A best-effort prompt passes over engines with interactive requests or pending prefill, so that with busy front engines the first idle engines behind them counted as the front instead. With four engines and two of them busy, neither of the two idle ones was used: one "front", one left idle for others. Now the front is counted among all usable engines, as PlaceInteractive does.

Their request_not_placed lines show all four engines usable, two of them with 0 running, 0 interactive and 0 ms of prefill; the access lines of all instances show these two idle for at least 0.6 s of the wait.

The unit test fails before in the three rows with two idle engines.

--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -200,6 +200,7 @@
     const engine_view& engine = engines[i];
     if (!engine.usable)
       continue;
+    const bool front = ++usable_seen <= interactive_engines;
     if (engine.load.prefill_ms > kMaxQueuedPrefillMs)
       continue;
     // Best-effort prompts get only engines that have neither pending prefill
@@ -207,8 +208,7 @@
     if (request.best_effort &&
         (engine.load.prefill_ms > 0 || engine.load.interactive > 0))
       continue;
-    const bool shared =
-        ++usable_seen <= interactive_engines || engine.load.interactive > 0;
+    const bool shared = front || engine.load.interactive > 0;
     if (shared &&
         prefill_ms > settings.strictest_event_gap_ms * kSharedPrefillShare)
       continue;
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -218,6 +218,31 @@
   CHECK(PlacePrompt(Engine(), {}, late, plenty, 1));
 }
 
+// Failure: a prompt that missed its objective was refused while two of four
+// engines were idle, since those in front of them had other work.
+TEST_CASE("best-effort prompts use idle engines behind busy ones") {
+  struct row {
+    const char* what;
+    std::vector<engine_view> engines;
+    bool placed;
+  };
+  const row rows[] = {
+      {"interactive", {Busy(2), Busy(3), Busy(0), Busy(0)}, true},
+      {"pending prefill", {Busy(0, 50), Busy(0, 50), Busy(0), Busy(0)}, true},
+      {"long prefill", {Busy(0, 200), Busy(0, 200), Busy(0), Busy(0)}, true},
+      {"one idle", {Busy(2), Busy(3), Busy(0), Busy(1)}, false},
+      {"front idle", {Busy(0), Busy(2), Busy(2), Busy(0)}, false}};
+  prompt_request late = Prompt(45'000, -900, 250);
+  late.caller_timeout_ms = 800;
+  for (const row& r : rows) {
+    INFO(r.what);
+    const auto placed =
+        PlaceWithBestEffortFallback(Engine(), {}, late, r.engines, 1);
+    CHECK(placed.has_value() == r.placed);
+    CHECK((!placed || placed->engine >= 2));
+  }
+}
+
 TEST_CASE("unusable engines get no prompts") {
   std::vector<engine_view> engines(3);
   for (engine_view& engine : engines)
