Soak: callers keep connections, and instances stop in waves

Planned stops lost requests that no soak had met: its streams ended within 0.3 s, and a request after SIGTERM was excused whenever no runner had run it.

- Half of the callers keep their connections for as long as the instance does, also after SIGTERM.
Such a caller can tell whether the server had read a request that got no answer: a connection that is closed with unread bytes is reset, also after its end was read.
One that was read and not answered fails.
- stop_wave stops half of the instances or more, 0.1 to 1.5 s apart, some of them told twice, some waves beside changes of the configuration.
- The route /long/ has streams of 1.5 to 6 s, with a time limit of 9 s.
- A stream may be cut only in the last sixth of that time, and if it was sent no later than 3 s after SIGTERM (the users' rule); so far none was allowed, and none was long enough.

--- a/tests/scenarios/platform_fleet.lua
+++ b/tests/scenarios/platform_fleet.lua
@@ -9,9 +9,11 @@
 local class = {}
 class.__index = class
 
+fleet.kDeadlineMs, fleet.kLongDeadlineMs = 3000, 9000
 local function route(name, kind, service, resumable)
   return { name = name, host = "h", path_prefix = "/" .. name .. "/",
-           kind = kind, service = service, timeout_ms = 3000,
+           kind = kind, service = service,
+           timeout_ms = name == "long" and fleet.kLongDeadlineMs or fleet.kDeadlineMs,
            target_latency_ms = 300, target_itl_ms = 250, priority = 1,
            max_attempts = 2, resumable = resumable }
 end
@@ -22,6 +24,7 @@
 function fleet.config(version)
   local routes = { __array = true, route("stream", "streaming", "engines", true),
                    route("fixed", "streaming", "engines", false),
+                   route("long", "streaming", "engines", true),
                    route("once", "non_idempotent", "plain", false),
                    route("often", "idempotent", "plain", false) }
   for v = math.max(1, version - fleet.kKeptRoutes), version do
@@ -39,7 +42,8 @@
 function fleet.request(address, path, id, tokens)
   return { method = "POST", address = address, path = path, timeout_ms = 20000,
            headers = { Host = "h", Authorization = "Token " .. kKey,
-                       ["X-Attempt-Id"] = id, ["X-Deadline-Ms"] = "3000",
+                       ["X-Attempt-Id"] = id, ["X-Deadline-Ms"] = tostring(path:find("^/long/") and
+                                fleet.kLongDeadlineMs or fleet.kDeadlineMs),
                        ["X-Token-Counts"] = (tokens or 1000) .. ",100" } }
 end
 
@@ -95,7 +99,7 @@
   write_file(instance.settings, to_json{
     instance = instance.id, availability_zone = "z", listen = instance.address,
     peer_listen = instance.peer, peer_advertise = instance.peer_advertised,
-    seed_peers = seeds, drain_grace_ms = 300, drain_limit_ms = 8000,
+    seed_peers = seeds, drain_grace_ms = 300, drain_limit_ms = self.drain_limit_ms,
     secrets = { peers = "peer-secret-for-tests" },
     forwarding = { protocol = "platform", readiness_listen = instance.ready,
       metrics_listen = instance.metrics, registry = instance.registry,
@@ -127,7 +131,8 @@
 
 function fleet.start(options)
   local self = setmetatable({ runners = {}, instances = {},
-                              crashing_parts = options.crashing_parts or {} }, class)
+                              crashing_parts = options.crashing_parts or {},
+                              drain_limit_ms = options.drain_limit_ms or 8000 }, class)
   self.store = { id = "store", address = base.address() }
   self.store.arguments = { "platform_standin", "--role=store",
                            "--address=" .. self.store.address }
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -5,27 +5,34 @@
 --   since the machine may be busy with other work. To trace a failure:
 --   "only=NAME,..." these faults, "runner_fault=NAME" this fault of runners,
 --   "calm=N" length in ms of the time without a fault after faults (1000),
---   "long_prompts=N" prompts of 45,000 tokens in 200 (7).
+--   "long_prompts=N" prompts of 45,000 tokens in 200 (7),
+--   "long_streams=N" one request in N is a stream of some seconds (15).
 local fleet = require("platform_fleet")
 local function option(name, default)
   return tonumber(options:match(name .. "=(%d+)") or default)
 end
 local seconds, strict = option("seconds", 40), options:find("strict") ~= nil
-local kMaxResponseMs = strict and 4500 or 20000   -- route's 3 s and one look for faults
+-- Of a request, beyond its route's time: one look for faults.
+local kMaxLateMs = strict and 1500 or 17000
 local kMaxRecoveryMs = strict and 15000 or 60000  -- the users' recovery_s
 local kMaxDrainMs = strict and 10000 or 40000     -- drain_limit_ms and one probe
 local kMaxLeavingMs = strict and 2000 or 5000     -- the users' drain_ms
 local kStableMs = 3000                            -- the users' stable_window_ms
 local kLimitWindowMs = strict and 3000 or 8000
 local kMaxApplyMs = strict and 3000 or 10000      -- the users' config_apply_ms
--- The routes' time-out, less what an instance may need to keep to it.
-local kRouteTimeMs = 2700
+-- What an instance may need to keep to a route's time.
+local kRouteMarginMs = 300
 math.randomseed(seed)
 local instances = option("instances", 4)
 local kCrashingPart, kCrashedCode = "dead", 86
 local kMaxLateCrashes, kCrashes = 3, 5            -- the users' bounds
+-- Of a planned stop: a stream that is sent this late may still run to its end,
+-- or be cut in the last part of the time that the stop may take.
+local kLateStreamMs, kCutShare = 3000, 5 / 6
+local kStopTimeMs = seed % 2 == 0 and 5000 or 8000
 local f = fleet.start{ instances = instances, engines = instances,
                        plain = math.max(2, instances // 2),
+                       drain_limit_ms = kStopTimeMs,
                        crashing_parts = { kCrashingPart } }
 note(string.format("%d processes", 1 + #f.instances + #f.runners))
 
@@ -75,15 +82,31 @@
   if draw == 2 then return 220000 end
   return draw <= last_long_draw and 45000 or 1000
 end
+-- Some callers keep their connections until the process is gone.
+local kKeptCallers = 6
+local function take_caller(instance)
+  instance.callers = instance.callers or {}
+  for n = 1, kKeptCallers do
+    if not instance.callers[n] then
+      instance.callers[n] = true
+      return n
+    end
+  end
+end
 local function send(instance, path, fault_free)
   local n = #sent + 1
   local entry = { id = "q" .. n, at = now(), instance = instance, path = path,
                   pid = instance.pid, fault_free = fault_free, tokens = prompt_tokens(),
+                  deadline_ms = path == "long" and fleet.kLongDeadlineMs or fleet.kDeadlineMs,
+                  events = path == "long" and math.random(50, 200) or 5,
                   -- An instance starts to listen some time after its start.
                   down = instance.down or instance.responded_pid ~= instance.pid }
-  local request = fleet.request(instance.address, "/" .. path .. "/x", entry.id,
+  local request = fleet.request(instance.address,
+                                "/" .. path .. "/x?events=" .. entry.events, entry.id,
                                 entry.tokens)
-  request.once = true
+  entry.caller = math.random(2) == 1 and take_caller(instance) or nil
+  request.keep = entry.caller and instance.id .. "/" .. entry.caller
+  request.once = not entry.caller
   -- Sound prompts share their first part with crashing ones.
   entry.crashing = path == "stream" and not fault_free and
       faults.sends_crashing_part and math.random(5) == 1
@@ -99,8 +122,17 @@
   return entry
 end
 
-local full_stream = ""
-for i = 1, 5 do full_stream = full_stream .. "id: " .. i .. "\ndata: " .. i .. "\n\n" end
+local function receive(entry)
+  local a = finish(entry.handle)
+  if entry.caller then entry.instance.callers[entry.caller] = nil end
+  return a
+end
+
+local function full_stream(events)
+  local text = {}
+  for i = 1, events do text[i] = "id: " .. i .. "\ndata: " .. i .. "\n\n" end
+  return table.concat(text)
+end
 
 local function is_promise(status)  -- that a request was not run
   return status == 429 or status == 503 or status == 421 or status == 408
@@ -109,7 +141,7 @@
 local answers_with_limit = {}   -- {runner, limit, at}
 local answers_of_leaving = {}   -- {runner, instance, pid, sent_at, at}
 local function verify_response(entry)
-  local a = finish(entry.handle)
+  local a = receive(entry)
   local i = entry.instance
   entry.status = a.status
   entry.headers = a.headers or {}
@@ -137,7 +169,7 @@
   local after_stop = stop and stop <= entry.at
   entry.fault_explains = fault_explains or after_stop or entry.short_timeout
   if entry.short_timeout then return end
-  if a.took_ms > kMaxResponseMs and not fault_explains then
+  if a.took_ms > entry.deadline_ms + kMaxLateMs and not fault_explains then
     fail(where .. " took " .. math.floor(a.took_ms) .. " ms")
   end
   if not a.status then
@@ -146,18 +178,25 @@
     end
     -- Checked at the end, when it is known whether a runner ran it.
     entry.no_response_in_stop = after_stop and not fault_explains
+    if entry.no_response_in_stop and a.unread == false then
+      fail(string.format("%s was read %.0f ms after the stop began and got no answer: %s",
+                         where, entry.at - stop, a.error))
+    end
   elseif a.status == 200 then
-    local streamed = entry.path == "stream" or entry.path == "fixed"
+    local streamed = entry.path == "stream" or entry.path == "fixed" or entry.path == "long"
+    local stream = full_stream(entry.events)
     local cut = a.error ~= nil
     -- An instance that stood still does not end the streams of sound upstreams.
     local cut_allowed = in_fault_span(i, entry.at, nil, kPause) or
-        faults.killed[entry.pid] or entry.down
-    if cut and streamed and full_stream:sub(1, #a.body) ~= a.body then
+        faults.killed[entry.pid] or entry.down or
+        stop and entry.at <= stop + kLateStreamMs and
+        entry.ended_at >= stop + kStopTimeMs * kCutShare
+    if cut and streamed and stream:sub(1, #a.body) ~= a.body then
       fail(where .. " was cut and got a wrong body of " .. #a.body .. " bytes")
     end
     if cut and not cut_allowed then
       entry.cut_at = now()  -- checked at the end against the runners that ran it
-    elseif not cut and (streamed and a.body ~= full_stream or
+    elseif not cut and (streamed and a.body ~= stream or
                         not streamed and not a.body:find("^answer of ")) then
       fail(where .. " got a wrong body of " .. #a.body .. " bytes")
     end
@@ -220,7 +259,8 @@
 local open, open_probes = {}, {}
 local next_probe = 0
 local function tick(fault_free)
-  local path = pick_random{ "stream", "stream", "once", "once", "often", "fixed" }
+  local path = math.random(option("long_streams", 15)) == 1 and "long" or
+      pick_random{ "stream", "stream", "once", "once", "often", "fixed" }
   open[#open + 1] = send(pick_random(f.instances), path, fault_free)
   if now() >= next_probe then
     next_probe = now() + 250
@@ -255,7 +295,7 @@
 local function serves_all_routes(instance)
   for _, path in ipairs{ "stream", "once", "often", "r" .. faults.version } do
     local entry = send(instance, path, false)
-    local a = finish(entry.handle)
+    local a = receive(entry)
     entry.status, entry.headers = a.status, a.headers or {}
     if a.status ~= 200 or a.error then return false end
   end
@@ -404,14 +444,18 @@
   for _, r in ipairs(ran_at[entry.id] or {}) do
     delayed = delayed or faults.in_silent_span(r, entry.at, entry.ended_at or now())
   end
-  local used_time = delayed and entry.ended_at and entry.ended_at - entry.at > kRouteTimeMs
+  local route_time_ms = entry.deadline_ms - kRouteMarginMs
+  local used_time = delayed and entry.ended_at and entry.ended_at - entry.at > route_time_ms
   if entry.cut_at and not used_time and
       not runner_in_fault_span(entry, entry.cut_at) then
-    fail(where .. " was cut without a fault at its runners")
+    local stop = faults.stopped[entry.pid]
+    fail(where .. " was cut without a fault at its runners" ..
+         (stop and string.format(", sent %.0f ms and cut %.0f ms after its instance's stop began",
+                                 entry.at - stop, entry.ended_at - stop) or ""))
   end
   -- A request that only sound runners ran, at a sound instance, is answered.
   if count > 0 and entry.verified_at and entry.status ~= 200 and
-      entry.ended_at - entry.at <= kRouteTimeMs and not entry.fault_explains and
+      entry.ended_at - entry.at <= route_time_ms and not entry.fault_explains and
       not entry.crashing and
       not in_fault_span(entry.instance, entry.at - kStableMs, entry.verified_at) and
       not runner_in_fault_span(entry, entry.verified_at) then
--- a/tests/scenarios/soak_faults.lua
+++ b/tests/scenarios/soak_faults.lua
@@ -284,6 +284,29 @@
       faults.stop(f.instances[(first + n) % #f.instances + 1])
     end)
   end,
+  -- Half of the instances or more, some of them told twice, some beside changes
+  -- of the configuration.
+  stop_wave = function()
+    if faults.in_wave then return end
+    faults.in_wave = true
+    local count = math.random((#f.instances + 1) // 2, #f.instances)
+    local first, gap_ms = math.random(#f.instances), math.random(100, 1500)
+    for n = 1, count do
+      local i = f.instances[(first + n) % #f.instances + 1]
+      schedule((n - 1) * gap_ms, function()
+        faults.stop(i)
+        local pid = i.pid
+        if i.stopping and math.random(3) == 1 then
+          schedule(math.random(100, 3000), function()
+            if i.pid == pid and i.stopping and not i.paused then signal(pid, "TERM") end
+          end)
+        end
+      end)
+    end
+    if math.random(2) == 1 then in_series(math.random(2, 5), 800, change_config) end
+    schedule(count * gap_ms, function() faults.in_wave = false end)
+    return count .. " instances, " .. gap_ms .. " ms apart"
+  end,
   -- Signals of all kinds to one instance, also while it stops.
   signals_in_series = function()
     local i = pick_random(f.instances)
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -421,7 +421,8 @@
     return;
   }
   if (exchange.Path().substr(0, 7) == "/stream" ||
-      exchange.Path().substr(0, 6) == "/fixed")
+      exchange.Path().substr(0, 6) == "/fixed" ||
+      exchange.Path().substr(0, 5) == "/long")
     return Stream(exchange, fault, yield);
   if (fault == runner_fault::kBreaksMidway) {
     http::response<http::empty_body> begin{
@@ -438,8 +439,11 @@
 void runner_fake::Stream(http_exchange& exchange,
                          runner_fault fault,
                          asio::yield_context yield) {
+  const std::string requested_events = exchange.Query("events");
+  const int events =
+      requested_events.empty() ? kEvents : std::stoi(requested_events);
   const time_point deadline =
-      clock::now() + kResponseTimeout + kPauseTime + kEvents * event_pause_;
+      clock::now() + kResponseTimeout + kPauseTime + events * event_pause_;
   http::response<http::empty_body> begin;
   begin.set(http::field::content_type, "text/event-stream");
   begin.set("X-Attempt-Id", fault == runner_fault::kCrossed
@@ -456,7 +460,7 @@
   const int crashes_before = crashes_;
   const std::string_view last = exchange.Header("Last-Event-Id");
   const int first = last.empty() ? 1 : std::stoi(std::string(last)) + 1;
-  for (int i = first; i <= kEvents; ++i) {
+  for (int i = first; i <= events; ++i) {
     const std::string event =
         "id: " + std::to_string(i) + "\ndata: " + std::to_string(i) + "\n\n";
     if (crashes_ != crashes_before)
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -177,7 +177,8 @@
   // Refuses requests with 503 and this time to retry after; empty: none. The
   // fault kCrossed makes it the refusal of another request.
   void SetRetryAfter(std::string seconds) { retry_after_ = std::move(seconds); }
-  // Number of events in a complete stream.
+  // Number of events in a complete stream, unless the query of the request has
+  // "events".
   static constexpr int kEvents = 5;
   // Silence of a runner with the fault kPauses, in the middle of a stream or
   // before the response to a call.
--- a/tests/support/scenario_runner.cc
+++ b/tests/support/scenario_runner.cc
@@ -8,7 +8,10 @@
 //   call{method=, address=, path=, body=, headers=, timeout_ms=}
 //       -> {status=, body=, json=, headers=} or {error=}; with once=true the
 //       request is not sent again when a reused connection closes before the
-//       response, and reused=true reports that case
+//       response, and reused=true reports that case; with keep=NAME it is sent
+//       on the connection of this name, which no other call uses meanwhile, for
+//       as long as the server keeps that open
+//       -> also {unread=} without a status: whether the server did not read it
 //   begin(same) -> handle      finish(handle) -> same    done(handle) -> bool
 //   relay(listen, target) -> handle      cut(handle, bool)
 //   fault(handle, {cut="to_target"|"to_caller", refuse=, delay_ms=})
@@ -55,6 +58,7 @@
 struct scenario_state {
   asio::io_context io;
   http_client client{io};
+  kept_connections kept;
   process_table processes;
   std::vector<std::shared_ptr<scenario_call>> calls;
   std::vector<std::unique_ptr<fault_proxy>> proxies;
@@ -116,7 +120,8 @@
 
 int LuaBegin(lua_State* lua) {
   scenario_state& state = GetState(lua);
-  state.calls.push_back(BeginCall(state.io, state.client, ReadJson(lua, 1)));
+  state.calls.push_back(
+      BeginCall(state.io, state.client, state.kept, ReadJson(lua, 1)));
   lua_pushinteger(lua, static_cast<lua_Integer>(state.calls.size() - 1));
   return 1;
 }
@@ -140,7 +145,8 @@
 
 int LuaCall(lua_State* lua) {
   scenario_state& state = GetState(lua);
-  const auto call = BeginCall(state.io, state.client, ReadJson(lua, 1));
+  const auto call =
+      BeginCall(state.io, state.client, state.kept, ReadJson(lua, 1));
   while (!call->done) {
     state.io.restart();
     state.io.run();
