Test proxy: faults of the connections from one address

All instances reach a runner through one proxy. Instances that bind addresses of their own can now lose a runner one by one. Packets are dropped by a filter in the kernel: connection attempts hang as such, and bytes on open connections are not acknowledged, so that user time-outs and keep-alive probes act as on a network that loses packets. With instances= above 10 a scenario has more than 1,024 descriptors: children close all of them.

--- a/tests/support/process_table.cc
+++ b/tests/support/process_table.cc
@@ -45,8 +45,7 @@
   dup2(log, STDERR_FILENO);
   const int null = open("/dev/null", O_RDONLY);
   dup2(null, STDIN_FILENO);
-  for (int fd = STDERR_FILENO + 1; fd < 1024; ++fd)
-    close(fd);
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(argv[0], argv.data());
   _exit(127);
 }
--- a/tests/support/relay.cc
+++ b/tests/support/relay.cc
@@ -1,7 +1,13 @@
 #include "tests/support/relay.h"
 
+#include <linux/filter.h>
+#include <netinet/ip.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/write.hpp>
+#include <cstddef>
+#include <set>
 
 namespace cactusward::test {
 namespace {
@@ -16,6 +22,40 @@
   socket->close(ignored);
 }
 
+// @return 0.0.0.0 when the connection has been lost.
+asio::ip::address_v4 CallerOf(const tcp::socket& socket) {
+  boost::system::error_code error;
+  const auto remote = socket.remote_endpoint(error);
+  return error || !remote.address().is_v4() ? asio::ip::address_v4()
+                                            : remote.address().to_v4();
+}
+
+// Makes the kernel drop the packets that the TCP socket `handle` receives from
+// `senders`, and no others; at a listening socket these are connection
+// attempts. Accepted connections inherit the filter.
+// @return false when the kernel refused.
+bool DropPacketsFrom(int handle,
+                     const std::set<asio::ip::address_v4>& senders) {
+  constexpr std::uint32_t kDrop = 0;
+  constexpr std::uint32_t kPassWhole = 0xffffffff;
+  // Filters of TCP sockets see packets from the TCP header on.
+  std::vector<sock_filter> program = {
+      BPF_STMT(BPF_LD | BPF_W | BPF_ABS,
+               static_cast<std::uint32_t>(SKF_NET_OFF) +
+                   static_cast<std::uint32_t>(offsetof(iphdr, saddr)))};
+  for (const auto& sender : senders) {
+    program.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K,
+                               static_cast<std::uint32_t>(sender.to_uint()), 0,
+                               1));
+    program.push_back(BPF_STMT(BPF_RET | BPF_K, kDrop));
+  }
+  program.push_back(BPF_STMT(BPF_RET | BPF_K, kPassWhole));
+  const sock_fprog filter = {static_cast<unsigned short>(program.size()),
+                             program.data()};
+  return ::setsockopt(handle, SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+                      sizeof(filter)) == 0;
+}
+
 }  // namespace
 
 fault_proxy::fault_proxy(asio::io_context& io,
@@ -35,7 +75,7 @@
   acceptor_.bind(*local, error);
   if (!error)
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error)
+  if (error || !FilterConnectionAttempts())
     return false;
   Spawn(io_, "relay",
         [this](asio::yield_context yield) { AcceptConnections(yield); });
@@ -81,39 +121,43 @@
     acceptor_.async_accept(*caller_socket, yield[error]);
     if (error)
       return;
-    if (faults_.refuse) {
+    if (faults_.refuse || FaultsOf(CallerOf(*caller_socket)).reset_new) {
       CloseWithReset(caller_socket.get());
       continue;
     }
     Spawn(io_, "relay_connection",
           [this, caller_socket](asio::yield_context y) {
-            while (faults_.cut_to_target)
-              Sleep(io_, kPollInterval, y);
-            auto target_socket = std::make_shared<tcp::socket>(io_);
-            boost::system::error_code failed;
-            target_socket->async_connect(*ParseTcpEndpoint(target_), y[failed]);
-            if (failed)
-              return;
-            connections_.erase(
-                std::remove_if(connections_.begin(), connections_.end(),
-                               [](const auto& w) { return w.expired(); }),
-                connections_.end());
-            connections_.emplace_back(caller_socket);
-            connections_.emplace_back(target_socket);
-            Spawn(io_, "relay_back",
-                  [this, caller_socket, target_socket](asio::yield_context z) {
-                    Forward(target_socket, caller_socket,
-                            &faults_.cut_to_caller, true, z);
-                  });
-            Forward(caller_socket, target_socket, &faults_.cut_to_target, false,
-                    y);
+            Connect(caller_socket, y);
           });
   }
 }
 
+void fault_proxy::Connect(std::shared_ptr<tcp::socket> caller_socket,
+                          asio::yield_context yield) {
+  const auto caller = CallerOf(*caller_socket);
+  while (IsCut(caller, false))
+    Sleep(io_, kPollInterval, yield);
+  auto target_socket = std::make_shared<tcp::socket>(io_);
+  boost::system::error_code failed;
+  target_socket->async_connect(*ParseTcpEndpoint(target_), yield[failed]);
+  if (failed)
+    return;
+  connections_.erase(
+      std::remove_if(connections_.begin(), connections_.end(),
+                     [](const connection& c) { return c.caller.expired(); }),
+      connections_.end());
+  connections_.push_back({caller_socket, target_socket, caller});
+  FilterConnection(connections_.back());
+  Spawn(io_, "relay_back",
+        [this, caller_socket, target_socket, caller](asio::yield_context y) {
+          Forward(target_socket, caller_socket, caller, true, y);
+        });
+  Forward(caller_socket, target_socket, caller, false, yield);
+}
+
 void fault_proxy::Forward(std::shared_ptr<tcp::socket> from,
                           std::shared_ptr<tcp::socket> to,
-                          const bool* cut,
+                          asio::ip::address_v4 caller,
                           bool from_target,
                           asio::yield_context yield) {
   std::string buffer(kBufferBytes, '\0');
@@ -123,7 +167,7 @@
         from->async_read_some(asio::buffer(buffer), yield[error]);
     if (faults_.delay > milliseconds(0))
       Sleep(io_, faults_.delay, yield);
-    while (*cut)
+    while (IsCut(caller, from_target))
       Sleep(io_, kPollInterval, yield);
     if (error)
       break;
@@ -136,14 +180,67 @@
   to->shutdown(tcp::socket::shutdown_send, error);
 }
 
-void fault_proxy::Reset() {
-  for (const auto& weak : connections_) {
+caller_faults fault_proxy::FaultsOf(const asio::ip::address_v4& caller) const {
+  const auto found = caller_faults_.find(caller);
+  return found == caller_faults_.end() ? caller_faults() : found->second;
+}
+
+bool fault_proxy::IsCut(const asio::ip::address_v4& caller,
+                        bool from_target) const {
+  return (from_target ? faults_.cut_to_caller : faults_.cut_to_target) ||
+         FaultsOf(caller).drop_open;
+}
+
+bool fault_proxy::FilterConnectionAttempts() {
+  std::set<asio::ip::address_v4> dropped;
+  for (const auto& [caller, faults] : caller_faults_) {
+    if (faults.drop_new)
+      dropped.insert(caller);
+  }
+  return DropPacketsFrom(acceptor_.native_handle(), dropped);
+}
+
+bool fault_proxy::FilterConnection(const connection& open) {
+  const auto socket = open.caller.lock();
+  if (!socket || !socket->is_open())
+    return true;
+  std::set<asio::ip::address_v4> dropped;
+  if (FaultsOf(open.caller_address).drop_open)
+    dropped.insert(open.caller_address);
+  return DropPacketsFrom(socket->native_handle(), dropped);
+}
+
+bool fault_proxy::SetCallerFaults(const asio::ip::address_v4& caller,
+                                  const caller_faults& faults) {
+  caller_faults_[caller] = faults;
+  bool filtered = !acceptor_.is_open() || FilterConnectionAttempts();
+  for (const connection& open : connections_) {
+    if (open.caller_address == caller)
+      filtered = FilterConnection(open) && filtered;
+  }
+  return filtered;
+}
+
+void fault_proxy::connection::Reset() const {
+  for (const auto& weak : {caller, target}) {
     if (const auto socket = weak.lock())
       CloseWithReset(socket.get());
   }
+}
+
+void fault_proxy::Reset() {
+  for (const connection& open : connections_)
+    open.Reset();
   connections_.clear();
 }
 
+void fault_proxy::ResetCaller(const asio::ip::address_v4& caller) {
+  for (const connection& open : connections_) {
+    if (open.caller_address == caller)
+      open.Reset();
+  }
+}
+
 void fault_proxy::ReceiveDatagrams(asio::yield_context yield) {
   std::string buffer(kBufferBytes, '\0');
   const auto target = ParseHostPort(target_);
--- a/tests/support/scenario_runner.cc
+++ b/tests/support/scenario_runner.cc
@@ -16,6 +16,8 @@
 //   relay(listen, target) -> handle      cut(handle, bool)
 //   fault(handle, {cut="to_target"|"to_caller", refuse=, delay_ms=})
 //   reset(handle)                        resets all connections of a proxy
+//   fault_caller(handle, ip, {drop_new=, reset_new=, drop_open=, reset_open=})
+//       faults of the connections from one address; reset_open: at once only
 //   raw(address, bytes, ms) -> bytes received   datagram(address, bytes)
 //   sleep(ms)   now() -> ms   write_file(path, text)   read_file(path)
 //   to_json(value)   from_json(text)   sha256(text)   expected(prompt, tokens)
@@ -211,6 +213,22 @@
   return 0;
 }
 
+int LuaFaultCaller(lua_State* lua) {
+  fault_proxy& proxy = *GetState(lua).proxies.at(
+      static_cast<std::size_t>(luaL_checkinteger(lua, 1)));
+  const auto caller = asio::ip::make_address_v4(luaL_checkstring(lua, 2));
+  const json requested = ReadJson(lua, 3);
+  caller_faults faults;
+  faults.drop_new = requested.value("drop_new", false);
+  faults.reset_new = requested.value("reset_new", false);
+  faults.drop_open = requested.value("drop_open", false);
+  if (!proxy.SetCallerFaults(caller, faults))
+    return luaL_error(lua, "packets cannot be filtered");
+  if (requested.value("reset_open", false))
+    proxy.ResetCaller(caller);
+  return 0;
+}
+
 std::string StringArgument(lua_State* lua, int index) {
   std::size_t length = 0;
   const char* bytes = luaL_checklstring(lua, index, &length);
@@ -336,6 +354,7 @@
                                 {"cut", LuaCut},
                                 {"fault", LuaFault},
                                 {"reset", LuaReset},
+                                {"fault_caller", LuaFaultCaller},
                                 {"raw", LuaRaw},
                                 {"datagram", LuaDatagram},
                                 {"sleep", LuaSleep},
