--- a/tests/support/scenario_runner.cc
+++ b/tests/support/scenario_runner.cc
@@ -8,11 +8,16 @@
 //   call{method=, address=, path=, body=, headers=, timeout_ms=}
 //       -> {status=, body=, json=, headers=} or {error=}; with once=true the
 //       request is not sent again when a reused connection closes before the
-//       response, and reused=true reports that case
+//       response, and reused=true reports that case; with keep=NAME it is sent
+//       on the connection of this name, which no other call uses meanwhile, for
+//       as long as the server keeps that open
+//       -> also {unread=} without a status: whether the server did not read it
 //   begin(same) -> handle      finish(handle) -> same    done(handle) -> bool
 //   relay(listen, target) -> handle      cut(handle, bool)
 //   fault(handle, {cut="to_target"|"to_caller", refuse=, delay_ms=})
 //   reset(handle)                        resets all connections of a proxy
+//   fault_caller(handle, ip, {drop_new=, reset_new=, drop_open=, reset_open=})
+//       faults of the connections from one address; reset_open: at once only
 //   raw(address, bytes, ms) -> bytes received   datagram(address, bytes)
 //   sleep(ms)   now() -> ms   write_file(path, text)   read_file(path)
 //   to_json(value)   from_json(text)   sha256(text)   expected(prompt, tokens)
@@ -55,6 +60,7 @@
 struct scenario_state {
   asio::io_context io;
   http_client client{io};
+  kept_connections kept;
   process_table processes;
   std::vector<std::shared_ptr<scenario_call>> calls;
   std::vector<std::unique_ptr<fault_proxy>> proxies;
@@ -116,7 +122,8 @@
 
 int LuaBegin(lua_State* lua) {
   scenario_state& state = GetState(lua);
-  state.calls.push_back(BeginCall(state.io, state.client, ReadJson(lua, 1)));
+  state.calls.push_back(
+      BeginCall(state.io, state.client, state.kept, ReadJson(lua, 1)));
   lua_pushinteger(lua, static_cast<lua_Integer>(state.calls.size() - 1));
   return 1;
 }
@@ -140,7 +147,8 @@
 
 int LuaCall(lua_State* lua) {
   scenario_state& state = GetState(lua);
-  const auto call = BeginCall(state.io, state.client, ReadJson(lua, 1));
+  const auto call =
+      BeginCall(state.io, state.client, state.kept, ReadJson(lua, 1));
   while (!call->done) {
     state.io.restart();
     state.io.run();
@@ -205,6 +213,22 @@
   return 0;
 }
 
+int LuaFaultCaller(lua_State* lua) {
+  fault_proxy& proxy = *GetState(lua).proxies.at(
+      static_cast<std::size_t>(luaL_checkinteger(lua, 1)));
+  const auto caller = asio::ip::make_address_v4(luaL_checkstring(lua, 2));
+  const json requested = ReadJson(lua, 3);
+  caller_faults faults;
+  faults.drop_new = requested.value("drop_new", false);
+  faults.reset_new = requested.value("reset_new", false);
+  faults.drop_open = requested.value("drop_open", false);
+  if (!proxy.SetCallerFaults(caller, faults))
+    return luaL_error(lua, "packets cannot be filtered");
+  if (requested.value("reset_open", false))
+    proxy.ResetCaller(caller);
+  return 0;
+}
+
 std::string StringArgument(lua_State* lua, int index) {
   std::size_t length = 0;
   const char* bytes = luaL_checklstring(lua, index, &length);
@@ -330,6 +354,7 @@
                                 {"cut", LuaCut},
                                 {"fault", LuaFault},
                                 {"reset", LuaReset},
+                                {"fault_caller", LuaFaultCaller},
                                 {"raw", LuaRaw},
                                 {"datagram", LuaDatagram},
                                 {"sleep", LuaSleep},
