Connections to upstreams go through a peer when this instance is cut off

Cause: nothing told the instance's own cut from the death of its upstreams. Each connection attempt waited for a second (a new upstream each time, until all were "avoided", which then counts as none being avoided), the silence of kept connections cost 1.3 s more, and no way led around the broken paths. Class: a failure that is seen at one end is attributed to the other end. The same mistake attributed crashes: a cut that refuses connections looked like the crash of every upstream, and the requests in flight were blamed for it.

Change: what decides is that a peer connects to the same upstream meanwhile (upstream_paths). A connection is opened directly and, after 120 ms or a refusal, through a peer as well (path_service); the first one is used, so no byte is sent twice. Two paths proven broken without a direct connection in between: the instance is cut off and goes through peers at once, until a broken path works again; two paths are tried each 0.3 s, whatever the load. The peer only carries bytes (tunnel_server), so attempts, retry budget, deadlines, reservations, resumption and limits stay with one instance, a caller that leaves closes the upstream's connection, and there are no circles: a peer connects only directly. A response without a length counts as complete only if the peer confirms that the upstream ended it, not the tunnel. Crashes are recorded only if a peer is refused as well, or if there is none. Both stacks use it, since it is in the HTTP client. An idle fleet pays nothing: peers are asked where they offer tunnels when one is needed.

Ruled out: handing the request itself to a peer (two owners of attempts and reservations), readiness (moves only new connections), peers' load reports as the evidence (say what was sent, not what was received).

--- a/src/daemon/gateway.cc
+++ b/src/daemon/gateway.cc
@@ -34,6 +34,13 @@
       peers_(io, settings.peer_secret, this),
       config_(runtime_, &peers_),
       membership_(runtime_),
+      paths_(
+          runtime_,
+          &peers_,
+          [this](const std::string& address) {
+            return directory_.IsUpstream(address);
+          },
+          [this] { return lifecycle_.draining(); }),
       recovery_(runtime_),
       directory_(runtime_),
       dispatcher_(runtime_),
@@ -43,10 +50,12 @@
       server_(io, this, http_server_limits()) {
   for (service* part :
        {static_cast<service*>(&config_), static_cast<service*>(&membership_),
-        static_cast<service*>(&recovery_), static_cast<service*>(&directory_),
-        static_cast<service*>(&dispatcher_), static_cast<service*>(&claims_),
-        static_cast<service*>(&report_), static_cast<service*>(&lifecycle_)})
+        static_cast<service*>(&paths_), static_cast<service*>(&recovery_),
+        static_cast<service*>(&directory_), static_cast<service*>(&dispatcher_),
+        static_cast<service*>(&claims_), static_cast<service*>(&report_),
+        static_cast<service*>(&lifecycle_)})
     registry_.Add(part);
+  client_.SetUpstreamConnector(&paths_);
   handlers_ = handler_services::FindIn(registry_);
   operator_api_ = std::make_unique<operator_api>(runtime_, handlers_);
   lifecycle_.OnDrained([this] {
@@ -57,7 +66,8 @@
 
 bool gateway::Start() {
   if (!server_.Listen(settings_.listen) ||
-      !peers_.Listen(settings_.peer_listen) || !membership_.Listen())
+      !peers_.Listen(settings_.peer_listen) || !membership_.Listen() ||
+      !paths_.Listen())
     return false;
   registry_.StartAll();
   Log(log_level::kInfo, "started",
@@ -73,6 +83,8 @@
 }
 
 void gateway::OnPeerCall(const nlohmann::json& request, reply reply) {
+  if (const auto answer = paths_.OnPeerCall(request))
+    return reply(*answer);
   const std::string op =
       request.is_object() && request.contains("op") && request["op"].is_string()
           ? request["op"].get<std::string>()
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -14,6 +14,7 @@
 #include "src/services/dispatcher.h"
 #include "src/services/lifecycle_service.h"
 #include "src/services/membership_service.h"
+#include "src/services/path_service.h"
 #include "src/services/recovery_service.h"
 #include "src/services/report_service.h"
 #include "src/services/upstream_directory.h"
@@ -48,6 +49,7 @@
   peer_link peers_;
   config_service config_;
   membership_service membership_;
+  path_service paths_;
   recovery_service recovery_;
   upstream_directory directory_;
   dispatcher dispatcher_;
--- a/src/daemon/names.h
+++ b/src/daemon/names.h
@@ -17,6 +17,7 @@
 inline constexpr std::string_view kCatalogServiceName = "catalog";
 inline constexpr std::string_view kQuarantineServiceName = "quarantine";
 inline constexpr std::string_view kFleetServiceName = "fleet";
+inline constexpr std::string_view kPathServiceName = "paths";
 inline constexpr std::string_view kRelayDispatcherName = "relay_dispatcher";
 inline constexpr std::string_view kRelayShutdownName = "relay_stop";
 
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -101,6 +101,8 @@
   settings.peer_advertise = root.Has("peer_advertise")
                                 ? ReadAddress(root, "peer_advertise")
                                 : settings.peer_listen;
+  if (root.Has("tunnel_listen"))
+    settings.tunnel_listen = ReadAddress(root, "tunnel_listen");
   if (root.Has("forwarding"))
     settings.forwarding = ReadForwarding(root.Object("forwarding"));
   object_reader secrets = root.Object("secrets");
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -47,8 +47,10 @@
   std::string listen;          // HTTP: callers, operators and scrapers
   std::string peer_listen;     // peers, TCP and UDP
   std::string peer_advertise;  // address at which peers reach peer_listen
-  std::string key_value;       // address of the platform's key-value service
-  std::string instance_list;   // address of the platform's instance list
+  // Tunnels to upstreams for peers; empty: none are offered.
+  std::string tunnel_listen;
+  std::string key_value;      // address of the platform's key-value service
+  std::string instance_list;  // address of the platform's instance list
   std::string peer_secret;
   std::string operator_key;
   std::vector<std::string> seed_peers;
@@ -65,7 +67,8 @@
     return a.instance == b.instance &&
            a.availability_zone == b.availability_zone && a.listen == b.listen &&
            a.peer_listen == b.peer_listen &&
-           a.peer_advertise == b.peer_advertise && a.key_value == b.key_value &&
+           a.peer_advertise == b.peer_advertise &&
+           a.tunnel_listen == b.tunnel_listen && a.key_value == b.key_value &&
            a.instance_list == b.instance_list &&
            a.peer_secret == b.peer_secret && a.operator_key == b.operator_key &&
            a.seed_peers == b.seed_peers &&
--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -1,15 +1,12 @@
 #include "src/edges/http_client.h"
 
-#include "src/kernel/log.h"
-
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <limits>
 
+#include "src/edges/dead_peer.h"
+
 namespace cactusward {
 namespace {
 
@@ -27,9 +24,6 @@
 // Idle connections expire this long before the time announced by the peer: a
 // request in flight when the peer closes the connection would be lost.
 constexpr milliseconds kKeepAliveMargin{500};
-constexpr int kKeepAliveProbes = 2;
-// Every peer buffers a message of this size without reading it.
-constexpr std::size_t kMaxBufferedMessageBytes = 8ULL * 1024;
 // Interval at which a message that is being written is checked. Short against
 // the seconds in which an upstream that leaves still accepts messages.
 constexpr milliseconds kWriteCheckPeriod{100};
@@ -58,35 +52,6 @@
   return error != asio::error::would_block;
 }
 
-// Makes the kernel close the connection when the peer no longer responds:
-// TCP_USER_TIMEOUT covers unacknowledged data, keep-alive probes cover the time
-// in which nothing is sent. TCP_USER_TIMEOUT also covers data that waits since
-// the peer's buffers are full: a peer that does not read for a while would be
-// taken for a dead one. So it is set only if all data fits into them.
-void SetDeadPeerTimeout(tcp::socket& socket,
-                        milliseconds limit,
-                        std::size_t message_bytes) {
-  if (limit.count() <= 0)
-    return;
-  const int handle = socket.native_handle();
-  const int limit_ms = static_cast<int>(limit.count());
-  const int probe_s =
-      std::max(1, limit_ms / kMillisecondsPerSecond / (kKeepAliveProbes + 1));
-  const auto set = [handle](int level, int option, int value) {
-    return ::setsockopt(handle, level, option, &value, sizeof(value)) == 0;
-  };
-  const int unacknowledged_ms =
-      message_bytes <= kMaxBufferedMessageBytes ? limit_ms : 0;
-  if (!set(SOL_SOCKET, SO_KEEPALIVE, 1) ||
-      !set(IPPROTO_TCP, TCP_KEEPIDLE, probe_s) ||
-      !set(IPPROTO_TCP, TCP_KEEPINTVL, probe_s) ||
-      !set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes) ||
-      !set(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms))
-    Log(log_level::kWarning, "socket_option_refused",
-        {{"limit_ms", limit_ms},
-         {"outcome", "connection loss is detected only at the deadline"}});
-}
-
 // Time for which an idle connection may be reused, from the peer's Keep-Alive
 // header.
 milliseconds KeepAliveTime(const http::response_header<>& header) {
@@ -185,11 +150,12 @@
 
 http_stream::http_stream(http_client* client,
                          std::string address,
-                         std::unique_ptr<tcp::socket> socket,
+                         upstream_connection connected,
                          cancel_token* cancel)
     : client_(client),
       address_(std::move(address)),
-      connection_(std::make_shared<connection>(std::move(socket))),
+      connection_(std::make_shared<connection>(std::move(connected.socket))),
+      tunnel_(std::move(connected.tunnel)),
       cancel_(cancel) {
   if (!cancel_)
     return;
@@ -205,8 +171,8 @@
   if (cancel_)
     cancel_->OnCancel({});
   // Bytes after a complete response belong to no request, so the connection
-  // cannot be reused.
-  if (finished_ && !cancelled() && !connection_reuse_disabled_ &&
+  // cannot be reused. A tunnel carries one request.
+  if (finished_ && !tunnel_ && !cancelled() && !connection_reuse_disabled_ &&
       connection_->parser->keep_alive() && connection_->buffer.size() == 0 &&
       (!pending_write_ || pending_write_->done)) {
     client_->ReturnConnection(address_, std::move(connection_->socket),
@@ -336,13 +302,26 @@
       return std::string_view(connection_->read_buffer.data(), received);
     }
   }
+  if (EndsWithConnection() && !EndedByUpstream(deadline, yield)) {
+    broken_ = true;
+    return {error_kind::kUpstreamFailed, "the tunnel broke"};
+  }
   finished_ = true;
   return std::string_view();
 }
 
+bool http_stream::EndedByUpstream(time_point deadline,
+                                  asio::yield_context yield) {
+  return !tunnel_ ||
+         client_->ConnectorFor(true).EndedByUpstream(*tunnel_, deadline, yield);
+}
+
 std::unique_ptr<tcp::socket> http_client::TakeIdleConnection(
     const std::string& address,
-    milliseconds max_idle_time) {
+    milliseconds max_idle_time,
+    bool to_upstream) {
+  if (!ConnectorFor(to_upstream).MayReuseConnections(address))
+    return nullptr;
   auto& idle = idle_connections_[address];
   const time_point now = clock::now();
   while (!idle.empty()) {
@@ -386,58 +365,31 @@
   return count;
 }
 
-void http_client::SetSourceAddress(const std::string& address) {
-  source_address_.reset();
-  if (!address.empty())
-    source_address_ = asio::ip::make_address(address);
-}
-
-result<std::unique_ptr<tcp::socket>> http_client::Connect(
-    const std::string& address,
-    time_point deadline,
-    asio::yield_context yield,
-    cancel_token* cancel) {
-  const auto endpoint = ParseTcpEndpoint(address);
-  if (!endpoint)
-    return {error_kind::kUpstreamUnreachable, "not an address: " + address};
-  auto socket = std::make_unique<tcp::socket>(io_);
-  deadline_guard guard(socket.get(),
-                       std::min(deadline, clock::now() + kConnectTimeout));
-  if (cancel)
-    cancel->OnCancel([&socket] {
-      boost::system::error_code ignored;
-      socket->close(ignored);
-    });
-  boost::system::error_code error;
-  if (source_address_) {
-    socket->open(endpoint->protocol(), error);
-    if (!error)
-      socket->bind(tcp::endpoint(*source_address_, 0), error);
-  }
-  if (cancel && cancel->cancelled())
-    error = asio::error::operation_aborted;
-  if (!error)
-    socket->async_connect(*endpoint, yield[error]);
-  if (cancel)
-    cancel->OnCancel({});
-  if (error)
-    return {error_kind::kUpstreamUnreachable, error.message()};
-  ++connections_opened_;
-  socket->set_option(tcp::no_delay(true), error);
-  return socket;
+result<upstream_connection> http_client::Connect(const std::string& address,
+                                                 bool to_upstream,
+                                                 time_point deadline,
+                                                 asio::yield_context yield,
+                                                 cancel_token* cancel) {
+  auto connected =
+      ConnectorFor(to_upstream)
+          .Connect(address, std::min(deadline, clock::now() + kConnectTimeout),
+                   yield, cancel);
+  if (connected)
+    ++connections_opened_;
+  return connected;
 }
 
 result<std::unique_ptr<http_stream>> http_client::SendAndReadHeader(
     const std::string& address,
     const outgoing_request& request,
-    std::unique_ptr<tcp::socket> socket,
+    upstream_connection connected,
     time_point deadline,
     asio::yield_context yield,
     cancel_token* cancel,
     bool* unanswered) {
   *unanswered = true;
-  auto stream =
-      std::make_unique<http_stream>(this, address, std::move(socket), cancel);
+  auto stream = std::make_unique<http_stream>(this, address,
+                                              std::move(connected), cancel);
   {
     const auto message = BuildMessage(address, request);
     tcp::socket* connection = stream->connection_->socket.get();
@@ -469,9 +421,11 @@
   bool maybe_sent = false;
   bool unanswered = true;
   if (!request.fresh_connection) {
-    if (auto idle = TakeIdleConnection(address, kMaxIdleTime)) {
-      auto stream = SendAndReadHeader(address, request, std::move(idle),
-                                      deadline, yield, cancel, &unanswered);
+    if (auto idle =
+            TakeIdleConnection(address, kMaxIdleTime, request.to_upstream)) {
+      auto stream =
+          SendAndReadHeader(address, request, {std::move(idle), std::nullopt},
+                            deadline, yield, cancel, &unanswered);
       const bool cancelled = cancel && cancel->cancelled();
       // The upstream may have closed the idle connection just before the
       // request was sent: send it again on a new connection.
@@ -481,14 +435,15 @@
       maybe_sent = true;
     }
   }
-  auto socket = Connect(address, deadline, yield, cancel);
+  auto connected =
+      Connect(address, request.to_upstream, deadline, yield, cancel);
   // The request may have been delivered on the reused connection before it
   // closed.
-  if (!socket && maybe_sent)
+  if (!connected && maybe_sent)
     return {error_kind::kUpstreamFailed, "kept connection broke"};
-  if (!socket)
-    return {socket.kind(), socket.detail()};
-  return SendAndReadHeader(address, request, std::move(*socket), deadline,
+  if (!connected)
+    return {connected.kind(), connected.detail()};
+  return SendAndReadHeader(address, request, std::move(*connected), deadline,
                            yield, cancel, &unanswered);
 }
 
@@ -499,22 +454,25 @@
     time_point deadline,
     asio::yield_context yield,
     cancel_token* cancel) {
-  std::unique_ptr<tcp::socket> socket;
+  upstream_connection connected;
   if (!options.fresh_connection)
-    socket = TakeIdleConnection(address, options.max_idle_time);
-  const bool reused = socket != nullptr;
-  if (!socket) {
-    auto connected = Connect(address, deadline, yield, cancel);
-    if (!connected)
-      return {connected.kind(), connected.detail()};
-    socket = std::move(*connected);
+    connected.socket =
+        TakeIdleConnection(address, options.max_idle_time, options.to_upstream);
+  const bool reused = connected.socket != nullptr;
+  if (!reused) {
+    auto opened =
+        Connect(address, options.to_upstream, deadline, yield, cancel);
+    if (!opened)
+      return {opened.kind(), opened.detail()};
+    connected = std::move(*opened);
   }
   if (options.may_send && !options.may_send())
     return {error_kind::kUpstreamRefused,
             "upstream no longer accepts requests"};
-  SetDeadPeerTimeout(*socket, options.dead_peer_timeout, message.body().size());
-  auto stream =
-      std::make_unique<http_stream>(this, address, std::move(socket), cancel);
+  SetDeadPeerTimeout(*connected.socket, options.dead_peer_timeout,
+                     message.body().size());
+  auto stream = std::make_unique<http_stream>(this, address,
+                                              std::move(connected), cancel);
   stream->reused_ = reused;
   const auto& connection = stream->connection_;
   connection->response_has_no_body = message.method() == http::verb::head;
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -14,6 +14,7 @@
 
 #include "cactusward/result.h"
 #include "cactusward/time.h"
+#include "src/edges/direct_connector.h"
 #include "src/edges/net.h"
 
 namespace cactusward {
@@ -32,6 +33,8 @@
   milliseconds dead_peer_timeout{0};
   // Name of a response header to return; empty: none.
   std::string response_header;
+  // Whether the connection is opened as those to upstreams are.
+  bool to_upstream = false;
 };
 
 // Options of http_client::Send.
@@ -49,6 +52,8 @@
   // Also asked while the message is being written, which is broken off when it
   // returns false.
   bool may_abort_write = false;
+  // Whether the connection is opened as those to upstreams are.
+  bool to_upstream = false;
 };
 
 struct http_response {
@@ -72,7 +77,7 @@
  public:
   http_stream(http_client* client,
               std::string address,
-              std::unique_ptr<tcp::socket> socket,
+              upstream_connection connected,
               cancel_token* cancel);
   ~http_stream();
   http_stream(const http_stream&) = delete;
@@ -107,6 +112,10 @@
     return broken_ && interim_responses_ == 0 &&
            !connection_->parser->got_some() && connection_->buffer.size() == 0;
   }
+  // The tunnel that carries the connection; null: none.
+  const tunnel_reference* tunnel() const {
+    return tunnel_ ? &*tunnel_ : nullptr;
+  }
   // Closes the connection with this stream instead of reusing it.
   void DisableConnectionReuse() { connection_reuse_disabled_ = true; }
 
@@ -147,6 +156,8 @@
   bool AwaitRead(time_point deadline, asio::yield_context yield);
   // The result of a read that ended with an error.
   error_kind RecordReadError();
+  // Whether a response that ends with its connection has ended regularly.
+  bool EndedByUpstream(time_point deadline, asio::yield_context yield);
   // Turns the end of the connection, where it completes the response, into an
   // error if the connection was reset.
   void CheckConnectionEnd();
@@ -154,6 +165,7 @@
   http_client* client_;
   std::string address_;
   std::shared_ptr<connection> connection_;
+  std::optional<tunnel_reference> tunnel_;
   cancel_token* cancel_;
   int interim_responses_ = 0;
   bool finished_ = false;
@@ -174,11 +186,14 @@
 // Not thread-safe.
 class http_client {
  public:
-  explicit http_client(asio::io_context& io) : io_(io) {}
+  explicit http_client(asio::io_context& io) : direct_(io) {}
 
-  // Opens connections from this address of the host; empty: from any.
-  // Precondition: an IP number, or empty.
-  void SetSourceAddress(const std::string& address);
+  direct_connector& direct() { return direct_; }
+  // Opens the connections for messages with `to_upstream`; null: directly.
+  // Precondition: `connector` outlives its use.
+  void SetUpstreamConnector(connector* connector) {
+    upstream_connector_ = connector;
+  }
 
   // Sends `request` and reads the response header. When a reused connection
   // closes before any byte of a response, the request is sent again on a new
@@ -248,28 +263,35 @@
     time_point until;  // the peer may close the connection after this
   };
 
+  connector& ConnectorFor(bool to_upstream) {
+    return to_upstream && upstream_connector_
+               ? *upstream_connector_
+               : static_cast<connector&>(direct_);
+  }
   std::unique_ptr<tcp::socket> TakeIdleConnection(const std::string& address,
-                                                  milliseconds max_idle_time);
+                                                  milliseconds max_idle_time,
+                                                  bool to_upstream);
   void ReturnConnection(const std::string& address,
                         std::unique_ptr<tcp::socket> socket,
                         milliseconds keep_alive_time);
-  result<std::unique_ptr<tcp::socket>> Connect(const std::string& address,
-                                               time_point deadline,
-                                               asio::yield_context yield,
-                                               cancel_token* cancel);
+  result<upstream_connection> Connect(const std::string& address,
+                                      bool to_upstream,
+                                      time_point deadline,
+                                      asio::yield_context yield,
+                                      cancel_token* cancel);
   // @param unanswered whether the connection broke before any byte of the
   //     response.
   result<std::unique_ptr<http_stream>> SendAndReadHeader(
       const std::string& address,
       const outgoing_request& request,
-      std::unique_ptr<tcp::socket> socket,
+      upstream_connection connected,
       time_point deadline,
       asio::yield_context yield,
       cancel_token* cancel,
       bool* unanswered);
 
-  asio::io_context& io_;
-  std::optional<asio::ip::address> source_address_;
+  direct_connector direct_;
+  connector* upstream_connector_ = nullptr;
   std::int64_t connections_opened_ = 0;
   std::map<std::string, std::deque<idle_connection>> idle_connections_;
 };
--- /dev/null
+++ b/src/edges/tunnel.cc
@@ -0,0 +1,314 @@
+#include "src/edges/tunnel.h"
+
+#include <absl/strings/escaping.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <limits>
+
+#include "cactusward/hash.h"
+#include "src/edges/dead_peer.h"
+#include "src/edges/listen_log.h"
+#include "src/kernel/log.h"
+
+namespace cactusward {
+namespace {
+
+constexpr const char* kIdField = "Tunnel-Id";
+constexpr const char* kTagField = "Tunnel-Tag";
+constexpr const char* kOutcomeField = "Tunnel-Outcome";
+constexpr int kHttpVersion = 11;
+// A few round trips to an upstream, and its queue of new connections.
+constexpr milliseconds kUpstreamConnectTimeout{200};
+// A peer that has connected sends its request at once.
+constexpr milliseconds kRequestTimeout{1'000};
+constexpr milliseconds kAcceptRetryDelay{50};
+// Well below the deadlines of requests.
+constexpr milliseconds kDeadPeerTimeout{2'000};
+// Tunnels have no length: their peers buffer only a part.
+constexpr std::size_t kUnboundedBytes = std::numeric_limits<std::size_t>::max();
+constexpr std::size_t kBufferBytes = 16ULL * 1024;
+// A small part of the connections that an instance may have.
+constexpr int kMaxTunnels = 600;
+// How long the end of a tunnel is remembered, and at most how many.
+constexpr milliseconds kEndedTtl{5'000};
+constexpr std::size_t kMaxEnded = 4'096;
+// Once the upstream has ended its side, the peer reads what is left.
+constexpr milliseconds kLingerTimeout{5'000};
+
+boost::beast::string_view ToBeast(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::string Tag(const std::string& secret,
+                std::string_view upstream,
+                std::string_view id) {
+  std::string signed_text = "tunnel\n";
+  signed_text.append(upstream).append("\n").append(id);
+  return absl::BytesToHexString(HmacTag(secret, signed_text));
+}
+
+std::string_view ToView(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+// Closes without the regular end of the connection, so that the other side does
+// not take what it has received for complete.
+void Reset(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+// Why no more bytes are passed on. A target that broke was reset, one that
+// ended had closed its side before.
+enum class pass_on_end {
+  kSourceEnded,
+  kSourceBroke,
+  kTargetEnded,
+  kTargetBroke
+};
+
+// Passes bytes on from `source` to `target`.
+pass_on_end PassOn(tcp::socket& source,
+                   tcp::socket& target,
+                   asio::yield_context yield) {
+  const auto buffer = std::make_unique<std::array<char, kBufferBytes>>();
+  boost::system::error_code error;
+  while (true) {
+    const std::size_t received =
+        source.async_read_some(asio::buffer(*buffer), yield[error]);
+    if (error)
+      return error == asio::error::eof ? pass_on_end::kSourceEnded
+                                       : pass_on_end::kSourceBroke;
+    asio::async_write(target, asio::buffer(buffer->data(), received),
+                      yield[error]);
+    if (error)
+      return error == asio::error::broken_pipe ? pass_on_end::kTargetEnded
+                                               : pass_on_end::kTargetBroke;
+  }
+}
+
+}  // namespace
+
+std::string_view NameOf(tunnel_outcome outcome) {
+  switch (outcome) {
+    case tunnel_outcome::kOpen:
+      return "open";
+    case tunnel_outcome::kRefusedByUpstream:
+      return "refused_by_upstream";
+    case tunnel_outcome::kUnreachable:
+      return "unreachable";
+    case tunnel_outcome::kDenied:
+      return "denied";
+    case tunnel_outcome::kPeerGone:
+      break;
+  }
+  return "peer_gone";
+}
+
+tunnel_attempt OpenTunnel(direct_connector& direct,
+                          const std::string& secret,
+                          const std::string& tunnel_address,
+                          const std::string& upstream,
+                          const std::string& id,
+                          time_point deadline,
+                          asio::yield_context yield,
+                          cancel_token* cancel) {
+  tunnel_attempt attempt;
+  auto connected = direct.Connect(tunnel_address, deadline, yield, cancel);
+  if (!connected)
+    return attempt;
+  auto socket = std::move(connected->socket);
+  if (cancel)
+    cancel->OnCancel([&socket] {
+      boost::system::error_code ignored;
+      socket->close(ignored);
+    });
+  boost::system::error_code error;
+  boost::beast::flat_buffer buffer;
+  http::response_parser<http::empty_body> parser;
+  parser.skip(true);
+  {
+    http::request<http::empty_body> request(http::verb::connect,
+                                            ToBeast(upstream), kHttpVersion);
+    request.set(http::field::host, upstream);
+    request.set(kIdField, id);
+    request.set(kTagField, Tag(secret, upstream, id));
+    deadline_guard guard(socket.get(), deadline);
+    http::async_write(*socket, request, yield[error]);
+    if (!error)
+      http::async_read_header(*socket, buffer, parser, yield[error]);
+  }
+  if (cancel)
+    cancel->OnCancel({});
+  if (error || (cancel && cancel->cancelled()))
+    return attempt;
+  const std::string_view outcome = ToView(parser.get()[kOutcomeField]);
+  for (const auto known :
+       {tunnel_outcome::kOpen, tunnel_outcome::kRefusedByUpstream,
+        tunnel_outcome::kUnreachable, tunnel_outcome::kDenied}) {
+    if (outcome == NameOf(known))
+      attempt.outcome = known;
+  }
+  // An upstream sends nothing before it has received a request.
+  if (attempt.outcome == tunnel_outcome::kOpen && buffer.size() > 0)
+    attempt.outcome = tunnel_outcome::kUnreachable;
+  if (attempt.outcome == tunnel_outcome::kOpen)
+    attempt.socket = std::move(socket);
+  return attempt;
+}
+
+tunnel_server::tunnel_server(asio::io_context& io,
+                             std::string secret,
+                             direct_connector* direct,
+                             tunnel_policy* policy)
+    : io_(io),
+      secret_(std::move(secret)),
+      direct_(direct),
+      policy_(policy),
+      acceptor_(io) {}
+
+bool tunnel_server::Listen(const std::string& address) {
+  const auto endpoint = ParseTcpEndpoint(address);
+  if (!endpoint) {
+    LogListenFailure("tunnels", address, "malformed address");
+    return false;
+  }
+  boost::system::error_code error;
+  acceptor_.open(endpoint->protocol(), error);
+  if (!error)
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error)
+    acceptor_.bind(*endpoint, error);
+  if (!error)
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    LogListenFailure("tunnels", address, error.message());
+    return false;
+  }
+  Spawn(io_, "accept_tunnels",
+        [this](asio::yield_context yield) { Accept(yield); });
+  return true;
+}
+
+void tunnel_server::Accept(asio::yield_context yield) {
+  while (acceptor_.is_open()) {
+    auto socket = std::make_shared<tcp::socket>(io_);
+    boost::system::error_code error;
+    acceptor_.async_accept(*socket, yield[error]);
+    if (error == asio::error::operation_aborted)
+      return;
+    if (error) {
+      Sleep(io_, kAcceptRetryDelay, yield);
+      continue;
+    }
+    Spawn(io_, "tunnel",
+          [this, socket](asio::yield_context inner) { Serve(socket, inner); });
+  }
+}
+
+void tunnel_server::Serve(const std::shared_ptr<tcp::socket>& peer,
+                          asio::yield_context yield) {
+  boost::system::error_code error;
+  peer->set_option(tcp::no_delay(true), error);
+  boost::beast::flat_buffer buffer;
+  http::request_parser<http::empty_body> parser;
+  {
+    deadline_guard guard(peer.get(), clock::now() + kRequestTimeout);
+    http::async_read_header(*peer, buffer, parser, yield[error]);
+  }
+  if (error)
+    return;
+  const http::request<http::empty_body> request = parser.release();
+  const std::string upstream(ToView(request.target()));
+  const std::string id(ToView(request[kIdField]));
+  const bool authentic =
+      request.method() == http::verb::connect &&
+      EqualConstantTime(ToView(request[kTagField]), Tag(secret_, upstream, id));
+  tunnel_outcome outcome = tunnel_outcome::kDenied;
+  std::shared_ptr<tcp::socket> target;
+  if (authentic && open_ < kMaxTunnels && policy_->MayOpen(upstream)) {
+    auto connected = direct_->Connect(
+        upstream, clock::now() + kUpstreamConnectTimeout, yield, nullptr);
+    if (connected) {
+      outcome = tunnel_outcome::kOpen;
+      target = std::move(connected->socket);
+      policy_->RecordConnection(upstream);
+    } else {
+      outcome = connected.detail() == RefusedConnectionText()
+                    ? tunnel_outcome::kRefusedByUpstream
+                    : tunnel_outcome::kUnreachable;
+      if (outcome == tunnel_outcome::kUnreachable)
+        policy_->RecordNoConnection(upstream);
+    }
+  }
+  http::response<http::empty_body> response(
+      target ? http::status::ok : http::status::bad_gateway, kHttpVersion);
+  response.set(kOutcomeField, ToBeast(NameOf(outcome)));
+  if (!target)
+    response.keep_alive(false);
+  {
+    deadline_guard guard(peer.get(), clock::now() + kRequestTimeout);
+    http::async_write(*peer, response, yield[error]);
+  }
+  if (error || !target)
+    return;
+  ++open_;
+  Carry(peer, target, id, yield);
+  --open_;
+}
+
+void tunnel_server::Carry(const std::shared_ptr<tcp::socket>& peer,
+                          const std::shared_ptr<tcp::socket>& upstream,
+                          const std::string& id,
+                          asio::yield_context yield) {
+  SetDeadPeerTimeout(*upstream, kDeadPeerTimeout, kUnboundedBytes);
+  SetDeadPeerTimeout(*peer, kDeadPeerTimeout, kUnboundedBytes);
+  struct request_state {
+    explicit request_state(asio::io_context& io) : peer_ended(io) {}
+    asio::steady_timer peer_ended;  // cancelled when the peer has closed
+    bool upstream_broke = false;
+  };
+  const auto state = std::make_shared<request_state>(io_);
+  Spawn(io_, "tunnel_request",
+        [peer, upstream, state](asio::yield_context inner) {
+          const pass_on_end end = PassOn(*peer, *upstream, inner);
+          // The response of an upstream that takes no more is still read.
+          state->upstream_broke = end == pass_on_end::kTargetBroke;
+          if (state->upstream_broke || end == pass_on_end::kTargetEnded)
+            return;
+          // The peer wants no more of the response.
+          boost::system::error_code ignored;
+          upstream->close(ignored);
+          peer->close(ignored);
+          state->peer_ended.cancel(ignored);
+        });
+  // The kernel reports a reset once, possibly to the write of the request.
+  if (PassOn(*upstream, *peer, yield) != pass_on_end::kSourceEnded ||
+      state->upstream_broke)
+    return Reset(*peer);
+  RecordEnd(id);
+  boost::system::error_code ignored;
+  peer->shutdown(tcp::socket::shutdown_send, ignored);
+  if (peer->is_open())
+    WaitOn(state->peer_ended, clock::now() + kLingerTimeout, yield);
+  peer->close(ignored);
+}
+
+void tunnel_server::RecordEnd(const std::string& id) {
+  const time_point now = clock::now();
+  ended_by_upstream_.push_back({id, now});
+  while (ended_by_upstream_.size() > kMaxEnded ||
+         now - ended_by_upstream_.front().at > kEndedTtl)
+    ended_by_upstream_.pop_front();
+}
+
+bool tunnel_server::EndedByUpstream(const std::string& id) const {
+  return std::any_of(
+      ended_by_upstream_.begin(), ended_by_upstream_.end(),
+      [&id](const ended_tunnel& ended) { return ended.id == id; });
+}
+
+}  // namespace cactusward
--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -92,6 +92,13 @@
   return found == by_service_.end() ? none : found->second;
 }
 
+bool fleet_service::IsUpstream(const std::string& address) const {
+  return std::any_of(by_id_.begin(), by_id_.end(),
+                     [&address](const auto& known) {
+                       return known.second->entry.address == address;
+                     });
+}
+
 bool fleet_service::AcceptsRequests(const fleet_upstream& upstream,
                                     time_point now) const {
   return upstream.IsRegistered() &&
--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -55,6 +55,8 @@
   // leaving.
   const std::vector<std::shared_ptr<fleet_upstream>>& Upstreams(
       const std::string& service) const;
+  // Whether a listed upstream has `address`.
+  bool IsUpstream(const std::string& address) const;
   // Whether `upstream` is registered and has not announced that it leaves, or
   // that it wants no requests now.
   bool AcceptsRequests(const fleet_upstream& upstream, time_point now) const;
--- a/src/relay/memory_reservation.cc
+++ b/src/relay/memory_reservation.cc
@@ -35,9 +35,10 @@
     runtime& runtime,
     const relay_protocol& protocol,
     const fleet_upstream& upstream,
-    const outgoing_request& request,
+    outgoing_request request,
     asio::yield_context yield) {
   const time_point deadline = clock::now() + kControlTimeout;
+  request.to_upstream = true;
   const auto response =
       runtime.client.Open(upstream.entry.address, request, deadline, yield);
   if (!response)
--- a/src/relay/memory_reservation.h
+++ b/src/relay/memory_reservation.h
@@ -52,7 +52,7 @@
   static result<bool> SendControlRequest(runtime& runtime,
                                          const relay_protocol& protocol,
                                          const fleet_upstream& upstream,
-                                         const outgoing_request& request,
+                                         outgoing_request request,
                                          asio::yield_context yield);
   result<bool> Reserve(const allocation& next,
                        time_point deadline,
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -1,6 +1,7 @@
 // The exchanges of a request with upstreams, and their responses.
 #include <algorithm>
 
+#include "src/kernel/log.h"
 #include "src/relay/relay_run.h"
 
 namespace cactusward {
@@ -29,6 +30,8 @@
 constexpr int kCallTimeoutFactor = 3;
 constexpr int kFirstServerErrorStatus = 500;
 constexpr std::string_view kEventStreamType = "text/event-stream";
+// Silence on a path that is known as broken.
+constexpr milliseconds kBrokenPathTimeout{300};
 // Lower bound for calls with a short objective.
 constexpr milliseconds kMinCallTimeout{250};
 // Interval at which several open exchanges are read in turn, and at which one
@@ -65,9 +68,12 @@
       exchange.kind != upstream_exchange::response_kind::kBody;
   if (!waits_for_event)
     return response_deadline_;
-  const milliseconds timeout = exchange.first_event_seen
-                                   ? EventGapTimeout(*exchange.assignment)
-                                   : FirstEventTimeout(*exchange.assignment);
+  milliseconds timeout = exchange.first_event_seen
+                             ? EventGapTimeout(*exchange.assignment)
+                             : FirstEventTimeout(*exchange.assignment);
+  if (!exchange.stream->tunnel() &&
+      services_.paths.paths().IsBroken(exchange.upstream()->entry.address))
+    timeout = std::min(timeout, kBrokenPathTimeout);
   return exchange.heard_at + timeout + services_.stalls.Total(now) -
          exchange.stalled_at_progress;
 }
@@ -86,6 +92,8 @@
                                   asio::yield_context yield) {
   may_have_run_ = true;
   for (const auto& open : open_) {
+    if (!open->silence_recorded && !open->stream->tunnel())
+      services_.paths.Suspect(open->upstream()->entry.address);
     if (!open->silence_recorded)
       RecordFailedAttempt(*open, silent, yield);
     open->silence_recorded = true;
@@ -132,6 +140,7 @@
     return assignment->TargetsAcceptRequests() && !CheckQuarantine();
   };
   options.may_abort_write = route_->IsRetryable();
+  options.to_upstream = true;
   time_point connect_deadline = response_deadline_;
   if (!open_.empty())
     connect_deadline = exchange.sent_at + kConnectTimeoutBesideSilent;
@@ -152,6 +161,13 @@
                    std::nullopt};
   ++sent_attempts_;
   exchange.stream = std::move(*stream);
+  if (const tunnel_reference* tunnel = exchange.stream->tunnel())
+    Log(log_level::kInfo, "request_tunnelled",
+        {{"request", caller_.attempt_id},
+         {"upstream", upstream->entry.id},
+         {"peer", tunnel->peer},
+         {"attempt", attempts_},
+         {"connect_ms", ToMilliseconds(clock::now() - exchange.sent_at)}});
   return std::nullopt;
 }
 
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -38,6 +38,13 @@
       peers_(io, settings->peer_secret, this),
       catalog_(runtime_, adapter_.catalog.get(), &peers_),
       membership_(runtime_),
+      paths_(
+          runtime_,
+          &peers_,
+          [this](const std::string& address) {
+            return fleet_.IsUpstream(address);
+          },
+          [this] { return shutdown_.stopping(); }),
       recovery_(runtime_),
       quarantine_(runtime_),
       fleet_(runtime_),
@@ -51,22 +58,24 @@
       retries_(settings->forwarding->retries),
       response_buffers_(kResponseBufferBytes),
       stalls_(kStallTickPeriod, clock::now()),
-      request_services_{
-          runtime_,          *adapter_.protocol, catalog_,          fleet_,
-          dispatcher_,       recovery_,          quarantine_,       report_,
-          retries_,          shutdown_,          response_buffers_, stalls_,
-          longest_deadlines_} {
+      request_services_{runtime_,  *adapter_.protocol, catalog_,
+                        fleet_,    dispatcher_,        paths_,
+                        recovery_, quarantine_,        report_,
+                        retries_,  shutdown_,          response_buffers_,
+                        stalls_,   longest_deadlines_} {
   for (service* part :
        {static_cast<service*>(&catalog_), static_cast<service*>(&membership_),
-        static_cast<service*>(&recovery_), static_cast<service*>(&quarantine_),
-        static_cast<service*>(&fleet_), static_cast<service*>(&dispatcher_),
-        static_cast<service*>(&report_), static_cast<service*>(&shutdown_)})
+        static_cast<service*>(&paths_), static_cast<service*>(&recovery_),
+        static_cast<service*>(&quarantine_), static_cast<service*>(&fleet_),
+        static_cast<service*>(&dispatcher_), static_cast<service*>(&report_),
+        static_cast<service*>(&shutdown_)})
     registry_.Add(part);
   membership_.AddExtension(static_cast<gossip_extension*>(&catalog_));
   membership_.AddExtension(static_cast<gossip_extension*>(&fleet_));
   membership_.AddExtension(static_cast<gossip_extension*>(&quarantine_));
   catalog_.Subscribe([this] { ApplyLimits(); });
-  client_.SetSourceAddress(settings->forwarding->source_address);
+  client_.direct().SetSourceAddress(settings->forwarding->source_address);
+  client_.SetUpstreamConnector(&paths_);
 }
 
 bool relay_gateway::Start() {
@@ -74,7 +83,8 @@
   if (!server_.Listen(settings_->listen) ||
       !readiness_server_.Listen(forwarding.readiness_listen) ||
       !metrics_server_.Listen(forwarding.metrics_listen) ||
-      !peers_.Listen(settings_->peer_listen) || !membership_.Listen())
+      !peers_.Listen(settings_->peer_listen) || !membership_.Listen() ||
+      !paths_.Listen())
     return false;
   registry_.StartAll();
   stalls_.Tick(clock::now());
@@ -107,6 +117,7 @@
   settings_->drain_limit = next.drain_limit;
   const bool needs_restart = settings_->listen != next.listen ||
                              settings_->peer_listen != next.peer_listen ||
+                             settings_->tunnel_listen != next.tunnel_listen ||
                              !(settings_->forwarding == next.forwarding);
   Log(log_level::kInfo, "settings_reloaded",
       {{"needs_restart", needs_restart}});
@@ -164,6 +175,12 @@
       << "cactusward_waiting_for_upstream " << dispatcher_.waiting() << '\n'
       << "cactusward_quarantines " << quarantine_.size() << '\n'
       << "cactusward_limited_upstreams " << fleet_.limited_upstreams() << '\n'
+      << "cactusward_cut_off_from_upstreams " << paths_.paths().IsCutOff()
+      << '\n'
+      << "cactusward_broken_paths " << paths_.paths().size() << '\n'
+      << "cactusward_tunnelled_connections " << paths_.tunnelled_connections()
+      << '\n'
+      << "cactusward_carried_tunnels " << paths_.carried_tunnels() << '\n'
       << "cactusward_idle_connections " << client_.idle_connections() << '\n'
       << "cactusward_connections_opened " << client_.connections_opened()
       << '\n';
@@ -171,6 +188,8 @@
 }
 
 void relay_gateway::OnPeerCall(const nlohmann::json& request, reply reply) {
+  if (const auto answer = paths_.OnPeerCall(request))
+    return reply(*answer);
   const auto op = request.is_object() ? request.find("op") : request.end();
   if (op != request.end() && *op == "catalog_get") {
     const auto version = request.find("config_version");
--- a/src/relay/relay_gateway.h
+++ b/src/relay/relay_gateway.h
@@ -10,6 +10,7 @@
 #include "src/edges/asio_timer_service.h"
 #include "src/relay/relay_run.h"
 #include "src/relay/relay_stop.h"
+#include "src/services/path_service.h"
 
 namespace cactusward {
 
@@ -65,6 +66,7 @@
   peer_link peers_;
   catalog_service catalog_;
   membership_service membership_;
+  path_service paths_;
   recovery_service recovery_;
   quarantine_service quarantine_;
   fleet_service fleet_;
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -368,15 +368,11 @@
     in_flight.push_back(request);
   Spawn(services.daemon.io, "check_upstream",
         [&services, upstream, in_flight](asio::yield_context yield) {
-          tcp::socket socket(services.daemon.io);
-          boost::system::error_code error;
-          const auto endpoint = ParseTcpEndpoint(upstream->entry.address);
-          {
-            deadline_guard guard(&socket, clock::now() + kLivenessCheckTimeout);
-            socket.async_connect(*endpoint, yield[error]);
-          }
+          const auto liveness = services.paths.CheckLiveness(
+              upstream->entry.address, clock::now() + kLivenessCheckTimeout,
+              yield);
           upstream->liveness_check_pending = false;
-          if (error != asio::error::connection_refused)
+          if (liveness != path_service::liveness::kRefuses)
             return;
           upstream->health.Record(exchange_outcome::kUnreachable, clock::now());
           // Requests are not blamed for a crash that a part of a prompt caused.
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -19,6 +19,7 @@
 #include "src/relay/relay_protocol.h"
 #include "src/relay/relay_stop.h"
 #include "src/relay/upstream_exchange.h"
+#include "src/services/path_service.h"
 #include "src/services/recovery_service.h"
 #include "src/services/report_service.h"
 
@@ -31,6 +32,7 @@
   catalog_service& catalog;
   fleet_service& fleet;
   relay_dispatcher& dispatcher;
+  path_service& paths;
   recovery_service& recovery;
   quarantine_service& quarantine;
   report_service& report;
--- a/src/request/call_run.cc
+++ b/src/request/call_run.cc
@@ -84,6 +84,7 @@
         kIdempotencyHeader, std::string(exchange.Header(kIdempotencyHeader)));
   outgoing.fresh_connection = attempts_.claimed();
   outgoing.dead_peer_timeout = kLostMachineTimeout;
+  outgoing.to_upstream = true;
   auto response =
       runtime_.client.Call(placed.address(), outgoing, context_.deadline(),
                            yield, kMaxAnswerBytes, attempts_.cancel());
--- a/src/request/completion_run.cc
+++ b/src/request/completion_run.cc
@@ -98,6 +98,7 @@
                  services_.dispatch->UsesPriorities(), text_, tokens_);
   outgoing.fresh_connection = attempts_.claimed();
   outgoing.dead_peer_timeout = kLostMachineTimeout;
+  outgoing.to_upstream = true;
   return outgoing;
 }
 
--- a/src/services/upstream_directory.cc
+++ b/src/services/upstream_directory.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cactusward/hash.h"
+#include "src/edges/connector.h"
 #include "src/kernel/log.h"
 #include "src/services/config_service.h"
 #include "src/services/membership_service.h"
@@ -39,10 +40,8 @@
 // Other failures to connect, such as a connection attempt that gets no response
 // in time, do not tell whether the process lives.
 bool IsRefusedConnection(const result<http_response>& response) {
-  static const std::string refused =
-      boost::system::error_code(asio::error::connection_refused).message();
   return response.kind() == error_kind::kUpstreamUnreachable &&
-         response.detail() == refused;
+         response.detail() == RefusedConnectionText();
 }
 
 }  // namespace
@@ -135,6 +134,12 @@
   NotifyCapacityFreed();
 }
 
+bool upstream_directory::IsUpstream(const std::string& address) const {
+  return std::any_of(
+      listings_.begin(), listings_.end(),
+      [&address](const auto& listing) { return listing.address == address; });
+}
+
 bool upstream_directory::IsOwnerOf(const std::string& address) {
   return live_instances_.empty() ||
          live_instances_[RendezvousOwner(address, live_instances_)] ==
@@ -176,6 +181,7 @@
                                        asio::yield_context yield) {
   outgoing_request request;
   request.target = "/health";
+  request.to_upstream = true;
   const time_point sent_at = clock::now();
   const duration stalled_before = stalls_.Total(sent_at);
   const auto response =
@@ -274,6 +280,7 @@
                                             asio::yield_context yield) {
   outgoing_request request;
   request.target = "/health";
+  request.to_upstream = true;
   request.fresh_connection = true;
   const time_point limit = clock::now() + kBrokenProbeTimeout;
   while (clock::now() < limit) {
--- a/src/services/upstream_directory.h
+++ b/src/services/upstream_directory.h
@@ -45,6 +45,8 @@
   // The pool of a service, or null for a service that was never configured.
   upstream_pool* Pool(const std::string& service);
   // The pools of all services, by service name.
+  // Whether a listed upstream has `address`.
+  bool IsUpstream(const std::string& address) const;
   std::vector<upstream_pool*> Pools();
 
   // Begins a dispatch. `cancel`, if not null, is cancelled when the upstream's
