A peer call that times out does not use its connection again

Calls between instances share one connection for each peer. When it goes silent without a reset, every later call to that peer waited for its deadline, until TCP gave up: the read of a configuration, a claim at its owner, and now the question where a peer offers tunnels.

A call that times out abandons the connection; the next one opens another, and the old one is closed when no call is pending on it. Found by reading, while tunnels were added.

--- a/src/edges/peer_link.cc
+++ b/src/edges/peer_link.cc
@@ -1,5 +1,6 @@
 #include "src/edges/peer_link.h"
 
+#include <algorithm>
 #include <map>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -108,6 +109,8 @@
     pending_calls_.erase(id);
     if (call->response)
       return std::move(*call->response);
+    if (!link->failed)
+      Abandon(address, link);
     return {
         link->failed ? error_kind::kUpstreamUnreachable : error_kind::kTimedOut,
         "no answer from " + address};
@@ -161,6 +164,22 @@
     return link;
   }
 
+  // The connection may be silent for good: the next call opens another one.
+  // Calls that are still pending keep this one.
+  void Abandon(const std::string& address,
+               const std::shared_ptr<connection>& link) {
+    const auto cached = connections_.find(address);
+    if (cached != connections_.end() && cached->second == link)
+      connections_.erase(cached);
+    const bool in_use = std::any_of(
+        pending_calls_.begin(), pending_calls_.end(),
+        [&link](const auto& pending) { return pending.second->link == link; });
+    websocketpp::lib::error_code ignored;
+    if (!in_use)
+      client_.close(link->hdl, websocketpp::close::status::going_away, {},
+                    ignored);
+  }
+
   void SendOn(connection& link, const std::string& frame_bytes) {
     websocketpp::lib::error_code error;
     client_.send(link.hdl, frame_bytes, websocketpp::frame::opcode::binary,
