An event stream that ends before its first event has been broken off

Callers got a 200 with an empty stream, ended as complete, when an upstream stopped after the head of a stream that has neither a length nor chunks and closed its connection. A stream without events is of no use, and this end cannot be told from that of a process that exits. It was also recorded as a completion: no other upstream was tried, and nobody looked whether the upstream had crashed, so that a prompt part that crashes upstreams went unnoticed in this way.

Such a stream is an invalid response now: another upstream is tried where the route allows it, else the caller gets 502. A caller that resumes with Last-Event-Id may still get an empty rest, and streams with a length or chunks state their end themselves.

In scripted_upstream, a connection that is to be reset is closed explicitly, since the destructor of a socket switches SO_LINGER off.

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -340,6 +340,13 @@
       return attempt{attempt_result::kInvalidResponse,
                      "stream continuation without a new event", false,
                      std::nullopt};
+    // The upstream may have crashed before the first event. Only a resumed
+    // stream may have no more events.
+    if (exchange.delivered_bytes == 0 && !caller_.last_event_id &&
+        stream.EndsWithConnection())
+      return attempt{attempt_result::kInvalidResponse,
+                     "stream ended before its first event", false,
+                     std::nullopt};
     if (!stream_started_ && !WriteEvents(stream.header(), {}, yield))
       return attempt{attempt_result::kCallerGone, "caller accepts no bytes",
                      false, std::nullopt};
--- a/tests/support/scripted_upstream.h
+++ b/tests/support/scripted_upstream.h
@@ -24,6 +24,7 @@
     };
     std::vector<part> parts;
     bool close = false;  // afterwards
+    bool reset = false;  // instead of closing it regularly
   };
   // @param on_connection position of the request on its connection, from 0.
   using script = std::function<reply(const http_request&, int on_connection)>;
@@ -72,6 +73,11 @@
           Sleep(io_, part.delay, yield);
         asio::async_write(socket, asio::buffer(part.bytes), yield[error]);
       }
+      if (reply.reset)
+        socket.set_option(asio::socket_base::linger(true, 0), error);
+      // The destructor would not reset it.
+      if (reply.close)
+        socket.close(error);
       if (reply.close || error)
         return;
     }
