--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -34,6 +34,7 @@
 // the seconds in which an upstream that leaves still accepts messages.
 constexpr milliseconds kWriteCheckPeriod{100};
 constexpr int kMillisecondsPerSecond = 1000;
+constexpr std::string_view kRequestIdHeader = "X-Request-Id";
 
 error_kind ReadErrorKind(const boost::system::error_code& error, bool expired) {
   if (expired)
@@ -100,6 +101,19 @@
                                     kKeepAliveMargin);
 }
 
+// Whether a response with this id, which is empty if it names none, may be the
+// response to `request`.
+bool NamesRequest(const outgoing_request& request,
+                  std::string_view response_id) {
+  if (response_id.empty())
+    return true;
+  return std::all_of(request.headers.begin(), request.headers.end(),
+                     [response_id](const auto& header) {
+                       return header.first != kRequestIdHeader ||
+                              header.second == response_id;
+                     });
+}
+
 http::request<http::string_body> BuildMessage(const std::string& address,
                                               const outgoing_request& request) {
   http::request<http::string_body> message(request.method, request.target, 11);
@@ -255,6 +269,17 @@
   return !connection_->reading;
 }
 
+// The kernel reports a reset once, possibly to the write in progress; the read
+// then ends like that of a closed connection. Only a peer that had closed its
+// side before makes a write fail with broken_pipe.
+void http_stream::CheckConnectionEnd() {
+  if (connection_->read_error || !connection_->parser->is_done() ||
+      !EndsWithConnection() || !pending_write_)
+    return;
+  if (pending_write_->error != asio::error::broken_pipe)
+    connection_->read_error = pending_write_->error;
+}
+
 error_kind http_stream::RecordReadError() {
   broken_ = true;
   return ReadErrorKind(connection_->read_error, false);
@@ -299,6 +324,7 @@
     }
     if (!AwaitRead(deadline, yield))
       return {error_kind::kTimedOut, "no more of the response at the deadline"};
+    CheckConnectionEnd();
     if (connection_->read_error)
       return {RecordReadError(), connection_->read_error.message()};
     if (cancelled())
@@ -407,7 +433,9 @@
     std::unique_ptr<tcp::socket> socket,
     time_point deadline,
     asio::yield_context yield,
-    cancel_token* cancel) {
+    cancel_token* cancel,
+    bool* unanswered) {
+  *unanswered = true;
   auto stream =
       std::make_unique<http_stream>(this, address, std::move(socket), cancel);
   {
@@ -422,8 +450,13 @@
       return {ReadErrorKind(error, guard.expired()), error.message()};
   }
   const auto header = stream->ReadHeader(deadline, yield);
+  *unanswered = stream->BrokeBeforeResponse();
   if (!header)
     return {header.kind(), header.detail()};
+  if (!NamesRequest(request, stream->Header(kRequestIdHeader))) {
+    stream->DisableConnectionReuse();
+    return {error_kind::kUpstreamGarbled, "response to another request"};
+  }
   return stream;
 }
 
@@ -434,14 +467,16 @@
     asio::yield_context yield,
     cancel_token* cancel) {
   bool maybe_sent = false;
+  bool unanswered = true;
   if (!request.fresh_connection) {
     if (auto idle = TakeIdleConnection(address, kMaxIdleTime)) {
       auto stream = SendAndReadHeader(address, request, std::move(idle),
-                                      deadline, yield, cancel);
+                                      deadline, yield, cancel, &unanswered);
       const bool cancelled = cancel && cancel->cancelled();
       // The upstream may have closed the idle connection just before the
       // request was sent: send it again on a new connection.
-      if (stream || cancelled || stream.kind() != error_kind::kUpstreamFailed)
+      if (stream || cancelled || !unanswered ||
+          stream.kind() != error_kind::kUpstreamFailed)
         return stream;
       maybe_sent = true;
     }
@@ -454,7 +489,7 @@
   if (!socket)
     return {socket.kind(), socket.detail()};
   return SendAndReadHeader(address, request, std::move(*socket), deadline,
-                           yield, cancel);
+                           yield, cancel, &unanswered);
 }
 
 result<std::unique_ptr<http_stream>> http_client::Start(
@@ -494,6 +529,7 @@
                     [pending_write = stream->pending_write_, open = connection](
                         const boost::system::error_code& error, std::size_t) {
                       pending_write->done = !error;
+                      pending_write->error = error;
                       pending_write->guard.reset();
                     });
   return stream;
@@ -535,7 +571,6 @@
   response.status = (*stream)->status();
   response.content_type = (*stream)->Header("Content-Type");
   response.load_metrics = (*stream)->Header("endpoint-load-metrics");
-  response.request_id = (*stream)->Header("X-Request-Id");
   response.entity_tag = (*stream)->Header("ETag");
   response.retry_after = (*stream)->Header("Retry-After");
   if (!request.response_header.empty())
