Soak: an instance that is cut off has new connections refused

The proxies are shared by all instances and could only reset a connection that they had accepted, which looks different: the network refuses it before any byte is sent. cactuswardd now runs with a preloaded connect() that refuses the ports of all runners while a file of that instance lists them. This also covers connections that bind no address, such as the check whether a runner is alive. The check names the requests that were not served.

--- a/tests/scenarios/platform_fleet.lua
+++ b/tests/scenarios/platform_fleet.lua
@@ -91,11 +91,15 @@
   self.instances[n] = instance
 end
 
--- Faults, as for `fault_caller`, of the connections of `instance` to all runners.
+-- Faults, as for `fault_caller`, of the connections of `instance` to all runners;
+-- with `refuse_new`, new ones are refused.
 function class:fault_connections_to_runners(instance, faults)
-  for _, runner in ipairs(self.runners) do
+  local ports = {}
+  for n, runner in ipairs(self.runners) do
     fault_caller(runner.relay, instance.source_address, faults)
+    ports[n] = base.port_of(runner.advertised)
   end
+  write_file(instance.refused_ports, faults.refuse_new and table.concat(ports, " ") or "")
 end
 
 function class:write_settings(instance)
@@ -115,12 +119,17 @@
       retry_ratio = 0.2, retry_extra = 200, retry_window_s = 10,
       max_reservation_ms = 20000 } })
   instance.arguments = { "cactuswardd", "--settings=" .. instance.settings }
+  instance.refused_ports = work .. "/" .. instance.id .. "-refused.txt"
+  write_file(instance.refused_ports, "")
+  instance.environment = { LD_PRELOAD = bin .. "/librefused_connections.so",
+                           REFUSED_PORTS_FILE = instance.refused_ports,
+                           ASAN_OPTIONS = "verify_asan_link_order=0" }
 end
 
 -- Starts `process`; one that was killed must end first.
 function class:start(process)
   if process.pid then base.wait_for_end(process.pid) end
-  process.pid = start(process.id, process.arguments)
+  process.pid = start(process.id, process.arguments, process.environment)
   process.paused = false
 end
 
--- a/tests/scenarios/soak_cut_checks.lua
+++ b/tests/scenarios/soak_cut_checks.lua
@@ -34,6 +34,7 @@
 for n, cut in ipairs(faults.cuts) do
   local tries = { [true] = 0, [false] = 0 }
   local served = { [true] = 0, [false] = 0 }
+  local failures = {}
   for _, entry in ipairs(run.sent) do
     if entry.at >= cut.from + run.stable_ms and entry.at < cut.to and entry.ended_at and
         not entry.down and not entry.after_stop and not entry.short_timeout and
@@ -43,6 +44,8 @@
       tries[here] = tries[here] + 1
       if entry.complete and entry.ended_at - entry.at <= entry.deadline_ms then
         served[here] = served[here] + 1
+      elseif here then
+        failures[#failures + 1] = entry.id .. " " .. tostring(entry.status)
       end
     end
   end
@@ -52,7 +55,7 @@
   if tries[false] > 0 and
       served[true] / math.max(1, tries[true]) < kMinServedRatio * served[false] / tries[false] and
       failed > kMaxFailed + (tries[true] + tries[false]) / kFailedOf then
-    run.fail(text)
+    run.fail(text .. ": " .. table.concat(failures, ", "))
   else
     note(text)
   end
--- a/tests/scenarios/soak_faults.lua
+++ b/tests/scenarios/soak_faults.lua
@@ -160,8 +160,8 @@
 -- are faults of new connections: open ones live on.
 local kCutFaults = {
   silent = { drop_new = true, drop_open = true },
-  reset = { reset_new = true, reset_open = true },
-  refuse = { reset_new = true },
+  reset = { refuse_new = true, reset_open = true },
+  refuse = { refuse_new = true },
   hang = { drop_new = true },
 }
 -- Instances lose all runners; their callers, the store and the other instances
--- a/tests/support/process_table.cc
+++ b/tests/support/process_table.cc
@@ -7,6 +7,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstdlib>
+
 namespace cactusward::test {
 namespace {
 
@@ -24,7 +26,8 @@
 }
 
 pid_t process_table::Start(const std::vector<std::string>& arguments,
-                           const std::string& log_path) {
+                           const std::string& log_path,
+                           const std::vector<std::string>& environment) {
   std::vector<char*> argv;
   for (const std::string& argument : arguments)
     argv.push_back(const_cast<char*>(argument.c_str()));
@@ -46,6 +49,8 @@
   const int null = open("/dev/null", O_RDONLY);
   dup2(null, STDIN_FILENO);
   close_range(STDERR_FILENO + 1, ~0U, 0);
+  for (const std::string& variable : environment)
+    putenv(const_cast<char*>(variable.c_str()));
   execv(argv[0], argv.data());
   _exit(127);
 }
--- a/tests/support/process_table.h
+++ b/tests/support/process_table.h
@@ -15,10 +15,12 @@
  public:
   ~process_table();
 
-  // Starts a program; its output goes to `log_path`.
+  // Starts a program; its output goes to `log_path`. `environment`, as
+  // "NAME=value", is added to that of this process.
   // @return its process id, or -1 when it could not be started.
   pid_t Start(const std::vector<std::string>& arguments,
-              const std::string& log_path);
+              const std::string& log_path,
+              const std::vector<std::string>& environment = {});
   // Sends a signal to a process of this table. @return false when the process
   // is not of this table or has ended.
   bool Signal(pid_t pid, int signal);
--- a/tests/support/relay.cc
+++ b/tests/support/relay.cc
@@ -121,7 +121,7 @@
     acceptor_.async_accept(*caller_socket, yield[error]);
     if (error)
       return;
-    if (faults_.refuse || FaultsOf(CallerOf(*caller_socket)).reset_new) {
+    if (faults_.refuse) {
       CloseWithReset(caller_socket.get());
       continue;
     }
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -22,12 +22,10 @@
 // Faults of the TCP connections from one address.
 struct caller_faults {
   bool drop_new = false;   // connection attempts get no response
-  bool reset_new = false;  // new connections are reset
   bool drop_open = false;  // open connections lose all packets
 
   friend bool operator==(const caller_faults& a, const caller_faults& b) {
-    return a.drop_new == b.drop_new && a.reset_new == b.reset_new &&
-           a.drop_open == b.drop_open;
+    return a.drop_new == b.drop_new && a.drop_open == b.drop_open;
   }
 };
 
--- a/tests/support/scenario_runner.cc
+++ b/tests/support/scenario_runner.cc
@@ -3,7 +3,8 @@
 //   scenario_runner --bin=DIR --work=DIR [--seed=N] FILE...
 //
 // Functions available to a scenario in addition to Lua's own:
-//   start(name, {program, arguments...}) -> id     program is a file in --bin
+//   start(name, {program, arguments...}, {NAME=value}) -> id
+//       program is a file in --bin; with these environment variables
 //   signal(id, "KILL"|"TERM"|"STOP"|"CONT"|"HUP")  exited(id) -> code or nil
 //   call{method=, address=, path=, body=, headers=, timeout_ms=}
 //       -> {status=, body=, json=, headers=} or {error=}; with once=true the
@@ -16,7 +17,7 @@
 //   relay(listen, target) -> handle      cut(handle, bool)
 //   fault(handle, {cut="to_target"|"to_caller", refuse=, delay_ms=})
 //   reset(handle)                        resets all connections of a proxy
-//   fault_caller(handle, ip, {drop_new=, reset_new=, drop_open=, reset_open=})
+//   fault_caller(handle, ip, {drop_new=, drop_open=, reset_open=})
 //       faults of the connections from one address; reset_open: at once only
 //   raw(address, bytes, ms) -> bytes received   datagram(address, bytes)
 //   sleep(ms)   now() -> ms   write_file(path, text)   read_file(path)
@@ -93,8 +94,14 @@
   for (const json& argument : ReadJson(lua, 2))
     arguments.push_back(argument.get<std::string>());
   arguments[0] = absl::GetFlag(FLAGS_bin) + "/" + arguments[0];
+  std::vector<std::string> environment;
+  if (!lua_isnoneornil(lua, 3)) {
+    const json variables = ReadJson(lua, 3);
+    for (const auto& [variable, value] : variables.items())
+      environment.push_back(variable + "=" + value.get<std::string>());
+  }
   const pid_t pid = state.processes.Start(
-      arguments, absl::GetFlag(FLAGS_work) + "/" + name + ".log");
+      arguments, absl::GetFlag(FLAGS_work) + "/" + name + ".log", environment);
   lua_pushinteger(lua, pid);
   return 1;
 }
@@ -220,7 +227,6 @@
   const json requested = ReadJson(lua, 3);
   caller_faults faults;
   faults.drop_new = requested.value("drop_new", false);
-  faults.reset_new = requested.value("reset_new", false);
   faults.drop_open = requested.value("drop_open", false);
   if (!proxy.SetCallerFaults(caller, faults))
     return luaL_error(lua, "packets cannot be filtered");
