Soak: a runner ends a stream regularly within an event

Its response has a proper last chunk, so that only the event tells that it was broken off. Such a stream must not look complete to the caller.

--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -98,7 +98,8 @@
       {"silent", runner_fault::kSilent},
       {"pauses", runner_fault::kPauses},
       {"repeats_refusal", runner_fault::kRepeatsRefusal},
-      {"fails_continuation", runner_fault::kFailsContinuation}};
+      {"fails_continuation", runner_fault::kFailsContinuation},
+      {"ends_in_event", runner_fault::kEndsInEvent}};
   const auto found = faults.find(name);
   if (found == faults.end())
     return std::nullopt;
@@ -409,6 +410,7 @@
         response.result(500);
       break;
     case runner_fault::kBreaksMidway:
+    case runner_fault::kEndsInEvent:
     case runner_fault::kPauses:
     case runner_fault::kNone:
       break;
@@ -469,6 +471,10 @@
       exchange.WriteChunk(event.substr(0, 4), deadline, yield);
       return exchange.Abort();
     }
+    if (fault == runner_fault::kEndsInEvent && i == 3) {
+      exchange.WriteChunk(event.substr(0, 4), deadline, yield);
+      break;
+    }
     if (fault == runner_fault::kPauses && i == 3)
       Sleep(io_, kPauseTime, yield);
     exchange.WriteChunk(event, deadline, yield);
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -116,6 +116,7 @@
   kPauses,             // executes it, is silent for kPauseTime, and goes on
   kRepeatsRefusal,     // 503, not executed, and the same once more
   kFailsContinuation,  // executes it; 500 when it is to continue a stream
+  kEndsInEvent,        // executes it, ends a stream regularly within an event
 };
 // @return nullopt for an unknown name.
 std::optional<runner_fault> ParseRunnerFault(std::string_view name);
