--- a/tests/scenarios/platform_fleet.lua
+++ b/tests/scenarios/platform_fleet.lua
@@ -84,12 +84,24 @@
   local instance = { id = "instance-" .. n, address = base.address(),
                      peer = base.address(), peer_advertised = base.address(),
                      registry = base.address(), ready = base.address(),
-                     metrics = base.address() }
+                     metrics = base.address(),
+                     source_address = "127.0.0." .. n + 1 }
   instance.peer_relay = relay(instance.peer_advertised, instance.peer)
   instance.store_relay = relay(instance.registry, self.store.address)
   self.instances[n] = instance
 end
 
+-- Faults, as for `fault_caller`, of the connections of `instance` to all runners;
+-- with `refuse_new`, new ones are refused.
+function class:fault_connections_to_runners(instance, faults)
+  local ports = {}
+  for n, runner in ipairs(self.runners) do
+    fault_caller(runner.relay, instance.source_address, faults)
+    ports[n] = base.port_of(runner.advertised)
+  end
+  write_file(instance.refused_ports, faults.refuse_new and table.concat(ports, " ") or "")
+end
+
 function class:write_settings(instance)
   local seeds = { __array = true }
   for _, other in ipairs(self.instances) do
@@ -103,15 +115,21 @@
     secrets = { peers = "peer-secret-for-tests" },
     forwarding = { protocol = "platform", readiness_listen = instance.ready,
       metrics_listen = instance.metrics, registry = instance.registry,
+      source_address = instance.source_address,
       retry_ratio = 0.2, retry_extra = 200, retry_window_s = 10,
       max_reservation_ms = 20000 } })
   instance.arguments = { "cactuswardd", "--settings=" .. instance.settings }
+  instance.refused_ports = work .. "/" .. instance.id .. "-refused.txt"
+  write_file(instance.refused_ports, "")
+  instance.environment = { LD_PRELOAD = bin .. "/librefused_connections.so",
+                           REFUSED_PORTS_FILE = instance.refused_ports,
+                           ASAN_OPTIONS = "verify_asan_link_order=0" }
 end
 
 -- Starts `process`; one that was killed must end first.
 function class:start(process)
   if process.pid then base.wait_for_end(process.pid) end
-  process.pid = start(process.id, process.arguments)
+  process.pid = start(process.id, process.arguments, process.environment)
   process.paused = false
 end
 
