Instances that are cut off do not confirm each other's crashes of upstreams

Both instances of one zone were cut off with refused connections. Each asked the other first, since it is in the same zone, was told that the upstream had refused it too, and took that for a crash.

One peer's failure is no longer enough: up to three are asked, after a failure those of other availability zones first, and an upstream counts as crashed only if all of them were refused.

--- a/src/edges/tunnel.cc
+++ b/src/edges/tunnel.cc
@@ -240,8 +240,6 @@
       outcome = connected.detail() == RefusedConnectionText()
                     ? tunnel_outcome::kRefusedByUpstream
                     : tunnel_outcome::kUnreachable;
-      if (outcome == tunnel_outcome::kUnreachable)
-        policy_->RecordNoConnection(upstream);
     }
   }
   http::response<http::empty_body> response(
--- a/src/edges/tunnel.h
+++ b/src/edges/tunnel.h
@@ -54,8 +54,6 @@
   virtual bool MayOpen(const std::string& upstream) const = 0;
   // A connection to `upstream` was established.
   virtual void RecordConnection(const std::string& upstream) = 0;
-  // A connection to `upstream` was not established in time.
-  virtual void RecordNoConnection(const std::string& upstream) = 0;
 };
 
 // Carries tunnels for peers. Not thread-safe.
--- a/src/services/path_service.cc
+++ b/src/services/path_service.cc
@@ -17,9 +17,9 @@
 constexpr milliseconds kPeerTimeout{300};
 // Peers that are asked for one connection. Most deny at once if they cannot.
 constexpr int kMaxPeersAsked = 8;
-// Peers that find an upstream unreachable until it is taken for unreachable:
-// the first ones may be cut off as well, and not know it yet.
-constexpr std::size_t kMaxUnreachableResults = 3;
+// Peers that cannot connect to an upstream either, or are refused, until that
+// is believed: the first ones may be cut off as well, and not know it yet.
+constexpr std::size_t kMaxUnsuccessfulPeers = 3;
 // For how long a peer that has opened a tunnel is preferred.
 constexpr milliseconds kPeerPreference{5'000};
 // How long a peer is not asked after it did not respond or opened no tunnel.
@@ -227,18 +227,35 @@
   return peers;
 }
 
+member path_service::TakeNext(std::vector<member>* candidates,
+                              const std::vector<member>& unsuccessful) {
+  const auto next = std::find_if(candidates->begin(), candidates->end(),
+                                 [&unsuccessful](const member& candidate) {
+                                   return std::none_of(
+                                       unsuccessful.begin(), unsuccessful.end(),
+                                       [&candidate](const member& other) {
+                                         return other.availability_zone ==
+                                                candidate.availability_zone;
+                                       });
+                                 });
+  const auto taken = next == candidates->end() ? candidates->begin() : next;
+  member peer = std::move(*taken);
+  candidates->erase(taken);
+  return peer;
+}
+
 path_service::peer_result path_service::ConnectThroughPeer(
     const std::string& address,
     time_point deadline,
     asio::yield_context yield,
     cancel_token* cancel) {
   peer_result found;
-  int asked = 0;
   std::vector<member> unsuccessful;
-  for (const member& peer : Candidates(clock::now())) {
-    if (clock::now() >= deadline || (cancel && cancel->cancelled()) ||
-        asked++ >= kMaxPeersAsked)
+  std::vector<member> candidates = Candidates(clock::now());
+  for (int asked = 0; asked < kMaxPeersAsked && !candidates.empty(); ++asked) {
+    if (clock::now() >= deadline || (cancel && cancel->cancelled()))
       break;
+    const member peer = TakeNext(&candidates, unsuccessful);
     const time_point limit = std::min(deadline, clock::now() + kPeerTimeout);
     const std::string tunnel_address = TunnelAddressOf(peer, limit, yield);
     if (tunnel_address.empty()) {
@@ -269,18 +286,17 @@
         {{"peer", peer.name},
          {"upstream", address},
          {"outcome", NameOf(attempt.outcome)}});
-    if (attempt.outcome == tunnel_outcome::kRefusedByUpstream) {
-      found.refused = true;
-      return found;
-    }
-    if (attempt.outcome == tunnel_outcome::kUnreachable) {
-      found.unreachable = true;
-      unsuccessful.push_back(peer);
-      if (unsuccessful.size() >= kMaxUnreachableResults)
-        return found;
-    } else {
+    if (attempt.outcome == tunnel_outcome::kDenied ||
+        attempt.outcome == tunnel_outcome::kPeerGone) {
       Avoid(peer, kPeerAvoidance, attempt.outcome == tunnel_outcome::kPeerGone);
+      continue;
     }
+    const bool refused = attempt.outcome == tunnel_outcome::kRefusedByUpstream;
+    found.refused = refused && (unsuccessful.empty() || found.refused);
+    found.unreachable = !found.refused;
+    unsuccessful.push_back(peer);
+    if (unsuccessful.size() >= kMaxUnsuccessfulPeers)
+      break;
   }
   return found;
 }
@@ -390,10 +406,6 @@
   RecordDirect(upstream);
 }
 
-void path_service::RecordNoConnection(const std::string& upstream) {
-  Suspect(upstream);
-}
-
 std::optional<nlohmann::json> path_service::OnPeerCall(
     const nlohmann::json& request) const {
   const auto op = request.is_object() ? request.find("op") : request.end();
--- a/src/services/path_service.h
+++ b/src/services/path_service.h
@@ -64,7 +64,6 @@
 
   bool MayOpen(const std::string& upstream) const override;
   void RecordConnection(const std::string& upstream) override;
-  void RecordNoConnection(const std::string& upstream) override;
 
   // Calls of peers: where this instance offers tunnels, and how one ended.
   // @return nullopt if `request` is another call.
@@ -80,9 +79,9 @@
   // The result of asking peers for a connection.
   struct peer_result {
     std::optional<upstream_connection> connection;
-    // A peer has tried to connect to the upstream, and was refused.
+    // All peers that have tried to connect to the upstream were refused.
     bool refused = false;
-    // A peer has tried to connect to the upstream, without success.
+    // Peers have tried, without success, and not all were refused.
     bool unreachable = false;
   };
   struct known_peer {
@@ -101,6 +100,11 @@
                                  cancel_token* cancel);
   // Live peers to ask, in order of preference.
   std::vector<member> Candidates(time_point now) const;
+  // Takes the next peer to ask out of `candidates`: one of an availability zone
+  // in which none was unsuccessful, since a zone may be cut off as a whole.
+  // Precondition: `candidates` is not empty.
+  static member TakeNext(std::vector<member>* candidates,
+                         const std::vector<member>& unsuccessful);
   // Asks `peer` where it offers tunnels, unless that is known.
   // @return empty if it offers none.
   std::string TunnelAddressOf(const member& peer,
--- a/tests/unit/tunnel_test.cc
+++ b/tests/unit/tunnel_test.cc
@@ -20,7 +20,6 @@
   explicit fixed_policy(bool may_open) : may_open_(may_open) {}
   bool MayOpen(const std::string&) const override { return may_open_; }
   void RecordConnection(const std::string&) override { ++connections_; }
-  void RecordNoConnection(const std::string&) override {}
   int connections() const { return connections_; }
 
  private:
