Log which requests a stopping instance ends without a response

When a process exited, `stopped` counted the requests in progress, and nothing told which they were. A refusal after SIGTERM logs the same fields (`request_refused_at_stop`), `stop_began` the time until the exit.

--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -73,8 +73,10 @@
 }
 
 error_kind relay_request::Admit() {
-  if (services_.shutdown.IsRefusing())
+  if (services_.shutdown.IsRefusing()) {
+    Log(log_level::kInfo, "request_refused_at_stop", Describe(clock::now()));
     return error_kind::kDraining;
+  }
   if (!config_)
     return error_kind::kNotReady;
   route_ = config_->Match(HostOf(exchange_.request()), exchange_.Path());
@@ -114,7 +116,32 @@
   return service_.empty() ? error_kind::kNoUpstream : error_kind::kOk;
 }
 
+nlohmann::json relay_request::Describe(time_point now) const {
+  nlohmann::json fields = {
+      {"request", caller_.attempt_id},
+      {"route", route_ ? route_->name : std::string()},
+      {"age_ms", ToMilliseconds(now - started_at_)},
+      {"deadline_left_ms", ToMilliseconds(caller_deadline_ - now)},
+      {"prompt_tokens", caller_.prompt_tokens},
+      {"attempts", attempts_},
+      {"state", exchange_.responded() ? "responding"
+                : !open_.empty()      ? "sent"
+                                      : "waiting"},
+      {"upstream", open_.empty() ? std::string() : record_.upstream},
+      {"last_event", last_event_id_.value_or(-1)},
+      {"retryable", route_ != nullptr && route_->IsRetryable()}};
+  if (const auto exit_at = services_.shutdown.exit_at())
+    fields["exit_in_ms"] = ToMilliseconds(*exit_at - now);
+  return fields;
+}
+
 void relay_request::Run(asio::yield_context yield) {
+  pending_work_list& pending = services_.shutdown.pending();
+  pending.Add(this);
+  RunAndCleanUp([&] { Handle(yield); }, [&] { pending.Remove(this); });
+}
+
+void relay_request::Handle(asio::yield_context yield) {
   while (!config_ && clock::now() < started_at_ + kConfigWaitTimeout) {
     Sleep(services_.daemon.io, kConfigPollPeriod, yield);
     config_ = services_.catalog.Config();
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -35,7 +35,7 @@
   quarantine_service& quarantine;
   report_service& report;
   retry_budgets& retries;
-  const relay_shutdown& shutdown;
+  relay_shutdown& shutdown;
   buffer_pool& response_buffers;
   const stall_meter& stalls;
   // Longest deadline seen on each route, taken as the deadline of a caller's
@@ -44,11 +44,12 @@
 };
 
 // Not thread-safe. Must not outlive the handler of its exchange.
-class relay_request {
+class relay_request : public pending_work {
  public:
   relay_request(const relay_services& services, http_exchange& exchange);
 
   void Run(asio::yield_context yield);
+  nlohmann::json Describe(time_point now) const override;
 
  private:
   // The result of one attempt at one upstream.
@@ -71,6 +72,7 @@
     std::string at_fault;  // address of the upstream named by a refusal
   };
 
+  void Handle(asio::yield_context yield);
   // Finds the route and the organisation. @return kOk or why the request is
   // refused.
   error_kind Admit();
--- a/src/relay/relay_stop.cc
+++ b/src/relay/relay_stop.cc
@@ -38,27 +38,32 @@
   if (stopping())
     return;
   started_at_ = clock::now();
+  exit_at_ = *started_at_ + runtime_.settings.drain_limit - kKillMargin;
   on_stopped_ = std::move(on_stopped);
-  Log(log_level::kInfo, "stop_began", {{"in_progress", server_->active()}});
+  Log(log_level::kInfo, "stop_began",
+      {{"in_progress", server_->active()},
+       {"exit_in_ms", ToMilliseconds(*exit_at_ - *started_at_)}});
   Spawn(runtime_.io, "stop",
         [this](asio::yield_context yield) { WaitUntilDrained(yield); });
 }
 
 void relay_shutdown::WaitUntilDrained(asio::yield_context yield) {
-  const time_point limit =
-      *started_at_ + runtime_.settings.drain_limit - kKillMargin;
   Sleep(runtime_.io, runtime_.settings.drain_grace, yield);
   server_->CloseIdleConnections();
-  while (server_->active() > 0 && clock::now() < limit)
+  while (HasPendingWork() && clock::now() < *exit_at_)
     Sleep(runtime_.io, kPollPeriod, yield);
   // From here on the process would exit before a new request could complete.
   refusing_ = true;
   server_->StopAccepting();
   membership_->Leave();
   Sleep(runtime_.io, kResponseFlushDelay, yield);
-  while (server_->active() > 0 && clock::now() < limit)
+  while (HasPendingWork() && clock::now() < *exit_at_)
     Sleep(runtime_.io, kPollPeriod, yield);
-  Log(log_level::kInfo, "stopped", {{"in_progress", server_->active()}});
+  const time_point now = clock::now();
+  pending_.LogEach("request_cut", now);
+  Log(log_level::kInfo, "stopped",
+      {{"in_progress", server_->active()},
+       {"after_ms", ToMilliseconds(now - *started_at_)}});
   on_stopped_();
 }
 
--- a/src/request/request_context.cc
+++ b/src/request/request_context.cc
@@ -41,14 +41,15 @@
     : services_(services),
       exchange_(exchange),
       active_(services.config->Current()),
-      started_at_(clock::now()) {
+      started_at_(clock::now()),
+      deadline_(started_at_) {
   record_.request_id = NextRequestId(runtime);
   record_.target = std::string(exchange.Path());
   exchange_.SetHeader(std::string(kRequestIdHeader), record_.request_id);
   exchange_.SetHeader("X-Served-By", runtime.settings.instance);
   if (services_.lifecycle->draining())
     exchange_.CloseAfterResponse();
-  services_.lifecycle->BeginRequest();
+  services_.lifecycle->pending().Add(this);
 }
 
 request_context::~request_context() {
@@ -58,7 +59,18 @@
   record_.total = clock::now() - started_at_;
   record_.status = exchange_.status();
   services_.report->Record(record_);
-  services_.lifecycle->EndRequest();
+  services_.lifecycle->pending().Remove(this);
+}
+
+nlohmann::json request_context::Describe(time_point now) const {
+  return {{"request", record_.request_id},
+          {"target", record_.target},
+          {"age_ms", ToMilliseconds(now - started_at_)},
+          {"deadline_left_ms", ToMilliseconds(deadline_ - now)},
+          {"prompt_tokens", record_.prompt_tokens},
+          {"attempts", record_.attempts},
+          {"upstream", record_.upstream},
+          {"responding", exchange_.responded()}};
 }
 
 result<bool> request_context::Authenticate() {
--- a/src/request/request_context.h
+++ b/src/request/request_context.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "cactusward/config_tracker.h"
+#include "src/daemon/pending_work.h"
 #include "src/edges/http_server.h"
 #include "src/services/dispatcher.h"
 #include "src/services/report_service.h"
@@ -30,18 +31,20 @@
   static handler_services FindIn(const service_registry& registry);
 };
 
-// Per-request state. The destructor returns the admitted capacity, writes the
-// access record and ends the in-flight count. Lives as long as the handler. Not
-// thread-safe.
-class request_context {
+// Per-request state, listed as pending work. The destructor returns the
+// admitted capacity and writes the access record. Lives as long as the handler.
+// Not thread-safe.
+class request_context : public pending_work {
  public:
   request_context(runtime& runtime,
                   const handler_services& services,
                   http_exchange& exchange);
-  ~request_context();
+  ~request_context() override;
   request_context(const request_context&) = delete;
   request_context& operator=(const request_context&) = delete;
 
+  nlohmann::json Describe(time_point now) const override;
+
   // Checks readiness of the instance and the caller's bearer key.
   // @return kNotReady, kDraining or kUnauthenticated.
   result<bool> Authenticate();
--- a/src/services/lifecycle_service.cc
+++ b/src/services/lifecycle_service.cc
@@ -35,7 +35,7 @@
   if (draining())
     return;
   drain_started_at_ = clock::now();
-  Log(log_level::kInfo, "drain_began", {{"in_flight", in_flight_}});
+  Log(log_level::kInfo, "drain_began", {{"in_flight", pending_.size()}});
   Spawn(runtime_.io, "drain",
         [this](asio::yield_context yield) { WaitUntilDrained(yield); });
 }
@@ -45,10 +45,12 @@
   Sleep(runtime_.io, settings.drain_grace, yield);
   membership_->Leave();
   const time_point limit = clock::now() + settings.drain_limit;
-  while ((in_flight_ > 0 || claims_->pending() > 0) && clock::now() < limit)
+  while ((!pending_.empty() || claims_->pending() > 0) && clock::now() < limit)
     Sleep(runtime_.io, kDrainPollPeriod, yield);
+  pending_.LogEach("request_cut", clock::now());
   Log(log_level::kInfo, "drained",
-      {{"in_flight", in_flight_}, {"unsettled_claims", claims_->pending()}});
+      {{"in_flight", pending_.size()},
+       {"unsettled_claims", claims_->pending()}});
   // Lets the sockets send responses that are already written before the process
   // exits.
   Sleep(runtime_.io, kResponseFlushDelay, yield);
--- a/src/services/lifecycle_service.h
+++ b/src/services/lifecycle_service.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "src/daemon/names.h"
+#include "src/daemon/pending_work.h"
 #include "src/daemon/runtime.h"
 
 namespace cactusward {
@@ -38,10 +39,9 @@
   //     kDraining or kNotReady.
   error_kind Admission(time_point now) const;
 
-  // Count of caller requests in progress.
-  void BeginRequest() { ++in_flight_; }
-  void EndRequest() { --in_flight_; }
-  int in_flight() const { return in_flight_; }
+  // The requests in progress.
+  pending_work_list& pending() { return pending_; }
+  std::size_t in_flight() const { return pending_.size(); }
 
  private:
   void WaitUntilDrained(asio::yield_context yield);
@@ -52,7 +52,7 @@
   membership_service* membership_ = nullptr;
   std::optional<time_point> drain_started_at_;
   std::function<void()> on_drained_;
-  int in_flight_ = 0;
+  pending_work_list pending_;
 };
 
 }  // namespace cactusward
