--- /dev/null
+++ b/include/cactusward/run_time_estimates.h
@@ -0,0 +1,45 @@
+// Estimates how long requests run, from a prediction and from how recent
+// requests of the same route compared with theirs.
+#ifndef CACTUSWARD_RUN_TIME_ESTIMATES_H_
+#define CACTUSWARD_RUN_TIME_ESTIMATES_H_
+
+#include <array>
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace cactusward {
+
+// Not thread-safe.
+class run_time_estimates {
+ public:
+  // @param unknown_factor of the prediction, while no request of a route is
+  //     known.
+  explicit run_time_estimates(double unknown_factor)
+      : unknown_factor_(unknown_factor) {}
+
+  // Records that a request of `route` ran for `measured_ms`.
+  // Precondition: `predicted_ms` > 0.
+  void Record(const std::string& route,
+              double predicted_ms,
+              double measured_ms);
+  // The time, in milliseconds, that no recent request of `route` with this
+  // prediction would have exceeded.
+  double UpperBound(const std::string& route, double predicted_ms) const;
+
+  // Requests of a route that are taken into account.
+  static constexpr std::size_t kSamples = 32;
+
+ private:
+  struct samples {
+    std::array<float, kSamples> factors{};  // measured over predicted
+    std::size_t next = 0;
+  };
+
+  double unknown_factor_;
+  std::map<std::string, samples> by_route_;
+};
+
+}  // namespace cactusward
+
+#endif  // CACTUSWARD_RUN_TIME_ESTIMATES_H_
--- a/src/daemon/gateway.cc
+++ b/src/daemon/gateway.cc
@@ -69,6 +69,7 @@
 }
 
 void gateway::Drain() {
+  server_.AnnounceClose();
   lifecycle_.Drain();
 }
 
--- a/src/daemon/pending_work.h
+++ b/src/daemon/pending_work.h
@@ -16,6 +16,9 @@
   virtual ~pending_work() = default;
   // What is known of the work at `now`, as the fields of a log record.
   virtual nlohmann::json Describe(time_point now) const = 0;
+  // The process exits shortly, and the work has not long enough left: ends it
+  // with a final response unless one has begun. May return before it has ended.
+  virtual void EndBeforeExit() = 0;
 };
 
 // The work in progress, in the order of its start. Not thread-safe.
@@ -26,6 +29,8 @@
   void Remove(pending_work* work);
   bool empty() const { return work_.empty(); }
   std::size_t size() const { return work_.size(); }
+  // Calls EndBeforeExit of each.
+  void EndAll() const;
   // Logs a record `event` for each piece of work, at most kMaxLogged of them,
   // the oldest first.
   void LogEach(std::string_view event, time_point now) const;
--- a/src/edges/http_server.cc
+++ b/src/edges/http_server.cc
@@ -63,9 +63,12 @@
   return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-http_exchange::http_exchange(tcp::socket* socket, http_request request)
+http_exchange::http_exchange(tcp::socket* socket,
+                             http_request request,
+                             std::function<bool()> closes)
     : socket_(socket),
       request_(std::move(request)),
+      closes_(std::move(closes)),
       watch_(std::make_shared<disconnect_watch>()),
       close_after_response_(!request_.keep_alive()) {
   WatchForDisconnect();
@@ -148,15 +151,21 @@
   return RespondWith(std::move(response), deadline, yield);
 }
 
+template <typename Response>
+void http_exchange::PrepareHeader(Response* response) {
+  for (const auto& [name, value] : headers_)
+    response->set(name, value);
+  response->version(request_.version());
+  close_after_response_ = close_after_response_ || (closes_ && closes_());
+  response->keep_alive(!close_after_response_);
+  status_ = static_cast<int>(response->result_int());
+  responded_ = true;
+}
+
 bool http_exchange::RespondWith(http::response<http::string_body> response,
                                 time_point deadline,
                                 asio::yield_context yield) {
-  for (const auto& [name, value] : headers_)
-    response.set(name, value);
-  response.version(request_.version());
-  response.keep_alive(!close_after_response_);
-  status_ = static_cast<int>(response.result_int());
-  responded_ = true;
+  PrepareHeader(&response);
   if (request_.method() == http::verb::head)
     response.body().clear();
   else
@@ -171,12 +180,7 @@
 bool http_exchange::BeginStreamWith(http::response<http::empty_body> response,
                                     time_point deadline,
                                     asio::yield_context yield) {
-  for (const auto& [name, value] : headers_)
-    response.set(name, value);
-  response.version(request_.version());
-  status_ = static_cast<int>(response.result_int());
-  responded_ = true;
-  response.keep_alive(!close_after_response_);
+  PrepareHeader(&response);
   response.chunked(true);
   streaming_ = true;
   http::response_serializer<http::empty_body> serializer(response);
@@ -329,49 +333,62 @@
   return !error || socket.available(error) > 0;
 }
 
-bool http_server::ServeRequest(tcp::socket& socket,
-                               boost::beast::flat_buffer& buffer,
-                               bool is_first,
-                               asio::yield_context yield) {
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(limits_.max_header_bytes);
-  parser.body_limit(limits_.max_body_bytes);
+std::optional<error_kind> http_server::ReceiveRequest(
+    tcp::socket& socket,
+    boost::beast::flat_buffer& buffer,
+    http::request_parser<http::string_body>& parser,
+    asio::yield_context yield) {
   boost::system::error_code error;
-  error_kind failure = error_kind::kOk;
-  if (buffer.size() == 0 && !WaitForRequest(socket, is_first, yield))
-    return false;
   {
     deadline_guard guard(&socket, clock::now() + limits_.header_timeout);
     http::async_read_header(socket, buffer, parser, yield[error]);
     if (error && !IsParseError(error) &&
         !(guard.expired() && (parser.got_some() || buffer.size() > 0)))
-      return false;
+      return std::nullopt;
     if (error)
-      failure =
-          guard.expired() ? error_kind::kSlowCaller : ParseErrorKind(error);
+      return guard.expired() ? error_kind::kSlowCaller : ParseErrorKind(error);
   }
-  if (!error) {
-    deadline_guard guard(&socket, clock::now() + limits_.body_timeout);
-    if (parser.get()[http::field::expect] == "100-continue") {
-      http::response<http::empty_body> continue_response(
-          http::status::continue_, 11);
-      http::async_write(socket, continue_response, yield[error]);
-    }
-    if (!error)
-      http::async_read(socket, buffer, parser, yield[error]);
-    if (error && !IsParseError(error) && !guard.expired())
-      return false;
-    if (error)
-      failure =
-          guard.expired() ? error_kind::kSlowCaller : ParseErrorKind(error);
+  deadline_guard guard(&socket, clock::now() + limits_.body_timeout);
+  if (parser.get()[http::field::expect] == "100-continue") {
+    http::response<http::empty_body> continue_response(http::status::continue_,
+                                                       11);
+    http::async_write(socket, continue_response, yield[error]);
   }
-  http_exchange exchange(&socket, parser.release());
-  if (failure != error_kind::kOk) {
+  if (!error)
+    http::async_read(socket, buffer, parser, yield[error]);
+  if (error && !IsParseError(error) && !guard.expired())
+    return std::nullopt;
+  if (error)
+    return guard.expired() ? error_kind::kSlowCaller : ParseErrorKind(error);
+  return error_kind::kOk;
+}
+
+bool http_server::ServeRequest(tcp::socket& socket,
+                               boost::beast::flat_buffer& buffer,
+                               bool is_first,
+                               asio::yield_context yield) {
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(limits_.max_header_bytes);
+  parser.body_limit(limits_.max_body_bytes);
+  if (buffer.size() == 0 && !WaitForRequest(socket, is_first, yield))
+    return false;
+  ++receiving_;
+  const auto refusal = ReceiveRequest(socket, buffer, parser, yield);
+  --receiving_;
+  if (!refusal)
+    return false;
+  http_exchange exchange(&socket, parser.release(), [this, &socket, &buffer] {
+    boost::system::error_code ignored;
+    return announce_close_ && buffer.size() == 0 &&
+           socket.available(ignored) == 0;
+  });
+  if (*refusal != error_kind::kOk) {
     exchange.CloseAfterResponse();
-    exchange.RespondError(failure, {}, yield);
+    exchange.RespondError(*refusal, {}, yield);
     // Closing a socket with unread bytes resets the connection, which would
     // discard the response before the caller has read it.
-    socket.shutdown(tcp::socket::shutdown_send, error);
+    boost::system::error_code ignored;
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
     Sleep(io_, kRejectedRequestLinger, yield);
     return false;
   }
--- a/src/edges/http_server.h
+++ b/src/edges/http_server.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -23,7 +24,11 @@
 // thread-safe.
 class http_exchange {
  public:
-  http_exchange(tcp::socket* socket, http_request request);
+  // @param closes asked when the response begins: whether the connection closes
+  //     after it. Empty: only if the caller or CloseAfterResponse wants that.
+  http_exchange(tcp::socket* socket,
+                http_request request,
+                std::function<bool()> closes = {});
   ~http_exchange();
 
   const http_request& request() const { return request_; }
@@ -96,9 +101,13 @@
     std::function<void()> handler;
   };
   void WatchForDisconnect();
+  // Sets the fields that all responses have.
+  template <typename Response>
+  void PrepareHeader(Response* response);
 
   tcp::socket* socket_;
   http_request request_;
+  std::function<bool()> closes_;
   std::vector<std::pair<std::string, std::string>> headers_;
   std::shared_ptr<disconnect_watch> watch_;
   int status_ = 0;
@@ -141,8 +150,13 @@
   void StopAccepting();
   // Number of requests being handled.
   int active() const { return active_; }
+  // Number of requests of which a part has arrived.
+  int receiving() const { return receiving_; }
   void SetMaxBodyBytes(std::uint64_t bytes) { limits_.max_body_bytes = bytes; }
   void SetLimits(const http_server_limits& limits) { limits_ = limits; }
+  // From now on the response to the last request that has arrived on a
+  // connection announces that the connection closes.
+  void AnnounceClose() { announce_close_ = true; }
   // From now on closes each connection after its next response. Connections
   // that are idle after a response are closed immediately; new connections
   // still get one response.
@@ -151,6 +165,13 @@
  private:
   void AcceptConnections(asio::yield_context yield);
   void ServeConnection(tcp::socket socket, asio::yield_context yield);
+  // Reads a request. @return why it is refused; kOk if it is complete, nullopt
+  // when the connection is to be closed.
+  std::optional<error_kind> ReceiveRequest(
+      tcp::socket& socket,
+      boost::beast::flat_buffer& buffer,
+      http::request_parser<http::string_body>& parser,
+      asio::yield_context yield);
   // @param is_first whether this is the first request of the connection.
   // @return whether another request may follow.
   bool ServeRequest(tcp::socket& socket,
@@ -167,6 +188,8 @@
   http_server_limits limits_;
   tcp::acceptor acceptor_;
   int active_ = 0;
+  int receiving_ = 0;
+  bool announce_close_ = false;
   bool closing_ = false;
   std::set<tcp::socket*> idle_sockets_;  // idle after a response
 };
--- a/src/relay/memory_reservation.cc
+++ b/src/relay/memory_reservation.cc
@@ -36,10 +36,11 @@
     const relay_protocol& protocol,
     const fleet_upstream& upstream,
     const outgoing_request& request,
+    cancel_token* cancel,
     asio::yield_context yield) {
   const time_point deadline = clock::now() + kControlTimeout;
-  const auto response =
-      runtime.client.Open(upstream.entry.address, request, deadline, yield);
+  const auto response = runtime.client.Open(upstream.entry.address, request,
+                                            deadline, yield, cancel);
   if (!response)
     return {response.kind(), response.detail()};
   const int status = (*response)->status();
@@ -68,6 +69,7 @@
 
 result<bool> memory_reservation::Reserve(const allocation& next,
                                          time_point deadline,
+                                         cancel_token* cancel,
                                          asio::yield_context yield) {
   const auto* fleet = runtime_.registry.Find<fleet_service>(kFleetServiceName);
   const time_point now = clock::now();
@@ -80,17 +82,19 @@
   state_->allocations.push_back(next);
   return SendControlRequest(
       runtime_, protocol_, *next.upstream,
-      protocol_.MakeReserveRequest({next.id, next.tokens, Ttl()}), yield);
+      protocol_.MakeReserveRequest({next.id, next.tokens, Ttl()}), cancel,
+      yield);
 }
 
 result<bool> memory_reservation::Acquire(const std::string& id_prefix,
                                          std::vector<allocation> allocations,
                                          time_point deadline,
+                                         cancel_token* cancel,
                                          asio::yield_context yield) {
   for (std::size_t i = 0; i < allocations.size(); ++i) {
     allocation& next = allocations[i];
     next.id = id_prefix + "-" + std::to_string(i);
-    const result<bool> granted = Reserve(next, deadline, yield);
+    const result<bool> granted = Reserve(next, deadline, cancel, yield);
     if (!granted) {
       Log(log_level::kInfo, "reservation_refused",
           {{"reservation", next.id},
@@ -117,7 +121,7 @@
               const auto renewed = SendControlRequest(
                   runtime, protocol, *held.upstream,
                   protocol.MakeReserveRequest({held.id, held.tokens, ttl}),
-                  yield);
+                  nullptr, yield);
               if (!renewed)
                 Log(log_level::kWarning, "reservation_not_renewed",
                     {{"reservation", held.id}, {"detail", renewed.detail()}});
@@ -137,7 +141,7 @@
             for (int i = 0; i < kMaxReleaseAttempts; ++i) {
               const auto released = SendControlRequest(
                   runtime, protocol, *held.upstream,
-                  protocol.MakeReleaseRequest(held.id), yield);
+                  protocol.MakeReleaseRequest(held.id), nullptr, yield);
               if (released)
                 return;
               detail = released.detail();
--- a/src/relay/memory_reservation.h
+++ b/src/relay/memory_reservation.h
@@ -29,11 +29,12 @@
   memory_reservation& operator=(const memory_reservation&) = delete;
 
   // Reserves all allocations. @return kUpstreamRefused when one of them was not
-  // granted, its upstream does not accept requests or `deadline` has passed;
-  // the destructor then releases the others.
+  // granted, its upstream does not accept requests, `deadline` has passed or it
+  // was cancelled; the destructor then releases the others.
   result<bool> Acquire(const std::string& id_prefix,
                        std::vector<allocation> allocations,
                        time_point deadline,
+                       cancel_token* cancel,
                        asio::yield_context yield);
   const std::vector<allocation>& allocations() const {
     return state_->allocations;
@@ -53,9 +54,11 @@
                                          const relay_protocol& protocol,
                                          const fleet_upstream& upstream,
                                          const outgoing_request& request,
+                                         cancel_token* cancel,
                                          asio::yield_context yield);
   result<bool> Reserve(const allocation& next,
                        time_point deadline,
+                       cancel_token* cancel,
                        asio::yield_context yield);
   milliseconds Ttl() const;
   void StartRenewal();
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -28,6 +28,8 @@
 // meet the deadline.
 constexpr int kCallTimeoutFactor = 3;
 constexpr int kFirstServerErrorStatus = 500;
+// Fewer events say little about the time between them.
+constexpr std::int64_t kMinMeasuredEvents = 3;
 constexpr std::string_view kEventStreamType = "text/event-stream";
 // Lower bound for calls with a short objective.
 constexpr milliseconds kMinCallTimeout{250};
@@ -145,8 +147,10 @@
       services_.protocol.MakeUpstreamRequest(exchange_.request(), fields),
       options, connect_deadline, yield, &exchange.cancel);
   cancel_.OnCancel({});
-  if (cancel_.cancelled())
+  if (cancel_.cancelled()) {
+    may_have_run_ = may_have_run_ || stream.ok();
     return attempt{attempt_result::kCallerGone, {}, false, std::nullopt};
+  }
   if (!stream)
     return attempt{attempt_result::kNotSent, stream.detail(), false,
                    std::nullopt};
@@ -168,7 +172,10 @@
     const std::size_t delivered_before = exchange.delivered_bytes;
     const auto ended = Advance(exchange, until, yield);
     if (ended && (ended->end == attempt_result::kCompleted ||
-                  ended->end == attempt_result::kCallerGone)) {
+                  ended->end == attempt_result::kCallerGone ||
+                  ended->end == attempt_result::kTooLate)) {
+      if (ended->end == attempt_result::kCompleted)
+        RecordRun(exchange);
       RecordOutcome(*exchange.assignment, *ended);
       open_.clear();
       return *ended;
@@ -219,8 +226,10 @@
   } else {
     bytes = exchange.stream->Read(until, yield);
   }
-  if (cancel_.cancelled())
+  if (cancel_.cancelled()) {
+    may_have_run_ = true;
     return attempt{attempt_result::kCallerGone, {}, false, std::nullopt};
+  }
   if (!bytes && bytes.kind() == error_kind::kTimedOut && HasTimeLeft())
     return std::nullopt;
   if (!bytes) {
@@ -350,6 +359,14 @@
     exchange_.EndStream(clock::now() + kResponseWriteTimeout, yield);
     return attempt{attempt_result::kCompleted, {}, false, std::nullopt};
   }
+  if (!stream_started_) {
+    run_prediction rest = PredictRun(exchange.assignment.get());
+    rest.first_event_ms = 0;
+    if (!services_.shutdown.MayBeginStream(route_->name, rest, started_at_,
+                                           response_deadline_, clock::now()))
+      return attempt{attempt_result::kTooLate,
+                     "the instance exits before its end", false, std::nullopt};
+  }
   std::vector<stream_event> events;
   if (!exchange.splitter.Feed(bytes, &events) ||
       !exchange.buffered.Resize(2 * exchange.splitter.pending_bytes()))
@@ -409,9 +426,27 @@
   return bytes;
 }
 
+void relay_request::RecordRun(const upstream_exchange& exchange) {
+  const time_point now = clock::now();
+  const run_prediction predicted = PredictRun(exchange.assignment.get());
+  services_.shutdown.RecordRun(route_->name, predicted, now - exchange.sent_at);
+  const std::int64_t events =
+      last_event_id_.value_or(0) - exchange.first_event_id;
+  if (exchange.first_event_seen && events >= kMinMeasuredEvents)
+    services_.shutdown.RecordPass(
+        route_->name, predicted,
+        ToMilliseconds(now - exchange.first_event_at) /
+            static_cast<double>(events));
+}
+
 void relay_request::RecordFirstEvent(upstream_exchange& exchange) {
   exchange.assignment->EndPrefill();
   const time_point now = clock::now();
+  exchange.first_event_at = now;
+  exchange.first_event_id = last_event_id_.value_or(0);
+  services_.shutdown.RecordFirstEvent(route_->name,
+                                      PredictRun(exchange.assignment.get()),
+                                      now - exchange.sent_at);
   const auto& upstream = exchange.upstream();
   const duration waited =
       now - exchange.sent_at -
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -125,8 +125,6 @@
 }
 
 void relay_gateway::Handle(http_exchange& exchange, asio::yield_context yield) {
-  if (shutdown_.stopping())
-    exchange.CloseAfterResponse();
   relay_request(request_services_, exchange).Run(yield);
 }
 
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -1,6 +1,7 @@
 #include "src/relay/relay_run.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "cactusward/hash.h"
 #include "src/kernel/log.h"
@@ -37,6 +38,8 @@
 // The pooled connections to one upstream tend to break together.
 constexpr int kMaxStaleRetries = 2;
 constexpr double kMillisecondsPerSecond = 1000;
+// Another instance can take a request that is refused because this one stops.
+constexpr milliseconds kStopRetryAfter{50};
 
 std::string_view ToView(boost::beast::string_view text) {
   return {text.data(), text.size()};
@@ -73,10 +76,8 @@
 }
 
 error_kind relay_request::Admit() {
-  if (services_.shutdown.IsRefusing()) {
-    Log(log_level::kInfo, "request_refused_at_stop", Describe(clock::now()));
+  if (services_.shutdown.refusing())
     return error_kind::kDraining;
-  }
   if (!config_)
     return error_kind::kNotReady;
   route_ = config_->Match(HostOf(exchange_.request()), exchange_.Path());
@@ -113,7 +114,38 @@
   fingerprint_ = Hash64(identity);
   if (services_.recovery.VerdictFor(fingerprint_) == suspect_verdict::kRefuse)
     return error_kind::kRepeatRefused;
-  return service_.empty() ? error_kind::kNoUpstream : error_kind::kOk;
+  if (service_.empty())
+    return error_kind::kNoUpstream;
+  return CanComplete(PredictRun(nullptr)) ? error_kind::kOk
+                                          : error_kind::kDraining;
+}
+
+run_prediction relay_request::PredictRun(
+    const relay_assignment* assignment) const {
+  const double objective_ms = static_cast<double>(route_->objective.count());
+  const forward_service* service = config_->FindService(service_);
+  if (service && service->engine && IsPrompt()) {
+    const engine_parameters& engine = *service->engine;
+    run_prediction predicted;
+    predicted.first_event_ms =
+        assignment
+            ? assignment->expected_first_event_ms
+            : std::min(PrefillMs(engine, caller_.prompt_tokens), objective_ms);
+    predicted.passes =
+        std::ceil(static_cast<double>(caller_.max_output_tokens) /
+                  std::max(engine.steps_per_pass, 1));
+    predicted.pass_ms = DecodePassMs(engine, engine.slots, engine.kv_capacity);
+    return predicted;
+  }
+  // Nothing tells how long such a stream is.
+  if (route_->kind == route_kind::kStreaming)
+    return {ToMilliseconds(response_deadline_ - started_at_)};
+  return {objective_ms};
+}
+
+bool relay_request::CanComplete(const run_prediction& predicted) const {
+  return services_.shutdown.CanComplete(route_->name, predicted, started_at_,
+                                        response_deadline_, clock::now());
 }
 
 nlohmann::json relay_request::Describe(time_point now) const {
@@ -130,11 +162,25 @@
       {"upstream", open_.empty() ? std::string() : record_.upstream},
       {"last_event", last_event_id_.value_or(-1)},
       {"retryable", route_ != nullptr && route_->IsRetryable()}};
-  if (const auto exit_at = services_.shutdown.exit_at())
-    fields["exit_in_ms"] = ToMilliseconds(*exit_at - now);
+  if (const auto& schedule = services_.shutdown.schedule())
+    fields["requests_end_in_ms"] =
+        ToMilliseconds(schedule->requests_end_at - now);
   return fields;
 }
 
+void relay_request::Cancel() {
+  cancel_.Cancel();
+  for (const auto& open : open_)
+    open->cancel.Cancel();
+}
+
+void relay_request::EndBeforeExit() {
+  if (exchange_.responded())
+    return;
+  ended_before_exit_ = true;
+  Cancel();
+}
+
 void relay_request::Run(asio::yield_context yield) {
   pending_work_list& pending = services_.shutdown.pending();
   pending.Add(this);
@@ -142,7 +188,8 @@
 }
 
 void relay_request::Handle(asio::yield_context yield) {
-  while (!config_ && clock::now() < started_at_ + kConfigWaitTimeout) {
+  while (!config_ && !ended_before_exit_ &&
+         clock::now() < started_at_ + kConfigWaitTimeout) {
     Sleep(services_.daemon.io, kConfigPollPeriod, yield);
     config_ = services_.catalog.Config();
   }
@@ -154,18 +201,16 @@
     trial_start_ = clock::now();
     quarantined.reset();
   }
-  if (refusal != error_kind::kOk) {
+  if (refusal == error_kind::kDraining) {
+    RespondStopping(route_ ? PredictRun(nullptr) : run_prediction(), yield);
+  } else if (refusal != error_kind::kOk) {
     RespondWithError(
         refusal, milliseconds(ErrorResponseFor(refusal).retry_after_ms), yield);
   } else if (quarantined) {
     RespondQuarantined(*quarantined, yield);
   } else {
     services_.retries.ForService(service_).RecordRequest(started_at_);
-    exchange_.OnDisconnect([this] {
-      cancel_.Cancel();
-      for (const auto& open : open_)
-        open->cancel.Cancel();
-    });
+    exchange_.OnDisconnect([this] { Cancel(); });
     RunAndCleanUp([&] { RunAttempts(yield); },
                   [this] {
                     exchange_.OnDisconnect({});
@@ -203,7 +248,9 @@
       response_deadline_,
       started_at_ + std::chrono::duration_cast<duration>(
                         (caller_deadline_ - started_at_) * kQueueTimeShare));
-  demand.is_refused = [this] { return CheckQuarantine().has_value(); };
+  demand.is_refused = [this] {
+    return CheckQuarantine().has_value() || !CanComplete(PredictRun(nullptr));
+  };
   return demand;
 }
 
@@ -217,13 +264,17 @@
       demand.queue_deadline = clock::now();
     auto assignment =
         services_.dispatcher.Acquire(demand, &cancel_, &reason, yield);
-    if (cancel_.cancelled()) {
-      record_.kind = error_kind::kCallerGone;
-      return exchange_.Abort();
-    }
+    if (cancel_.cancelled())
+      return RespondCancelled(yield);
     if (const auto quarantined = CheckQuarantine();
         quarantined && !may_have_run_)
       return RespondQuarantined(*quarantined, yield);
+    const run_prediction predicted = PredictRun(assignment.get());
+    if (!CanComplete(predicted)) {
+      assignment.reset();
+      if (!may_have_run_ && open_.empty())
+        return RespondStopping(predicted, yield);
+    }
     if (!assignment && attempts_ == 0)
       return RespondWithError(reason.kind, reason.retry_after, yield);
     if (!assignment && open_.empty())
@@ -241,10 +292,10 @@
       last = RelayResponse(yield);
     if (last.end == attempt_result::kCompleted)
       return;
-    if (last.end == attempt_result::kCallerGone || cancel_.cancelled()) {
-      record_.kind = error_kind::kCallerGone;
-      return exchange_.Abort();
-    }
+    if (last.end == attempt_result::kCallerGone || cancel_.cancelled())
+      return RespondCancelled(yield);
+    if (last.end == attempt_result::kTooLate)
+      return RespondToFailure(last, yield);
     if (open_.empty() && !PrepareRetry(last))
       return RespondToFailure(last, yield);
   }
@@ -298,8 +349,8 @@
   if (!allocations.empty()) {
     const std::string id_prefix =
         caller_.attempt_id + "-" + std::to_string(attempts_);
-    const auto granted =
-        memory->Acquire(id_prefix, allocations, response_deadline_, yield);
+    const auto granted = memory->Acquire(id_prefix, allocations,
+                                         response_deadline_, &cancel_, yield);
     if (!granted)
       return {granted.kind(), granted.detail()};
   }
@@ -382,7 +433,8 @@
       open_.begin(), open_.end(),
       [&exchange](const auto& open) { return open.get() != &exchange; });
   // A retry must not be sent before the crash counts against the request.
-  while (upstream->liveness_check_pending && !survived_start_ && !others_open)
+  while (upstream->liveness_check_pending && !survived_start_ && !others_open &&
+         !cancel_.cancelled())
     Sleep(services_.daemon.io, kLivenessPollPeriod, yield);
 }
 
@@ -475,6 +527,7 @@
         upstream->health.Record(exchange_outcome::kUnreachable, now);
       break;
     case attempt_result::kCallerGone:
+    case attempt_result::kTooLate:
       break;
   }
   if (last.end == attempt_result::kCompleted)
@@ -516,6 +569,29 @@
                         clock::now() + kResponseWriteTimeout, yield);
 }
 
+void relay_request::RespondCancelled(asio::yield_context yield) {
+  if (!ended_before_exit_ || exchange_.disconnected() || stream_started_) {
+    record_.kind = error_kind::kCallerGone;
+    return exchange_.Abort();
+  }
+  Log(log_level::kInfo, "request_ended_at_stop", Describe(clock::now()));
+  may_have_run_ = may_have_run_ || !open_.empty();
+  open_.clear();
+  if (!may_have_run_)
+    return RespondWithError(error_kind::kDraining, kStopRetryAfter, yield);
+  RespondWithError(error_kind::kUpstreamFailed, milliseconds(0), yield);
+}
+
+void relay_request::RespondStopping(const run_prediction& predicted,
+                                    asio::yield_context yield) {
+  nlohmann::json fields = Describe(clock::now());
+  if (route_)
+    fields["expected_ms"] =
+        services_.shutdown.ExpectedRunMs(route_->name, predicted, started_at_);
+  Log(log_level::kInfo, "request_refused_at_stop", fields);
+  RespondWithError(error_kind::kDraining, kStopRetryAfter, yield);
+}
+
 void relay_request::RespondQuarantined(const quarantine_refusal& refusal,
                                        asio::yield_context yield) {
   Log(log_level::kInfo, "request_quarantined",
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -50,6 +50,7 @@
 
   void Run(asio::yield_context yield);
   nlohmann::json Describe(time_point now) const override;
+  void EndBeforeExit() override;
 
  private:
   // The result of one attempt at one upstream.
@@ -61,7 +62,8 @@
     kTimedOut,         // no complete response at the deadline
     kFailed,           // a complete response that reports a failure
     kCallerGone,
-    kSilent,  // nothing for a while; the exchange is still open
+    kSilent,   // nothing for a while; the exchange is still open
+    kTooLate,  // the response could not be passed on before the exit
   };
   struct attempt {
     attempt_result end = attempt_result::kInvalidResponse;
@@ -77,6 +79,11 @@
   // refused.
   error_kind Admit();
   placement_demand MakeDemand() const;
+  // How long the request would run.
+  // @param assignment null: none yet; it is not the load that delays it.
+  run_prediction PredictRun(const relay_assignment* assignment) const;
+  // Whether the instance still runs when such a request ends.
+  bool CanComplete(const run_prediction& predicted) const;
   void RunAttempts(asio::yield_context yield);
   // The upstream whose health `last` affects: the helper that the response
   // names as at fault, otherwise the one the request was sent to.
@@ -147,6 +154,8 @@
       const std::vector<stream_event>& events,
       bool continues);
   void RecordFirstEvent(upstream_exchange& exchange);
+  // Records how long a completed exchange took.
+  void RecordRun(const upstream_exchange& exchange);
   // The upstream has survived the start of the response.
   void RecordSurvival(const relay_assignment& assignment);
   bool WriteEvents(const http::response_header<>& header,
@@ -173,6 +182,13 @@
   std::optional<quarantine_refusal> CheckQuarantine() const {
     return services_.quarantine.Check(caller_.shared_parts, trial_start_);
   }
+  // Ends all attempts: their results are not wanted any more.
+  void Cancel();
+  // The response after Cancel, if the caller still waits for one.
+  void RespondCancelled(asio::yield_context yield);
+  // Refuses a request that no upstream has run.
+  void RespondStopping(const run_prediction& predicted,
+                       asio::yield_context yield);
   void RespondQuarantined(const quarantine_refusal& refusal,
                           asio::yield_context yield);
   void RespondWithError(error_kind kind,
@@ -203,6 +219,7 @@
   cancel_token cancel_;
   std::set<std::string> tried_upstreams_;
   bool may_have_run_ = false;
+  bool ended_before_exit_ = false;  // cancelled by EndBeforeExit
   int sent_attempts_ = 0;
   int attempts_ = 0;
   int stale_retries_ = 0;
--- a/src/relay/relay_stop.cc
+++ b/src/relay/relay_stop.cc
@@ -1,5 +1,7 @@
 #include "src/relay/relay_stop.h"
 
+#include <algorithm>
+
 #include "src/kernel/log.h"
 #include "src/relay/catalog_service.h"
 
@@ -10,11 +12,13 @@
 constexpr milliseconds kPollPeriod{20};
 // Responses that are already written leave the process before it exits.
 constexpr milliseconds kResponseFlushDelay{60};
-// Share of the shutdown time in which new requests are still served: the load
-// balancer may continue to send them when too few other instances are left.
-constexpr double kServingShare = 0.45;
-// The process exits by itself this long before it would be killed.
-constexpr milliseconds kKillMargin{350};
+// Requests that are ended get at least this long to send their responses.
+constexpr milliseconds kMinResponseTime{100};
+// An upstream may fall silent for about a second and go on.
+constexpr double kPauseAllowanceMs = 1'000;
+constexpr double kLongestRunSlackMs = 250;
+// Share of the longest run that many requests take.
+constexpr double kLikelyShare = 0.5;
 
 }  // namespace
 
@@ -28,42 +32,103 @@
   return !stopping() && catalog_->Config() != nullptr;
 }
 
-bool relay_shutdown::IsRefusing() const {
-  return refusing_ ||
-         (started_at_ && clock::now() - *started_at_ >
-                             runtime_.settings.drain_limit * kServingShare);
+double relay_shutdown::ExpectedRunMs(const std::string& route,
+                                     const run_prediction& predicted,
+                                     time_point arrived_at) const {
+  if (predicted.passes == 0)
+    return runs_.UpperBound(route, predicted.TotalMs()) + kPauseAllowanceMs;
+  if (!IsNoticed(arrived_at))
+    return runs_.UpperBound(route, predicted.TotalMs());
+  return first_events_.UpperBound(route, predicted.first_event_ms) +
+         predicted.passes * passes_.UpperBound(route, predicted.pass_ms) +
+         kLongestRunSlackMs;
+}
+
+bool relay_shutdown::CanComplete(const std::string& route,
+                                 const run_prediction& predicted,
+                                 time_point arrived_at,
+                                 time_point deadline,
+                                 time_point now) const {
+  if (!schedule_ || deadline <= schedule_->requests_end_at)
+    return true;
+  return ExpectedRunMs(route, predicted, arrived_at) <=
+         ToMilliseconds(schedule_->requests_end_at - now);
+}
+
+bool relay_shutdown::MayBeginStream(const std::string& route,
+                                    const run_prediction& rest,
+                                    time_point arrived_at,
+                                    time_point deadline,
+                                    time_point now) const {
+  if (!schedule_ || deadline <= schedule_->requests_end_at)
+    return true;
+  double needed_ms = ExpectedRunMs(route, rest, arrived_at);
+  if (!IsNoticed(arrived_at))
+    needed_ms *= kLikelyShare;
+  return needed_ms <= ToMilliseconds(schedule_->requests_end_at - now);
+}
+
+void relay_shutdown::RecordRun(const std::string& route,
+                               const run_prediction& predicted,
+                               duration measured) {
+  if (predicted.TotalMs() > 0)
+    runs_.Record(route, predicted.TotalMs(), ToMilliseconds(measured));
+}
+
+void relay_shutdown::RecordFirstEvent(const std::string& route,
+                                      const run_prediction& predicted,
+                                      duration measured) {
+  if (predicted.first_event_ms > 0)
+    first_events_.Record(route, predicted.first_event_ms,
+                         ToMilliseconds(measured));
+}
+
+void relay_shutdown::RecordPass(const std::string& route,
+                                const run_prediction& predicted,
+                                double measured_ms) {
+  if (predicted.pass_ms > 0)
+    passes_.Record(route, predicted.pass_ms, measured_ms);
 }
 
 void relay_shutdown::Begin(std::function<void()> on_stopped) {
   if (stopping())
     return;
-  started_at_ = clock::now();
-  exit_at_ = *started_at_ + runtime_.settings.drain_limit - kKillMargin;
+  schedule_ = MakeStopSchedule(clock::now(), runtime_.settings);
   on_stopped_ = std::move(on_stopped);
+  server_->AnnounceClose();
   Log(log_level::kInfo, "stop_began",
       {{"in_progress", server_->active()},
-       {"exit_in_ms", ToMilliseconds(*exit_at_ - *started_at_)}});
+       {"receiving", server_->receiving()},
+       {"requests_end_in_ms",
+        ToMilliseconds(schedule_->requests_end_at - schedule_->began_at)}});
   Spawn(runtime_.io, "stop",
         [this](asio::yield_context yield) { WaitUntilDrained(yield); });
 }
 
+void relay_shutdown::WaitForPendingWork(time_point until,
+                                        asio::yield_context yield) {
+  while (HasPendingWork() && clock::now() < until)
+    Sleep(runtime_.io, kPollPeriod, yield);
+}
+
 void relay_shutdown::WaitUntilDrained(asio::yield_context yield) {
-  Sleep(runtime_.io, runtime_.settings.drain_grace, yield);
+  Sleep(runtime_.io, schedule_->grace_ends_at - schedule_->began_at, yield);
   server_->CloseIdleConnections();
-  while (HasPendingWork() && clock::now() < *exit_at_)
-    Sleep(runtime_.io, kPollPeriod, yield);
-  // From here on the process would exit before a new request could complete.
+  WaitForPendingWork(schedule_->requests_end_at, yield);
   refusing_ = true;
   server_->StopAccepting();
   membership_->Leave();
+  pending_.EndAll();
   Sleep(runtime_.io, kResponseFlushDelay, yield);
-  while (HasPendingWork() && clock::now() < *exit_at_)
-    Sleep(runtime_.io, kPollPeriod, yield);
+  // Perhaps this process was stalled, and the exit is overdue.
+  WaitForPendingWork(
+      std::max(schedule_->exits_at, clock::now() + kMinResponseTime), yield);
   const time_point now = clock::now();
   pending_.LogEach("request_cut", now);
   Log(log_level::kInfo, "stopped",
       {{"in_progress", server_->active()},
-       {"after_ms", ToMilliseconds(now - *started_at_)}});
+       {"receiving", server_->receiving()},
+       {"after_ms", ToMilliseconds(now - schedule_->began_at)}});
   on_stopped_();
 }
 
--- a/src/relay/relay_stop.h
+++ b/src/relay/relay_stop.h
@@ -5,9 +5,11 @@
 #include <functional>
 #include <optional>
 
+#include "cactusward/run_time_estimates.h"
 #include "src/daemon/names.h"
 #include "src/daemon/pending_work.h"
 #include "src/daemon/runtime.h"
+#include "src/daemon/stop_schedule.h"
 #include "src/edges/http_server.h"
 
 namespace cactusward {
@@ -15,6 +17,20 @@
 class catalog_service;
 class membership_service;
 
+// How long a request would run, by its properties and the cost model of its
+// engine.
+struct run_prediction {
+  double first_event_ms = 0;  // or the whole response, if it is no stream
+  double passes = 0;          // that the longest response takes
+  double pass_ms = 0;
+
+  double TotalMs() const { return first_event_ms + passes * pass_ms; }
+  friend bool operator==(const run_prediction& a, const run_prediction& b) {
+    return a.first_event_ms == b.first_event_ms && a.passes == b.passes &&
+           a.pass_ms == b.pass_ms;
+  }
+};
+
 class relay_shutdown : public service {
  public:
   // Precondition: both outlive the service.
@@ -26,31 +42,74 @@
 
   // Whether the load balancer may send new connections.
   bool IsReady() const;
-  bool stopping() const { return started_at_.has_value(); }
-  // Whether new requests are refused because the process would exit before they
-  // complete.
-  bool IsRefusing() const;
-  // When the process exits at the latest; nullopt while no shutdown has begun.
-  std::optional<time_point> exit_at() const { return exit_at_; }
+  bool stopping() const { return schedule_.has_value(); }
+  // Whether no request is served any more.
+  bool refusing() const { return refusing_; }
+  // nullopt while no shutdown has begun.
+  const std::optional<stop_schedule>& schedule() const { return schedule_; }
+  // Whether a request of `route` that would be sent to an upstream at `now`
+  // ends before the process exits: very probably if it arrived before the load
+  // balancer could notice the shutdown, otherwise in any case.
+  // @param arrived_at when the request was received.
+  // @param deadline when it ends at the latest.
+  bool CanComplete(const std::string& route,
+                   const run_prediction& predicted,
+                   time_point arrived_at,
+                   time_point deadline,
+                   time_point now) const;
+  // Whether a stream whose first event has arrived may be passed on. It could
+  // only be cut at the exit.
+  // @param rest what remains of the run. Other parameters as for CanComplete.
+  bool MayBeginStream(const std::string& route,
+                      const run_prediction& rest,
+                      time_point arrived_at,
+                      time_point deadline,
+                      time_point now) const;
+  // The time in milliseconds for which CanComplete expects a request to run.
+  double ExpectedRunMs(const std::string& route,
+                       const run_prediction& predicted,
+                       time_point arrived_at) const;
+  // Records how requests of `route` ran, as compared with their predictions:
+  // the whole run, the time to the first event, and the time between events.
+  void RecordRun(const std::string& route,
+                 const run_prediction& predicted,
+                 duration measured);
+  void RecordFirstEvent(const std::string& route,
+                        const run_prediction& predicted,
+                        duration measured);
+  void RecordPass(const std::string& route,
+                  const run_prediction& predicted,
+                  double measured_ms);
   // The requests in progress, and other work that the exit waits for.
   pending_work_list& pending() { return pending_; }
-  // Begins the shutdown: readiness is withdrawn at once, while requests are
-  // still served until the load balancer has noticed and all requests in
-  // progress have ended. Then calls `on_stopped`. Further calls have no effect.
+  // Begins the shutdown: readiness is withdrawn at once, while requests that
+  // can be completed are still served until the load balancer has noticed and
+  // all requests in progress have ended. Requests that have no response shortly
+  // before the exit are ended with one. Then calls `on_stopped`. Further calls
+  // have no effect.
   void Begin(std::function<void()> on_stopped);
 
  private:
+  // Whether callers that arrive at `at` should have found another instance.
+  bool IsNoticed(time_point at) const {
+    return schedule_ && at >= schedule_->grace_ends_at;
+  }
   void WaitUntilDrained(asio::yield_context yield);
   bool HasPendingWork() const {
-    return server_->active() > 0 || !pending_.empty();
+    return server_->active() > 0 || server_->receiving() > 0 ||
+           !pending_.empty();
   }
+  void WaitForPendingWork(time_point until, asio::yield_context yield);
 
   runtime& runtime_;
   http_server* server_;
   catalog_service* catalog_ = nullptr;
   membership_service* membership_ = nullptr;
-  std::optional<time_point> started_at_;
-  std::optional<time_point> exit_at_;
+  std::optional<stop_schedule> schedule_;
+  // Few responses reach the longest length that the prediction assumes.
+  run_time_estimates runs_{0.5};
+  run_time_estimates first_events_{1.5};
+  run_time_estimates passes_{1};
   pending_work_list pending_;
   bool refusing_ = false;  // the drain has ended; requests are refused
   std::function<void()> on_stopped_;
--- a/src/relay/upstream_exchange.h
+++ b/src/relay/upstream_exchange.h
@@ -51,6 +51,8 @@
   response_kind kind = response_kind::kUnknown;
   event_stream_splitter splitter;
   bool first_event_seen = false;
+  time_point first_event_at;
+  std::int64_t first_event_id = 0;
   std::size_t delivered_bytes = 0;  // of its events, to the caller
   std::size_t bytes_without_event = 0;
   std::string body;
--- a/src/request/request_attempts.cc
+++ b/src/request/request_attempts.cc
@@ -29,7 +29,16 @@
 }
 
 request_attempts::request_attempts(runtime& runtime, request_context& context)
-    : runtime_(runtime), context_(context), services_(context.services()) {}
+    : runtime_(runtime), context_(context), services_(context.services()) {
+  context_.OnEndBeforeExit([this] {
+    if (cancel_)
+      cancel_->Cancel();
+  });
+}
+
+request_attempts::~request_attempts() {
+  context_.OnEndBeforeExit({});
+}
 
 result<bool> request_attempts::CheckSuspect() {
   const auto verdict = services_.recovery->VerdictFor(context_.fingerprint());
@@ -111,6 +120,8 @@
     asio::yield_context yield) {
   if (caller_gone_ && !claim_)
     return {error_kind::kCallerGone, {}, false};
+  if (context_.ended_before_exit())
+    return {error_kind::kDraining, {}, false};
   if (context_.record().attempts++ == 0)
     services_.recovery->budget().RecordAttempt();
   cancel_ = std::make_unique<cancel_token>();
@@ -124,6 +135,8 @@
     placement.may_move = [this] { return TryMove(); };
   const auto placed =
       services_.dispatch->Place(placement, cancel_.get(), yield);
+  if (!placed && context_.ended_before_exit())
+    return {error_kind::kDraining, {}, false};
   if (!placed)
     return {placed.kind(), placed.detail(), false};
   // The process may have been stopped since placement; an overdue request must
@@ -135,13 +148,15 @@
   context_.record().upstream = address;
   attempt_outcome outcome = attempt(**placed);
   may_have_run_ = may_have_run_ || outcome.may_have_run;
+  // An attempt that this process has cancelled says nothing about the upstream.
+  const bool cancelled = caller_gone_ || context_.ended_before_exit();
   if (outcome.kind == error_kind::kOk)
     pool->RecordSuccess(address);
-  else if (!caller_gone_)
+  else if (!cancelled)
     pool->RecordFailure(address, clock::now());
   const bool broken = outcome.kind == error_kind::kUpstreamFailed ||
                       outcome.kind == error_kind::kUpstreamUnreachable;
-  if (broken && !caller_gone_)
+  if (broken && !cancelled)
     services_.directory->OnConnectionBroken(pool, address, yield);
   return outcome;
 }
@@ -160,8 +175,8 @@
 bool request_attempts::PrepareRetry(const attempt_outcome& outcome,
                                     bool repeatable,
                                     asio::yield_context yield) {
-  if (caller_gone_ || !IsUpstreamFault(outcome.kind) ||
-      clock::now() >= context_.deadline())
+  if (caller_gone_ || context_.ended_before_exit() ||
+      !IsUpstreamFault(outcome.kind) || clock::now() >= context_.deadline())
     return false;
   if (outcome.may_have_run) {
     if (!MayRunAgain(repeatable) ||
@@ -193,6 +208,8 @@
 
 error_kind request_attempts::SettleFailure(const attempt_outcome& outcome) {
   error_kind kind = caller_gone_ ? error_kind::kCallerGone : outcome.kind;
+  if (context_.ended_before_exit() && !outcome.may_have_run)
+    kind = error_kind::kDraining;
   // The last attempt did not run the request, but an earlier one may have.
   if (may_have_run_ &&
       ErrorResponseFor(kind).was_run == execution_state::kNotExecuted)
--- a/src/request/request_attempts.h
+++ b/src/request/request_attempts.h
@@ -33,6 +33,9 @@
 class request_attempts {
  public:
   request_attempts(runtime& runtime, request_context& context);
+  ~request_attempts();
+  request_attempts(const request_attempts&) = delete;
+  request_attempts& operator=(const request_attempts&) = delete;
 
   // Looks up whether the request is suspected of crashing upstreams, and
   // whether it must be isolated from other suspects.
--- a/src/request/request_context.cc
+++ b/src/request/request_context.cc
@@ -47,8 +47,6 @@
   record_.target = std::string(exchange.Path());
   exchange_.SetHeader(std::string(kRequestIdHeader), record_.request_id);
   exchange_.SetHeader("X-Served-By", runtime.settings.instance);
-  if (services_.lifecycle->draining())
-    exchange_.CloseAfterResponse();
   services_.lifecycle->pending().Add(this);
 }
 
@@ -73,6 +71,12 @@
           {"responding", exchange_.responded()}};
 }
 
+void request_context::EndBeforeExit() {
+  ended_before_exit_ = true;
+  if (on_end_)
+    on_end_();
+}
+
 result<bool> request_context::Authenticate() {
   const error_kind admission = services_.lifecycle->Admission(started_at_);
   if (admission != error_kind::kOk)
--- a/src/request/request_context.h
+++ b/src/request/request_context.h
@@ -3,6 +3,7 @@
 #ifndef CACTUSWARD_SRC_REQUEST_REQUEST_CONTEXT_H_
 #define CACTUSWARD_SRC_REQUEST_REQUEST_CONTEXT_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -44,6 +45,13 @@
   request_context& operator=(const request_context&) = delete;
 
   nlohmann::json Describe(time_point now) const override;
+  void EndBeforeExit() override;
+  // Whether EndBeforeExit was called.
+  bool ended_before_exit() const { return ended_before_exit_; }
+  // Sets the hook that EndBeforeExit calls; an empty hook removes it.
+  void OnEndBeforeExit(std::function<void()> hook) {
+    on_end_ = std::move(hook);
+  }
 
   // Checks readiness of the instance and the caller's bearer key.
   // @return kNotReady, kDraining or kUnauthenticated.
@@ -79,6 +87,8 @@
   std::shared_ptr<const active_config> active_;
   const organisation* organisation_ = nullptr;
   bool admitted_ = false;
+  bool ended_before_exit_ = false;
+  std::function<void()> on_end_;
   time_point started_at_;
   time_point deadline_;
   std::uint64_t fingerprint_ = 0;
--- a/src/services/lifecycle_service.cc
+++ b/src/services/lifecycle_service.cc
@@ -25,8 +25,7 @@
 }
 
 error_kind lifecycle_service::Admission(time_point now) const {
-  if (drain_started_at_ &&
-      now - *drain_started_at_ >= runtime_.settings.drain_grace)
+  if (schedule_ && now >= schedule_->grace_ends_at)
     return error_kind::kDraining;
   return config_->IsUsable(now) ? error_kind::kOk : error_kind::kNotReady;
 }
@@ -34,19 +33,24 @@
 void lifecycle_service::Drain() {
   if (draining())
     return;
-  drain_started_at_ = clock::now();
+  schedule_ = MakeStopSchedule(clock::now(), runtime_.settings);
   Log(log_level::kInfo, "drain_began", {{"in_flight", pending_.size()}});
   Spawn(runtime_.io, "drain",
         [this](asio::yield_context yield) { WaitUntilDrained(yield); });
 }
 
+void lifecycle_service::WaitForPendingWork(time_point until,
+                                           asio::yield_context yield) {
+  while ((!pending_.empty() || claims_->pending() > 0) && clock::now() < until)
+    Sleep(runtime_.io, kDrainPollPeriod, yield);
+}
+
 void lifecycle_service::WaitUntilDrained(asio::yield_context yield) {
-  const auto& settings = runtime_.settings;
-  Sleep(runtime_.io, settings.drain_grace, yield);
+  Sleep(runtime_.io, schedule_->grace_ends_at - schedule_->began_at, yield);
   membership_->Leave();
-  const time_point limit = clock::now() + settings.drain_limit;
-  while ((!pending_.empty() || claims_->pending() > 0) && clock::now() < limit)
-    Sleep(runtime_.io, kDrainPollPeriod, yield);
+  WaitForPendingWork(schedule_->requests_end_at, yield);
+  pending_.EndAll();
+  WaitForPendingWork(schedule_->exits_at, yield);
   pending_.LogEach("request_cut", clock::now());
   Log(log_level::kInfo, "drained",
       {{"in_flight", pending_.size()},
--- a/src/services/lifecycle_service.h
+++ b/src/services/lifecycle_service.h
@@ -8,6 +8,7 @@
 #include "src/daemon/names.h"
 #include "src/daemon/pending_work.h"
 #include "src/daemon/runtime.h"
+#include "src/daemon/stop_schedule.h"
 
 namespace cactusward {
 
@@ -26,14 +27,15 @@
 
   // Begins graceful shutdown. Readiness ends immediately. Requests are admitted
   // for settings.drain_grace, so that the load balancer can notice, and refused
-  // after that. When no request is in flight and no claim write is pending, or
-  // at settings.drain_limit, the OnDrained callback runs.
+  // after that. Requests that are in flight shortly before settings.drain_limit
+  // has passed are ended. When no request is in flight and no claim write is
+  // pending, or at the limit, the OnDrained callback runs.
   void Drain();
   void OnDrained(std::function<void()> on_drained) {
     on_drained_ = std::move(on_drained);
   }
 
-  bool draining() const { return drain_started_at_.has_value(); }
+  bool draining() const { return schedule_.has_value(); }
   bool IsReady(time_point now) const;
   // @return kOk when a request arriving at `now` is admitted; otherwise
   //     kDraining or kNotReady.
@@ -45,12 +47,13 @@
 
  private:
   void WaitUntilDrained(asio::yield_context yield);
+  void WaitForPendingWork(time_point until, asio::yield_context yield);
 
   runtime& runtime_;
   config_service* config_ = nullptr;
   claim_service* claims_ = nullptr;
   membership_service* membership_ = nullptr;
-  std::optional<time_point> drain_started_at_;
+  std::optional<stop_schedule> schedule_;
   std::function<void()> on_drained_;
   pending_work_list pending_;
 };
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -150,7 +150,8 @@
   return service
 end
 
--- Options: key_value, advertise, name, drain_grace_ms, listen, peer.
+-- Options: key_value, advertise, name, drain_grace_ms,
+-- drain_limit_ms, listen, peer.
 function fleet_class:add_instance(options)
   options = options or {}
   self.count = (self.count or 0) + 1
@@ -167,7 +168,8 @@
     secrets = { peers = options.peer_secret or fleet.peer_secret,
                 operators = fleet.operator_key },
     seed_peers = options.seed_peers,
-    drain_grace_ms = options.drain_grace_ms or 300 }
+    drain_grace_ms = options.drain_grace_ms or 300,
+    drain_limit_ms = options.drain_limit_ms }
   instance.settings = work .. "/" .. instance.name .. "-" ..
                       fleet.port_of(instance.address) .. ".json"
   write_file(instance.settings, to_json(settings))
--- /dev/null
+++ b/tests/unit/planned_stop_test.cc
@@ -0,0 +1,336 @@
+// Tests that an instance that is stopped ends every request with a response.
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "cactusward/run_time_estimates.h"
+#include "src/daemon/stop_schedule.h"
+#include "tests/support/small_fleet.h"
+
+namespace cactusward {
+namespace {
+
+using testing::runner_fake;
+using testing::small_fleet;
+
+constexpr milliseconds kGrace{200};
+constexpr milliseconds kCallerDeadline{10'000};
+constexpr milliseconds kPollPeriod{20};
+constexpr double kUnknownFactor = 1.5;
+// As many as the events of an upstream's stream hold.
+constexpr int kMaxOutputTokens = 51 * runner_fake::kEvents;
+// Longer than an instance runs after SIGTERM.
+constexpr milliseconds kEndless{8'000};
+
+using upstreams = std::vector<std::unique_ptr<runner_fake>>;
+
+// A caller's request to the instance of a fleet, and its response.
+struct sent_request {
+  bool ended = false;
+  int status = 0;  // 0: no complete response
+};
+
+// A fleet whose instance stops while it handles requests.
+class stopping_fleet : public small_fleet {
+ public:
+  explicit stopping_fleet(milliseconds limit) {
+    settings.drain_grace = kGrace;
+    settings.drain_limit = limit;
+    store.Put("op/config", testing::ConfigDocument(1));
+    RegisterRunners();
+  }
+
+  static void SetRunTime(const upstreams& group, milliseconds time) {
+    for (const auto& upstream : group)
+      upstream->SetRunTime(time);
+  }
+
+  // The upstreams of `path`, and those of the other routes.
+  const upstreams& UpstreamsOf(const std::string& path) const {
+    return path[1] == 'o' ? plain : engines;
+  }
+  const upstreams& OtherUpstreams(const std::string& path) const {
+    return path[1] == 'o' ? engines : plain;
+  }
+
+  // Sends a request in the background.
+  sent_request* Begin(const std::string& path, const std::string& id) {
+    requests_.push_back(std::make_unique<sent_request>());
+    sent_request* sent = requests_.back().get();
+    Spawn(io, "caller", [this, path, id, sent](asio::yield_context yield) {
+      outgoing_request request = MakeCall(path, id, "key", 1'000);
+      for (auto& [name, value] : request.headers) {
+        if (name == "X-Deadline-Ms")
+          value = std::to_string(kCallerDeadline.count());
+        if (name == "X-Token-Counts")
+          value = "1000," + std::to_string(kMaxOutputTokens);
+      }
+      sent->status =
+          Send(settings.listen, request, kCallerDeadline, yield).status;
+      sent->ended = true;
+    });
+    return sent;
+  }
+
+  // Sends a request to the other upstreams of `path`, which lasts longer than
+  // the instance runs.
+  sent_request* BeginEndless(const std::string& path) {
+    SetRunTime(OtherUpstreams(path), kEndless);
+    return Begin(path[1] == 'o' ? "/fixed/x" : "/once/x", "endless");
+  }
+
+  // Suspends the coroutine until the instance exits, which ends the loop.
+  void AwaitExit(asio::yield_context yield) {
+    while (true)
+      Sleep(io, kPollPeriod, yield);
+  }
+
+  // Lets requests end that the instance has left open at its exit.
+  void EndRequests() {
+    const time_point until = clock::now() + kCallerDeadline;
+    io.restart();
+    while (clock::now() < until &&
+           std::any_of(requests_.begin(), requests_.end(),
+                       [](const auto& sent) { return !sent->ended; }))
+      io.run_for(kPollPeriod);
+  }
+
+ private:
+  std::vector<std::unique_ptr<sent_request>> requests_;
+};
+
+// Guards against requests that wait or run until the process exits, and get no
+// response.
+TEST_CASE("a request has a response when a stopped instance exits", "[path]") {
+  struct row {
+    const char* name;
+    const char* path;
+    bool has_engines;
+    milliseconds sent_at;      // after SIGTERM
+    milliseconds event_pause;  // of all requests
+    milliseconds run_time;     // of earlier requests
+    milliseconds own_run_time;
+    int status;
+  };
+  using ms = milliseconds;
+  const row rows[] = {
+      {"a prompt that waits for an engine", "/stream/x", false, ms(-100), ms(0),
+       ms(0), ms(0), 503},
+      {"a prompt that would wait for an engine", "/stream/x", false, ms(500),
+       ms(0), ms(0), ms(0), 503},
+      {"a stream that can be completed", "/stream/x", true, ms(-100), ms(200),
+       ms(0), ms(0), 200},
+      {"a stream sent late", "/stream/x", true, ms(1'200), ms(400), ms(0),
+       ms(0), 503},
+      {"a stream sent late that is not resumable", "/fixed/x", true, ms(1'200),
+       ms(400), ms(0), ms(0), 503},
+      {"a stream whose first event comes late", "/stream/x", true, ms(-100),
+       ms(350), ms(0), ms(1'500), 502},
+      {"a stream without a first event", "/fixed/x", true, ms(100), ms(0),
+       ms(0), ms(2'800), 502},
+      {"a call sent late", "/often/x", true, ms(1'200), ms(0), ms(1'500),
+       ms(1'500), 503},
+      {"a call sent late that is not retryable", "/once/x", true, ms(1'200),
+       ms(0), ms(1'500), ms(1'500), 503},
+      {"a call that takes longer than others", "/often/x", true, ms(300), ms(0),
+       ms(0), ms(2'800), 502},
+      {"such a call that is not retryable", "/once/x", true, ms(300), ms(0),
+       ms(0), ms(2'800), 502},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    stopping_fleet fleet(ms(3'000));
+    if (!r.has_engines) {
+      for (const auto& engine : fleet.engines)
+        fleet.store.Remove("servers/" + engine->id());
+    }
+    const upstreams& own = fleet.UpstreamsOf(r.path);
+    for (const auto& upstream : own)
+      upstream->SetEventPause(r.event_pause);
+    sent_request* late = nullptr;
+    sent_request* endless = nullptr;
+    fleet.Run([&](asio::yield_context yield) {
+      stopping_fleet::SetRunTime(own, r.run_time);
+      REQUIRE((!r.has_engines || fleet.WaitForStatus(r.path, 200, yield)));
+      stopping_fleet::SetRunTime(own, r.own_run_time);
+      endless = fleet.BeginEndless(r.path);
+      if (r.sent_at < ms(0))
+        late = fleet.Begin(r.path, "late");
+      Sleep(fleet.io, ms(100), yield);
+      fleet.gateway->Stop();
+      if (!late) {
+        Sleep(fleet.io, r.sent_at, yield);
+        late = fleet.Begin(r.path, "late");
+      }
+      fleet.AwaitExit(yield);
+    });
+    CHECK(late->ended);
+    CHECK(late->status == r.status);
+    CHECK(endless->ended);
+    CHECK(endless->status == 502);
+    fleet.EndRequests();
+  }
+}
+
+// Guards against callers that are refused although their requests could be
+// completed: perhaps no other instance is left.
+TEST_CASE("a stopping instance serves what it can complete", "[path]") {
+  struct row {
+    const char* name;
+    const char* path;
+    milliseconds event_pause;
+  };
+  const row rows[] = {
+      {"calls", "/often/x", milliseconds(0)},
+      {"calls that are not retryable", "/once/x", milliseconds(0)},
+      {"short streams", "/stream/x", milliseconds(20)},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    stopping_fleet fleet(milliseconds(5'000));
+    for (const auto& upstream : fleet.UpstreamsOf(r.path))
+      upstream->SetEventPause(r.event_pause);
+    std::vector<int> statuses;
+    fleet.Run([&](asio::yield_context yield) {
+      REQUIRE(fleet.WaitForStatus(r.path, 200, yield));
+      fleet.BeginEndless(r.path);
+      Sleep(fleet.io, milliseconds(50), yield);
+      fleet.gateway->Stop();
+      // Until the route's timeout ends the endless request.
+      const time_point until = clock::now() + milliseconds(2'700);
+      while (clock::now() < until) {
+        statuses.push_back(fleet.Call(r.path, "a", yield).status);
+        Sleep(fleet.io, milliseconds(100), yield);
+      }
+      fleet.AwaitExit(yield);
+    });
+    fleet.EndRequests();
+    CHECK(statuses.size() >= 10);
+    CHECK(statuses == std::vector<int>(statuses.size(), 200));
+  }
+}
+
+// Guards against a second signal that shortens or repeats the shutdown.
+TEST_CASE("a second signal does not change a shutdown", "[path]") {
+  stopping_fleet fleet(milliseconds(3'000));
+  sent_request* slow = nullptr;
+  time_point stopped_at;
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(fleet.WaitForStatus("/once/x", 200, yield));
+    stopping_fleet::SetRunTime(fleet.plain, milliseconds(1'500));
+    slow = fleet.Begin("/once/x", "slow");
+    Sleep(fleet.io, milliseconds(100), yield);
+    fleet.gateway->Stop();
+    Sleep(fleet.io, milliseconds(700), yield);
+    fleet.gateway->Stop();
+    stopped_at = clock::now();
+    fleet.AwaitExit(yield);
+  });
+  CHECK(slow->status == 200);
+  CHECK(clock::now() - stopped_at < milliseconds(1'500));
+}
+
+// Guards against a request that is cut since its body arrives while the
+// instance stops.
+TEST_CASE("a request that arrives in parts during a shutdown has a response",
+          "[path]") {
+  struct row {
+    const char* name;
+    milliseconds last_part_at;  // after SIGTERM
+    std::string_view status_line;
+  };
+  const row rows[] = {
+      {"within the grace", milliseconds(100), "HTTP/1.1 200"},
+      {"after the grace", milliseconds(900), "HTTP/1.1 200"},
+      {"shortly before the exit", milliseconds(2'100), "HTTP/1.1 503"},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    stopping_fleet fleet(milliseconds(3'000));
+    std::string received;
+    fleet.Run([&](asio::yield_context yield) {
+      REQUIRE(fleet.WaitForStatus("/once/x", 200, yield));
+      tcp::socket socket(fleet.io);
+      socket.async_connect(*ParseTcpEndpoint(fleet.settings.listen), yield);
+      const std::string first =
+          "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: parts\r\n"
+          "X-Deadline-Ms: 9000\r\nAuthorization: Token key\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+      asio::async_write(socket, asio::buffer(first), yield);
+      Sleep(fleet.io, milliseconds(50), yield);
+      fleet.gateway->Stop();
+      Sleep(fleet.io, r.last_part_at, yield);
+      asio::async_write(socket, asio::buffer("0\r\n\r\n", 5), yield);
+      boost::system::error_code error;
+      std::string bytes(4096, '\0');
+      while (!error) {
+        const std::size_t size =
+            socket.async_read_some(asio::buffer(bytes), yield[error]);
+        received.append(bytes, 0, size);
+      }
+    });
+    CHECK(received.substr(0, r.status_line.size()) == r.status_line);
+    CHECK(received.find("Connection: close") != std::string::npos);
+  }
+}
+
+// Guards against estimates that follow the prediction only.
+TEST_CASE("run times are estimated by recent requests of the route") {
+  struct row {
+    const char* name;
+    std::vector<double> measured_ms;  // of requests predicted to take 100 ms
+    double upper_bound_ms;            // for a prediction of 200 ms
+  };
+  const std::vector<double> many(run_time_estimates::kSamples, 150);
+  const row rows[] = {
+      {"nothing is known", {}, 200 * kUnknownFactor},
+      {"one request", {50}, 100},
+      {"the slowest of some", {50, 300, 120}, 600},
+      {"the slowest of many", many, 300},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    run_time_estimates estimates(kUnknownFactor);
+    estimates.Record("route", 100, 10'000);
+    for (std::size_t i = 0; i < run_time_estimates::kSamples; ++i)
+      estimates.Record("other", 100, 10'000);
+    run_time_estimates own(kUnknownFactor);
+    for (const double measured : r.measured_ms)
+      own.Record("route", 100, measured);
+    CHECK(own.UpperBound("route", 200) == Approx(r.upper_bound_ms));
+    // An old request no longer counts.
+    for (const double measured : many)
+      estimates.Record("route", 100, measured);
+    CHECK(estimates.UpperBound("route", 200) == Approx(300));
+  }
+}
+
+// Guards against settings that leave no time for responses.
+TEST_CASE("the times of a shutdown are in order") {
+  struct row {
+    milliseconds grace;
+    milliseconds limit;
+  };
+  const row rows[] = {
+      {milliseconds(2'200), milliseconds(8'000)},
+      {milliseconds(2'000), milliseconds(600'000)},
+      {milliseconds(5'000), milliseconds(1'000)},
+      {milliseconds(100), milliseconds(0)},
+  };
+  for (const row& r : rows) {
+    instance_settings settings;
+    settings.drain_grace = r.grace;
+    settings.drain_limit = r.limit;
+    const time_point now{std::chrono::hours(1)};
+    const stop_schedule schedule = MakeStopSchedule(now, settings);
+    CHECK(schedule.began_at == now);
+    CHECK(schedule.began_at <= schedule.grace_ends_at);
+    CHECK(schedule.grace_ends_at <= schedule.requests_end_at);
+    CHECK(schedule.requests_end_at <= schedule.exits_at);
+    CHECK(schedule.exits_at <= now + r.limit);
+  }
+}
+
+}  // namespace
+}  // namespace cactusward
