A stopping instance completes the connections that it carries for peers

An instance may be stopped while peers that are cut off from upstreams use it. Its exit waited only for its own requests, so that those of its peers would have been cut. The exit's log line has the number that is left.

--- a/src/relay/relay_stop.cc
+++ b/src/relay/relay_stop.cc
@@ -4,6 +4,7 @@
 
 #include "src/kernel/log.h"
 #include "src/relay/catalog_service.h"
+#include "src/services/path_service.h"
 
 namespace cactusward {
 namespace {
@@ -26,6 +27,12 @@
   catalog_ = runtime_.registry.Find<catalog_service>(kCatalogServiceName);
   membership_ =
       runtime_.registry.Find<membership_service>(kMembershipServiceName);
+  paths_ = runtime_.registry.Find<path_service>(kPathServiceName);
+}
+
+bool relay_shutdown::HasPendingWork() const {
+  return server_->active() > 0 || server_->receiving() > 0 ||
+         !pending_.empty() || paths_->carried_tunnels() > 0;
 }
 
 bool relay_shutdown::IsReady() const {
@@ -128,6 +135,7 @@
   Log(log_level::kInfo, "stopped",
       {{"in_progress", server_->active()},
        {"receiving", server_->receiving()},
+       {"carried_tunnels", paths_->carried_tunnels()},
        {"after_ms", ToMilliseconds(now - schedule_->began_at)}});
   on_stopped_();
 }
--- a/src/relay/relay_stop.h
+++ b/src/relay/relay_stop.h
@@ -16,6 +16,7 @@
 
 class catalog_service;
 class membership_service;
+class path_service;
 
 // How long a request would run, by its properties and the cost model of its
 // engine.
@@ -95,16 +96,15 @@
     return schedule_ && at >= schedule_->grace_ends_at;
   }
   void WaitUntilDrained(asio::yield_context yield);
-  bool HasPendingWork() const {
-    return server_->active() > 0 || server_->receiving() > 0 ||
-           !pending_.empty();
-  }
+  // Own requests, and those of peers that this instance carries.
+  bool HasPendingWork() const;
   void WaitForPendingWork(time_point until, asio::yield_context yield);
 
   runtime& runtime_;
   http_server* server_;
   catalog_service* catalog_ = nullptr;
   membership_service* membership_ = nullptr;
+  const path_service* paths_ = nullptr;
   std::optional<stop_schedule> schedule_;
   // Few responses reach the longest length that the prediction assumes.
   run_time_estimates runs_{0.5};
--- a/src/services/lifecycle_service.cc
+++ b/src/services/lifecycle_service.cc
@@ -4,6 +4,7 @@
 #include "src/services/claim_service.h"
 #include "src/services/config_service.h"
 #include "src/services/membership_service.h"
+#include "src/services/path_service.h"
 
 namespace cactusward {
 namespace {
@@ -18,6 +19,7 @@
   claims_ = runtime_.registry.Find<claim_service>(kClaimServiceName);
   membership_ =
       runtime_.registry.Find<membership_service>(kMembershipServiceName);
+  paths_ = runtime_.registry.Find<path_service>(kPathServiceName);
 }
 
 bool lifecycle_service::IsReady(time_point now) const {
@@ -41,7 +43,9 @@
 
 void lifecycle_service::WaitForPendingWork(time_point until,
                                            asio::yield_context yield) {
-  while ((!pending_.empty() || claims_->pending() > 0) && clock::now() < until)
+  while ((!pending_.empty() || claims_->pending() > 0 ||
+          paths_->carried_tunnels() > 0) &&
+         clock::now() < until)
     Sleep(runtime_.io, kDrainPollPeriod, yield);
 }
 
--- a/src/services/lifecycle_service.h
+++ b/src/services/lifecycle_service.h
@@ -15,6 +15,7 @@
 class config_service;
 class claim_service;
 class membership_service;
+class path_service;
 
 class lifecycle_service : public service {
  public:
@@ -53,6 +54,7 @@
   config_service* config_ = nullptr;
   claim_service* claims_ = nullptr;
   membership_service* membership_ = nullptr;
+  const path_service* paths_ = nullptr;
   std::optional<stop_schedule> schedule_;
   std::function<void()> on_drained_;
   pending_work_list pending_;
--- a/tests/unit/upstream_cut_test.cc
+++ b/tests/unit/upstream_cut_test.cc
@@ -229,5 +229,51 @@
   }
 }
 
+// Guards against responses that are cut because the peer that carries them
+// stops.
+TEST_CASE("a stopping instance completes what it carries for peers", "[path]") {
+  struct row {
+    const char* name;
+    const char* path;
+    milliseconds run_time;
+    milliseconds event_pause;
+  };
+  const row rows[] = {
+      {"a stream", "/stream/x", milliseconds(0), milliseconds(400)},
+      {"a call that is not retryable", "/once/x", milliseconds(1'500),
+       milliseconds(0)},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    cut_fleet cut(1);
+    small_fleet& fleet = cut.fleet;
+    cut.peer_settings[0]->drain_grace = milliseconds(200);
+    cut.peer_settings[0]->drain_limit = milliseconds(8'000);
+    bool completed = false;
+    fleet.Run([&](asio::yield_context yield) {
+      cut.Cut("127.0.0.2", kCutOff);
+      const time_point window_end = clock::now() + kStableWindow;
+      while (clock::now() < window_end)
+        fleet.Call(r.path, "found", yield);
+      for (const auto* group : {&fleet.engines, &fleet.plain}) {
+        for (const auto& runner : *group) {
+          runner->SetRunTime(r.run_time);
+          runner->SetEventPause(r.event_pause);
+        }
+      }
+      const int runs = fleet.RunCount();
+      Spawn(fleet.io, "stop", [&](asio::yield_context inner) {
+        Sleep(fleet.io, milliseconds(300), inner);
+        cut.gateways[0]->Stop();
+      });
+      const http_response response = fleet.Call(r.path, "attempt", yield);
+      CHECK(response.status == 200);
+      CHECK(fleet.RunCount() == runs + 1);
+      completed = true;
+    });
+    CHECK(completed);
+  }
+}
+
 }  // namespace
 }  // namespace cactusward
