Soak: long streams state their length

They stated 100 tokens of output like all others, and then ran for up to 6 s: an instance that predicts how long a request will run could not know. Now the stated output takes an engine of the configuration about as long as the stream.

--- a/tests/scenarios/platform_fleet.lua
+++ b/tests/scenarios/platform_fleet.lua
@@ -39,12 +39,14 @@
     tenants = { { name = "org", api_keys = { kKey } } } }
 end
 
-function fleet.request(address, path, id, tokens)
+-- `tokens`, `output_tokens`: of the prompt and of the response.
+function fleet.request(address, path, id, tokens, output_tokens)
   return { method = "POST", address = address, path = path, timeout_ms = 20000,
            headers = { Host = "h", Authorization = "Token " .. kKey,
                        ["X-Attempt-Id"] = id, ["X-Deadline-Ms"] = tostring(path:find("^/long/") and
                                 fleet.kLongDeadlineMs or fleet.kDeadlineMs),
-                       ["X-Token-Counts"] = (tokens or 1000) .. ",100" } }
+                       ["X-Token-Counts"] = (tokens or 1000) .. "," ..
+                                                 (output_tokens or 100) } }
 end
 
 function class:store_control(faults)
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -94,6 +94,9 @@
     end
   end
 end
+-- An engine of the configuration needs about as long for them as the runners'
+-- pause between two events.
+local kTokensPerEvent = 35
 local function send(instance, path, fault_free)
   local n = #sent + 1
   local entry = { id = "q" .. n, at = now(), instance = instance, path = path,
@@ -104,7 +107,8 @@
                   down = instance.down or instance.responded_pid ~= instance.pid }
   local request = fleet.request(instance.address,
                                 "/" .. path .. "/x?events=" .. entry.events, entry.id,
-                                entry.tokens)
+                                entry.tokens,
+                                path == "long" and entry.events * kTokensPerEvent or nil)
   entry.caller = math.random(2) == 1 and take_caller(instance) or nil
   request.keep = entry.caller and instance.id .. "/" .. entry.caller
   request.once = not entry.caller
