--- a/src/daemon/gateway.cc
+++ b/src/daemon/gateway.cc
@@ -79,6 +79,7 @@
 }
 
 void gateway::Drain() {
+  server_.AnnounceClose();
   lifecycle_.Drain();
 }
 
--- a/src/request/request_context.h
+++ b/src/request/request_context.h
@@ -3,10 +3,12 @@
 #ifndef CACTUSWARD_SRC_REQUEST_REQUEST_CONTEXT_H_
 #define CACTUSWARD_SRC_REQUEST_REQUEST_CONTEXT_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
 #include "cactusward/config_tracker.h"
+#include "src/daemon/pending_work.h"
 #include "src/edges/http_server.h"
 #include "src/services/dispatcher.h"
 #include "src/services/report_service.h"
@@ -30,18 +32,27 @@
   static handler_services FindIn(const service_registry& registry);
 };
 
-// Per-request state. The destructor returns the admitted capacity, writes the
-// access record and ends the in-flight count. Lives as long as the handler. Not
-// thread-safe.
-class request_context {
+// Per-request state, listed as pending work. The destructor returns the
+// admitted capacity and writes the access record. Lives as long as the handler.
+// Not thread-safe.
+class request_context : public pending_work {
  public:
   request_context(runtime& runtime,
                   const handler_services& services,
                   http_exchange& exchange);
-  ~request_context();
+  ~request_context() override;
   request_context(const request_context&) = delete;
   request_context& operator=(const request_context&) = delete;
 
+  nlohmann::json Describe(time_point now) const override;
+  void EndBeforeExit() override;
+  // Whether EndBeforeExit was called.
+  bool ended_before_exit() const { return ended_before_exit_; }
+  // Sets the hook that EndBeforeExit calls; an empty hook removes it.
+  void OnEndBeforeExit(std::function<void()> hook) {
+    on_end_ = std::move(hook);
+  }
+
   // Checks readiness of the instance and the caller's bearer key.
   // @return kNotReady, kDraining or kUnauthenticated.
   result<bool> Authenticate();
@@ -76,6 +87,8 @@
   std::shared_ptr<const active_config> active_;
   const organisation* organisation_ = nullptr;
   bool admitted_ = false;
+  bool ended_before_exit_ = false;
+  std::function<void()> on_end_;
   time_point started_at_;
   time_point deadline_;
   std::uint64_t fingerprint_ = 0;
