--- a/tests/unit/upstream_cut_test.cc
+++ b/tests/unit/upstream_cut_test.cc
@@ -86,8 +86,8 @@
   }
 };
 
-const caller_faults kCutOff{true, false, true};
-const caller_faults kNewConnectionsHang{true, false, false};
+const caller_faults kCutOff{true, true};
+const caller_faults kNewConnectionsHang{true, false};
 
 // Guards against requests that an instance which is cut off takes, cannot send
 // anywhere and holds until their callers give up.
