--- a/tests/unit/upstream_cut_test.cc
+++ b/tests/unit/upstream_cut_test.cc
@@ -91,7 +91,7 @@
 
 // Guards against requests that an instance which is cut off takes, cannot send
 // anywhere and holds until their callers give up.
-TEST_CASE("an instance that is cut off serves through a peer", "[path]") {
+TEST_CASE("an instance that is cut off serves through a peer", "[peers]") {
   struct row {
     const char* name;
     const char* path;
@@ -152,7 +152,7 @@
 // Guards against requests that wait for their deadline although no instance
 // reaches an upstream.
 TEST_CASE("requests are refused at once when all instances are cut off",
-          "[path]") {
+          "[peers]") {
   cut_fleet cut(2);
   small_fleet& fleet = cut.fleet;
   fleet.Run([&](asio::yield_context yield) {
@@ -172,7 +172,7 @@
 // Guards against a request that runs on at its upstream after its caller has
 // gone, or twice, when it was sent through a peer.
 TEST_CASE("what holds for a request holds on the way through a peer",
-          "[path]") {
+          "[peers]") {
   struct row {
     const char* name;
     const char* path;
@@ -231,7 +231,8 @@
 
 // Guards against responses that are cut because the peer that carries them
 // stops.
-TEST_CASE("a stopping instance completes what it carries for peers", "[path]") {
+TEST_CASE("a stopping instance completes what it carries for peers",
+          "[peers]") {
   struct row {
     const char* name;
     const char* path;
