--- a/include/cactusward/load_tracker.h
+++ b/include/cactusward/load_tracker.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -57,6 +58,23 @@
   }
 };
 
+// Orders the reports of one instance. Reports that took different ways may
+// overtake each other.
+struct report_order {
+  std::uint64_t incarnation = 0;
+  std::int64_t number = 0;  // within the incarnation; 0: not known
+
+  // Whether a report with this order is older than one with `other`.
+  bool IsBefore(const report_order& other) const {
+    if (incarnation != other.incarnation)
+      return incarnation < other.incarnation;
+    return number > 0 && number < other.number;
+  }
+  friend bool operator==(const report_order& a, const report_order& b) {
+    return a.incarnation == b.incarnation && a.number == b.number;
+  }
+};
+
 // Not thread-safe.
 class load_tracker {
  public:
@@ -66,22 +84,32 @@
   void EndPrefill(std::uint64_t id);
   void End(std::uint64_t id);
 
-  // Replaces the loads reported by the instance `peer`.
+  // Replaces the loads reported by the instance `peer`, unless a later report
+  // is known.
   void SetPeerLoads(const std::string& peer,
+                    report_order order,
                     std::vector<upstream_load> loads,
                     time_point now);
-  void RemovePeer(const std::string& peer) { peers_.erase(peer); }
+  void RemovePeer(const std::string& peer) {
+    loads_at_.reset();
+    peers_.erase(peer);
+  }
   // Drops peer reports older than kPeerReportTtl.
   void Expire(time_point now);
 
   // Load of one upstream by all instances.
   upstream_load LoadOf(std::uint32_t upstream, time_point now) const;
-  // Load by all instances, keyed by upstream.
-  std::unordered_map<std::uint32_t, upstream_load> Loads(time_point now) const;
+  // Load by all instances, keyed by upstream, as it was kMaxLoadsAge before
+  // `now` or later; valid until the next call of any method.
+  const std::unordered_map<std::uint32_t, upstream_load>& Loads(
+      time_point now) const;
   // Load by this instance alone, to report to peers, in unspecified order.
   std::vector<upstream_load> OwnLoads(time_point now) const;
   std::size_t own_requests() const { return entries_.size(); }
 
+  // Loads decrease by one millisecond of prefill in a millisecond, which is
+  // small against the times that are compared.
+  static constexpr milliseconds kMaxLoadsAge{5};
   // Older reports are outdated: a few periods of the load reports.
   static constexpr milliseconds kPeerReportTtl{3'000};
 
@@ -93,12 +121,17 @@
   struct peer_loads {
     std::vector<upstream_load> loads;
     time_point heard_at;
+    report_order order;
   };
   static upstream_load LoadOfEntry(const own_entry& own, time_point now);
+  void AddPeerLoads(time_point now) const;
 
   std::uint64_t next_id_ = 1;
   std::map<std::uint64_t, own_entry> entries_;
   std::map<std::string, peer_loads> peers_;
+  // The result of Loads; empty time: it has changed since.
+  mutable std::unordered_map<std::uint32_t, upstream_load> loads_;
+  mutable std::optional<time_point> loads_at_;
 };
 
 }  // namespace cactusward
--- a/include/cactusward/membership.h
+++ b/include/cactusward/membership.h
@@ -36,12 +36,15 @@
   std::string address;       // HTTP, IP:port
   std::string peer_address;  // gossip datagrams and peer calls, IP:port
   std::string availability_zone;
+  // Encoded fields of a later format, which are passed on unchanged.
+  std::string extensions;
 
   friend bool operator==(const member& a, const member& b) {
     return a.name == b.name && a.incarnation == b.incarnation &&
            a.state == b.state && a.address == b.address &&
            a.peer_address == b.peer_address &&
-           a.availability_zone == b.availability_zone;
+           a.availability_zone == b.availability_zone &&
+           a.extensions == b.extensions;
   }
 };
 
@@ -95,6 +98,11 @@
 
 enum class gossip_kind : std::uint8_t { kPing, kAck, kPingRequest, kUpdate };
 
+// The format that every supported release reads. It cannot be extended.
+constexpr int kBaseGossipFormat = 7;
+// The newest format of this release. Later ones append fields to it.
+constexpr int kGossipFormat = 8;
+
 // A datagram between instances.
 struct gossip_message {
   gossip_kind kind = gossip_kind::kPing;
@@ -120,6 +128,16 @@
   std::vector<quarantine_report> quarantines;
   std::vector<sound_part_report> sound_parts;
   std::vector<limit_report> limits;
+  // Increases from message to message of a process; 0: not known.
+  std::int64_t order = 0;
+  // An encoded message of the sender that the receiver handles and passes on to
+  // the instances of its availability zone. Other fields are then not in use.
+  std::string relayed;
+  // The newest format that the sender reads; of a ping request in the base
+  // format it is not known.
+  int sender_format = kGossipFormat;
+  // Fields and list items that this release could not read and left out.
+  int unreadable_fields = 0;
 
   friend bool operator==(const gossip_message& a, const gossip_message& b) {
     return a.kind == b.kind && a.sequence == b.sequence &&
@@ -131,14 +149,19 @@
            a.leaving == b.leaving && a.catalog_position == b.catalog_position &&
            a.loads == b.loads && a.crashes == b.crashes &&
            a.quarantines == b.quarantines && a.sound_parts == b.sound_parts &&
-           a.limits == b.limits;
+           a.limits == b.limits && a.order == b.order &&
+           a.relayed == b.relayed && a.sender_format == b.sender_format &&
+           a.unreadable_fields == b.unreadable_fields;
   }
 };
 
-// Encodes as CBOR. Thread-safe.
-std::string EncodeGossip(const gossip_message& message);
-// Decodes the output of EncodeGossip.
-// @return kBadRequest for anything else. Thread-safe.
+// Encodes as CBOR. Precondition: `format` is from kBaseGossipFormat to
+// kGossipFormat. Thread-safe.
+std::string EncodeGossip(const gossip_message& message,
+                         int format = kGossipFormat);
+// Decodes the output of EncodeGossip of this release, of earlier ones down to
+// the base format and of later ones.
+// @return kBadRequest if the sender cannot be read. Thread-safe.
 result<gossip_message> DecodeGossip(std::string_view bytes);
 
 struct membership_settings {
@@ -179,6 +202,13 @@
   // @return whether anything changed.
   bool Merge(const member& update, time_point now);
 
+  // Suspects a member of having been replaced by another process, so that it
+  // refutes this and all others learn of the new process. The response to its
+  // next ping tells it.
+  void Suspect(const std::string& name, time_point now) {
+    SetState(name, member_state::kSuspect, now);
+  }
+
   // Builds a ping to an address at which no member is known yet.
   outbound_message JoinPing(const std::string& peer_address);
 
@@ -189,6 +219,10 @@
   // random.
   std::vector<member> RandomPeers(std::size_t count);
 
+  // Live members other than this one, valid until the next change of the table.
+  std::vector<const member*> LivePeers() const;
+  // Number of live members including this one.
+  std::size_t LiveCount() const;
   // Live members including this one, sorted by name. Suspects count as live.
   std::vector<member> Live() const;
   // All known members including dead ones, sorted by name.
--- a/include/cactusward/shared_retry_budget.h
+++ b/include/cactusward/shared_retry_budget.h
@@ -12,10 +12,10 @@
 namespace cactusward {
 
 // Fleet-wide limit: in any period of `window`, at most `ratio` retries for each
-// first request, plus `extra_retries`.
+// first request, plus `extra_retries`, which may be a fraction.
 struct shared_retry_settings {
   double ratio = 0.1;
-  int extra_retries = 10;
+  double extra_retries = 10;
   milliseconds window{10'000};
 
   friend bool operator==(const shared_retry_settings& a,
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -10,10 +10,22 @@
 using internal::validation_errors;
 
 constexpr std::size_t kMinSecretBytes = 16;
-constexpr int kMaxRetryExtra = 1'000'000;
-constexpr std::int64_t kMaxRetryWindowSeconds = 3600;
-constexpr std::int64_t kMillisecondsPerSecond = 1000;
-constexpr std::int64_t kMaxDrainMs = 24LL * 3600 * 1000;
+constexpr double kMaxRetryExtra = 1'000'000;
+constexpr double kMinRetryWindowSeconds = 0.1;
+constexpr double kMaxRetryWindowSeconds = 3600;
+constexpr double kMillisecondsPerSecond = 1000;
+constexpr milliseconds kMaxDrainTime = std::chrono::hours(24);
+constexpr milliseconds kMaxForwardingTime = std::chrono::hours(1);
+
+// Reads an optional duration. A fraction of a millisecond is cut off.
+milliseconds ReadMilliseconds(object_reader& reader,
+                              std::string_view name,
+                              milliseconds fallback,
+                              milliseconds max) {
+  return milliseconds(static_cast<std::int64_t>(
+      reader.Number(name, static_cast<double>(fallback.count()), 0,
+                    static_cast<double>(max.count()))));
+}
 
 std::string ReadAddress(object_reader& reader, std::string_view name) {
   std::string address = reader.RequiredString(name);
@@ -51,21 +63,21 @@
   settings.source_address = ReadSourceAddress(reader);
   settings.retries.ratio =
       reader.Number("retry_ratio", settings.retries.ratio, 0, 1);
-  settings.retries.extra_retries = static_cast<int>(reader.Integer(
-      "retry_extra", settings.retries.extra_retries, 0, kMaxRetryExtra));
+  settings.retries.extra_retries = reader.Number(
+      "retry_extra", settings.retries.extra_retries, 0, kMaxRetryExtra);
   const double window_s =
       reader.Number("retry_window_s",
                     static_cast<double>(settings.retries.window.count()) /
                         kMillisecondsPerSecond,
-                    1, kMaxRetryWindowSeconds);
+                    kMinRetryWindowSeconds, kMaxRetryWindowSeconds);
   settings.retries.window = milliseconds(
       static_cast<std::int64_t>(window_s * kMillisecondsPerSecond));
-  settings.reregistration_grace = milliseconds(reader.Integer(
-      "registry_return_ms", settings.reregistration_grace.count(), 0,
-      kMaxRetryWindowSeconds * kMillisecondsPerSecond));
-  settings.max_reservation = milliseconds(
-      reader.Integer("max_reservation_ms", settings.max_reservation.count(), 0,
-                     kMaxRetryWindowSeconds * kMillisecondsPerSecond));
+  settings.reregistration_grace =
+      ReadMilliseconds(reader, "registry_return_ms",
+                       settings.reregistration_grace, kMaxForwardingTime);
+  settings.max_reservation =
+      ReadMilliseconds(reader, "max_reservation_ms", settings.max_reservation,
+                       kMaxForwardingTime);
   reader.RejectUnknownFields();
   return settings;
 }
@@ -123,10 +135,10 @@
       root.AddError("seed_peers", "\"" + peer + "\"",
                     "an IP number and a port");
   }
-  settings.drain_grace = milliseconds(root.Integer(
-      "drain_grace_ms", settings.drain_grace.count(), 0, kMaxDrainMs));
-  settings.drain_limit = milliseconds(root.Integer(
-      "drain_limit_ms", settings.drain_limit.count(), 0, kMaxDrainMs));
+  settings.drain_grace = ReadMilliseconds(root, "drain_grace_ms",
+                                          settings.drain_grace, kMaxDrainTime);
+  settings.drain_limit = ReadMilliseconds(root, "drain_limit_ms",
+                                          settings.drain_limit, kMaxDrainTime);
   settings.min_log_level = ReadLogLevel(root);
   root.RejectUnknownFields();
   if (!errors.empty())
--- a/src/edges/gossip_socket.cc
+++ b/src/edges/gossip_socket.cc
@@ -9,6 +9,7 @@
 
 constexpr std::size_t kMacBytes = 16;
 constexpr int kDatagramOverheadBytes = 28;  // IPv4 and UDP headers
+constexpr std::size_t kMaxKnownEndpoints = 4'096;
 
 }  // namespace
 
@@ -42,27 +43,53 @@
   return true;
 }
 
-void gossip_socket::Send(const std::string& address, std::string_view bytes) {
-  const auto target = ParseHostPort(address);
-  if (!target)
+const udp::endpoint* gossip_socket::EndpointOf(const std::string& address) {
+  const auto known = endpoints_.find(address);
+  if (known != endpoints_.end())
+    return &known->second;
+  const auto parsed = ParseHostPort(address);
+  if (!parsed)
+    return nullptr;
+  // Most of them belong to processes that have ended.
+  if (endpoints_.size() >= kMaxKnownEndpoints)
+    endpoints_.clear();
+  return &endpoints_
+              .emplace(address,
+                       udp::endpoint(asio::ip::make_address(parsed->host),
+                                     parsed->port))
+              .first->second;
+}
+
+void gossip_socket::SendToAll(const std::vector<const std::string*>& addresses,
+                              std::string_view bytes) {
+  if (addresses.empty())
     return;
-  const udp::endpoint endpoint(asio::ip::make_address(target->host),
-                               target->port);
   std::string datagram = HmacTag(secret_, bytes);
   datagram.append(bytes);
-  boost::system::error_code ignored;
-  socket_.send_to(asio::buffer(datagram), endpoint, 0, ignored);
-  ++counters_.sent;
-  counters_.sent_bytes +=
-      static_cast<std::int64_t>(datagram.size()) + kDatagramOverheadBytes;
+  for (const std::string* address : addresses) {
+    const udp::endpoint* endpoint = EndpointOf(*address);
+    if (!endpoint)
+      continue;
+    boost::system::error_code ignored;
+    socket_.send_to(asio::buffer(datagram), *endpoint, 0, ignored);
+    ++counters_.sent;
+    counters_.sent_bytes +=
+        static_cast<std::int64_t>(datagram.size()) + kDatagramOverheadBytes;
+  }
+}
+
+std::string gossip_socket::LastSender() const {
+  if (last_sender_.port() == 0)
+    return {};
+  return last_sender_.address().to_string() + ":" +
+         std::to_string(last_sender_.port());
 }
 
 void gossip_socket::ReceiveDatagrams(asio::yield_context yield) {
   while (true) {
-    udp::endpoint sender;
     boost::system::error_code error;
-    const std::size_t received =
-        socket_.async_receive_from(asio::buffer(buffer_), sender, yield[error]);
+    const std::size_t received = socket_.async_receive_from(
+        asio::buffer(buffer_), last_sender_, yield[error]);
     if (error == asio::error::operation_aborted)
       return;
     // An ICMP error for a datagram sent earlier (port unreachable); the socket
--- a/src/edges/peer_link.cc
+++ b/src/edges/peer_link.cc
@@ -23,7 +23,8 @@
 constexpr std::size_t kMaxFrameBytes = 4ULL * 1024 * 1024;
 constexpr std::size_t kFrameFields = 3;
 
-// On the wire: an HMAC tag, then the CBOR array [is_reply, id, body].
+// On the wire: an HMAC tag, then the CBOR array [is_reply, id, body]. Later
+// releases may append fields, which are ignored.
 struct peer_frame {
   bool is_reply = false;
   std::uint64_t id = 0;
@@ -45,7 +46,7 @@
                          HmacTag(secret, bytes)))
     return std::nullopt;
   json value = ParseCbor(bytes);
-  if (!value.is_array() || value.size() != kFrameFields ||
+  if (!value.is_array() || value.size() < kFrameFields ||
       !value[0].is_boolean() || !value[1].is_number_unsigned())
     return std::nullopt;
   return peer_frame{value[0].get<bool>(), value[1].get<std::uint64_t>(),
--- a/src/forwarding/load_tracker.cc
+++ b/src/forwarding/load_tracker.cc
@@ -30,25 +30,33 @@
 }
 
 std::uint64_t load_tracker::Begin(const tracked_request& request) {
+  loads_at_.reset();
   const std::uint64_t id = next_id_++;
   entries_[id] = {request, request.prefill_ms > 0};
   return id;
 }
 
 void load_tracker::EndPrefill(std::uint64_t id) {
+  loads_at_.reset();
   const auto found = entries_.find(id);
   if (found != entries_.end())
     found->second.prefilling = false;
 }
 
 void load_tracker::End(std::uint64_t id) {
+  loads_at_.reset();
   entries_.erase(id);
 }
 
 void load_tracker::SetPeerLoads(const std::string& peer,
+                                report_order order,
                                 std::vector<upstream_load> loads,
                                 time_point now) {
-  peers_[peer] = {std::move(loads), now};
+  const auto known = peers_.find(peer);
+  if (known != peers_.end() && order.IsBefore(known->second.order))
+    return;
+  loads_at_.reset();
+  peers_[peer] = {std::move(loads), now, order};
 }
 
 void load_tracker::Expire(time_point now) {
@@ -58,6 +66,7 @@
     else
       ++it;
   }
+  loads_at_.reset();
 }
 
 upstream_load load_tracker::LoadOfEntry(const own_entry& own, time_point now) {
@@ -87,7 +96,7 @@
 
 upstream_load load_tracker::LoadOf(std::uint32_t upstream,
                                    time_point now) const {
-  const auto loads = Loads(now);
+  const auto& loads = Loads(now);
   const auto found = loads.find(upstream);
   if (found != loads.end())
     return found->second;
@@ -96,23 +105,30 @@
   return none;
 }
 
-std::unordered_map<std::uint32_t, upstream_load> load_tracker::Loads(
+const std::unordered_map<std::uint32_t, upstream_load>& load_tracker::Loads(
     time_point now) const {
-  std::unordered_map<std::uint32_t, upstream_load> loads;
+  if (loads_at_ && now >= *loads_at_ && now - *loads_at_ < kMaxLoadsAge)
+    return loads_;
+  loads_.clear();
   for (const upstream_load& own : OwnLoads(now))
-    loads[own.upstream] = own;
+    loads_[own.upstream] = own;
+  AddPeerLoads(now);
+  loads_at_ = now;
+  return loads_;
+}
+
+void load_tracker::AddPeerLoads(time_point now) const {
   for (const auto& [name, peer] : peers_) {
     const auto age =
         static_cast<std::int64_t>(ToMilliseconds(now - peer.heard_at));
     for (upstream_load load : peer.loads) {
       load.prefill_ms =
           std::max(load.prefill_ms - age, load.overdue_prefill_ms);
-      upstream_load& total = loads[load.upstream];
+      upstream_load& total = loads_[load.upstream];
       total.upstream = load.upstream;
       AddLoad(load, &total);
     }
   }
-  return loads;
 }
 
 std::vector<upstream_load> load_tracker::OwnLoads(time_point now) const {
--- a/src/membership/gossip_codec.cc
+++ b/src/membership/gossip_codec.cc
@@ -1,5 +1,9 @@
 // CBOR encoding of gossip messages. Structures are encoded as positional arrays
-// to keep datagrams small.
+// to keep datagrams small. A later format may only append fields: a reader
+// ignores what follows the fields that it knows, and what it cannot read.
+#include <algorithm>
+#include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "cactusward/membership.h"
@@ -10,22 +14,51 @@
 
 using nlohmann::json;
 
-constexpr int kFormatVersion = 7;
-constexpr std::size_t kMessageFields = 21;
+constexpr std::size_t kBaseMessageFields = 21;
 constexpr std::size_t kMemberFields = 6;
 constexpr std::size_t kMaxListItems = 512;
-
-json MemberToJson(const member& m) {
-  return json::array({m.name, m.incarnation, static_cast<int>(m.state),
-                      m.address, m.peer_address, m.availability_zone});
-}
+// Fields of later formats that are kept for one member.
+constexpr std::size_t kMaxExtensionBytes = 256;
+// Precedes the newest format that the sender reads in the target of messages of
+// the base format, which has no other field for it. Releases that know only the
+// base format use the target of ping requests alone.
+constexpr std::string_view kFormatAnnouncement = "reads-format-";
 
 bool IsInteger(const json& value) {
   return value.is_number_integer();
 }
 
+// Preconditions of both: IsInteger(value). Values out of range become the
+// nearest one.
+std::int64_t ToInt64(const json& value) {
+  constexpr std::int64_t kMax = std::numeric_limits<std::int64_t>::max();
+  if (value.is_number_unsigned() &&
+      value.get<std::uint64_t>() > static_cast<std::uint64_t>(kMax))
+    return kMax;
+  return value.get<std::int64_t>();
+}
+
+int ToInt(const json& value) {
+  return static_cast<int>(
+      std::clamp<std::int64_t>(ToInt64(value), std::numeric_limits<int>::min(),
+                               std::numeric_limits<int>::max()));
+}
+
+json MemberToJson(const member& m, int format) {
+  json encoded = json::array({m.name, m.incarnation, static_cast<int>(m.state),
+                              m.address, m.peer_address, m.availability_zone});
+  if (format == kBaseGossipFormat || m.extensions.empty())
+    return encoded;
+  json extensions = ParseCbor(m.extensions);
+  if (extensions.is_array()) {
+    for (json& field : extensions)
+      encoded.push_back(std::move(field));
+  }
+  return encoded;
+}
+
 bool ReadMember(const json& value, member* out) {
-  if (!value.is_array() || value.size() != kMemberFields ||
+  if (!value.is_array() || value.size() < kMemberFields ||
       !value[0].is_string() || !value[1].is_number_unsigned() ||
       !value[2].is_number_unsigned() || !value[3].is_string() ||
       !value[4].is_string() || !value[5].is_string())
@@ -33,95 +66,87 @@
   const auto state = value[2].get<std::uint64_t>();
   if (state > static_cast<std::uint64_t>(member_state::kLeft))
     return false;
-  *out = {value[0].get<std::string>(),      value[1].get<std::uint64_t>(),
-          static_cast<member_state>(state), value[3].get<std::string>(),
-          value[4].get<std::string>(),      value[5].get<std::string>()};
+  *out = {value[0].get<std::string>(),
+          value[1].get<std::uint64_t>(),
+          static_cast<member_state>(state),
+          value[3].get<std::string>(),
+          value[4].get<std::string>(),
+          value[5].get<std::string>(),
+          {}};
+  if (value.size() > kMemberFields) {
+    json extensions = json::array();
+    for (std::size_t i = kMemberFields; i < value.size(); ++i)
+      extensions.push_back(value[i]);
+    json::to_cbor(extensions, out->extensions);
+    if (out->extensions.size() > kMaxExtensionBytes)
+      out->extensions.clear();
+  }
   return !out->name.empty();
 }
 
-bool IsList(const json& value) {
-  return value.is_array() && value.size() <= kMaxListItems;
-}
-
-bool ReadMembers(const json& value, std::vector<member>* out) {
-  if (!IsList(value))
+// Whether `item` is an array that begins with `types.size()` fields: 'u' for
+// an unsigned integer, 'i' for an integer, 'b' for a boolean, 's' for a string,
+// 'a' for a list, '*' for anything.
+bool HasFields(const json& item, std::string_view types) {
+  if (!item.is_array() || item.size() < types.size())
     return false;
-  for (const json& item : value) {
-    member next;
-    if (!ReadMember(item, &next))
+  for (std::size_t i = 0; i < types.size(); ++i) {
+    const json& field = item[i];
+    const bool fits = types[i] == 'u'   ? field.is_number_unsigned()
+                      : types[i] == 'i' ? IsInteger(field)
+                      : types[i] == 'b' ? field.is_boolean()
+                      : types[i] == 's' ? field.is_string()
+                      : types[i] == 'a'
+                          ? field.is_array() && field.size() <= kMaxListItems
+                          : true;
+    if (!fits)
       return false;
-    out->push_back(std::move(next));
   }
   return true;
 }
 
-bool ReadSuspects(const json& value, std::vector<suspect_report>* out) {
-  if (!IsList(value))
+bool ReadSuspect(const json& item, suspect_report* out) {
+  if (!HasFields(item, "uuib"))
     return false;
-  for (const json& item : value) {
-    if (!item.is_array() || item.size() != 4 || !item[0].is_number_unsigned() ||
-        !item[1].is_number_unsigned() || !IsInteger(item[2]) ||
-        !item[3].is_boolean())
-      return false;
-    out->push_back({item[0].get<std::uint64_t>(), item[1].get<std::uint32_t>(),
-                    item[2].get<std::int64_t>(), item[3].get<bool>()});
-  }
+  *out = {item[0].get<std::uint64_t>(), item[1].get<std::uint32_t>(),
+          ToInt64(item[2]), item[3].get<bool>()};
   return true;
 }
 
-// Reads [upstream, amount] pairs.
+// Reads an [upstream, amount] pair.
 template <typename Report>
-bool ReadPairs(const json& value, std::vector<Report>* out) {
-  if (!IsList(value))
+bool ReadPair(const json& item, Report* out) {
+  if (!HasFields(item, "ui"))
     return false;
-  for (const json& item : value) {
-    if (!item.is_array() || item.size() != 2 || !item[0].is_number_unsigned() ||
-        !IsInteger(item[1]))
-      return false;
-    out->push_back({item[0].get<std::uint32_t>(), item[1].get<std::int64_t>()});
-  }
+  *out = {item[0].get<std::uint32_t>(), ToInt64(item[1])};
   return true;
 }
 
-bool ReadLoads(const json& value, std::vector<upstream_load>* out) {
-  constexpr std::size_t kLoadFields = 7;
-  if (!IsList(value))
+bool ReadLoad(const json& item, upstream_load* out) {
+  if (!HasFields(item, "uuuuuuu"))
     return false;
-  for (const json& item : value) {
-    if (!item.is_array() || item.size() != kLoadFields ||
-        !item[0].is_number_unsigned())
-      return false;
-    for (std::size_t i = 1; i < kLoadFields; ++i) {
-      if (!item[i].is_number_unsigned())
-        return false;
-    }
-    out->push_back({item[0].get<std::uint32_t>(), item[1].get<int>(),
-                    item[2].get<int>(), item[3].get<std::int64_t>(),
-                    item[4].get<std::int64_t>(), item[5].get<std::int64_t>(),
-                    item[6].get<std::int64_t>()});
-  }
+  *out = {item[0].get<std::uint32_t>(),
+          ToInt(item[1]),
+          ToInt(item[2]),
+          ToInt64(item[3]),
+          ToInt64(item[4]),
+          ToInt64(item[5]),
+          ToInt64(item[6])};
   return true;
 }
 
-bool ReadChanges(const json& value, std::vector<catalog_change>* out) {
-  if (!IsList(value))
+bool ReadChange(const json& item, catalog_change* out) {
+  if (!HasFields(item, "si*") || (!item[2].is_string() && !item[2].is_null()))
     return false;
-  for (const json& item : value) {
-    if (!item.is_array() || item.size() != 3 || !item[0].is_string() ||
-        !IsInteger(item[1]) || (!item[2].is_string() && !item[2].is_null()))
-      return false;
-    catalog_change change;
-    change.id = item[0].get<std::string>();
-    change.revision = item[1].get<std::int64_t>();
-    if (item[2].is_string())
-      change.document = item[2].get<std::string>();
-    out->push_back(std::move(change));
-  }
+  out->id = item[0].get<std::string>();
+  out->revision = ToInt64(item[1]);
+  if (item[2].is_string())
+    out->document = item[2].get<std::string>();
   return true;
 }
 
 bool ReadNumbers(const json& value, std::vector<std::uint64_t>* out) {
-  if (!IsList(value))
+  if (!value.is_array() || value.size() > kMaxListItems)
     return false;
   for (const json& item : value) {
     if (!item.is_number_unsigned())
@@ -131,70 +156,125 @@
   return true;
 }
 
-bool ReadCrashes(const json& value, std::vector<crash_report>* out) {
-  if (!IsList(value))
+bool ReadCrash(const json& item, crash_report* out) {
+  if (!HasFields(item, "uia"))
     return false;
-  for (const json& item : value) {
-    if (!item.is_array() || item.size() != 3 || !item[0].is_number_unsigned() ||
-        !IsInteger(item[1]) || !IsList(item[2]))
+  out->upstream = item[0].get<std::uint32_t>();
+  out->age_ms = ToInt64(item[1]);
+  for (const json& entry : item[2]) {
+    crash_suspect suspect;
+    if (!HasFields(entry, "ua") ||
+        !ReadNumbers(entry[1], &suspect.shared_parts))
       return false;
-    crash_report report;
-    report.upstream = item[0].get<std::uint32_t>();
-    report.age_ms = item[1].get<std::int64_t>();
-    for (const json& entry : item[2]) {
-      crash_suspect suspect;
-      if (!entry.is_array() || entry.size() != 2 ||
-          !entry[0].is_number_unsigned() ||
-          !ReadNumbers(entry[1], &suspect.shared_parts))
-        return false;
-      suspect.fingerprint = entry[0].get<std::uint64_t>();
-      report.suspects.push_back(std::move(suspect));
-    }
-    out->push_back(std::move(report));
+    suspect.fingerprint = entry[0].get<std::uint64_t>();
+    out->suspects.push_back(std::move(suspect));
   }
   return true;
 }
 
-bool ReadQuarantines(const json& value, std::vector<quarantine_report>* out) {
-  if (!IsList(value))
+bool ReadQuarantine(const json& item, quarantine_report* out) {
+  if (!HasFields(item, "aiii") || !ReadNumbers(item[0], &out->parts))
     return false;
-  for (const json& item : value) {
-    quarantine_report report;
-    if (!item.is_array() || item.size() != 4 ||
-        !ReadNumbers(item[0], &report.parts) || !IsInteger(item[1]) ||
-        !IsInteger(item[2]) || !IsInteger(item[3]))
-      return false;
-    report.crashes = item[1].get<std::int64_t>();
-    report.first_crash_age_ms = item[2].get<std::int64_t>();
-    report.last_crash_age_ms = item[3].get<std::int64_t>();
-    out->push_back(std::move(report));
-  }
+  out->crashes = ToInt64(item[1]);
+  out->first_crash_age_ms = ToInt64(item[2]);
+  out->last_crash_age_ms = ToInt64(item[3]);
   return true;
 }
 
-bool ReadSoundParts(const json& value, std::vector<sound_part_report>* out) {
-  if (!IsList(value))
+bool ReadSoundPart(const json& item, sound_part_report* out) {
+  if (!HasFields(item, "ui"))
     return false;
-  for (const json& item : value) {
-    if (!item.is_array() || item.size() != 2 || !item[0].is_number_unsigned() ||
-        !IsInteger(item[1]))
-      return false;
-    out->push_back({item[0].get<std::uint64_t>(), item[1].get<std::int64_t>()});
-  }
+  *out = {item[0].get<std::uint64_t>(), ToInt64(item[1])};
   return true;
 }
 
-bool ReadLimits(const json& value, std::vector<limit_report>* out) {
-  if (!IsList(value))
+bool ReadLimit(const json& item, limit_report* out) {
+  if (!HasFields(item, "uii"))
     return false;
+  *out = {item[0].get<std::uint32_t>(), ToInt64(item[1]), ToInt64(item[2])};
+  return true;
+}
+
+// Reads what is readable of a list. @return the number of items left out, or 1
+// if there is no such list.
+template <typename Item>
+int ReadList(const json& value,
+             bool (*read)(const json&, Item*),
+             std::vector<Item>* out) {
+  if (!value.is_array() || value.size() > kMaxListItems)
+    return 1;
+  int left_out = 0;
   for (const json& item : value) {
-    if (!item.is_array() || item.size() != 3 || !item[0].is_number_unsigned() ||
-        !IsInteger(item[1]) || !IsInteger(item[2]))
-      return false;
-    out->push_back({item[0].get<std::uint32_t>(), item[1].get<std::int64_t>(),
-                    item[2].get<std::int64_t>()});
+    Item next;
+    if (read(item, &next))
+      out->push_back(std::move(next));
+    else
+      ++left_out;
   }
-  return true;
+  return left_out;
+}
+
+// @return 1 if the field cannot be read, which leaves `out` unchanged.
+int ReadNumber(const json& value, std::int64_t* out) {
+  if (!IsInteger(value))
+    return 1;
+  *out = ToInt64(value);
+  return 0;
+}
+
+int ReadText(const json& value, std::string* out) {
+  if (!value.is_string())
+    return 1;
+  *out = value.get<std::string>();
+  return 0;
+}
+
+// Reads the changes of upstreams. If one is unreadable, the others do not
+// complete the sender's position either.
+int ReadChanges(const json& after, const json& list, gossip_message* out) {
+  int unreadable = ReadNumber(after, &out->changes_after);
+  unreadable += ReadList(list, ReadChange, &out->changes);
+  if (unreadable > 0) {
+    out->changes_after = -1;
+    out->changes.clear();
+  }
+  return unreadable;
+}
+
+// Reads the fields that follow those of the base format.
+int ReadExtendedFields(const json& value, gossip_message* out) {
+  int unreadable = 0;
+  std::size_t next = kBaseMessageFields;
+  if (next < value.size()) {
+    std::int64_t newest = out->sender_format;
+    unreadable += ReadNumber(value[next++], &newest);
+    out->sender_format = std::max(
+        out->sender_format, static_cast<int>(std::min<std::int64_t>(
+                                newest, std::numeric_limits<int>::max())));
+  }
+  if (next < value.size())
+    unreadable += ReadNumber(value[next++], &out->order);
+  if (next < value.size()) {
+    const json& relayed = value[next++];
+    if (relayed.is_binary())
+      out->relayed.assign(relayed.get_binary().begin(),
+                          relayed.get_binary().end());
+    else
+      ++unreadable;
+  }
+  return unreadable;
+}
+
+// Reads the announcement from the target of a message of the base format.
+int TakeAnnouncedFormat(std::string* target) {
+  const std::string_view text = *target;
+  if (text.substr(0, kFormatAnnouncement.size()) != kFormatAnnouncement)
+    return kBaseGossipFormat;
+  int announced = kBaseGossipFormat;
+  std::from_chars(text.data() + kFormatAnnouncement.size(),
+                  text.data() + text.size(), announced);
+  target->clear();
+  return std::max(announced, kBaseGossipFormat);
 }
 
 json CrashToJson(const crash_report& report) {
@@ -205,22 +285,12 @@
   return json::array({report.upstream, report.age_ms, std::move(suspects)});
 }
 
-bool HasValidHeader(const json& value) {
-  return value.is_array() && value.size() == kMessageFields &&
-         value[0] == kFormatVersion && value[1].is_number_unsigned() &&
-         value[1].get<std::uint64_t>() <=
-             static_cast<std::uint64_t>(gossip_kind::kUpdate) &&
-         value[2].is_number_unsigned() && value[4].is_string() &&
-         value[5].is_string() && IsInteger(value[6]) && IsInteger(value[7]) &&
-         IsInteger(value[12]) && IsInteger(value[14]) && IsInteger(value[20]);
-}
-
 }  // namespace
 
-std::string EncodeGossip(const gossip_message& message) {
+std::string EncodeGossip(const gossip_message& message, int format) {
   json members = json::array();
   for (const member& item : message.members)
-    members.push_back(MemberToJson(item));
+    members.push_back(MemberToJson(item, format));
   json suspects = json::array();
   for (const suspect_report& item : message.suspects)
     suspects.push_back(json::array(
@@ -256,27 +326,37 @@
     changes.push_back(
         json::array({item.id, item.revision,
                      item.document ? json(*item.document) : json(nullptr)}));
-  const json encoded = json::array({kFormatVersion,
-                                    static_cast<int>(message.kind),
-                                    message.sequence,
-                                    MemberToJson(message.sender),
-                                    message.target,
-                                    message.target_address,
-                                    message.config_number,
-                                    message.confirmed_age_ms,
-                                    std::move(members),
-                                    std::move(suspects),
-                                    std::move(in_flight),
-                                    std::move(leaving),
-                                    message.catalog_position.revision,
-                                    std::move(loads),
-                                    message.changes_after,
-                                    std::move(changes),
-                                    std::move(crashes),
-                                    std::move(quarantines),
-                                    std::move(sound_parts),
-                                    std::move(limits),
-                                    message.catalog_position.era});
+  std::string target = message.target;
+  if (format == kBaseGossipFormat && message.kind != gossip_kind::kPingRequest)
+    target = std::string(kFormatAnnouncement) +
+             std::to_string(message.sender_format);
+  json encoded = json::array({format,
+                              static_cast<int>(message.kind),
+                              message.sequence,
+                              MemberToJson(message.sender, format),
+                              std::move(target),
+                              message.target_address,
+                              message.config_number,
+                              message.confirmed_age_ms,
+                              std::move(members),
+                              std::move(suspects),
+                              std::move(in_flight),
+                              std::move(leaving),
+                              message.catalog_position.revision,
+                              std::move(loads),
+                              message.changes_after,
+                              std::move(changes),
+                              std::move(crashes),
+                              std::move(quarantines),
+                              std::move(sound_parts),
+                              std::move(limits),
+                              message.catalog_position.era});
+  if (format > kBaseGossipFormat) {
+    encoded.push_back(message.sender_format);
+    encoded.push_back(message.order);
+    encoded.push_back(json::binary(std::vector<std::uint8_t>(
+        message.relayed.begin(), message.relayed.end())));
+  }
   std::string bytes;
   json::to_cbor(encoded, bytes);
   return bytes;
@@ -284,32 +364,48 @@
 
 result<gossip_message> DecodeGossip(std::string_view bytes) {
   const json value = ParseCbor(bytes);
-  result<gossip_message> malformed(error_kind::kBadRequest,
-                                   "malformed gossip message");
-  if (!HasValidHeader(value))
-    return malformed;
   gossip_message message;
-  message.kind = static_cast<gossip_kind>(value[1].get<int>());
-  message.sequence = value[2].get<std::uint32_t>();
-  message.target = value[4].get<std::string>();
-  message.target_address = value[5].get<std::string>();
-  message.config_number = value[6].get<std::int64_t>();
-  message.confirmed_age_ms = value[7].get<std::int64_t>();
-  message.catalog_position = {value[20].get<std::int64_t>(),
-                              value[12].get<std::int64_t>()};
-  message.changes_after = value[14].get<std::int64_t>();
-  if (!ReadMember(value[3], &message.sender) ||
-      !ReadMembers(value[8], &message.members) ||
-      !ReadSuspects(value[9], &message.suspects) ||
-      !ReadPairs(value[10], &message.in_flight) ||
-      !ReadPairs(value[11], &message.leaving) ||
-      !ReadLoads(value[13], &message.loads) ||
-      !ReadChanges(value[15], &message.changes) ||
-      !ReadCrashes(value[16], &message.crashes) ||
-      !ReadQuarantines(value[17], &message.quarantines) ||
-      !ReadSoundParts(value[18], &message.sound_parts) ||
-      !ReadLimits(value[19], &message.limits))
-    return malformed;
+  if (!value.is_array() || value.size() < kBaseMessageFields ||
+      !IsInteger(value[0]) || ToInt(value[0]) < kBaseGossipFormat ||
+      !ReadMember(value[3], &message.sender))
+    return {error_kind::kBadRequest, "malformed gossip message"};
+  int unreadable = 0;
+  // A kind of a later format may ask for something, but tells the same.
+  message.kind = gossip_kind::kUpdate;
+  if (value[1].is_number_unsigned() &&
+      value[1].get<std::uint64_t>() <=
+          static_cast<std::uint64_t>(gossip_kind::kUpdate))
+    message.kind = static_cast<gossip_kind>(value[1].get<int>());
+  else
+    ++unreadable;
+  if (value[2].is_number_unsigned())
+    message.sequence = value[2].get<std::uint32_t>();
+  else
+    ++unreadable;
+  unreadable += ReadText(value[4], &message.target);
+  unreadable += ReadText(value[5], &message.target_address);
+  unreadable += ReadNumber(value[6], &message.config_number);
+  unreadable += ReadNumber(value[7], &message.confirmed_age_ms);
+  unreadable += ReadList(value[8], ReadMember, &message.members);
+  unreadable += ReadList(value[9], ReadSuspect, &message.suspects);
+  unreadable += ReadList(value[10], ReadPair, &message.in_flight);
+  unreadable += ReadList(value[11], ReadPair, &message.leaving);
+  unreadable += ReadNumber(value[12], &message.catalog_position.revision);
+  unreadable += ReadList(value[13], ReadLoad, &message.loads);
+  unreadable += ReadChanges(value[14], value[15], &message);
+  unreadable += ReadList(value[16], ReadCrash, &message.crashes);
+  unreadable += ReadList(value[17], ReadQuarantine, &message.quarantines);
+  unreadable += ReadList(value[18], ReadSoundPart, &message.sound_parts);
+  unreadable += ReadList(value[19], ReadLimit, &message.limits);
+  unreadable += ReadNumber(value[20], &message.catalog_position.era);
+  if (!IsInteger(value[12]) || !IsInteger(value[20]))
+    message.catalog_position = {};
+  message.sender_format = std::max(ToInt(value[0]), kBaseGossipFormat);
+  if (message.sender_format > kBaseGossipFormat)
+    unreadable += ReadExtendedFields(value, &message);
+  else if (message.kind != gossip_kind::kPingRequest)
+    message.sender_format = TakeAnnouncedFormat(&message.target);
+  message.unreadable_fields = unreadable;
   return message;
 }
 
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -93,9 +93,19 @@
   }
   const auto it = members_.find(update.name);
   if (it != members_.end()) {
-    if (!Supersedes(update, it->second.known))
+    member& known = it->second.known;
+    const bool same_process = update.incarnation == known.incarnation;
+    if (!Supersedes(update, known)) {
+      // Instances that know only the base format do not pass extensions on.
+      if (same_process && known.extensions.empty())
+        known.extensions = update.extensions;
       return false;
+    }
+    std::string extensions = update.extensions;
+    if (same_process && extensions.empty())
+      extensions = known.extensions;
     it->second = {update, now};
+    it->second.known.extensions = std::move(extensions);
   } else {
     if (!IsLive(update.state))
       return false;
@@ -299,6 +309,24 @@
   return live;
 }
 
+std::vector<const member*> member_table::LivePeers() const {
+  std::vector<const member*> live;
+  live.reserve(members_.size());
+  for (const auto& [name, entry] : members_) {
+    if (IsLive(entry.known.state))
+      live.push_back(&entry.known);
+  }
+  return live;
+}
+
+std::size_t member_table::LiveCount() const {
+  const auto peers = std::count_if(
+      members_.begin(), members_.end(),
+      [](const auto& entry) { return IsLive(entry.second.known.state); });
+  return static_cast<std::size_t>(peers) +
+         (self_.state == member_state::kAlive ? 1 : 0);
+}
+
 std::vector<member> member_table::Live() const {
   std::vector<member> live;
   if (self_.state == member_state::kAlive)
--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -205,7 +205,7 @@
   for (const auto& item : *upstreams) {
     // Reject the whole list: applying only part of it would remove the other
     // upstreams.
-    if (!item.is_array() || item.size() != 3 || !item[0].is_string() ||
+    if (!item.is_array() || item.size() < 3 || !item[0].is_string() ||
         !item[1].is_string() || !item[2].is_number_integer()) {
       Log(log_level::kWarning, "catalog_pull_malformed", {{"peer", peer}});
       return;
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -224,8 +224,8 @@
 bool catalog_service::IsWatcher() const {
   const std::uint64_t own = Hash64(runtime_.settings.instance);
   std::size_t before = 0;
-  for (const member& peer : membership_->Live()) {
-    if (peer.state == member_state::kAlive && Hash64(peer.name) < own)
+  for (const member* peer : membership_->LivePeers()) {
+    if (peer->state == member_state::kAlive && Hash64(peer->name) < own)
       ++before;
   }
   return before < kWatcherCount;
--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -17,12 +17,6 @@
 // report their loads again within the next refresh period.
 constexpr milliseconds kPeerLoadsUnknownPeriod =
     kRefreshPeriod + milliseconds(1'000);
-// Load changes caused by long prompts are reported at once; others are batched.
-constexpr milliseconds kUrgentBroadcastDelay{1};
-constexpr milliseconds kBroadcastDelay{60};
-// Added to the batching delay for each live instance, so that the rate of
-// messages received by one instance does not grow with the fleet.
-constexpr milliseconds kBroadcastDelayPerPeer{2};
 // Most upstream loads in one datagram.
 constexpr std::size_t kMaxLoadsPerMessage = 100;
 // Most request limits in one datagram: an upstream in need is an exception.
@@ -49,7 +43,7 @@
           LogLimit(expired, "expiry", now);
         ExpireAnnouncements(now);
         if (tracker_.own_requests() > 0)
-          OnLoadChanged(false);
+          OnLoadChanged(report_urgency::kLater);
       });
 }
 
@@ -150,7 +144,7 @@
     return;
   UpdateLimitHolders(now);
   LogLimit(upstream.process_key, "own", now);
-  OnLoadChanged(true);
+  OnLoadChanged(report_urgency::kAtOnce);
 }
 
 void fleet_service::RecordLeaving(const fleet_upstream& upstream) {
@@ -240,16 +234,13 @@
   return now - started_at_ < kPeerLoadsUnknownPeriod;
 }
 
-void fleet_service::OnLoadChanged(bool urgent) {
+void fleet_service::OnLoadChanged(report_urgency urgency) {
   load_changed_ = true;
-  const auto delay =
-      kBroadcastDelay +
-      kBroadcastDelayPerPeer * static_cast<int>(membership_->LiveCount());
-  ScheduleBroadcast(urgent ? duration(kUrgentBroadcastDelay) : duration(delay));
+  pacer_.SetInstanceCount(membership_->LiveCount());
+  ScheduleBroadcast(pacer_.DueAt(urgency, clock::now()));
 }
 
-void fleet_service::ScheduleBroadcast(duration delay) {
-  const time_point at = clock::now() + delay;
+void fleet_service::ScheduleBroadcast(time_point at) {
   if (broadcast_at_ && *broadcast_at_ <= at)
     return;
   broadcast_at_ = at;
@@ -261,6 +252,7 @@
     if (!load_changed_)
       return;
     load_changed_ = false;
+    pacer_.RecordReport(clock::now());
     membership_->Broadcast();
   });
 }
@@ -289,7 +281,9 @@
   if (message.sender.state == member_state::kLeft) {
     tracker_.RemovePeer(message.sender.name);
   } else {
-    tracker_.SetPeerLoads(message.sender.name, message.loads, now);
+    tracker_.SetPeerLoads(message.sender.name,
+                          {message.sender.incarnation, message.order},
+                          message.loads, now);
   }
   for (const limit_report& report : message.limits) {
     if (!limits_.MergeReport(report, now))
--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -12,6 +12,7 @@
 
 #include "cactusward/engine_placement.h"
 #include "cactusward/load_tracker.h"
+#include "cactusward/report_pacer.h"
 #include "cactusward/suspects.h"
 #include "cactusward/upstream_announcements.h"
 #include "cactusward/upstream_catalog.h"
@@ -105,8 +106,7 @@
   bool PeerLoadsUnknown(time_point now) const;
 
   // Schedules a report of this instance's load to its peers.
-  // @param urgent the report is sent without the batching delay.
-  void OnLoadChanged(bool urgent);
+  void OnLoadChanged(report_urgency urgency);
   // Sets the listener that is called when upstream capacity may have become
   // available.
   void OnCapacityFreed(std::function<void()> listener) {
@@ -118,7 +118,7 @@
 
  private:
   void Rebuild();
-  void ScheduleBroadcast(duration delay);
+  void ScheduleBroadcast(time_point at);
   void NotifyCapacityFreed();
   void UpdateLimitHolders(time_point now);
   void ExpireAnnouncements(time_point now);
@@ -140,6 +140,7 @@
   std::unique_ptr<asio::steady_timer> broadcast_timer_;
   std::optional<time_point> broadcast_at_;
   bool load_changed_ = false;
+  report_pacer pacer_;
   std::unique_ptr<timer_subscription> refresh_timer_;
 };
 
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -9,7 +9,7 @@
 namespace {
 
 // Load changes within this time trigger one dispatch of the queued requests.
-constexpr milliseconds kDispatchBatchDelay{2};
+constexpr milliseconds kDispatchBatchDelay{10};
 // Queued requests are also dispatched periodically: peer load reports age and
 // engines make progress without any notification.
 constexpr milliseconds kDispatchPeriod{40};
@@ -53,7 +53,8 @@
   tracker.End(primary.tracking_id);
   for (const target& helper : helpers)
     tracker.End(helper.tracking_id);
-  fleet_->OnLoadChanged(urgent_);
+  fleet_->OnLoadChanged(urgent_ ? report_urgency::kSoon
+                                : report_urgency::kLater);
 }
 
 bool relay_assignment::TargetsAcceptRequests() const {
@@ -73,7 +74,9 @@
   tracker.EndPrefill(primary.tracking_id);
   for (const target& helper : helpers)
     tracker.EndPrefill(helper.tracking_id);
-  fleet_->OnLoadChanged(urgent_);
+  // Peers deduct a short prefill by the age of their report.
+  if (urgent_)
+    fleet_->OnLoadChanged(report_urgency::kSoon);
 }
 
 void relay_dispatcher::Start() {
@@ -118,7 +121,7 @@
     const placement_demand& demand,
     time_point now) {
   const auto& upstreams = fleet_->Upstreams(demand.service);
-  const auto loads = fleet_->tracker().Loads(now);
+  const auto& loads = fleet_->tracker().Loads(now);
   std::shared_ptr<fleet_upstream> best;
   double best_load = 0;
   const std::size_t offset =
@@ -146,7 +149,7 @@
   assignment->primary.upstream = best;
   assignment->primary.tracking_id = fleet_->tracker().Begin(entry);
   fleet_->SpendLimit(*best, now);
-  fleet_->OnLoadChanged(false);
+  fleet_->OnLoadChanged(report_urgency::kSoon);
   return assignment;
 }
 
@@ -155,7 +158,7 @@
     const engine_parameters& engine,
     time_point now) {
   const auto& upstreams = fleet_->Upstreams(demand.service);
-  const auto loads = fleet_->tracker().Loads(now);
+  const auto& loads = fleet_->tracker().Loads(now);
   placement_settings settings = PlacementSettings(demand.service);
   settings.peers_unknown = fleet_->PeerLoadsUnknown(now);
   std::vector<engine_view> engines;
@@ -210,7 +213,8 @@
                          helper_kv_tokens > 0 ? entry.kv_tokens : 0,
                          fleet_->tracker().Begin(entry)};
   fleet_->SpendLimit(*upstreams[placement->engine], now);
-  fleet_->OnLoadChanged(!interactive);
+  fleet_->OnLoadChanged(interactive ? report_urgency::kSoon
+                                    : report_urgency::kAtOnce);
   return assignment;
 }
 
@@ -320,7 +324,7 @@
   if (now - not_placed_logged_at_ < kNotPlacedLogInterval)
     return;
   not_placed_logged_at_ = now;
-  const auto loads = fleet_->tracker().Loads(now);
+  const auto& loads = fleet_->tracker().Loads(now);
   std::map<std::string_view, int> uses;
   auto described = nlohmann::json::array();
   for (const auto& upstream : fleet_->Upstreams(demand.service)) {
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -7,8 +7,6 @@
 namespace cactusward {
 namespace {
 
-// A caller that accepts no bytes for this long has disconnected.
-constexpr milliseconds kResponseWriteTimeout{5'000};
 // Bytes of a stream that bring no new event: a partial event, comments,
 // repeated events.
 constexpr std::size_t kMaxBytesWithoutEvent = 1024ULL * 1024;
@@ -345,8 +343,7 @@
   if (stream.status() / 100 == 2 && !stream.EndsWithConnection())
     RecordSurvival(*exchange.assignment);
   record_.first_token = clock::now() - started_at_;
-  exchange_.RespondWith(std::move(response),
-                        clock::now() + kResponseWriteTimeout, yield);
+  exchange_.RespondWith(std::move(response), WriteDeadline(), yield);
   return attempt{attempt_result::kCompleted, {}, false, std::nullopt};
 }
 
@@ -379,7 +376,7 @@
     // A crash may end a response without a length like a complete one.
     if (exchange.first_event_seen && !stream.EndsWithConnection())
       RecordSurvival(*exchange.assignment);
-    exchange_.EndStream(clock::now() + kResponseWriteTimeout, yield);
+    exchange_.EndStream(WriteDeadline(), yield);
     return attempt{attempt_result::kCompleted, {}, false, std::nullopt};
   }
   if (!stream_started_) {
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -179,6 +179,12 @@
       << "cactusward_tunnelled_connections " << paths_.tunnelled_connections()
       << '\n'
       << "cactusward_carried_tunnels " << paths_.carried_tunnels() << '\n'
+      << "cactusward_peers_of_older_format " << membership_.older_peers()
+      << '\n'
+      << "cactusward_relayed_messages " << membership_.relayed_messages()
+      << '\n'
+      << "cactusward_unreadable_datagrams "
+      << membership_.unreadable_datagrams() << '\n'
       << "cactusward_idle_connections " << client_.idle_connections() << '\n'
       << "cactusward_connections_opened " << client_.connections_opened()
       << '\n';
--- a/src/relay/relay_gateway.h
+++ b/src/relay/relay_gateway.h
@@ -40,6 +40,8 @@
 
   void Handle(http_exchange& exchange, asio::yield_context yield) override;
   void OnPeerCall(const nlohmann::json& request, reply reply) override;
+  // The metrics in the Prometheus text format.
+  std::string MetricsText() const;
 
  private:
   // Serves readiness checks and metrics.
@@ -53,7 +55,6 @@
   };
 
   void ApplyLimits();
-  std::string MetricsText() const;
 
   asio::io_context& io_;
   instance_settings* settings_;
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -16,8 +16,9 @@
 // longest one seen on the route. A shorter deadline means that an earlier
 // attempt has used up part of it.
 constexpr double kFirstAttemptDeadlineShare = 0.85;
-// A caller that accepts no bytes for this long has disconnected.
-constexpr milliseconds kResponseWriteTimeout{5'000};
+// The least time that a response may take to be written. A caller may read
+// slowly until its deadline; after that it has gone.
+constexpr milliseconds kMinWriteTime{5'000};
 // The response must be sent before the caller's deadline, not at it.
 constexpr milliseconds kDeadlineMargin{20};
 // Share of a request's time that it may spend in the queue. The rest is left to
@@ -168,6 +169,10 @@
   return fields;
 }
 
+time_point relay_request::WriteDeadline() const {
+  return std::max(clock::now() + kMinWriteTime, caller_deadline_);
+}
+
 void relay_request::Cancel() {
   cancel_.Cancel();
   for (const auto& open : open_)
@@ -561,8 +566,7 @@
   response.result(static_cast<unsigned>(ErrorResponseFor(kind).http_status));
   response.set(http::field::content_type, "application/json");
   response.body() = ErrorBody(kind, {});
-  exchange_.RespondWith(std::move(response),
-                        clock::now() + kResponseWriteTimeout, yield);
+  exchange_.RespondWith(std::move(response), WriteDeadline(), yield);
 }
 
 void relay_request::RespondCancelled(asio::yield_context yield) {
@@ -608,8 +612,7 @@
   }
   if (last.end == attempt_result::kFailed && last.response) {
     record_.kind = error_kind::kUpstreamFailed;
-    exchange_.RespondWith(*last.response, clock::now() + kResponseWriteTimeout,
-                          yield);
+    exchange_.RespondWith(*last.response, WriteDeadline(), yield);
     return;
   }
   // No upstream ran the request, and none will.
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -84,6 +84,8 @@
   // How long the request would run.
   // @param assignment null: none yet; it is not the load that delays it.
   run_prediction PredictRun(const relay_assignment* assignment) const;
+  // Until when a response may be written to the caller.
+  time_point WriteDeadline() const;
   // Whether the instance still runs when such a request ends.
   bool CanComplete(const run_prediction& predicted) const;
   void RunAttempts(asio::yield_context yield);
--- a/src/request/call_run.cc
+++ b/src/request/call_run.cc
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::string_view kIdempotencyHeader = "Idempotency-Key";
-constexpr milliseconds kResponseWriteTimeout{10'000};
 constexpr std::size_t kMaxAnswerBytes = 4ULL * 1024 * 1024;
 
 }  // namespace
@@ -107,8 +106,7 @@
   if (attempts_.caller_gone())
     return;
   context_.exchange().Respond(response_.status, response_.content_type,
-                              response_.body,
-                              clock::now() + kResponseWriteTimeout, yield);
+                              response_.body, context_.WriteDeadline(), yield);
 }
 
 }  // namespace cactusward
--- a/src/request/completion_run.cc
+++ b/src/request/completion_run.cc
@@ -6,7 +6,6 @@
 namespace cactusward {
 namespace {
 
-constexpr milliseconds kResponseWriteTimeout{10'000};
 // How long to wait for the end of the response body after the end marker. After
 // that the connection is not reused.
 constexpr milliseconds kBodyEndTimeout{50};
@@ -236,7 +235,7 @@
 
 void completion_request::Finish(asio::yield_context yield) {
   http_exchange& exchange = context_.exchange();
-  const time_point deadline = clock::now() + kResponseWriteTimeout;
+  const time_point deadline = context_.WriteDeadline();
   access_record& record = context_.record();
   record.output_tokens = tokens_;
   const length_class& length_class = context_.config().classes[class_index_];
@@ -270,7 +269,7 @@
   context_.record().output_tokens = tokens_;
   http_exchange& exchange = context_.exchange();
   if (exchange.streaming() && !attempts_.caller_gone()) {
-    const time_point until = clock::now() + kResponseWriteTimeout;
+    const time_point until = context_.WriteDeadline();
     const std::string event =
         "data: " + ErrorBody(kind, outcome.detail) + "\n\n";
     if (exchange.WriteChunk(event, until, yield))
--- a/src/request/request_attempts.cc
+++ b/src/request/request_attempts.cc
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::string_view kIdempotencyHeader = "Idempotency-Key";
-constexpr milliseconds kResponseWriteTimeout{10'000};
 constexpr milliseconds kRetryDelay{20};
 constexpr int kServiceUnavailable = 503;
 
@@ -70,7 +69,7 @@
     return {error_kind::kOutcomeUnknown, "finished; its answer was not kept"};
   exchange.SetHeader("Idempotent-Replayed", "true");
   exchange.Respond(found->status, found->content_type, found->body,
-                   clock::now() + kResponseWriteTimeout, yield);
+                   context_.WriteDeadline(), yield);
   return false;
 }
 
--- a/src/request/request_context.h
+++ b/src/request/request_context.h
@@ -3,6 +3,7 @@
 #ifndef CACTUSWARD_SRC_REQUEST_REQUEST_CONTEXT_H_
 #define CACTUSWARD_SRC_REQUEST_REQUEST_CONTEXT_H_
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -69,6 +70,12 @@
   const organisation& caller() const { return *organisation_; }
   const std::string& request_id() const { return record_.request_id; }
   time_point deadline() const { return deadline_; }
+  // Until when a response may be written: a caller may read slowly until its
+  // deadline.
+  time_point WriteDeadline() const {
+    constexpr milliseconds kMinWriteTime{10'000};
+    return std::max(clock::now() + kMinWriteTime, deadline_);
+  }
   time_point started_at() const { return started_at_; }
   std::uint64_t fingerprint() const { return fingerprint_; }
   http_exchange& exchange() { return exchange_; }
--- a/src/services/membership_service.cc
+++ b/src/services/membership_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "src/kernel/boot_clock.h"
 #include "src/kernel/log.h"
 #include "src/services/config_service.h"
 #include "src/services/recovery_service.h"
@@ -19,6 +20,10 @@
 constexpr std::size_t kGossipFanOut = 4;
 // Datagrams that one instance can send in a burst without dropping any locally.
 constexpr std::size_t kMaxBroadcast = 128;
+// The first format in which an instance passes messages on.
+constexpr int kRelayGossipFormat = 8;
+// A standstill that makes what was received meanwhile too old to pass on.
+constexpr milliseconds kMaxRelayDelay{250};
 // More than the rounds that an update takes to reach 1,000 instances, to
 // compensate for lost datagrams.
 constexpr int kSendsPerSuspectReport = 12;
@@ -27,6 +32,8 @@
 constexpr std::size_t kMaxInFlightPerMessage = 32;
 // Older reports of a peer's requests in flight are dropped as outdated.
 constexpr milliseconds kPeerLoadTtl{4'000};
+// Interval of log lines about datagrams that cannot be read, or only in part.
+constexpr milliseconds kUnreadableLogInterval{10'000};
 
 membership_settings Settings() {
   membership_settings settings;
@@ -40,7 +47,8 @@
           member_state::kAlive,
           runtime.settings.listen,
           runtime.settings.peer_advertise,
-          runtime.settings.availability_zone};
+          runtime.settings.availability_zone,
+          {}};
 }
 
 }  // namespace
@@ -50,7 +58,8 @@
       table_(Self(runtime), Settings(), runtime.random()),
       socket_(runtime.io,
               runtime.settings.peer_secret,
-              [this](std::string_view bytes) { Receive(bytes); }) {}
+              [this](std::string_view bytes) { Receive(bytes); }),
+      standstill_(kTickPeriod, kMaxRelayDelay, clock::now()) {}
 
 bool membership_service::Listen() {
   return socket_.Listen(runtime_.settings.peer_listen);
@@ -69,12 +78,13 @@
 }
 
 void membership_service::Tick(time_point now) {
+  standstill_.Tick(now, BootTime());
   Send(table_.Tick(now));
   UpdateLiveCount();
 }
 
 void membership_service::UpdateLiveCount() {
-  const std::size_t count = table_.Live().size();
+  const std::size_t count = table_.LiveCount();
   if (count == live_count_)
     return;
   Log(log_level::kInfo, "members_changed",
@@ -82,8 +92,23 @@
   live_count_ = count;
 }
 
+void membership_service::UpdatePeerFormats() {
+  const auto live = table_.LivePeers();
+  formats_.Retain(live);
+  const std::size_t older = formats_.CountOlder(live);
+  if (older == older_peers_)
+    return;
+  Log(log_level::kInfo, "peers_of_older_format",
+      {{"before", older_peers_},
+       {"now", older},
+       {"members", live.size()},
+       {"own_format", kGossipFormat}});
+  older_peers_ = older;
+}
+
 void membership_service::ContactMissingPeers(time_point now) {
   UpdatePeerBacklog(now);
+  UpdatePeerFormats();
   std::vector<std::string> candidates = runtime_.settings.seed_peers;
   candidates.insert(candidates.end(), listed_peers_.begin(),
                     listed_peers_.end());
@@ -108,6 +133,7 @@
 
 void membership_service::FillMessage(gossip_message* message) {
   const time_point now = clock::now();
+  message->order = ++last_order_;
   if (config_) {
     message->config_number = config_->tracker().Number();
     message->confirmed_age_ms = config_->ConfirmedAgeMs(now);
@@ -138,7 +164,12 @@
 void membership_service::Send(std::vector<outbound_message> messages) {
   for (outbound_message& outbound : messages) {
     FillMessage(&outbound.message);
-    socket_.Send(outbound.peer_address, EncodeGossip(outbound.message));
+    // The probe of its target has failed.
+    if (outbound.message.kind == gossip_kind::kPingRequest)
+      formats_.Forget(outbound.message.target_address);
+    socket_.Send(outbound.peer_address,
+                 EncodeGossip(outbound.message,
+                              formats_.FormatFor(outbound.peer_address)));
   }
 }
 
@@ -151,12 +182,49 @@
 }
 
 void membership_service::Broadcast() {
-  // Encoded once, as the message is the same for all peers.
   gossip_message message = table_.BuildMessage(gossip_kind::kUpdate);
   FillMessage(&message);
-  const std::string bytes = EncodeGossip(message);
-  for (const member& peer : table_.RandomPeers(kMaxBroadcast))
-    socket_.Send(peer.peer_address, bytes);
+  const auto can_relay = [this](const member& peer) {
+    return formats_.FormatFor(peer.peer_address) >= kRelayGossipFormat;
+  };
+  const broadcast_plan plan =
+      PlanBroadcast(table_.LivePeers(), runtime_.settings.availability_zone,
+                    can_relay, kMaxBroadcast, runtime_.random);
+  SendToAll(plan.direct, message, EncodeGossip(message));
+  if (plan.relays.empty())
+    return;
+  gossip_message request;
+  request.kind = gossip_kind::kUpdate;
+  request.sender = message.sender;
+  request.relayed = EncodeGossip(message);
+  SendToAll(plan.relays, request, EncodeGossip(request));
+}
+
+void membership_service::SendToAll(const std::vector<const member*>& peers,
+                                   const gossip_message& message,
+                                   std::string_view encoded) {
+  std::vector<const std::string*> newest;
+  std::vector<const std::string*> base;
+  for (const member* peer : peers) {
+    const bool reads_newest =
+        formats_.FormatFor(peer->peer_address) == kGossipFormat;
+    (reads_newest ? newest : base).push_back(&peer->peer_address);
+  }
+  socket_.SendToAll(newest, encoded);
+  if (!base.empty())
+    socket_.SendToAll(base, EncodeGossip(message, kBaseGossipFormat));
+}
+
+void membership_service::Relay(const gossip_message& message,
+                               std::string_view encoded) {
+  std::vector<const member*> peers;
+  for (const member* peer : table_.LivePeers()) {
+    if (peer->availability_zone == runtime_.settings.availability_zone &&
+        peer->name != message.sender.name)
+      peers.push_back(peer);
+  }
+  ++relayed_messages_;
+  SendToAll(peers, message, encoded);
 }
 
 void membership_service::PushSuspects(
@@ -175,13 +243,32 @@
 
 void membership_service::Receive(std::string_view bytes) {
   const auto message = DecodeGossip(bytes);
+  const time_point now = clock::now();
+  if (!message || message->unreadable_fields > 0)
+    RecordUnreadable(message ? message->unreadable_fields : -1, now);
   if (!message) {
     socket_.CountMalformed();
     return;
   }
-  const time_point now = clock::now();
-  Send(table_.Receive(*message, now));
+  if (message->relayed.empty())
+    return Handle(*message, now);
+  const auto relayed = DecodeGossip(message->relayed);
+  if (!relayed)
+    return RecordUnreadable(-1, now);
+  // After a standstill the message may be old, and its readers could not tell.
+  if (!standstill_.Recently(now, BootTime()))
+    Relay(*relayed, message->relayed);
+  Handle(*relayed, now);
+}
+
+void membership_service::Handle(const gossip_message& received,
+                                time_point now) {
+  const gossip_message* const message = &received;
   const member& sender = message->sender;
+  const bool replaced = formats_.OnReceived(*message, table_);
+  if (replaced && message->kind == gossip_kind::kPing)
+    table_.Suspect(sender.name, now);
+  Send(table_.Receive(*message, now));
   if (sender.name == runtime_.settings.instance)
     return;
   for (gossip_extension* extension : extensions_)
@@ -191,7 +278,10 @@
                             message->confirmed_age_ms);
   if (directory_ && directory_->RecordLeaving(message->leaving))
     PushUpdates();
-  peer_loads_[sender.name] = {message->in_flight, now};
+  const report_order order{sender.incarnation, message->order};
+  peer_load& load = peer_loads_[sender.name];
+  if (!order.IsBefore(load.order))
+    load = {message->in_flight, now, order};
   if (!recovery_)
     return;
   std::vector<suspect_report> new_reports;
@@ -202,6 +292,18 @@
   PushSuspects(new_reports);
 }
 
+void membership_service::RecordUnreadable(int fields, time_point now) {
+  ++unreadable_datagrams_;
+  if (unreadable_logged_at_ &&
+      now - *unreadable_logged_at_ < kUnreadableLogInterval)
+    return;
+  unreadable_logged_at_ = now;
+  Log(log_level::kWarning, "datagram_unreadable",
+      {{"from", socket_.LastSender()},
+       {"left_out_fields", fields},
+       {"datagrams", unreadable_datagrams_}});
+}
+
 void membership_service::UpdatePeerBacklog(time_point now) {
   std::unordered_map<std::uint32_t, std::int64_t> tokens;
   for (auto it = peer_loads_.begin(); it != peer_loads_.end();) {
--- a/src/services/membership_service.h
+++ b/src/services/membership_service.h
@@ -9,7 +9,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cactusward/broadcast_plan.h"
 #include "cactusward/membership.h"
+#include "cactusward/peer_formats.h"
+#include "cactusward/standstill.h"
 #include "src/daemon/names.h"
 #include "src/daemon/runtime.h"
 #include "src/edges/gossip_socket.h"
@@ -48,8 +51,9 @@
   }
   // Sends pending updates to a few random peers immediately.
   void PushUpdates();
-  // Sends pending updates to all live peers immediately, or to kMaxBroadcast
-  // random ones in a larger fleet.
+  // Sends pending updates to all live peers immediately: to those of the own
+  // availability zone directly, to each other zone through one of its
+  // instances.
   void Broadcast();
   // Queues reports of crashes blamed on requests, and pushes them to peers.
   void PushSuspects(const std::vector<suspect_report>& reports);
@@ -61,6 +65,8 @@
   }
 
   std::vector<member> Live() const { return table_.Live(); }
+  // Live instances other than this one, valid until the next message or tick.
+  std::vector<const member*> LivePeers() const { return table_.LivePeers(); }
   std::vector<member> All() const { return table_.All(); }
   std::size_t LiveCount() const { return live_count_; }
   bool HasPeers() const { return table_.HasPeers(); }
@@ -70,6 +76,12 @@
   // Whether the instance `name` is live with `incarnation` or a higher one.
   bool IsLive(const std::string& name, std::uint64_t incarnation) const;
   const gossip_socket::counters& traffic() const { return socket_.totals(); }
+  // Live members that read only gossip formats before this release's.
+  std::size_t older_peers() const { return older_peers_; }
+  // Messages of other availability zones that were passed on in the own one.
+  std::int64_t relayed_messages() const { return relayed_messages_; }
+  // Datagrams of which something could not be read.
+  std::int64_t unreadable_datagrams() const { return unreadable_datagrams_; }
 
  private:
   struct queued_suspect_report {
@@ -80,6 +92,7 @@
   struct peer_load {
     std::vector<in_flight_report> reports;
     time_point heard_at;
+    report_order order;
   };
 
   void Tick(time_point now);
@@ -87,12 +100,25 @@
   // merge after a network partition.
   void ContactMissingPeers(time_point now);
   void Receive(std::string_view bytes);
+  void Handle(const gossip_message& received, time_point now);
+  // Sends `message`, of which `encoded` is the newest format, to each of
+  // `peers` in a format that it reads.
+  void SendToAll(const std::vector<const member*>& peers,
+                 const gossip_message& message,
+                 std::string_view encoded);
+  // Passes a message of another availability zone on within the own one.
+  // Fields of later formats, which only `encoded` has, are passed on as well.
+  void Relay(const gossip_message& message, std::string_view encoded);
   void Send(std::vector<outbound_message> messages);
   void FillMessage(gossip_message* message);
   // Passes the prompt tokens that peers have in flight to the upstream
   // directory, and drops expired reports.
   void UpdatePeerBacklog(time_point now);
   void UpdateLiveCount();
+  void UpdatePeerFormats();
+  // Counts a datagram that cannot be read (`fields` is -1), or of which
+  // `fields` fields were left out, and logs it at a bounded rate.
+  void RecordUnreadable(int fields, time_point now);
 
   runtime& runtime_;
   member_table table_;
@@ -107,6 +133,13 @@
   std::unique_ptr<timer_subscription> tick_timer_;
   std::unique_ptr<timer_subscription> contact_timer_;
   std::size_t live_count_ = 1;
+  peer_formats formats_;
+  standstill standstill_;
+  std::int64_t last_order_ = 0;
+  std::int64_t relayed_messages_ = 0;
+  std::size_t older_peers_ = 0;
+  std::int64_t unreadable_datagrams_ = 0;
+  std::optional<time_point> unreadable_logged_at_;
 };
 
 }  // namespace cactusward
--- a/src/services/path_service.cc
+++ b/src/services/path_service.cc
@@ -369,7 +369,10 @@
   const auto end =
       peers_->Call(tunnel.peer_address, {{"op", kEndCall}, {"id", tunnel.id}},
                    std::min(deadline, clock::now() + kEndQueryTimeout), yield);
-  const bool ended = end && end->is_object() && end->value("ended", false);
+  const bool answered = end && end->is_object();
+  const auto found =
+      answered ? end->find("ended") : nlohmann::json::const_iterator();
+  const bool ended = answered && found != end->end() && *found == true;
   if (!ended)
     Log(log_level::kInfo, "tunnel_broke",
         {{"peer", tunnel.peer},
--- a/tests/scenarios/chaos.lua
+++ b/tests/scenarios/chaos.lua
@@ -35,6 +35,16 @@
   sent[#sent + 1] = entry
 end
 
+-- Edits whose answer is not known yet. An edit that conflicts with an earlier one
+-- is refused.
+local edits = {}
+local function take_edit(handle)
+  local response = finish(handle)
+  if response.status == 200 then
+    latest_revision = math.max(latest_revision, response.json.revision)
+  end
+end
+
 local pending = {}
 local function schedule(ms, action) pending[#pending + 1] = { now() + ms, action } end
 
@@ -91,11 +101,17 @@
   end,
   function()
     local i = f.instances[math.random(#f.instances)]
-    local response = f:put_config(fleet.config(function(c)
+    -- Not blocking: the instance may be stopped, and goes on only by an action
+    -- of this scenario.
+    local document = to_json(fleet.config(function(c)
       c.defaults.limits = { max_output_tokens = 1000 + math.random(1000) }
-    end), latest_revision, "chaos", i)
-    if response.status == 200 then latest_revision = response.json.revision end
-    return "edit " .. tostring(response.status)
+    end))
+    local request = fleet.post(i.address,
+      "/v1/admin/config?base=" .. latest_revision .. "&author=chaos", document,
+      { Authorization = "Bearer " .. fleet.operator_key })
+    request.method = "PUT"
+    edits[#edits + 1] = begin(request)
+    return "edit at " .. i.name
   end,
 }
 
@@ -109,6 +125,9 @@
     log[#log + 1] = string.format("%.0f ms %s", now() - started_at, description)
     next_fault = now() + math.random(200, 900)
   end
+  for i = #edits, 1, -1 do
+    if done(edits[i]) then take_edit(table.remove(edits, i)) end
+  end
   for i = #pending, 1, -1 do
     if now() >= pending[i][1] then
       local action = pending[i][2]
@@ -120,6 +139,7 @@
 end
 for _, p in ipairs(pending) do p[2]() end
 f:platform_fault{ down = false, slow_ms = 0, lose_answers = 0 }
+for _, handle in ipairs(edits) do take_edit(handle) end
 
 -- Checks of the responses and records.
 local complete, refused, failed, disconnected = 0, 0, 0, 0
@@ -132,7 +152,8 @@
       local matches = response.json and response.json.choices and
           response.json.choices[1].text == expected(entry.prompt, entry.tokens)
       if not matches then
-        check(false, "a wrong answer was given as whole by " .. entry.instance)
+        check(false, string.format("a wrong answer was given as whole by %s (%s tokens): %s",
+                                   entry.instance, entry.tokens, response.body))
       end
       complete = complete + 1
     elseif response.status == 200 then
--- a/tests/scenarios/platform_fleet.lua
+++ b/tests/scenarios/platform_fleet.lua
@@ -121,7 +121,7 @@
       source_address = instance.source_address,
       retry_ratio = 0.2, retry_extra = 200, retry_window_s = 10,
       max_reservation_ms = 20000 } })
-  instance.arguments = { "cactuswardd", "--settings=" .. instance.settings }
+  instance.arguments = { self.program, "--settings=" .. instance.settings }
   instance.refused_ports = work .. "/" .. instance.id .. "-refused.txt"
   write_file(instance.refused_ports, "")
   instance.environment = { LD_PRELOAD = bin .. "/librefused_connections.so",
@@ -150,8 +150,11 @@
   end)
 end
 
+-- Options: engines, plain, instances, crashing_parts, drain_limit_ms; program: the
+-- daemon that instances run, relative to the programs of the test.
 function fleet.start(options)
   local self = setmetatable({ runners = {}, instances = {},
+                              program = options.program or "cactuswardd",
                               crashing_parts = options.crashing_parts or {},
                               drain_limit_ms = options.drain_limit_ms or 8000 }, class)
   self.store = { id = "store", address = base.address() }
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -7,7 +7,9 @@
 --   "gap=N" longest time in ms between faults (300),
 --   "calm=N" length in ms of the time without a fault after faults (1000),
 --   "long_prompts=N" prompts of 45,000 tokens in 200 (7),
---   "long_streams=N" one request in N is a stream of some seconds (15).
+--   "long_streams=N" one request in N is a stream of some seconds (15),
+--   "other=PROGRAM" instances restart as this release of the daemon, relative to
+--   --bin (tools/other_release.sh), or as the current one.
 local fleet = require("platform_fleet")
 local function option(name, default)
   return tonumber(options:match(name .. "=(%d+)") or default)
@@ -46,6 +48,8 @@
 end
 
 local faults = require("soak_faults")(f)
+local other_program = options:match("other=(%S+)")
+faults.programs = other_program and { "cactuswardd", other_program }
 local pick_random, in_fault_span = faults.pick_random, faults.in_fault_span
 local kPause, kRestore, kCut = { pause = true }, { restore = true }, { cut = true }
 
--- a/tests/scenarios/soak_faults.lua
+++ b/tests/scenarios/soak_faults.lua
@@ -101,6 +101,10 @@
   process.ended_at = process.ended_at or {}
   table.insert(process.ended_at, now())
   schedule(ms, function()
+    -- Releases run side by side while a fleet is upgraded.
+    if faults.programs and process.settings then
+      process.arguments[1] = pick_random(faults.programs)
+    end
     f:start(process)
     process.down, process.stopping = false, nil
   end)
--- a/tests/support/engines.h
+++ b/tests/support/engines.h
@@ -28,6 +28,14 @@
   return engine;
 }
 
+// Engines of a deployment of hundreds of instances.
+inline engine_parameters HundredsFleetEngine() {
+  engine_parameters engine = Engine();
+  engine.slots = 10;
+  engine.steps_per_pass = 80;
+  return engine;
+}
+
 }  // namespace cactusward::testing
 
 #endif  // CACTUSWARD_TESTS_SUPPORT_ENGINES_H_
--- a/tests/support/surge_model.cc
+++ b/tests/support/surge_model.cc
@@ -41,20 +41,16 @@
 }
 
 std::vector<surge_result> surge_model::Run() {
-  for (std::size_t kind = 0; kind < settings_.classes.size(); ++kind) {
-    std::exponential_distribution<double> pause(
-        settings_.classes[kind].requests_per_second / kMillisecondsPerSecond);
-    for (double at = pause(random_);
-         at < settings_.seconds * kMillisecondsPerSecond; at += pause(random_))
-      Schedule(at, [this, kind] { Arrive(kind); });
-  }
+  for (std::size_t kind = 0; kind < settings_.classes.size(); ++kind)
+    ScheduleArrivals(kind);
   if (settings_.blocked_share > 0)
     Schedule(kBlockAtMs, [this] { Block(); });
   for (std::size_t instance_index = 0; instance_index < instances_.size();
        ++instance_index)
-    ScheduleReport(instance_index, settings_.report_period_ms *
-                                       static_cast<double>(instance_index) /
-                                       static_cast<double>(instances_.size()));
+    ScheduleReportAt(instance_index,
+                     settings_.report_period_ms *
+                         static_cast<double>(instance_index) /
+                         static_cast<double>(instances_.size()));
   while (!actions_.empty()) {
     const auto next = actions_.begin();
     now_ms_ = next->first;
@@ -65,6 +61,29 @@
   return results_;
 }
 
+void surge_model::ScheduleArrivals(std::size_t kind) {
+  const surge_class& drawn = settings_.classes[kind];
+  const double end_ms = settings_.seconds * kMillisecondsPerSecond;
+  const double phase_ms =
+      drawn.phases.empty() ? end_ms
+                           : settings_.phase_seconds * kMillisecondsPerSecond;
+  std::size_t phase = 0;
+  for (double from = 0; from < end_ms; from += phase_ms, ++phase) {
+    const double factor =
+        drawn.phases.empty() ? 1 : drawn.phases[phase % drawn.phases.size()];
+    std::exponential_distribution<double> pause(
+        drawn.requests_per_second * factor / kMillisecondsPerSecond);
+    const double to = std::min(from + phase_ms, end_ms);
+    for (double at = from + pause(random_); at < to; at += pause(random_))
+      Schedule(at, [this, kind] { Arrive(kind); });
+  }
+}
+
+bool surge_model::IsReached() {
+  return settings_.reached_peers >= instances_.size() ||
+         random_() % instances_.size() < settings_.reached_peers;
+}
+
 void surge_model::Block() {
   std::bernoulli_distribution draw(settings_.blocked_share);
   for (std::size_t i = 0; i < engines_.size(); ++i) {
@@ -79,9 +98,12 @@
 }
 
 void surge_model::Arrive(std::size_t kind) {
-  ++results_[kind].requests;
-  TryPlace({kind, static_cast<std::size_t>(random_() % instances_.size()),
-            now_ms_, DrawTokens(settings_.classes[kind])});
+  const bool counted =
+      now_ms_ >= settings_.counted_from_seconds * kMillisecondsPerSecond;
+  results_[kind].requests += counted ? 1 : 0;
+  TryPlace({kind, counted,
+            static_cast<std::size_t>(random_() % instances_.size()), now_ms_,
+            DrawTokens(settings_.classes[kind])});
 }
 
 void surge_model::TryPlace(const simulated_request& request) {
@@ -115,7 +137,7 @@
              [this, request] { TryPlace(request); });
     return;
   }
-  ++results_[request.kind].refused;
+  results_[request.kind].refused += request.counted ? 1 : 0;
 }
 
 void surge_model::Place(const simulated_request& request,
@@ -162,7 +184,7 @@
   for (const prefill_helper& helper : placement.helpers)
     begin(helper.engine, false, helper.reserved_kv_tokens);
   ScheduleReport(request.instance_index,
-                 interactive ? settings_.report_ms : settings_.long_report_ms);
+                 interactive ? report_urgency::kSoon : report_urgency::kAtOnce);
 }
 
 // Log-normal distribution, as observed within one class of prompts.
@@ -228,7 +250,11 @@
     }
     for (const std::uint64_t id : sequence->tracking_ids)
       instances_[sequence->request.instance_index].tracker.End(id);
-    ScheduleReport(sequence->request.instance_index, settings_.report_ms);
+    const bool interactive =
+        IsInteractive(settings_.engine, {}, sequence->request.tokens);
+    ScheduleReport(
+        sequence->request.instance_index,
+        interactive ? report_urgency::kLater : report_urgency::kSoon);
   }
   engines_[index].decoding = std::move(remaining);
   for (const part& each : finished) {
@@ -243,10 +269,12 @@
   const simulated_request& request = done->request;
   const surge_class& kind = settings_.classes[request.kind];
   const double first = now_ms_ - request.arrived_ms;
-  results_[request.kind].late += first > kind.objective_ms ? 1 : 0;
+  if (request.counted && first > kind.objective_ms)
+    ++results_[request.kind].late;
   for (const std::uint64_t id : done->tracking_ids)
     instances_[request.instance_index].tracker.EndPrefill(id);
-  ScheduleReport(request.instance_index, settings_.report_ms);
+  if (!IsInteractive(settings_.engine, {}, request.tokens))
+    ScheduleReport(request.instance_index, report_urgency::kSoon);
   engine& decoding_engine = engines_[done->engine];
   --decoding_engine.waiting_for_helpers;
   decoding_engine.decoding.push_back(done);
@@ -254,9 +282,16 @@
     BeginPass(done->engine);
 }
 
-void surge_model::ScheduleReport(std::size_t instance_index, double delay_ms) {
+void surge_model::ScheduleReport(std::size_t instance_index,
+                                 report_urgency urgency) {
+  report_pacer& pacer = instances_[instance_index].pacer;
+  pacer.SetInstanceCount(instances_.size());
+  ScheduleReportAt(instance_index,
+                   ToMilliseconds(pacer.DueAt(urgency, Now()) - time_point()));
+}
+
+void surge_model::ScheduleReportAt(std::size_t instance_index, double at) {
   instance& changed = instances_[instance_index];
-  const double at = now_ms_ + delay_ms;
   if (changed.report_at_ms >= 0 && changed.report_at_ms <= at)
     return;
   changed.report_at_ms = at;
@@ -268,17 +303,19 @@
 
 void surge_model::Report(std::size_t instance_index) {
   instances_[instance_index].report_at_ms = -1;
+  instances_[instance_index].pacer.RecordReport(Now());
+  ++reports_;
   const auto loads = instances_[instance_index].tracker.OwnLoads(Now());
   if (now_ms_ >= PeersKnownAt())
     Schedule(now_ms_ + kNetworkMs, [this, instance_index, loads] {
       for (std::size_t i = 0; i < instances_.size(); ++i) {
-        if (i != instance_index)
-          instances_[i].tracker.SetPeerLoads(std::to_string(instance_index),
+        if (i != instance_index && IsReached())
+          instances_[i].tracker.SetPeerLoads(std::to_string(instance_index), {},
                                              loads, Now());
       }
     });
   if (!loads.empty() || now_ms_ < settings_.seconds * kMillisecondsPerSecond)
-    ScheduleReport(instance_index, settings_.report_period_ms);
+    ScheduleReportAt(instance_index, now_ms_ + settings_.report_period_ms);
 }
 
 }  // namespace cactusward::testing
--- a/tests/support/surge_model.h
+++ b/tests/support/surge_model.h
@@ -15,6 +15,7 @@
 
 #include "cactusward/engine_placement.h"
 #include "cactusward/load_tracker.h"
+#include "cactusward/report_pacer.h"
 
 namespace cactusward::testing {
 
@@ -28,6 +29,9 @@
   double deadline_ms = 10'000;
   double max_event_gap_ms = 250;
   int events = 32;  // per response
+  // Factors of the rate in successive phases of surge_settings::phase_seconds;
+  // empty: a constant rate.
+  std::vector<double> phases;
 };
 
 struct surge_settings {
@@ -35,10 +39,13 @@
   int instances = 76;
   int engines = 78;
   double seconds = 3;
+  double phase_seconds = 10;
+  // Requests that arrive before are not counted.
+  double counted_from_seconds = 0;
   std::vector<surge_class> classes;
-  double report_ms = 210;     // from a change to the next report
-  double long_report_ms = 1;  // the same, for prompts that are not interactive
   double report_period_ms = 1'000;  // between reports without a change
+  // Each report reaches about this many instances, random ones.
+  std::size_t reached_peers = 1'000'000;
   // After two seconds this share of the engines starts no prefill for
   // `blocked_ms`, as when unused reservations take up their KV memory.
   double blocked_share = 0;
@@ -62,10 +69,13 @@
 
   // @return results of each class, in the order of the settings.
   std::vector<surge_result> Run();
+  // Number of load reports that the instances have sent. Precondition: Run.
+  int reports() const { return reports_; }
 
  private:
   struct simulated_request {
     std::size_t kind = 0;            // index of its class
+    bool counted = true;             // in the results
     std::size_t instance_index = 0;  // index of the instance that received it
     double arrived_ms = 0;
     std::int64_t tokens = 0;
@@ -95,12 +105,16 @@
   struct instance {
     load_tracker tracker;
     double report_at_ms = -1;  // -1: no report is scheduled
+    report_pacer pacer;
   };
 
   void Schedule(double ms, std::function<void()> action);
   time_point Now() const;
   double PeersKnownAt() const { return settings_.peers_known_after_ms; }
+  bool IsReached();
   void Block();
+  // Draws the arrivals of a class.
+  void ScheduleArrivals(std::size_t kind);
   void Arrive(std::size_t kind);
   void TryPlace(const simulated_request& request);
   void Place(const simulated_request& request,
@@ -109,13 +123,15 @@
   void BeginPass(std::size_t index);
   void EndPass(std::size_t index, const std::vector<part>& finished);
   void EndPrefill(const std::shared_ptr<job>& done);
-  void ScheduleReport(std::size_t instance_index, double delay_ms);
+  void ScheduleReport(std::size_t instance_index, report_urgency urgency);
+  void ScheduleReportAt(std::size_t instance_index, double at_ms);
   void Report(std::size_t instance_index);
 
   surge_settings settings_;
   std::mt19937_64 random_;
   double now_ms_ = 0;
   double last_arrival_ms_ = 0;
+  int reports_ = 0;
   std::multimap<double, std::function<void()>> actions_;
   std::vector<engine> engines_;
   std::vector<instance> instances_;
--- a/tests/unit/formats_test.cc
+++ b/tests/unit/formats_test.cc
@@ -1,6 +1,7 @@
 // Parsers of external input: settings, completion requests, events, instance
 // lists and load metrics.
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "src/daemon/settings.h"
 #include "src/edges/etcd_store.h"
@@ -66,6 +67,42 @@
   }
 }
 
+TEST_CASE("bounds in settings may be fractions") {
+  struct row {
+    const char* pointer;
+    const char* text;  // as the platform renders it
+    double expected;
+  };
+  const row rows[] = {{"/forwarding/retry_extra", "38.333333333333336", 38.333},
+                      {"/forwarding/retry_extra", "0", 0},
+                      {"/forwarding/retry_ratio", "0.125", 0.125},
+                      {"/forwarding/retry_window_s", "7.25", 7'250},
+                      {"/forwarding/retry_window_s", "0.5", 500},
+                      {"/forwarding/max_reservation_ms", "19999.5", 19'999},
+                      {"/forwarding/registry_return_ms", "2200.25", 2'200},
+                      {"/drain_limit_ms", "8e3", 8'000},
+                      {"/drain_limit_ms", "8.5e3", 8'500},
+                      {"/drain_grace_ms", "2200.5", 2'200}};
+  for (const row& r : rows) {
+    INFO(r.pointer << " " << r.text);
+    json settings = ValidForwarding();
+    settings[json::json_pointer(r.pointer)] = json::parse(r.text);
+    const auto parsed = ParseSettings(settings.dump());
+    REQUIRE(parsed);
+    const forwarding_settings& forwarding = *parsed->forwarding;
+    const std::map<std::string, double> values = {
+        {"/forwarding/retry_extra", forwarding.retries.extra_retries},
+        {"/forwarding/retry_ratio", forwarding.retries.ratio},
+        {"/forwarding/retry_window_s", forwarding.retries.window.count()},
+        {"/forwarding/max_reservation_ms", forwarding.max_reservation.count()},
+        {"/forwarding/registry_return_ms",
+         forwarding.reregistration_grace.count()},
+        {"/drain_limit_ms", parsed->drain_limit.count()},
+        {"/drain_grace_ms", parsed->drain_grace.count()}};
+    CHECK(values.at(r.pointer) == Approx(r.expected).margin(0.001));
+  }
+}
+
 TEST_CASE("settings are validated field by field") {
   REQUIRE(ParseSettings(ValidSettings().dump()));
   struct row {
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -262,7 +262,7 @@
   entry.kv_tokens = 100;
   entry.sent_at = kStart;
   const auto id = tracker.Begin(entry);
-  tracker.SetPeerLoads("b", {{1, 2, 2, 250, 300, 50, 0}}, kStart);
+  tracker.SetPeerLoads("b", {}, {{1, 2, 2, 250, 300, 50, 0}}, kStart);
   struct row {
     int at;
     std::int64_t prefill_ms;
@@ -315,12 +315,39 @@
     // The overdue part of a peer's report does not decrease with its age.
     load_tracker peer;
     const int received_at = r.at / 2;
-    peer.SetPeerLoads("a", sender.OwnLoads(At(received_at)), At(received_at));
+    peer.SetPeerLoads("a", {}, sender.OwnLoads(At(received_at)),
+                      At(received_at));
     if (!r.prefill_only &&
         received_at + load_tracker::kPeerReportTtl.count() > r.at)
       CHECK(peer.LoadOf(1, At(r.at)).prefill_ms >= r.prefill_ms);
   }
 }
 
+// Reports may reach an instance directly or through another one, which may be
+// slow: an old load must not replace a new one.
+TEST_CASE("an older load report does not replace a later one") {
+  struct row {
+    report_order known;
+    report_order next;
+    bool replaces;
+  };
+  const row r = GENERATE(values<row>({
+      {{1, 5}, {1, 6}, true},
+      {{1, 6}, {1, 5}, false},
+      {{1, 6}, {1, 6}, true},
+      // A later process of the instance counts from the start.
+      {{1, 6}, {2, 1}, true},
+      {{2, 1}, {1, 6}, false},
+      // Releases that do not number their reports.
+      {{1, 0}, {1, 0}, true},
+      {{1, 6}, {1, 0}, true},
+  }));
+  CAPTURE(r.known.number, r.next.number);
+  load_tracker tracker;
+  tracker.SetPeerLoads("a", r.known, {{1, 2, 2, 250, 300, 50, 0}}, kStart);
+  tracker.SetPeerLoads("a", r.next, {{1, 9, 9, 250, 300, 50, 0}}, kStart);
+  CHECK(tracker.LoadOf(1, kStart).running == (r.replaces ? 9 : 2));
+}
+
 }  // namespace
 }  // namespace cactusward
--- a/tests/unit/surge_test.cc
+++ b/tests/unit/surge_test.cc
@@ -122,5 +122,74 @@
   }
 }
 
+// Two waves that alternate: a few seconds of long prompts that need most
+// engines, then many short ones. Hundreds of instances place few requests each,
+// so that what an instance places depends on what it knows of all others: if
+// reports are late or reach only a part of them, many choose the same engines.
+TEST_CASE("hundreds of instances serve waves that alternate", "[long]") {
+  testing::surge_settings settings;
+  settings.engine = testing::HundredsFleetEngine();
+  settings.instances = 195;
+  settings.engines = 195;
+  settings.seconds = 19;
+  settings.phase_seconds = 9.5;
+  testing::surge_class short_prompts = ShortPrompts(247);
+  short_prompts.prompt_tokens = 4'960;
+  short_prompts.log_stddev = 0.9;
+  short_prompts.max_prompt_tokens = 23'800;
+  short_prompts.objective_ms = 400;
+  short_prompts.max_event_gap_ms = 300;
+  short_prompts.events = 23;
+  short_prompts.phases = {0.38, 2.4};
+  testing::surge_class medium_prompts = MediumPrompts(18);
+  medium_prompts.max_event_gap_ms = 800;
+  medium_prompts.events = 14;
+  medium_prompts.phases = {1.3, 0.5};
+  testing::surge_class long_prompts = LongPrompts(6);
+  long_prompts.max_event_gap_ms = 1'200;
+  long_prompts.events = 12;
+  long_prompts.phases = {2.7, 0.05};
+  settings.classes = {short_prompts, medium_prompts, long_prompts};
+  std::vector<testing::surge_result> total(settings.classes.size());
+  for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+    const auto results = testing::surge_model(settings, seed).Run();
+    for (std::size_t i = 0; i < total.size(); ++i) {
+      total[i].requests += results[i].requests;
+      total[i].refused += results[i].refused;
+      total[i].late += results[i].late;
+    }
+  }
+  for (const testing::surge_result& each : total) {
+    CAPTURE(each.requests, each.late, each.refused);
+    // 90% of each class meet their objective.
+    CHECK(each.in_time() * 10 >= each.requests * 9);
+  }
+}
+
+TEST_CASE("load is reported early, at a rate that instances can handle") {
+  struct row {
+    std::size_t instances;
+    report_urgency urgency;
+    int last_report_ms;  // before the change; -1: none
+    int expected_ms;     // after the change
+  };
+  const row r = GENERATE(values<row>({
+      {195, report_urgency::kAtOnce, 5, 1},
+      {195, report_urgency::kSoon, -1, 60},
+      {195, report_urgency::kSoon, 1'000, 60},
+      {195, report_urgency::kSoon, 5, 190},
+      {195, report_urgency::kLater, 1'000, 450},
+      {7, report_urgency::kSoon, 5, 60},
+      {7, report_urgency::kLater, 5, 74},
+  }));
+  CAPTURE(r.instances, r.last_report_ms);
+  const time_point now = time_point() + std::chrono::hours(1);
+  report_pacer pacer;
+  pacer.SetInstanceCount(r.instances);
+  if (r.last_report_ms >= 0)
+    pacer.RecordReport(now - milliseconds(r.last_report_ms));
+  CHECK(pacer.DueAt(r.urgency, now) == now + milliseconds(r.expected_ms));
+}
+
 }  // namespace
 }  // namespace cactusward
