Gossip: rebroadcast instead of relay; unit tests of odd entries by themselves

"Relay" already means the forwarding of requests (src/relay). A message for all instances is encoded once. No test, check or limit changed.

--- a/include/cactusward/membership.h
+++ b/include/cactusward/membership.h
@@ -132,7 +132,7 @@
   std::int64_t order = 0;
   // An encoded message of the sender that the receiver handles and passes on to
   // the instances of its availability zone. Other fields are then not in use.
-  std::string relayed;
+  std::string rebroadcast;
   // The newest format that the sender reads; of a ping request in the base
   // format it is not known.
   int sender_format = kGossipFormat;
@@ -150,7 +150,8 @@
            a.loads == b.loads && a.crashes == b.crashes &&
            a.quarantines == b.quarantines && a.sound_parts == b.sound_parts &&
            a.limits == b.limits && a.order == b.order &&
-           a.relayed == b.relayed && a.sender_format == b.sender_format &&
+           a.rebroadcast == b.rebroadcast &&
+           a.sender_format == b.sender_format &&
            a.unreadable_fields == b.unreadable_fields;
   }
 };
--- a/src/membership/gossip_codec.cc
+++ b/src/membership/gossip_codec.cc
@@ -255,10 +255,10 @@
   if (next < value.size())
     unreadable += ReadNumber(value[next++], &out->order);
   if (next < value.size()) {
-    const json& relayed = value[next++];
-    if (relayed.is_binary())
-      out->relayed.assign(relayed.get_binary().begin(),
-                          relayed.get_binary().end());
+    const json& rebroadcast = value[next++];
+    if (rebroadcast.is_binary())
+      out->rebroadcast.assign(rebroadcast.get_binary().begin(),
+                              rebroadcast.get_binary().end());
     else
       ++unreadable;
   }
@@ -355,7 +355,7 @@
     encoded.push_back(message.sender_format);
     encoded.push_back(message.order);
     encoded.push_back(json::binary(std::vector<std::uint8_t>(
-        message.relayed.begin(), message.relayed.end())));
+        message.rebroadcast.begin(), message.rebroadcast.end())));
   }
   std::string bytes;
   json::to_cbor(encoded, bytes);
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -181,8 +181,8 @@
       << "cactusward_carried_tunnels " << paths_.carried_tunnels() << '\n'
       << "cactusward_peers_of_older_format " << membership_.older_peers()
       << '\n'
-      << "cactusward_relayed_messages " << membership_.relayed_messages()
-      << '\n'
+      << "cactusward_rebroadcast_messages "
+      << membership_.rebroadcast_messages() << '\n'
       << "cactusward_unreadable_datagrams "
       << membership_.unreadable_datagrams() << '\n'
       << "cactusward_idle_connections " << client_.idle_connections() << '\n'
--- a/src/services/membership_service.cc
+++ b/src/services/membership_service.cc
@@ -21,9 +21,9 @@
 // Datagrams that one instance can send in a burst without dropping any locally.
 constexpr std::size_t kMaxBroadcast = 128;
 // The first format in which an instance passes messages on.
-constexpr int kRelayGossipFormat = 8;
+constexpr int kRebroadcastFormat = 8;
 // A standstill that makes what was received meanwhile too old to pass on.
-constexpr milliseconds kMaxRelayDelay{250};
+constexpr milliseconds kMaxRebroadcastDelay{250};
 // More than the rounds that an update takes to reach 1,000 instances, to
 // compensate for lost datagrams.
 constexpr int kSendsPerSuspectReport = 12;
@@ -59,7 +59,7 @@
       socket_(runtime.io,
               runtime.settings.peer_secret,
               [this](std::string_view bytes) { Receive(bytes); }),
-      standstill_(kTickPeriod, kMaxRelayDelay, clock::now()) {}
+      standstill_(kTickPeriod, kMaxRebroadcastDelay, clock::now()) {}
 
 bool membership_service::Listen() {
   return socket_.Listen(runtime_.settings.peer_listen);
@@ -184,20 +184,21 @@
 void membership_service::Broadcast() {
   gossip_message message = table_.BuildMessage(gossip_kind::kUpdate);
   FillMessage(&message);
-  const auto can_relay = [this](const member& peer) {
-    return formats_.FormatFor(peer.peer_address) >= kRelayGossipFormat;
+  const auto can_rebroadcast = [this](const member& peer) {
+    return formats_.FormatFor(peer.peer_address) >= kRebroadcastFormat;
   };
   const broadcast_plan plan =
       PlanBroadcast(table_.LivePeers(), runtime_.settings.availability_zone,
-                    can_relay, kMaxBroadcast, runtime_.random);
-  SendToAll(plan.direct, message, EncodeGossip(message));
-  if (plan.relays.empty())
+                    can_rebroadcast, kMaxBroadcast, runtime_.random);
+  std::string encoded = EncodeGossip(message);
+  SendToAll(plan.direct, message, encoded);
+  if (plan.rebroadcasters.empty())
     return;
   gossip_message request;
   request.kind = gossip_kind::kUpdate;
   request.sender = message.sender;
-  request.relayed = EncodeGossip(message);
-  SendToAll(plan.relays, request, EncodeGossip(request));
+  request.rebroadcast = std::move(encoded);
+  SendToAll(plan.rebroadcasters, request, EncodeGossip(request));
 }
 
 void membership_service::SendToAll(const std::vector<const member*>& peers,
@@ -215,15 +216,15 @@
     socket_.SendToAll(base, EncodeGossip(message, kBaseGossipFormat));
 }
 
-void membership_service::Relay(const gossip_message& message,
-                               std::string_view encoded) {
+void membership_service::Rebroadcast(const gossip_message& message,
+                                     std::string_view encoded) {
   std::vector<const member*> peers;
   for (const member* peer : table_.LivePeers()) {
     if (peer->availability_zone == runtime_.settings.availability_zone &&
         peer->name != message.sender.name)
       peers.push_back(peer);
   }
-  ++relayed_messages_;
+  ++rebroadcast_messages_;
   SendToAll(peers, message, encoded);
 }
 
@@ -250,15 +251,15 @@
     socket_.CountMalformed();
     return;
   }
-  if (message->relayed.empty())
+  if (message->rebroadcast.empty())
     return Handle(*message, now);
-  const auto relayed = DecodeGossip(message->relayed);
-  if (!relayed)
+  const auto rebroadcast = DecodeGossip(message->rebroadcast);
+  if (!rebroadcast)
     return RecordUnreadable(-1, now);
   // After a standstill the message may be old, and its readers could not tell.
   if (!standstill_.Recently(now, BootTime()))
-    Relay(*relayed, message->relayed);
-  Handle(*relayed, now);
+    Rebroadcast(*rebroadcast, message->rebroadcast);
+  Handle(*rebroadcast, now);
 }
 
 void membership_service::Handle(const gossip_message& received,
--- a/src/services/membership_service.h
+++ b/src/services/membership_service.h
@@ -79,7 +79,7 @@
   // Live members that read only gossip formats before this release's.
   std::size_t older_peers() const { return older_peers_; }
   // Messages of other availability zones that were passed on in the own one.
-  std::int64_t relayed_messages() const { return relayed_messages_; }
+  std::int64_t rebroadcast_messages() const { return rebroadcast_messages_; }
   // Datagrams of which something could not be read.
   std::int64_t unreadable_datagrams() const { return unreadable_datagrams_; }
 
@@ -108,7 +108,7 @@
                  std::string_view encoded);
   // Passes a message of another availability zone on within the own one.
   // Fields of later formats, which only `encoded` has, are passed on as well.
-  void Relay(const gossip_message& message, std::string_view encoded);
+  void Rebroadcast(const gossip_message& message, std::string_view encoded);
   void Send(std::vector<outbound_message> messages);
   void FillMessage(gossip_message* message);
   // Passes the prompt tokens that peers have in flight to the upstream
@@ -136,7 +136,7 @@
   peer_formats formats_;
   standstill standstill_;
   std::int64_t last_order_ = 0;
-  std::int64_t relayed_messages_ = 0;
+  std::int64_t rebroadcast_messages_ = 0;
   std::size_t older_peers_ = 0;
   std::int64_t unreadable_datagrams_ = 0;
   std::optional<time_point> unreadable_logged_at_;
--- a/tests/unit/broadcast_test.cc
+++ b/tests/unit/broadcast_test.cc
@@ -20,7 +20,7 @@
     std::size_t older;  // instances of each zone that do not pass messages on
     std::size_t suspected;
     std::size_t direct;
-    std::size_t relays;
+    std::size_t rebroadcasters;
   };
   const row rows[] = {
       {"hundreds of instances", {38, 39, 39, 39, 39}, 0, 0, 38, 4},
@@ -57,16 +57,16 @@
         [](const member& peer) { return !peer.peer_address.empty(); }, 128,
         random);
     CHECK(plan.direct.size() == r.direct);
-    CHECK(plan.relays.size() == r.relays);
+    CHECK(plan.rebroadcasters.size() == r.rebroadcasters);
     const std::set<const member*> direct(plan.direct.begin(),
                                          plan.direct.end());
     CHECK(direct.size() == r.direct);
     std::set<std::string> zones;
-    for (const member* relay : plan.relays) {
-      CHECK_FALSE(relay->peer_address.empty());
-      CHECK(relay->state == member_state::kAlive);
-      CHECK(relay->availability_zone != "0");
-      CHECK(zones.insert(relay->availability_zone).second);
+    for (const member* each : plan.rebroadcasters) {
+      CHECK_FALSE(each->peer_address.empty());
+      CHECK(each->state == member_state::kAlive);
+      CHECK(each->availability_zone != "0");
+      CHECK(zones.insert(each->availability_zone).second);
     }
     if (plan.direct.size() == 128)
       continue;
@@ -137,9 +137,10 @@
     update.loads = {{7, 3, 3, 250, 100, 50, 0}};
     return update;
   }
-  void RequestRelay(const std::string& address, const std::string& relayed) {
+  void RequestRebroadcast(const std::string& address,
+                          const std::string& rebroadcast) {
     gossip_message request = table_.BuildMessage(gossip_kind::kUpdate);
-    request.relayed = relayed;
+    request.rebroadcast = rebroadcast;
     socket_.Send(address, EncodeGossip(request));
   }
   int CountFrom(const std::string& name, std::int64_t order) const {
@@ -171,15 +172,15 @@
     Sleep(fleet.io, testing::kPollPeriod * 5, yield);
     constexpr std::int64_t kOrder = 900;
     const std::string update = EncodeGossip(sender.Update(kOrder));
-    sender.RequestRelay(address, update);
+    sender.RequestRebroadcast(address, update);
     // What cannot be read is not passed on.
-    sender.RequestRelay(address, "x" + update);
+    sender.RequestRebroadcast(address, "x" + update);
     Sleep(fleet.io, testing::kPollPeriod * 10, yield);
     CHECK(neighbour.CountFrom("sender", kOrder) == 1);
     CHECK(stranger.CountFrom("sender", kOrder) == 0);
     CHECK(sender.CountFrom("sender", kOrder) == 0);
     CHECK(fleet.gateway->MetricsText().find(
-              "cactusward_relayed_messages 1\n") != std::string::npos);
+              "cactusward_rebroadcast_messages 1\n") != std::string::npos);
   });
 }
 
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -115,7 +115,7 @@
 }
 
 TEST_CASE("a field out of its range makes an upstream entry unusable",
-          "[path]") {
+          "[entries]") {
   http_client* none = nullptr;
   const platform::platform_catalog catalog(none, "127.0.0.1:1");
   for (const field_row& r : FieldRows()) {
@@ -130,7 +130,7 @@
 
 // Guards against ids that inject header fields into requests to upstreams.
 TEST_CASE("an id that no header can carry makes an upstream entry unusable",
-          "[path]") {
+          "[entries]") {
   http_client* none = nullptr;
   const platform::platform_catalog catalog(none, "127.0.0.1:1");
   struct row {
@@ -159,7 +159,7 @@
 // watch delivers the changes, peers report them to the other instances in
 // datagrams, and an instance that joins gets snapshots.
 TEST_CASE("instances follow the registry beside odd upstream entries",
-          "[path]") {
+          "[entries]") {
   constexpr int kExtraInstances = 5;  // so that some do not watch the registry
   small_fleet fleet;
   fleet.store.Put("op/config", testing::ConfigDocument(1));
@@ -216,7 +216,7 @@
 // Guards against pages that are not requested by the key that ended the last
 // one: a page would be read again and again, or left out.
 TEST_CASE("pages of the registry's list continue after keys of any bytes",
-          "[path]") {
+          "[entries]") {
   for (const char* id : {"a&b", "a b", "a#b", "a%41", "a+b", "a\r\nb",
                          "\xc3\xa9", "?", "=", ""}) {
     CAPTURE(id);
@@ -233,7 +233,7 @@
 }
 
 TEST_CASE("items that cannot be read do not hide the others of a list",
-          "[path]") {
+          "[entries]") {
   const char* const rows[] = {"1",
                               "null",
                               "[]",
@@ -264,7 +264,7 @@
   }
 }
 
-TEST_CASE("numbers of a configuration are read within their ranges", "[path]") {
+TEST_CASE("numbers of a configuration are read within their ranges", "[entries]") {
   http_client* none = nullptr;
   const platform::platform_catalog catalog(none, "127.0.0.1:1");
   const auto decode = [&](const std::string& field, const std::string& value) {
@@ -310,7 +310,7 @@
 
 // Guards against engines without a slot, with which the placement of prompts
 // divides by zero.
-TEST_CASE("engine parameters are positive", "[path]") {
+TEST_CASE("engine parameters are positive", "[entries]") {
   http_client* none = nullptr;
   const platform::platform_catalog catalog(none, "127.0.0.1:1");
   for (const char* field : {"slots", "kv_capacity", "stride"}) {
@@ -342,7 +342,7 @@
 
 // Guards against a stack overflow: a value in the key-value service or a
 // datagram ends the process that decodes it.
-TEST_CASE("deeply nested CBOR is rejected", "[path]") {
+TEST_CASE("deeply nested CBOR is rejected", "[entries]") {
   struct row {
     const char* name;
     std::string prefix;
@@ -363,7 +363,7 @@
   }
 }
 
-TEST_CASE("CBOR of usual depth is accepted", "[path]") {
+TEST_CASE("CBOR of usual depth is accepted", "[entries]") {
   const nlohmann::json rows[] = {
       nullptr,
       true,
@@ -384,7 +384,7 @@
         nlohmann::json::array({1, "a"}));
 }
 
-TEST_CASE("deeply nested JSON in the own configuration is rejected", "[path]") {
+TEST_CASE("deeply nested JSON in the own configuration is rejected", "[entries]") {
   RunInCoroutine([](asio::yield_context) {
     for (const char* field : {"organisations", "defaults", "unknown"}) {
       CAPTURE(field);
@@ -397,7 +397,7 @@
 }
 
 TEST_CASE("an odd target does not take the others from the instance list",
-          "[path]") {
+          "[entries]") {
   const std::string sound =
       R"({"targets": ["127.0.0.1:5"], "labels": {"service": "s"}})";
   const std::string rows[] = {
@@ -421,7 +421,7 @@
   }
 }
 
-TEST_CASE("metrics and lists that are deeply nested are rejected", "[path]") {
+TEST_CASE("metrics and lists that are deeply nested are rejected", "[entries]") {
   RunInCoroutine([](asio::yield_context) {
     std::vector<std::string> peers;
     CHECK_FALSE(ParseInstanceList(DeepArray(), &peers));
@@ -484,7 +484,7 @@
 
 // Guards against an instance that stops following the registry or its peers
 // when one entry makes the code that reads it throw.
-TEST_CASE("an exception does not end the following of the registry", "[path]") {
+TEST_CASE("an exception does not end the following of the registry", "[entries]") {
   struct row {
     const char* name;
     int throwing_catalog::faults::*fault;
@@ -575,7 +575,7 @@
 
 // Guards against a watch that ends by an exception: the configuration would
 // not be followed any more.
-TEST_CASE("odd events do not end a watch of the key-value service", "[path]") {
+TEST_CASE("odd events do not end a watch of the key-value service", "[entries]") {
   const std::string sound = R"({"result": {"events": [{"kv": {"key": ")" +
                             EncodeBase64("k") +
                             R"(", "mod_revision": "7"}}]}})";
