--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -264,7 +264,8 @@
   }
 }
 
-TEST_CASE("numbers of a configuration are read within their ranges", "[entries]") {
+TEST_CASE("numbers of a configuration are read within their ranges",
+          "[entries]") {
   http_client* none = nullptr;
   const platform::platform_catalog catalog(none, "127.0.0.1:1");
   const auto decode = [&](const std::string& field, const std::string& value) {
@@ -384,7 +385,8 @@
         nlohmann::json::array({1, "a"}));
 }
 
-TEST_CASE("deeply nested JSON in the own configuration is rejected", "[entries]") {
+TEST_CASE("deeply nested JSON in the own configuration is rejected",
+          "[entries]") {
   RunInCoroutine([](asio::yield_context) {
     for (const char* field : {"organisations", "defaults", "unknown"}) {
       CAPTURE(field);
@@ -421,7 +423,8 @@
   }
 }
 
-TEST_CASE("metrics and lists that are deeply nested are rejected", "[entries]") {
+TEST_CASE("metrics and lists that are deeply nested are rejected",
+          "[entries]") {
   RunInCoroutine([](asio::yield_context) {
     std::vector<std::string> peers;
     CHECK_FALSE(ParseInstanceList(DeepArray(), &peers));
@@ -484,7 +487,8 @@
 
 // Guards against an instance that stops following the registry or its peers
 // when one entry makes the code that reads it throw.
-TEST_CASE("an exception does not end the following of the registry", "[entries]") {
+TEST_CASE("an exception does not end the following of the registry",
+          "[entries]") {
   struct row {
     const char* name;
     int throwing_catalog::faults::*fault;
@@ -575,7 +579,8 @@
 
 // Guards against a watch that ends by an exception: the configuration would
 // not be followed any more.
-TEST_CASE("odd events do not end a watch of the key-value service", "[entries]") {
+TEST_CASE("odd events do not end a watch of the key-value service",
+          "[entries]") {
   const std::string sound = R"({"result": {"events": [{"kv": {"key": ")" +
                             EncodeBase64("k") +
                             R"(", "mod_revision": "7"}}]}})";
