Review case 1: a runner's 503 for a request that has run is passed on as a promise

Cause: any status of a runner is passed on to the caller of a non-retryable request, also 503, 429 and 408, which promise that it has not run.

--- a/review/support/harness.cc
+++ b/review/support/harness.cc
@@ -72,7 +72,17 @@
   return text;
 }
 
-// The value of a field of a response head; empty without it.
+// The entry of a runner in the store, as a part of a request to it.
+std::string EntryJson(const std::string& id, int port) {
+  return Quote("servers/" + id) + ":" +
+         Quote("{\"service\":\"plain\",\"address\":\"" + Address(port) +
+               "\",\"zone\":\"z\",\"slots\":16,\"state\":\"ready\","
+               "\"born\":1}") +
+         ",";
+}
+
+}  // namespace
+
 std::string FieldOf(const std::string& head, const std::string& name) {
   const std::string lower = LowerCase(head);
   const auto at = lower.find("\r\n" + name + ":");
@@ -80,13 +90,11 @@
     return {};
   const auto begin = at + name.size() + 3;
   const auto end = lower.find("\r\n", begin);
-  std::string value = lower.substr(begin, end - begin);
+  std::string value = head.substr(begin, end - begin);
   value.erase(0, value.find_first_not_of(' '));
   return value;
 }
 
-}  // namespace
-
 bool HasTrouble() {
   const char* value = std::getenv("TROUBLE");
   return !value || std::string(value) != "0";
@@ -205,6 +213,82 @@
          R"("max_attempts":2})";
 }
 
+scripted_runner::scripted_runner(
+    std::string id,
+    int port,
+    std::function<std::string(const runner_request&)> answer)
+    : id_(std::move(id)),
+      port_(port),
+      answer_(std::move(answer)),
+      listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  const int yes = 1;
+  setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+  const sockaddr_in address = LoopbackAddress(port);
+  if (bind(listener_, reinterpret_cast<const sockaddr*>(&address),
+           sizeof(address)) != 0 ||
+      listen(listener_, SOMAXCONN) != 0)
+    std::_Exit(kCannotRun);
+  acceptor_ = std::thread([this] { Accept(); });
+}
+
+scripted_runner::~scripted_runner() {
+  shutdown(listener_, SHUT_RDWR);
+  acceptor_.join();
+  close(listener_);
+  for (const int handle : handles_)
+    shutdown(handle, SHUT_RDWR);
+  for (std::thread& server : servers_)
+    server.join();
+  for (const int handle : handles_)
+    close(handle);
+}
+
+void scripted_runner::Accept() {
+  while (true) {
+    const int handle = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+    if (handle < 0)
+      return;
+    handles_.push_back(handle);
+    servers_.emplace_back([this, handle] { Serve(handle); });
+  }
+}
+
+void scripted_runner::Serve(int handle) {
+  std::string unread;
+  std::vector<char> buffer(kReadBytes);
+  const auto read_more = [&] {
+    const ssize_t received = recv(handle, buffer.data(), buffer.size(), 0);
+    if (received > 0)
+      unread.append(buffer.data(), static_cast<std::size_t>(received));
+    return received > 0;
+  };
+  while (true) {
+    std::size_t end = std::string::npos;
+    while ((end = unread.find("\r\n\r\n")) == std::string::npos) {
+      if (!read_more())
+        return;
+    }
+    runner_request request;
+    request.head = unread.substr(0, end + 2);
+    unread.erase(0, end + 4);
+    const auto length = static_cast<std::size_t>(
+        std::atoll(FieldOf(request.head, "content-length").c_str()));
+    while (unread.size() < length) {
+      if (!read_more())
+        return;
+    }
+    request.body = unread.substr(0, length);
+    unread.erase(0, length);
+    request.id = FieldOf(request.head, "x-attempt-id");
+    const std::string answer = answer_(request);
+    if (answer.empty() ||
+        send(handle, answer.data(), answer.size(), MSG_NOSIGNAL) < 0) {
+      shutdown(handle, SHUT_RDWR);
+      return;
+    }
+  }
+}
+
 deployment::deployment(std::string program_folder, record* log)
     : program_folder_(std::move(program_folder)), log_(log) {
   std::string pattern =
@@ -294,6 +378,10 @@
   return false;
 }
 
+void deployment::AddRunner(const std::string& id, int port) {
+  added_runners_[id] = port;
+}
+
 bool deployment::Start(int instance_count,
                        int runner_count,
                        int run_time_ms,
@@ -302,6 +390,8 @@
   store_port_ = FreePorts(1);
   StartProcess({standin, "--role=store", "--address=" + Address(store_port_)});
   std::string entries;
+  for (const auto& [id, port] : added_runners_)
+    entries += EntryJson(id, port);
   for (int i = 1; i <= runner_count; ++i) {
     runner next;
     next.id = "plain-" + std::to_string(i);
@@ -311,12 +401,7 @@
                              "--address=" + Address(next.port),
                              "--id=" + next.id, "--record=" + next.runs_file,
                              "--run_time_ms=" + std::to_string(run_time_ms)});
-    entries +=
-        Quote("servers/" + next.id) + ":" +
-        Quote("{\"service\":\"plain\",\"address\":\"" + Address(next.port) +
-              "\",\"zone\":\"z\",\"slots\":16,\"state\":\"ready\","
-              "\"born\":1}") +
-        ",";
+    entries += EntryJson(next.id, next.port);
     runners_.push_back(next);
   }
   const std::string config =
--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -9,8 +9,11 @@
 #include <chrono>
 #include <cstdint>
 #include <fstream>
+#include <functional>
+#include <map>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace review {
@@ -86,6 +89,44 @@
   std::string runs_file;  // a line "ID TIME" for each request that it ran
 };
 
+struct runner_request {
+  std::string id;    // X-Attempt-Id
+  std::string head;  // of the request
+  std::string body;
+};
+
+// A runner of this process, for answers that platform_standin does not give.
+// Answers each connection's requests one after the other.
+class scripted_runner {
+ public:
+  // @param answer returns the bytes to send; called by several threads.
+  scripted_runner(std::string id,
+                  int port,
+                  std::function<std::string(const runner_request&)> answer);
+  ~scripted_runner();
+  scripted_runner(const scripted_runner&) = delete;
+  scripted_runner& operator=(const scripted_runner&) = delete;
+
+  const std::string& id() const { return id_; }
+  int port() const { return port_; }
+
+ private:
+  void Accept();
+  void Serve(int handle);
+
+  std::string id_;
+  int port_;
+  std::function<std::string(const runner_request&)> answer_;
+  int listener_ = -1;
+  std::thread acceptor_;
+  std::vector<int> handles_;
+  std::vector<std::thread> servers_;
+};
+
+// The value of a field in the head of a message, by its lower-case name; empty
+// without it.
+std::string FieldOf(const std::string& head, const std::string& name);
+
 // A store, runners of one service and instances, as child processes that are
 // ended with the object.
 class deployment {
@@ -96,11 +137,16 @@
   deployment(const deployment&) = delete;
   deployment& operator=(const deployment&) = delete;
 
-  // Starts everything. @return whether all instances become ready in time.
+  // Starts everything; with `run_time_ms` 0 only the runners that were added.
+  // @return whether all instances become ready in time.
   bool Start(int instance_count,
              int runner_count,
              int run_time_ms,
              const std::string& routes);
+  // Lists a runner of this process in the store. Call before Start.
+  void AddRunner(const std::string& id, int port);
+  // The first of `count` free ports in a row.
+  int FreePorts(int count);
   void StartInstance(instance* which);
   bool WaitReady(const instance& which, int timeout_ms) const;
 
@@ -112,7 +158,6 @@
  private:
   pid_t StartProcess(const std::vector<std::string>& words);
   void WriteSettings(const instance& which, int first_port) const;
-  int FreePorts(int count);
 
   std::string program_folder_;
   record* log_;
@@ -122,6 +167,7 @@
   std::vector<int> first_ports_;  // of the instances
   std::vector<instance> instances_;
   std::vector<runner> runners_;
+  std::map<std::string, int> added_runners_;  // ports by id
   std::vector<pid_t> children_;
 };
 
