Review case 1: a stream ends as complete without its last event

Cause: bytes that an upstream connection receives while another attempt of the request is being read are overwritten by the next read.

--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,11 +1,7 @@
-// Runners fail a part of the requests that they run with status 503. Clients
-// take a 503 for the promise that the request has not run, and send it again.
-#include <atomic>
+// Sound runners fall silent once in a stream, just before its last event, and
+// go on. Looks for streams that end as complete without that event.
 #include <chrono>
-#include <map>
 #include <memory>
-#include <mutex>
-#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -16,96 +12,135 @@
 
 constexpr int kInstances = 3;
 constexpr int kRunners = 3;
-constexpr int kGreyRunner = 1;       // share 0.15 of three, rounded up
-constexpr int kFailingPercent = 40;  // `x` of srv_grey
-constexpr int kRunTimeMs = 15;
-constexpr int kOrders = 120;
-constexpr int kPauseMs = 50;
-constexpr int kReadTimeoutMs = 3'000;
+constexpr int kEvents = 10;
+constexpr int kEventPauseMs = 40;
+// "A second or so", longer from stream to stream.
+constexpr int kSilenceMs = 1'400;
+constexpr int kSilenceStepMs = 20;
+constexpr int kSilences = 11;
+// Of a run that continues a stream: it reads the prompt again.
+constexpr int kFirstEventMs = 600;
+constexpr int kStreams = 30;
+constexpr int kGapMs = 507;  // between the starts of two streams
+constexpr int kReadTimeoutMs = 9'000;
+// Instances that have just started spend no retries for one window of 10 s.
+constexpr int kSettleMs = 12'000;
 
-struct run_list {
-  std::mutex mutex;
-  std::map<std::string, std::string> status_by_id;
-  std::map<std::string, int> runs_by_order;
-};
+void SleepMs(int ms) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+std::string Event(const std::string& id, int n) {
+  return "id: " + std::to_string(n) + "\ndata: " + id + "/" +
+         std::to_string(n) + "\n\n";
+}
+
+int SilenceOf(const std::string& id) {
+  const int number = std::atoi(id.substr(id.find('-') + 1).c_str());
+  return kSilenceMs + kSilenceStepMs * (number % kSilences);
+}
 
-std::string Answer(const std::string& status, const std::string& id) {
-  const std::string body = status == "200 OK" ? "done" : "failed";
-  return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + id +
-         "\r\nX-Response-Seal: seal\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
+// Without a length or chunks: the response ends with its connection.
+bool Answer(const review::runner_request& request,
+            const review::answer_writer& send) {
+  const std::string last = review::FieldOf(request.head, "last-event-id");
+  send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.id +
+       "\r\nX-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+       "Connection: close\r\n\r\n");
+  if (!last.empty())
+    SleepMs(kFirstEventMs);
+  const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
+  for (int n = first; n <= kEvents; ++n) {
+    const bool silent = last.empty() && n == kEvents && review::HasTrouble();
+    SleepMs(silent ? SilenceOf(request.id) : kEventPauseMs);
+    if (!send(Event(request.id, n)))
+      return false;
+  }
+  return false;
 }
 
-std::string Request(const std::string& id, const std::string& order) {
-  return "POST /once/book HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
-         "\r\nX-Deadline-Ms: 1500\r\nAuthorization: Token key\r\n"
-         "Content-Length: " +
-         std::to_string(order.size()) + "\r\n\r\n" + order;
+// The events of a response, without the frames of the chunks.
+std::string EventsOf(const std::string& body) {
+  std::string events;
+  std::size_t at = 0;
+  while (at < body.size()) {
+    const auto size =
+        static_cast<std::size_t>(std::strtoul(body.c_str() + at, nullptr, 16));
+    const auto begin = body.find("\r\n", at);
+    if (size == 0 || begin == std::string::npos)
+      break;
+    events += body.substr(begin + 2, size);
+    at = begin + 2 + size + 2;
+  }
+  return events;
 }
 
 }  // namespace
 
 int main(int, char** arguments) {
   review::record log(arguments[2]);
-  run_list runs;
   std::vector<std::unique_ptr<review::scripted_runner>> runners;
   review::deployment fleet(arguments[1], &log);
   for (int n = 1; n <= kRunners; ++n) {
-    const std::string runner_id = "plain-" + std::to_string(n);
+    const std::string id = "plain-" + std::to_string(n);
     const int port = fleet.FreePorts(1);
-    const bool grey = n == kGreyRunner && review::HasTrouble();
-    const auto random = std::make_shared<std::mt19937>(n);
-    runners.push_back(std::make_unique<review::scripted_runner>(
-        runner_id, port,
-        [&runs, runner_id, grey,
-         random](const review::runner_request& request) {
-          std::this_thread::sleep_for(std::chrono::milliseconds(kRunTimeMs));
-          const std::lock_guard<std::mutex> guard(runs.mutex);
-          const bool fails = grey && (*random)() % 100 < kFailingPercent;
-          const std::string status =
-              fails ? "503 Service Unavailable" : "200 OK";
-          runs.status_by_id[request.id] = status;
-          ++runs.runs_by_order[request.body];
-          return Answer(status, request.id);
-        }));
-    fleet.AddRunner(runner_id, port);
+    runners.push_back(
+        std::make_unique<review::scripted_runner>(id, port, Answer));
+    fleet.AddRunner(id, port);
   }
   if (!fleet.Start(kInstances, 0, 0,
-                   review::RouteJson("once", "non_idempotent", "plain"))) {
+                   R"({"name":"draft","host":"h","path_prefix":"/draft/",)"
+                   R"("kind":"streaming","service":"plain","resumable":true,)"
+                   R"("timeout_ms":10000,"target_latency_ms":300,)"
+                   R"("target_itl_ms":250,"priority":1,"max_attempts":2})")) {
     log.Line("the deployment does not become ready");
     return review::kCannotRun;
   }
-  int untrue = 0;
-  for (int n = 1; n <= kOrders; ++n) {
-    const std::string order = "order-" + std::to_string(n);
-    // A client sends a request again, once, after a promise that it has not
-    // run and never will.
-    for (int attempt = 1; attempt <= 2; ++attempt) {
-      const std::string id = order + "-" + std::to_string(attempt);
-      const auto& target = fleet.instances()[(n + attempt) % kInstances];
-      const auto reply =
-          review::Call(target.port, Request(id, order), kReadTimeoutMs);
-      const bool promise = reply.status == 503 || reply.status == 429 ||
-                           reply.status == 408 || reply.status == 421;
-      const std::lock_guard<std::mutex> guard(runs.mutex);
-      const bool has_run = runs.status_by_id.count(id) > 0;
-      if (reply.status != 200)
-        log.Line(id + " at " + target.name + ": " +
-                 std::to_string(reply.status) +
-                 (has_run ? ", has run" : ", has not run"));
-      untrue += promise && has_run ? 1 : 0;
-      if (!promise)
-        break;
+  SleepMs(kSettleMs);
+  std::vector<review::http_reply> replies(kStreams);
+  std::vector<std::thread> clients;
+  const auto id_of = [](int n) { return "stream-" + std::to_string(n); };
+  for (int n = 0; n < kStreams; ++n) {
+    const int port = fleet.instances()[n % kInstances].port;
+    clients.emplace_back([&replies, &id_of, n, port] {
+      replies[n] = review::Call(
+          port,
+          "POST /draft/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id_of(n) +
+              "\r\nX-Deadline-Ms: 10000\r\nAuthorization: Token key\r\n"
+              "X-Model-Name: m\r\nX-Token-Counts: 4960,510\r\n"
+              "Content-Length: 0\r\n\r\n",
+          kReadTimeoutMs);
+    });
+    SleepMs(kGapMs);
+  }
+  for (std::thread& client : clients)
+    client.join();
+  int whole = 0;
+  int cut = 0;
+  int wrong = 0;
+  for (int n = 0; n < kStreams; ++n) {
+    std::string expected;
+    for (int event = 1; event <= kEvents; ++event)
+      expected += Event(id_of(n), event);
+    const std::string events = EventsOf(replies[n].body);
+    if (replies[n].status != 200 || !replies[n].complete) {
+      ++cut;
+      log.Line(id_of(n) + ": status " + std::to_string(replies[n].status) +
+               ", not complete");
+    } else if (events == expected) {
+      ++whole;
+    } else {
+      ++wrong;
+      const auto last = events.rfind("id: ");
+      log.Line(id_of(n) + ": ends as complete with the last chunk; its last " +
+               "event has \"" +
+               events.substr(last, events.find('\n', last) - last) +
+               "\", the stream's " + std::to_string(kEvents));
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds(kPauseMs));
   }
-  const std::lock_guard<std::mutex> guard(runs.mutex);
-  int doubled = 0;
-  for (const auto& [order, count] : runs.runs_by_order)
-    doubled += count > 1 ? 1 : 0;
-  log.Line("orders: " + std::to_string(kOrders) +
-           ", refusals of requests that have run: " + std::to_string(untrue) +
-           ", orders run more than once: " + std::to_string(doubled));
-  log.Line(untrue > 0 ? "REFUSED broken" : "REFUSED held");
-  return untrue > 0 ? review::kBroken : review::kHeld;
+  log.Line("streams: " + std::to_string(whole) + " whole, " +
+           std::to_string(cut) + " cut, " + std::to_string(wrong) +
+           " complete without an event");
+  log.Line(wrong > 0 ? "ORDER broken" : "ORDER held");
+  return wrong > 0 ? review::kBroken : review::kHeld;
 }
--- a/review/support/harness.cc
+++ b/review/support/harness.cc
@@ -213,10 +213,7 @@
          R"("max_attempts":2})";
 }
 
-scripted_runner::scripted_runner(
-    std::string id,
-    int port,
-    std::function<std::string(const runner_request&)> answer)
+scripted_runner::scripted_runner(std::string id, int port, handler answer)
     : id_(std::move(id)),
       port_(port),
       answer_(std::move(answer)),
@@ -280,9 +277,13 @@
     request.body = unread.substr(0, length);
     unread.erase(0, length);
     request.id = FieldOf(request.head, "x-attempt-id");
-    const std::string answer = answer_(request);
-    if (answer.empty() ||
-        send(handle, answer.data(), answer.size(), MSG_NOSIGNAL) < 0) {
+    bool open = true;
+    const bool stays_open = answer_(request, [handle,
+                                              &open](const std::string& bytes) {
+      open = open && send(handle, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0;
+      return open;
+    });
+    if (!open || !stays_open) {
       shutdown(handle, SHUT_RDWR);
       return;
     }
--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -95,14 +95,17 @@
   std::string body;
 };
 
+// Sends a part of an answer. @return whether the connection is still open.
+using answer_writer = std::function<bool(const std::string&)>;
+
 // A runner of this process, for answers that platform_standin does not give.
 // Answers each connection's requests one after the other.
 class scripted_runner {
  public:
-  // @param answer returns the bytes to send; called by several threads.
-  scripted_runner(std::string id,
-                  int port,
-                  std::function<std::string(const runner_request&)> answer);
+  // Returns whether the connection stays open after the answer.
+  using handler = std::function<bool(const runner_request&, answer_writer)>;
+  // @param answer called by several threads.
+  scripted_runner(std::string id, int port, handler answer);
   ~scripted_runner();
   scripted_runner(const scripted_runner&) = delete;
   scripted_runner& operator=(const scripted_runner&) = delete;
@@ -116,7 +119,7 @@
 
   std::string id_;
   int port_;
-  std::function<std::string(const runner_request&)> answer_;
+  handler answer_;
   int listener_ = -1;
   std::thread acceptor_;
   std::vector<int> handles_;
