--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -81,6 +81,7 @@
   review::record log(arguments[2]);
   std::vector<std::unique_ptr<review::scripted_runner>> runners;
   review::deployment fleet(arguments[1], &log);
+  fleet.UseEngines();
   for (int n = 1; n <= kRunners; ++n) {
     const std::string id = "plain-" + std::to_string(n);
     const int port = fleet.FreePorts(1);
