HTTP client: what arrives after a read's time limit is kept

Cause: a read whose time limit passes goes on in the background. When it ended while nobody waited, the next call started another read into the same buffer, and the bytes or the error of the first were lost. The end of the connection then completed the response.

Why it works: resumable_operation keeps a result until it is taken and begins no operation before. A response that has failed stays failed, so a reset, which the kernel reports once, cannot become a regular end.

--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -138,7 +138,9 @@
 };
 
 http_stream::connection::connection(std::unique_ptr<tcp::socket> s)
-    : socket(std::move(s)), buffer(kMaxParseBufferBytes) {
+    : socket(std::move(s)),
+      buffer(kMaxParseBufferBytes),
+      read(socket->get_executor()) {
   ResetParser();
 }
 
@@ -192,77 +194,65 @@
   return {value.data(), value.size()};
 }
 
-void http_stream::StartHeaderRead() {
-  connection_->reading = true;
-  http::async_read_header(
-      *connection_->socket, connection_->buffer, *connection_->parser,
-      [open = connection_](const boost::system::error_code& error,
-                           std::size_t) {
-        open->reading = false;
-        open->read_error = error;
-        if (open->reader)
-          open->reader->cancel();
-      });
-}
-
-void http_stream::StartBodyRead() {
-  auto& body = connection_->parser->get().body();
-  connection_->read_buffer.resize(kReadBufferBytes);
-  body.data = connection_->read_buffer.data();
-  body.size = connection_->read_buffer.size();
-  body.more = true;
-  connection_->reading = true;
-  http::async_read_some(
-      *connection_->socket, connection_->buffer, *connection_->parser,
-      [open = connection_](const boost::system::error_code& error,
-                           std::size_t) {
-        open->reading = false;
-        open->read_error = error == http::error::need_buffer
-                               ? boost::system::error_code()
-                               : error;
-        if (open->reader)
-          open->reader->cancel();
-      });
+std::optional<boost::system::error_code> http_stream::AwaitHeader(
+    time_point deadline,
+    asio::yield_context yield) {
+  return connection_->read.Await(
+      connection_,
+      [&open = *connection_](auto handler) {
+        http::async_read_header(*open.socket, open.buffer, *open.parser,
+                                std::move(handler));
+      },
+      deadline, yield);
 }
 
-bool http_stream::AwaitRead(time_point deadline, asio::yield_context yield) {
-  if (!connection_->reading)
-    return true;
-  asio::steady_timer timer(connection_->socket->get_executor());
-  connection_->reader = &timer;
-  WaitOn(timer, deadline, yield);
-  connection_->reader = nullptr;
-  return !connection_->reading;
+std::optional<boost::system::error_code> http_stream::AwaitBody(
+    time_point deadline,
+    asio::yield_context yield) {
+  const auto ended = connection_->read.Await(
+      connection_,
+      [&open = *connection_](auto handler) {
+        auto& body = open.parser->get().body();
+        open.read_buffer.resize(kReadBufferBytes);
+        body.data = open.read_buffer.data();
+        body.size = open.read_buffer.size();
+        body.more = true;
+        http::async_read_some(*open.socket, open.buffer, *open.parser,
+                              std::move(handler));
+      },
+      deadline, yield);
+  return ended == http::error::need_buffer ? boost::system::error_code()
+                                           : ended;
 }
 
 // The kernel reports a reset once, possibly to the write in progress; the read
 // then ends like that of a closed connection. Only a peer that had closed its
 // side before makes a write fail with broken_pipe.
-void http_stream::CheckConnectionEnd() {
-  if (connection_->read_error || !connection_->parser->is_done() ||
-      !EndsWithConnection() || !pending_write_)
-    return;
-  if (pending_write_->error != asio::error::broken_pipe)
-    connection_->read_error = pending_write_->error;
+boost::system::error_code http_stream::ConnectionError(
+    const boost::system::error_code& error) const {
+  if (error || !connection_->parser->is_done() || !EndsWithConnection() ||
+      !pending_write_ || pending_write_->error == asio::error::broken_pipe)
+    return error;
+  return pending_write_->error;
 }
 
-error_kind http_stream::RecordReadError() {
+error_kind http_stream::RecordReadError(
+    const boost::system::error_code& error) {
   broken_ = true;
-  return ReadErrorKind(connection_->read_error, false);
+  return ReadErrorKind(error, false);
 }
 
 result<bool> http_stream::ReadHeader(time_point deadline,
                                      asio::yield_context yield) {
-  while (true) {
-    if (!connection_->reading)
-      StartHeaderRead();
-    if (!AwaitRead(deadline, yield))
+  while (!broken_) {
+    const auto ended = AwaitHeader(deadline, yield);
+    if (!ended)
       return {error_kind::kTimedOut, "no response header at the deadline"};
     if (pending_write_ && pending_write_->aborted)
       return {error_kind::kUpstreamRefused,
               "upstream no longer accepts requests"};
-    if (connection_->read_error)
-      return {RecordReadError(), connection_->read_error.message()};
+    if (*ended)
+      return {RecordReadError(*ended), ended->message()};
     // The library does not know all codes, such as 103.
     if (status() / kStatusClassSize != kInformationalClass) {
       finished_ = connection_->parser->is_done();
@@ -272,33 +262,35 @@
       return {error_kind::kUpstreamGarbled, "too many interim responses"};
     connection_->ResetParser();
   }
+  return {error_kind::kUpstreamFailed, "the response is broken"};
 }
 
 result<std::string_view> http_stream::Read(time_point deadline,
                                            asio::yield_context yield) {
   if (finished_)
     return std::string_view();
+  // Another read could take a reset, which the kernel reports once, for the
+  // regular end of the connection.
+  if (broken_)
+    return {error_kind::kUpstreamFailed, "the response is broken"};
   if (cancelled())
     return {error_kind::kUpstreamFailed, "cancelled"};
-  while (connection_->reading || !connection_->parser->is_done()) {
-    if (!connection_->reading) {
-      // A response of which only parts without content arrive, such as chunk
-      // extensions, never waits.
-      if (clock::now() >= deadline)
-        return {error_kind::kTimedOut, "response continues at the deadline"};
-      StartBodyRead();
-    }
-    if (!AwaitRead(deadline, yield))
+  while (connection_->read.pending() || !connection_->parser->is_done()) {
+    // A response of which only parts without content arrive, such as chunk
+    // extensions, never waits.
+    if (!connection_->read.pending() && clock::now() >= deadline)
+      return {error_kind::kTimedOut, "response continues at the deadline"};
+    const auto ended = AwaitBody(deadline, yield);
+    if (!ended)
       return {error_kind::kTimedOut, "no more of the response at the deadline"};
-    CheckConnectionEnd();
-    if (connection_->read_error)
-      return {RecordReadError(), connection_->read_error.message()};
+    if (const auto error = ConnectionError(*ended))
+      return {RecordReadError(error), error.message()};
     if (cancelled())
       return {error_kind::kUpstreamFailed, "cancelled"};
     const std::size_t received = connection_->read_buffer.size() -
                                  connection_->parser->get().body().size;
     if (received > 0) {
-      finished_ = connection_->parser->is_done();
+      finished_ = connection_->parser->is_done() && !EndsWithConnection();
       return std::string_view(connection_->read_buffer.data(), received);
     }
   }
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -16,6 +16,7 @@
 #include "cactusward/time.h"
 #include "src/edges/direct_connector.h"
 #include "src/edges/net.h"
+#include "src/edges/resumable_operation.h"
 
 namespace cactusward {
 
@@ -133,9 +134,7 @@
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::string read_buffer;
     bool response_has_no_body = false;  // the request was a HEAD
-    bool reading = false;
-    boost::system::error_code read_error;
-    asio::steady_timer* reader = nullptr;  // cancelled when a read ends
+    resumable_operation read;           // of the header or the body
   };
   // A request that may still be being written while the response is read.
   struct pending_write {
@@ -149,18 +148,21 @@
   };
 
   bool cancelled() const { return cancel_ && cancel_->cancelled(); }
-  void StartHeaderRead();
-  void StartBodyRead();
-  // Waits for the read in progress. @return false when it is still in progress
-  // at `deadline`.
-  bool AwaitRead(time_point deadline, asio::yield_context yield);
-  // The result of a read that ended with an error.
-  error_kind RecordReadError();
+  // Waits for the header or the next part of the body. @return as for
+  // resumable_operation::Await.
+  std::optional<boost::system::error_code> AwaitHeader(
+      time_point deadline,
+      asio::yield_context yield);
+  std::optional<boost::system::error_code> AwaitBody(time_point deadline,
+                                                     asio::yield_context yield);
+  // Ends the response, which cannot be read further. @return its error.
+  error_kind RecordReadError(const boost::system::error_code& error);
   // Whether a response that ends with its connection has ended regularly.
   bool EndedByUpstream(time_point deadline, asio::yield_context yield);
-  // Turns the end of the connection, where it completes the response, into an
-  // error if the connection was reset.
-  void CheckConnectionEnd();
+  // The error of the connection that a read which ended with `error` did not
+  // report: a reset, where the end of the connection completes the response.
+  boost::system::error_code ConnectionError(
+      const boost::system::error_code& error) const;
 
   http_client* client_;
   std::string address_;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -305,6 +305,121 @@
   }
 }
 
+// Guards against a stream that ends as complete without the bytes that arrived
+// while its reader looked elsewhere.
+TEST_CASE("what arrives between two reads is kept") {
+  enum class ending { kOpen, kClosed, kReset };
+  struct row {
+    const char* name;
+    std::vector<std::string_view> parts;  // each arrives between two reads
+    ending end;
+    error_kind kind;
+    std::string_view body;
+  };
+  const row rows[] = {
+      {"a header and a body",
+       {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", "\r\n", "o", "k"},
+       ending::kOpen,
+       error_kind::kOk,
+       "ok"},
+      {"a body until the connection closes",
+       {"HTTP/1.1 200 OK\r\n\r\n", "o", "k"},
+       ending::kClosed,
+       error_kind::kOk,
+       "ok"},
+      {"bytes and the end at once",
+       {"HTTP/1.1 200 OK\r\n\r\no", "k"},
+       ending::kClosed,
+       error_kind::kOk,
+       "ok"},
+      {"the frame of a chunk before its bytes",
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n", "o", "k",
+        "\r\n0\r\n\r\n"},
+       ending::kOpen,
+       error_kind::kOk,
+       "ok"},
+      {"a reset",
+       {"HTTP/1.1 200 OK\r\n\r\n", "o", "k"},
+       ending::kReset,
+       error_kind::kUpstreamFailed,
+       ""},
+      {"a reset in the header",
+       {"HTTP/1.1 200 OK\r\n"},
+       ending::kReset,
+       error_kind::kUpstreamFailed,
+       ""},
+      {"bytes that are no header",
+       {"HTTP/1.1 ", "x\r\n\r\nHTTP/1.1 200 OK\r\n\r\nok"},
+       ending::kClosed,
+       error_kind::kUpstreamGarbled,
+       ""},
+  };
+  constexpr milliseconds kReadTime{10};
+  constexpr milliseconds kAbsence{60};
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    asio::io_context io;
+    tcp::acceptor acceptor(io,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    http_client client(io);
+    tcp::socket peer(io);
+    std::size_t sent = 0;
+    asio::spawn(io, [&](asio::yield_context yield) {
+      acceptor.async_accept(peer, yield);
+      std::string buffer(4096, '\0');
+      peer.async_read_some(asio::buffer(buffer), yield);
+    });
+    const auto send_next = [&] {
+      boost::system::error_code ignored;
+      if (sent < r.parts.size()) {
+        asio::write(peer, asio::buffer(r.parts[sent]), ignored);
+      } else if (sent == r.parts.size() && r.end != ending::kOpen) {
+        if (r.end == ending::kReset)
+          peer.set_option(asio::socket_base::linger(true, 0), ignored);
+        peer.close(ignored);
+      }
+      ++sent;
+    };
+    std::string body;
+    error_kind kind = error_kind::kOk;
+    asio::spawn(io, [&](asio::yield_context yield) {
+      auto stream = client.Start(
+          address, http::request<http::string_body>(http::verb::get, "/", 11),
+          {}, clock::now() + std::chrono::seconds(2), yield, nullptr);
+      REQUIRE(stream);
+      const time_point end = clock::now() + std::chrono::seconds(5);
+      bool has_header = false;
+      while (clock::now() < end) {
+        const time_point limit = clock::now() + kReadTime;
+        result<std::string_view> bytes = std::string_view();
+        if (has_header) {
+          bytes = (*stream)->Read(limit, yield);
+        } else if (const auto header = (*stream)->ReadHeader(limit, yield)) {
+          has_header = true;
+          continue;
+        } else {
+          bytes = {header.kind(), header.detail()};
+        }
+        kind = bytes.kind();
+        if (bytes)
+          body.append(*bytes);
+        if (bytes ? bytes->empty() : kind != error_kind::kTimedOut)
+          break;
+        if (bytes)
+          continue;
+        send_next();
+        Sleep(io, kAbsence, yield);
+      }
+    });
+    io.run();
+    CHECK(kind == r.kind);
+    if (r.kind == error_kind::kOk)
+      CHECK(body == r.body);
+  }
+}
+
 // Guards against a sound upstream that reads a long request late being taken
 // for a lost one.
 TEST_CASE("a peer that reads late is not taken for lost") {
--- a/tests/unit/silent_upstream_test.cc
+++ b/tests/unit/silent_upstream_test.cc
@@ -2,9 +2,11 @@
 // upstream nor the time in which the instance itself could not read.
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <sstream>
 #include <thread>
 
 #include "cactusward/stall_meter.h"
+#include "tests/support/scripted_upstream.h"
 #include "tests/support/small_fleet.h"
 
 namespace cactusward {
@@ -82,6 +84,89 @@
   }
 }
 
+// Guards against a stream that ends as complete without an event that arrived
+// while another run, beside the silent one, was being read.
+TEST_CASE("no event is lost while two runs of a stream are read", "[path]") {
+  struct row {
+    const char* name;
+    const char* fields;  // of the response
+    bool chunked;
+    int silent_before;  // event
+  };
+  const row rows[] = {
+      {"the last event, and the connection ends the response", "", false, 5},
+      {"an event within the stream", "", false, 3},
+      {"a chunked response", "Transfer-Encoding: chunked\r\n", true, 5},
+  };
+  constexpr int kStreams = 12;
+  constexpr milliseconds kSilence{1'400};
+  constexpr milliseconds kSilenceStep{15};  // from stream to stream
+  constexpr milliseconds kPrefill{600};     // of a run that continues a stream
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    small_fleet fleet;
+    fleet.settings.forwarding->retries.extra_retries = kStreams;
+    fleet.store.Put("op/config", testing::ConfigDocument(1));
+    int continuations = 0;
+    const auto script = [&](const http_request& request, int) {
+      const std::string id(request["X-Attempt-Id"]);
+      const std::string last(request["Last-Event-Id"]);
+      continuations += last.empty() ? 0 : 1;
+      testing::scripted_upstream::reply reply;
+      reply.close = true;
+      reply.parts.push_back({"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
+                                 "\r\nX-Response-Seal: s\r\nContent-Type: "
+                                 "text/event-stream\r\nConnection: close\r\n" +
+                                 r.fields + "\r\n",
+                             milliseconds(0)});
+      const int begin = last.empty() ? 1 : std::stoi(last) + 1;
+      for (int event = begin; event <= runner_fake::kEvents; ++event) {
+        const std::string number = std::to_string(event);
+        std::string bytes = "id: " + number + "\ndata: " + number + "\n\n";
+        if (r.chunked) {
+          std::ostringstream chunk;
+          chunk << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+          bytes = chunk.str();
+        }
+        milliseconds delay{0};
+        if (last.empty() && event == r.silent_before)
+          delay = kSilence + kSilenceStep * std::stoi(id);
+        else if (!last.empty() && event == begin)
+          delay = kPrefill;
+        reply.parts.push_back({bytes, delay});
+      }
+      if (r.chunked)
+        reply.parts.push_back({"0\r\n\r\n", milliseconds(0)});
+      return reply;
+    };
+    std::vector<std::unique_ptr<testing::scripted_upstream>> upstreams;
+    for (int i = 0; i < 3; ++i) {
+      upstreams.push_back(
+          std::make_unique<testing::scripted_upstream>(fleet.io, script));
+      fleet.store.Put("servers/s" + std::to_string(i),
+                      upstreams.back()->Entry("engines"));
+    }
+    std::vector<http_response> responses(kStreams);
+    int ended = 0;
+    fleet.Run([&](asio::yield_context yield) {
+      for (int i = 0; i < kStreams; ++i) {
+        Spawn(fleet.io, "call", [&, i](asio::yield_context inner) {
+          responses[i] = fleet.Call("/stream/x", std::to_string(i), inner);
+          ++ended;
+        });
+      }
+      while (ended < kStreams)
+        Sleep(fleet.io, testing::kPollPeriod, yield);
+    });
+    CHECK(continuations > 0);
+    for (int i = 0; i < kStreams; ++i) {
+      CAPTURE(i);
+      CHECK(responses[i].status == 200);
+      CHECK(responses[i].body == WholeStream());
+    }
+  }
+}
+
 // Guards against an instance that was stopped or busy blaming the upstream for
 // what it did not read in that time, and sending the request to another one.
 TEST_CASE("the time in which an instance stood still is not an upstream's",
