HTTP client: the end of a tunnel may be confirmed after a read's time limit

Callers could see a complete response fail: where a response ends with its connection and came through a peer, the peer is asked whether the upstream has ended it. Beside a second open response that question had only the rest of a turn, 50 ms, and no answer within it counted as a broken tunnel.

A read that is left finds the answer at its next call.

--- a/src/edges/connector.h
+++ b/src/edges/connector.h
@@ -44,9 +44,9 @@
   // Whether an idle connection to `address` may carry another request.
   virtual bool MayReuseConnections(const std::string& address) const = 0;
   // Whether the upstream itself ended the connection that `tunnel` carried. The
-  // end of the tunnel alone does not tell: its peer may have crashed.
+  // end of the tunnel alone does not tell: its peer may have crashed. Asks the
+  // peer, for a bounded time.
   virtual bool EndedByUpstream(const tunnel_reference& tunnel,
-                               time_point deadline,
                                asio::yield_context yield) = 0;
 };
 
--- a/src/edges/direct_connector.h
+++ b/src/edges/direct_connector.h
@@ -58,9 +58,7 @@
                                       asio::yield_context yield,
                                       cancel_token* cancel) override;
   bool MayReuseConnections(const std::string&) const override { return true; }
-  bool EndedByUpstream(const tunnel_reference&,
-                       time_point,
-                       asio::yield_context) override {
+  bool EndedByUpstream(const tunnel_reference&, asio::yield_context) override {
     return true;
   }
 
--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -140,7 +140,8 @@
 http_stream::connection::connection(std::unique_ptr<tcp::socket> s)
     : socket(std::move(s)),
       buffer(kMaxParseBufferBytes),
-      read(socket->get_executor()) {
+      read(socket->get_executor()),
+      end_query(socket->get_executor()) {
   ResetParser();
 }
 
@@ -225,6 +226,23 @@
                                            : ended;
 }
 
+std::optional<boost::system::error_code> http_stream::AwaitTunnelEnd(
+    time_point deadline,
+    asio::yield_context yield) {
+  return connection_->end_query.Await(
+      connection_,
+      [this](auto handler) {
+        Spawn(client_->io_, "tunnel_end",
+              [&connector = client_->ConnectorFor(true), tunnel = *tunnel_,
+               handler](asio::yield_context inner) mutable {
+                handler(connector.EndedByUpstream(tunnel, inner)
+                            ? boost::system::error_code()
+                            : asio::error::connection_reset);
+              });
+      },
+      deadline, yield);
+}
+
 // The kernel reports a reset once, possibly to the write in progress; the read
 // then ends like that of a closed connection. Only a peer that had closed its
 // side before makes a write fail with broken_pipe.
@@ -294,20 +312,19 @@
       return std::string_view(connection_->read_buffer.data(), received);
     }
   }
-  if (EndsWithConnection() && !EndedByUpstream(deadline, yield)) {
-    broken_ = true;
-    return {error_kind::kUpstreamFailed, "the tunnel broke"};
+  if (EndsWithConnection() && tunnel_) {
+    const auto ended = AwaitTunnelEnd(deadline, yield);
+    if (!ended)
+      return {error_kind::kTimedOut, "the end of the tunnel is not confirmed"};
+    if (*ended) {
+      broken_ = true;
+      return {error_kind::kUpstreamFailed, "the tunnel broke"};
+    }
   }
   finished_ = true;
   return std::string_view();
 }
 
-bool http_stream::EndedByUpstream(time_point deadline,
-                                  asio::yield_context yield) {
-  return !tunnel_ ||
-         client_->ConnectorFor(true).EndedByUpstream(*tunnel_, deadline, yield);
-}
-
 std::unique_ptr<tcp::socket> http_client::TakeIdleConnection(
     const std::string& address,
     milliseconds max_idle_time,
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -135,6 +135,7 @@
     std::string read_buffer;
     bool response_has_no_body = false;  // the request was a HEAD
     resumable_operation read;           // of the header or the body
+    resumable_operation end_query;      // whether the upstream ended a tunnel
   };
   // A request that may still be being written while the response is read.
   struct pending_write {
@@ -157,8 +158,11 @@
                                                      asio::yield_context yield);
   // Ends the response, which cannot be read further. @return its error.
   error_kind RecordReadError(const boost::system::error_code& error);
-  // Whether a response that ends with its connection has ended regularly.
-  bool EndedByUpstream(time_point deadline, asio::yield_context yield);
+  // Asks whether the upstream, and not the tunnel, ended the connection.
+  // @return as for resumable_operation::Await; an error if it did not.
+  std::optional<boost::system::error_code> AwaitTunnelEnd(
+      time_point deadline,
+      asio::yield_context yield);
   // The error of the connection that a read which ended with `error` did not
   // report: a reset, where the end of the connection completes the response.
   boost::system::error_code ConnectionError(
@@ -188,7 +192,7 @@
 // Not thread-safe.
 class http_client {
  public:
-  explicit http_client(asio::io_context& io) : direct_(io) {}
+  explicit http_client(asio::io_context& io) : io_(io), direct_(io) {}
 
   direct_connector& direct() { return direct_; }
   // Opens the connections for messages with `to_upstream`; null: directly.
@@ -292,6 +296,7 @@
       cancel_token* cancel,
       bool* unanswered);
 
+  asio::io_context& io_;
   direct_connector direct_;
   connector* upstream_connector_ = nullptr;
   std::int64_t connections_opened_ = 0;
--- a/src/services/path_service.cc
+++ b/src/services/path_service.cc
@@ -364,11 +364,10 @@
 }
 
 bool path_service::EndedByUpstream(const tunnel_reference& tunnel,
-                                   time_point deadline,
                                    asio::yield_context yield) {
   const auto end =
       peers_->Call(tunnel.peer_address, {{"op", kEndCall}, {"id", tunnel.id}},
-                   std::min(deadline, clock::now() + kEndQueryTimeout), yield);
+                   clock::now() + kEndQueryTimeout, yield);
   const bool answered = end && end->is_object();
   const auto found =
       answered ? end->find("ended") : nlohmann::json::const_iterator();
--- a/src/services/path_service.h
+++ b/src/services/path_service.h
@@ -50,7 +50,6 @@
     return !paths_.IsBroken(address);
   }
   bool EndedByUpstream(const tunnel_reference& tunnel,
-                       time_point deadline,
                        asio::yield_context yield) override;
 
   // What a connection to an upstream shows about its process.
--- a/tests/unit/tunnel_test.cc
+++ b/tests/unit/tunnel_test.cc
@@ -72,8 +72,10 @@
 // Connects to one address through a tunnel.
 class tunnel_connector : public connector {
  public:
-  tunnel_connector(direct_connector* direct, std::string tunnel_address)
-      : direct_(direct), tunnel_address_(std::move(tunnel_address)) {}
+  tunnel_connector(asio::io_context& io,
+                   direct_connector* direct,
+                   std::string tunnel_address)
+      : io_(io), direct_(direct), tunnel_address_(std::move(tunnel_address)) {}
 
   result<upstream_connection> Connect(const std::string& address,
                                       time_point deadline,
@@ -88,19 +90,64 @@
   }
   bool MayReuseConnections(const std::string&) const override { return true; }
   bool EndedByUpstream(const tunnel_reference& tunnel,
-                       time_point,
-                       asio::yield_context) override {
+                       asio::yield_context yield) override {
+    Sleep(io_, answer_time_, yield);
     return server_ && server_->EndedByUpstream(tunnel.id);
   }
+  // Sets the time until the peer answers whether the upstream ended a tunnel.
+  void SetAnswerTime(milliseconds time) { answer_time_ = time; }
   // Null: the peer that carries the tunnels is gone.
   void SetServer(const tunnel_server* server) { server_ = server; }
 
  private:
+  asio::io_context& io_;
   direct_connector* direct_;
   std::string tunnel_address_;
+  milliseconds answer_time_{0};
   const tunnel_server* server_ = nullptr;
 };
 
+// Guards against a complete response that fails because its reader looked
+// elsewhere before the peer said that the upstream had ended it.
+TEST_CASE("a reader may leave before the end of a tunnel is confirmed") {
+  asio::io_context io;
+  http_client client(io);
+  fixed_policy policy(true);
+  tunnel_server server(io, kSecret, &client.direct(), &policy);
+  const std::string address = FreeAddress();
+  REQUIRE(server.Listen(address));
+  tunnel_connector through_peer(io, &client.direct(), address);
+  through_peer.SetServer(&server);
+  through_peer.SetAnswerTime(milliseconds(150));
+  client.SetUpstreamConnector(&through_peer);
+  closing_upstream upstream(io, "HTTP/1.1 200 OK\r\n\r\nbody",
+                            closing_upstream::close_kind::kRegular);
+  std::string body;
+  error_kind kind = error_kind::kTimedOut;
+  Spawn(io, "test", [&](asio::yield_context yield) {
+    send_options options;
+    options.to_upstream = true;
+    http::request<http::string_body> message(http::verb::get, "/", 11);
+    const time_point end = clock::now() + kTimeout;
+    auto stream = client.Start(upstream.address(), std::move(message), options,
+                               end, yield, nullptr);
+    REQUIRE(stream);
+    REQUIRE((*stream)->ReadHeader(end, yield));
+    while (kind == error_kind::kTimedOut && clock::now() < end) {
+      const auto bytes =
+          (*stream)->Read(clock::now() + milliseconds(50), yield);
+      kind = bytes && !bytes->empty() ? error_kind::kTimedOut : bytes.kind();
+      if (bytes)
+        body.append(*bytes);
+      Sleep(io, milliseconds(50), yield);
+    }
+    io.stop();
+  });
+  io.run();
+  CHECK(kind == error_kind::kOk);
+  CHECK(body == "body");
+}
+
 // Guards against a response without a length that is taken for complete because
 // the peer that carried it has ended.
 TEST_CASE("the end of a tunnel is not that of the response") {
@@ -124,7 +171,7 @@
     tunnel_server server(io, kSecret, &client.direct(), &policy);
     const std::string address = FreeAddress();
     REQUIRE(server.Listen(address));
-    tunnel_connector through_peer(&client.direct(), address);
+    tunnel_connector through_peer(io, &client.direct(), address);
     through_peer.SetServer(r.peer_is_gone ? nullptr : &server);
     client.SetUpstreamConnector(&through_peer);
     closing_upstream upstream(io, "HTTP/1.1 200 OK\r\n\r\nbody", r.end);
