Relay: no response promises that a request was not run if it may have

Cause: a response of an upstream with its seal was passed on unchanged, also where its status (503, 429, 408) says that the request was not run and the upstream does not state that.

Why it works: final_response is the only way to give a caller a complete response and is made from what is known of the execution. Statuses and kinds of errors that state the opposite become 502 without the seal. A retryable request is sent again first, as after any failure.

--- a/include/cactusward/error.h
+++ b/include/cactusward/error.h
@@ -64,6 +64,10 @@
 // Precondition: none. Thread-safe.
 const error_response& ErrorResponseFor(error_kind kind);
 
+// Whether an HTTP status (408, 421, 429 or 503) tells a caller that its request
+// was not executed and will not be. Thread-safe.
+bool StatesNotExecuted(int http_status);
+
 // Returns the category of error kinds in std::error_code. Thread-safe.
 const std::error_category& ErrorCategory();
 
--- a/src/kernel/error.cc
+++ b/src/kernel/error.cc
@@ -1,5 +1,6 @@
 #include "cactusward/error.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
 
@@ -99,6 +100,12 @@
   return kErrorResponses[index];
 }
 
+bool StatesNotExecuted(int http_status) {
+  constexpr std::array<int, 4> kStatuses = {408, 421, 429, 503};
+  return std::find(kStatuses.begin(), kStatuses.end(), http_status) !=
+         kStatuses.end();
+}
+
 const std::error_category& ErrorCategory() {
   static const error_category_impl category;
   return category;
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -337,7 +337,8 @@
     return attempt{attempt_result::kFailed,
                    "failure response to a stream continuation", false,
                    std::nullopt};
-  if (stream.status() >= kFirstServerErrorStatus)
+  if (stream.status() >= kFirstServerErrorStatus ||
+      StatesNotExecuted(stream.status()))
     return attempt{attempt_result::kFailed,
                    "status " + std::to_string(stream.status()), false,
                    std::move(response)};
@@ -346,7 +347,8 @@
   if (stream.status() / 100 == 2 && !stream.EndsWithConnection())
     RecordSurvival(*exchange.assignment);
   record_.first_token = clock::now() - started_at_;
-  exchange_.RespondWith(std::move(response), WriteDeadline(), yield);
+  Respond(final_response::FromUpstream(std::move(response), execution()),
+          yield);
   return attempt{attempt_result::kCompleted, {}, false, std::nullopt};
 }
 
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -38,7 +38,6 @@
 constexpr milliseconds kLivenessPollPeriod{2};
 // The pooled connections to one upstream tend to break together.
 constexpr int kMaxStaleRetries = 2;
-constexpr double kMillisecondsPerSecond = 1000;
 // Another instance can take a request that is refused because this one stops.
 constexpr milliseconds kStopRetryAfter{50};
 
@@ -550,24 +549,20 @@
        {"last_event", last_event_id_.value_or(-1)}});
 }
 
+void relay_request::Respond(final_response response,
+                            asio::yield_context yield) {
+  if (response.kind() != error_kind::kOk) {
+    record_.kind = response.kind();
+    record_.met_objective = false;
+  }
+  exchange_.RespondWith(std::move(response).TakeMessage(), WriteDeadline(),
+                        yield);
+}
+
 void relay_request::RespondWithError(error_kind kind,
                                      milliseconds retry_after,
                                      asio::yield_context yield) {
-  record_.kind = kind;
-  record_.met_objective = false;
-  // A refused caller retries within its deadline or not at all.
-  if (retry_after.count() > 0) {
-    char text[32];
-    std::snprintf(
-        text, sizeof(text), "%.3f",
-        static_cast<double>(retry_after.count()) / kMillisecondsPerSecond);
-    exchange_.SetHeader("Retry-After", text);
-  }
-  http::response<http::string_body> response;
-  response.result(static_cast<unsigned>(ErrorResponseFor(kind).http_status));
-  response.set(http::field::content_type, "application/json");
-  response.body() = ErrorBody(kind, {});
-  exchange_.RespondWith(std::move(response), WriteDeadline(), yield);
+  Respond(final_response::FromError(kind, retry_after, execution()), yield);
 }
 
 void relay_request::RespondCancelled(asio::yield_context yield) {
@@ -624,8 +619,8 @@
   }
   if (last.end == attempt_result::kFailed && last.response) {
     record_.kind = error_kind::kUpstreamFailed;
-    exchange_.RespondWith(*last.response, WriteDeadline(), yield);
-    return;
+    return Respond(final_response::FromUpstream(*last.response, execution()),
+                   yield);
   }
   // No upstream ran the request, and none will.
   if (!may_have_run_)
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -14,6 +14,7 @@
 #include "cactusward/shared_retry_budget.h"
 #include "cactusward/stall_meter.h"
 #include "src/relay/catalog_service.h"
+#include "src/relay/final_response.h"
 #include "src/relay/quarantine_service.h"
 #include "src/relay/relay_dispatcher.h"
 #include "src/relay/relay_protocol.h"
@@ -198,6 +199,8 @@
                        asio::yield_context yield);
   void RespondQuarantined(const quarantine_refusal& refusal,
                           asio::yield_context yield);
+  // Gives the caller a complete response, the only way to do so.
+  void Respond(final_response response, asio::yield_context yield);
   void RespondWithError(error_kind kind,
                         milliseconds retry_after,
                         asio::yield_context yield);
@@ -206,6 +209,10 @@
   // events, until another one is tried beside it.
   milliseconds FirstEventTimeout(const relay_assignment& assignment) const;
   milliseconds EventGapTimeout(const relay_assignment& assignment) const;
+  execution_state execution() const {
+    return may_have_run_ || !open_.empty() ? execution_state::kUnknown
+                                           : execution_state::kNotExecuted;
+  }
   bool HasTimeLeft() const { return clock::now() < response_deadline_; }
   bool IsPrompt() const { return caller_.prompt_tokens > 0; }
 
--- a/tests/scenarios/soak_faults.lua
+++ b/tests/scenarios/soak_faults.lua
@@ -379,7 +379,7 @@
 local kRunnerFaults = options:match("runner_fault=([%w_]+)") and
     { options:match("runner_fault=([%w_]+)") } or { "refuses", "wrong_instance", "breaks_at_start",
   "breaks_midway", "unsigned", "crossed", "fails", "silent", "repeats_refusal",
-  "fails_continuation", "ends_in_event" }
+  "fails_continuation", "ends_in_event", "fails_as_refusal" }
 local function inject_runner_fault(runner, name)
   control(runner, { fault = name, requests = math.random(8) })
   -- In force until that many requests have come, or it is cleared.
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -113,7 +113,8 @@
       {"pauses", runner_fault::kPauses},
       {"repeats_refusal", runner_fault::kRepeatsRefusal},
       {"fails_continuation", runner_fault::kFailsContinuation},
-      {"ends_in_event", runner_fault::kEndsInEvent}};
+      {"ends_in_event", runner_fault::kEndsInEvent},
+      {"fails_as_refusal", runner_fault::kFailsAsRefusal}};
   const auto found = faults.find(name);
   if (found == faults.end())
     return std::nullopt;
@@ -409,6 +410,9 @@
     case runner_fault::kFails:
       response.result(500);
       break;
+    case runner_fault::kFailsAsRefusal:
+      response.result(503);
+      break;
     case runner_fault::kRepeatsRefusal:
       response = MakeResponse(503, "{}");
       response.set("X-Attempt-Id",
@@ -471,6 +475,8 @@
   SetLeavingField(&begin);
   if (fault == runner_fault::kFails)
     begin.result(500);
+  if (fault == runner_fault::kFailsAsRefusal)
+    begin.result(503);
   exchange.BeginStreamWith(begin, deadline, yield);
   const int crashes_before = crashes_;
   const std::string_view last = exchange.Header("Last-Event-Id");
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -117,6 +117,7 @@
   kRepeatsRefusal,     // 503, not executed, and the same once more
   kFailsContinuation,  // executes it; 500 when it is to continue a stream
   kEndsInEvent,        // executes it, ends a stream regularly within an event
+  kFailsAsRefusal,     // executes it, responds 503 without kRefuses' statement
 };
 // @return nullopt for an unknown name.
 std::optional<runner_fault> ParseRunnerFault(std::string_view name);
