Own interface: endless responses together take bounded memory

Operators of a system like this one saw upstreams send bytes without end, and the instance that had called them run out of memory.

On the product's own interface this could happen here: a call buffered up to 4 MiB and a probe up to 16 MiB, each for itself.

http_client::Call takes the memory of upstreams' bodies from a pool of 16 MiB, and probes read at most 64 KiB.

--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -10,6 +10,9 @@
 namespace cactusward {
 namespace {
 
+// Bodies of upstreams that are read by http_client::Call, all together; one may
+// take half of it. A small part of the memory of the smallest instances.
+constexpr std::size_t kUpstreamBodyBytes = 16ULL * 1024 * 1024;
 constexpr std::size_t kReadBufferBytes = 8ULL * 1024;
 // Unparsed bytes of one response: more than the head and the extension of a
 // chunk together.
@@ -325,6 +328,28 @@
   return std::string_view();
 }
 
+result<std::string> http_stream::ReadBody(std::size_t max_bytes,
+                                          time_point deadline,
+                                          asio::yield_context yield,
+                                          buffer_pool::share* buffered) {
+  std::string body;
+  while (true) {
+    const auto bytes = Read(deadline, yield);
+    if (!bytes)
+      return {bytes.kind(), bytes.detail()};
+    if (bytes->empty())
+      return body;
+    const std::size_t size = body.size() + bytes->size();
+    // Appending may allocate double.
+    if (size > max_bytes || (buffered && !buffered->Resize(2 * size)))
+      return {error_kind::kUpstreamGarbled, "answer exceeds the limit"};
+    body.append(*bytes);
+  }
+}
+
+http_client::http_client(asio::io_context& io)
+    : io_(io), direct_(io), upstream_bodies_(kUpstreamBodyBytes) {}
+
 std::unique_ptr<tcp::socket> http_client::TakeIdleConnection(
     const std::string& address,
     milliseconds max_idle_time,
@@ -542,16 +567,13 @@
   response.retry_after = (*stream)->Header("Retry-After");
   if (!request.response_header.empty())
     response.requested_header = (*stream)->Header(request.response_header);
-  while (true) {
-    const auto bytes = (*stream)->Read(deadline, yield);
-    if (!bytes)
-      return {bytes.kind(), bytes.detail()};
-    if (bytes->empty())
-      return response;
-    if (response.body.size() + bytes->size() > max_body_bytes)
-      return {error_kind::kUpstreamGarbled, "answer exceeds the limit"};
-    response.body.append(*bytes);
-  }
+  buffer_pool::share buffered(&upstream_bodies_);
+  auto body = (*stream)->ReadBody(max_body_bytes, deadline, yield,
+                                  request.to_upstream ? &buffered : nullptr);
+  if (!body)
+    return {body.kind(), body.detail()};
+  response.body = std::move(*body);
+  return response;
 }
 
 }  // namespace cactusward
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "cactusward/buffer_pool.h"
 #include "cactusward/result.h"
 #include "cactusward/time.h"
 #include "src/edges/direct_connector.h"
@@ -106,6 +107,15 @@
   // @return as for ReadHeader, also that a call after kTimedOut continues.
   result<std::string_view> Read(time_point deadline, asio::yield_context yield);
 
+  // Reads the rest of the body.
+  // @param buffered memory that the body takes from a pool; may be null.
+  // @return as for Read; kUpstreamGarbled when it exceeds `max_bytes` or what
+  //     the pool grants.
+  result<std::string> ReadBody(std::size_t max_bytes,
+                               time_point deadline,
+                               asio::yield_context yield,
+                               buffer_pool::share* buffered = nullptr);
+
   // Whether the connection carried other requests before this one.
   bool reused() const { return reused_; }
   // Whether the connection broke before any byte of the response.
@@ -192,7 +202,7 @@
 // Not thread-safe.
 class http_client {
  public:
-  explicit http_client(asio::io_context& io) : io_(io), direct_(io) {}
+  explicit http_client(asio::io_context& io);
 
   direct_connector& direct() { return direct_; }
   // Opens the connections for messages with `to_upstream`; null: directly.
@@ -251,7 +261,7 @@
 
   // Sends `request` and reads the whole response.
   // @return as for Open; kUpstreamGarbled when the body exceeds
-  //     `max_body_bytes`.
+  //     `max_body_bytes`, or when bodies of upstreams take too much together.
   result<http_response> Call(const std::string& address,
                              const outgoing_request& request,
                              time_point deadline,
@@ -301,6 +311,7 @@
   connector* upstream_connector_ = nullptr;
   std::int64_t connections_opened_ = 0;
   std::map<std::string, std::deque<idle_connection>> idle_connections_;
+  buffer_pool upstream_bodies_;
 };
 
 }  // namespace cactusward
--- a/src/relay/memory_reservation.cc
+++ b/src/relay/memory_reservation.cc
@@ -53,16 +53,10 @@
   if (reply.retry_after)
     fleet->RecordBackoff(upstream, *reply.retry_after);
   // Read to its end, so that the connection can be reused.
-  for (std::size_t received = 0;;) {
-    const auto bytes = (*response)->Read(deadline, yield);
-    if (!bytes)
-      return {bytes.kind(), bytes.detail()};
-    received += bytes->size();
-    if (received > kMaxControlResponseBytes)
-      return {error_kind::kUpstreamGarbled, "response exceeds the size limit"};
-    if (bytes->empty())
-      break;
-  }
+  const auto body =
+      (*response)->ReadBody(kMaxControlResponseBytes, deadline, yield);
+  if (!body)
+    return {body.kind(), body.detail()};
   if (status == kStatusOk || status == kStatusAccepted)
     return true;
   return {error_kind::kUpstreamRefused, "status " + std::to_string(status)};
--- a/src/services/upstream_directory.cc
+++ b/src/services/upstream_directory.cc
@@ -32,6 +32,7 @@
 // meanwhile.
 constexpr milliseconds kMaxStallDuringProbe{200};
 constexpr int kFailuresUntilUnreachable = 2;
+constexpr std::size_t kMaxProbeResponseBytes = 64ULL * 1024;
 // A sound upstream may be silent for a second or so. After this many failed
 // probes, requests that can be repeated are moved elsewhere.
 constexpr int kFailuresUntilMoved = 4;
@@ -184,8 +185,8 @@
   request.to_upstream = true;
   const time_point sent_at = clock::now();
   const duration stalled_before = stalls_.Total(sent_at);
-  const auto response =
-      runtime_.client.Call(address, request, sent_at + kProbeTimeout, yield);
+  const auto response = runtime_.client.Call(
+      address, request, sent_at + kProbeTimeout, yield, kMaxProbeResponseBytes);
   const time_point now = clock::now();
   probe_state& state = probes_[address];
   state.running = false;
@@ -284,7 +285,8 @@
   request.fresh_connection = true;
   const time_point limit = clock::now() + kBrokenProbeTimeout;
   while (clock::now() < limit) {
-    const auto response = runtime_.client.Call(address, request, limit, yield);
+    const auto response = runtime_.client.Call(address, request, limit, yield,
+                                               kMaxProbeResponseBytes);
     if (response) {
       RecordResponse(pool, address, response->load_metrics);
       return;
--- a/tests/support/endless_upstream.h
+++ b/tests/support/endless_upstream.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "src/edges/net.h"
@@ -38,6 +39,9 @@
           [this](asio::yield_context yield) { Accept(yield); });
   }
 
+  // Answers health checks like a sound upstream.
+  void SetHealthy() { healthy_ = true; }
+
   const std::string& address() const { return address_; }
   int connections() const { return connections_; }
   // Connections that the peer closed.
@@ -63,6 +67,12 @@
     std::string request(4096, '\0');
     boost::system::error_code error;
     socket.async_read_some(asio::buffer(request), yield[error]);
+    if (healthy_ && request.rfind("GET /health", 0) == 0) {
+      const std::string_view response =
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+      asio::async_write(socket, asio::buffer(response), yield[error]);
+      return;
+    }
     if (!error)
       asio::async_write(socket, asio::buffer(start_), yield[error]);
     while (!error && sent_bytes_ < kMaxBytes) {
@@ -80,6 +90,7 @@
   std::string start_;
   std::string part_;
   milliseconds pause_;
+  bool healthy_ = false;
   int connections_ = 0;
   int closed_ = 0;
   std::uint64_t sent_bytes_ = 0;
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "cactusward/hash.h"
@@ -61,11 +62,17 @@
     REQUIRE(instance->Start());
     bool ready = false;
     Spawn(io, "test", [&](asio::yield_context yield) {
-      Send(http::verb::put, settings.instance_list, "/v1/instances",
-           nlohmann::json::array({Listing("poradna", runner_address),
-                                  Listing("objednavky", service_address)}),
+      auto listings =
+          nlohmann::json::array({Listing("poradna", runner_address),
+                                 Listing("objednavky", service_address)});
+      nlohmann::json config = Config();
+      for (const auto& [service, address] : more_upstreams)
+        listings.push_back(Listing(service.c_str(), address));
+      for (const auto& service : more_services)
+        config["services"].push_back(service);
+      Send(http::verb::put, settings.instance_list, "/v1/instances", listings,
            yield);
-      ready = Apply(Config(), 0, yield) == 200;
+      ready = Apply(config, 0, yield) == 200;
       for (const char* path : {kCallPath, kCompletionPath}) {
         const time_point until = clock::now() + kTimeout;
         caller_request* warm = nullptr;
@@ -125,6 +132,16 @@
     Send(http::verb::post, address, "/control", faults, yield);
   }
 
+  // How often the upstream at `address` ran each request, by Idempotency-Key.
+  nlohmann::json RunsAt(const std::string& address, asio::yield_context yield) {
+    outgoing_request request;
+    request.target = "/record";
+    const auto response =
+        client.Call(address, request, clock::now() + kTimeout, yield);
+    return response ? nlohmann::json::parse(response->body)["runs"]
+                    : nlohmann::json();
+  }
+
   // Sends a caller's request in the background. A path of a completion or of a
   // call that may not be repeated implies what such a request needs.
   caller_request* Begin(const std::string& path, int tokens = 4) {
@@ -136,8 +153,10 @@
       request.target = path;
       request.headers = {{"Authorization", "Bearer " + std::string(kKey)},
                          {"Idempotency-Key", std::to_string(next_key_++)}};
-      if (path == kCompletionPath) {
+      if (!sends_keys)
         request.headers.pop_back();
+      if (path == kCompletionPath) {
+        request.headers.resize(1);
         request.body = nlohmann::json({{"model", "poradna"},
                                        {"prompt", "note"},
                                        {"stream", true},
@@ -168,6 +187,10 @@
   instance_settings settings;
   std::string runner_address;
   std::string service_address;
+  bool sends_keys = true;  // whether calls have an Idempotency-Key
+  // Beside those of Config(); to be set before Run.
+  std::vector<nlohmann::json> more_services;
+  std::vector<std::pair<std::string, std::string>> more_upstreams;  // addresses
 
  private:
   static constexpr milliseconds kTimeout{8'000};
