Own interface: a status alone is no refusal

Callers of bookings got 503 with was_run "no" although the booking had run, up to five times under one Idempotency-Key: a service that fails a call with 503 or 429 after it ran was taken for one that refuses, and the call was sent again. 408 and 421 of a service were passed on.

Why it works: 408, 421, 429 and 503 count as not run only if the body says so in the error format (was_run: no), as the product's own refusals do. Otherwise the request may have run: a claimed call ends with outcome_unknown, others spend retry budget before they run again.

--- a/src/edges/http_server.cc
+++ b/src/edges/http_server.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include "src/edges/json.h"
 #include "src/edges/listen_log.h"
 #include "src/kernel/log.h"
 
@@ -115,6 +116,17 @@
   return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+bool StatesNotRun(std::string_view body) {
+  const auto parsed = ParseJson(body);
+  if (!parsed || !parsed->is_object())
+    return false;
+  const auto error = parsed->find("error");
+  if (error == parsed->end() || !error->is_object())
+    return false;
+  const auto was_run = error->find("was_run");
+  return was_run != error->end() && *was_run == "no";
+}
+
 http_exchange::http_exchange(tcp::socket* socket,
                              http_request request,
                              std::function<bool()> closes)
--- a/src/edges/http_server.h
+++ b/src/edges/http_server.h
@@ -138,6 +138,9 @@
 
 // Returns the JSON body of an error response. Thread-safe.
 std::string ErrorBody(error_kind kind, std::string_view detail);
+// Whether `body` is an error response in this format that states that the
+// request was not executed. Thread-safe.
+bool StatesNotRun(std::string_view body);
 
 // Accepts connections and calls `handler` for each request. Not thread-safe.
 class http_server {
--- a/src/model/service_standin.cc
+++ b/src/model/service_standin.cc
@@ -7,6 +7,8 @@
 
 using nlohmann::json;
 
+constexpr milliseconds kResponseTimeout{1'000};
+
 }  // namespace
 
 service_standin::service_standin(asio::io_context& io, milliseconds run_time)
@@ -24,6 +26,8 @@
     if (body && body->is_object()) {
       lose_answers_ = body->value("lose_answers", lose_answers_);
       refuse_ = body->value("refuse", refuse_);
+      fail_ = body->value("fail", fail_);
+      fail_status_ = body->value("fail_status", fail_status_);
       leaving_ = body->value("leaving", leaving_);
       run_time_ = milliseconds(body->value("run_time_ms", run_time_.count()));
     }
@@ -54,6 +58,12 @@
     exchange.CloseAfterResponse();
     return;
   }
+  if (fail_ > 0) {
+    --fail_;
+    exchange.Respond(fail_status_, "text/plain", "failed\n",
+                     clock::now() + kResponseTimeout, yield);
+    return;
+  }
   exchange.SetHeader("X-Request-Id",
                      std::string(exchange.Header("X-Request-Id")));
   exchange.RespondJson({{"call", call}, {"run", run}, {"for", name}}, yield);
--- a/src/model/service_standin.h
+++ b/src/model/service_standin.h
@@ -27,7 +27,11 @@
   http_server server_;
   std::map<std::string, int> run_counts_;  // by Idempotency-Key, else by body
   int lose_answers_ = 0;  // next calls that are executed without a response
-  int refuse_ = 0;
+  int refuse_ = 0;        // next calls that are refused, as not executed
+  // Next calls that are executed and fail with a status that reads like a
+  // refusal.
+  int fail_ = 0;
+  int fail_status_ = 0;
   bool leaving_ = false;
 };
 
--- a/src/request/call_run.cc
+++ b/src/request/call_run.cc
@@ -92,9 +92,9 @@
             response.kind() != error_kind::kUpstreamUnreachable};
   services_.directory->RecordResponse(placed.pool(), placed.address(),
                                       response->load_metrics);
-  if (IsRefusal(response->status))
+  if (StatesNotExecuted(response->status))
     return attempts_.RecordRefusal(placed, response->status,
-                                   response->retry_after);
+                                   response->retry_after, response->body);
   response_ = std::move(*response);
   return {error_kind::kOk, {}, true};
 }
--- a/src/request/completion_run.cc
+++ b/src/request/completion_run.cc
@@ -6,9 +6,10 @@
 namespace cactusward {
 namespace {
 
-// How long to wait for the end of the response body after the end marker. After
-// that the connection is not reused.
+// How long to wait for the end of the response body after the end marker, or
+// for the body of a refusal. After that the connection is not reused.
 constexpr milliseconds kBodyEndTimeout{50};
+constexpr std::size_t kMaxRefusalBytes = 64ULL * 1024;
 // Inter-token latency that is assumed when checking whether a deadline can be
 // met.
 constexpr milliseconds kMinDecodeTime{20};
@@ -132,9 +133,14 @@
       placed.pool(), placed.address(),
       (*stream)->Header("endpoint-load-metrics"));
   const int status = (*stream)->status();
-  if (IsRefusal(status))
-    return attempts_.RecordRefusal(placed, status,
-                                   (*stream)->Header("Retry-After"));
+  if (StatesNotExecuted(status)) {
+    const std::string retry_after((*stream)->Header("Retry-After"));
+    const auto body = (*stream)->ReadBody(
+        kMaxRefusalBytes,
+        std::min(context_.deadline(), clock::now() + kBodyEndTimeout), yield);
+    return attempts_.RecordRefusal(placed, status, retry_after,
+                                   body ? *body : std::string());
+  }
   if (status != 200)
     return {error_kind::kUpstreamFailed,
             "upstream status " + std::to_string(status), true};
--- a/src/request/request_attempts.cc
+++ b/src/request/request_attempts.cc
@@ -23,10 +23,6 @@
 
 }  // namespace
 
-bool IsRefusal(int http_status) {
-  return http_status == 429 || http_status == kServiceUnavailable;
-}
-
 request_attempts::request_attempts(runtime& runtime, request_context& context)
     : runtime_(runtime), context_(context), services_(context.services()) {
   context_.OnEndBeforeExit([this] {
@@ -102,7 +98,8 @@
 
 attempt_outcome request_attempts::RecordRefusal(const placed_request& placed,
                                                 int http_status,
-                                                std::string_view retry_after) {
+                                                std::string_view retry_after,
+                                                std::string_view body) {
   const auto time = http_status == kServiceUnavailable
                         ? ParseRetryAfter(retry_after)
                         : std::nullopt;
@@ -111,7 +108,9 @@
     Log(log_level::kInfo, "upstream_backed_off",
         {{"upstream", placed.address()}, {"retry_after_ms", time->count()}});
   }
-  return {error_kind::kUpstreamRefused, {}, false};
+  return {error_kind::kUpstreamRefused,
+          "upstream status " + std::to_string(http_status),
+          !StatesNotRun(body)};
 }
 
 attempt_outcome request_attempts::Run(
--- a/src/request/request_attempts.h
+++ b/src/request/request_attempts.h
@@ -24,10 +24,6 @@
 // window counts as well.
 constexpr milliseconds kLostMachineTimeout{4'000};
 
-// Whether a status (429 or 503) states that the upstream did not run the
-// request. Thread-safe.
-bool IsRefusal(int http_status);
-
 // The attempts of one request. Not thread-safe; must not outlive the handler
 // that owns `context`.
 class request_attempts {
@@ -49,11 +45,15 @@
   //     of an earlier request with the same key.
   bool AdmitAndClaim(std::int64_t tokens, asio::yield_context yield);
 
-  // Records a refusal by the upstream of `placed`, which may state for how long
-  // it wants no other requests. @return the outcome of the attempt.
+  // Records a response of the upstream of `placed` for which StatesNotExecuted
+  // holds. It may say for how long the upstream wants no other requests. The
+  // status alone is no evidence: a request counts as not executed only if the
+  // body states so, too.
+  // @return the outcome of the attempt.
   static attempt_outcome RecordRefusal(const placed_request& placed,
                                        int http_status,
-                                       std::string_view retry_after);
+                                       std::string_view retry_after,
+                                       std::string_view body);
   // Waits for an upstream, runs `attempt` there, and records the outcome in the
   // health statistics of the upstream.
   // @param repeatable whether work that reached an upstream may run again.
--- a/tests/unit/refusal_test.cc
+++ b/tests/unit/refusal_test.cc
@@ -2,12 +2,14 @@
 // given to callers whose request was not.
 #include <catch2/catch.hpp>
 
+#include "tests/support/gateway_fleet.h"
 #include "tests/support/scripted_upstream.h"
 #include "tests/support/small_fleet.h"
 
 namespace cactusward {
 namespace {
 
+using testing::gateway_fleet;
 using testing::small_fleet;
 
 constexpr const char* kSeal = "X-Response-Seal";
@@ -80,5 +82,55 @@
   }
 }
 
+// Guards against a second execution, and an untrue was_run, on the product's
+// own interface.
+TEST_CASE("a service's failure that reads like a refusal is none",
+          "[responses]") {
+  struct row {
+    const char* name;
+    const char* path;
+    int upstream_status;
+    bool executed;
+    int calls;  // that fail
+    int status;
+    const char* was_run;
+  };
+  constexpr const char* kBook = gateway_fleet::kBookPath;
+  constexpr const char* kStock = gateway_fleet::kCallPath;
+  const row rows[] = {
+      {"unavailable", kBook, 503, true, 100, 502, "unknown"},
+      {"too many requests", kBook, 429, true, 100, 502, "unknown"},
+      {"request timeout", kBook, 408, true, 100, 502, "unknown"},
+      {"another upstream", kBook, 421, true, 100, 502, "unknown"},
+      {"unavailable, repeatable", kStock, 503, true, 100, 502, "unknown"},
+      {"too many requests, repeatable", kStock, 429, true, 100, 502, "unknown"},
+      {"unavailable once, repeatable", kStock, 503, true, 1, 200, ""},
+      {"refused once", kBook, 429, false, 1, 200, ""},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    gateway_fleet fleet;
+    fleet.Run([&](asio::yield_context yield) {
+      nlohmann::json faults = {{"refuse", r.calls}};
+      if (r.executed)
+        faults = {{"fail", r.calls}, {"fail_status", r.upstream_status}};
+      fleet.SetFaults(fleet.service_address, faults, yield);
+      fleet.sends_keys = r.path == kBook;
+      const testing::caller_request* sent = fleet.Begin(r.path);
+      fleet.Await(*sent, yield);
+      CHECK(sent->status == r.status);
+      const auto body = nlohmann::json::parse(sent->body, nullptr, false);
+      if (r.status != 200)
+        CHECK(body["error"]["was_run"] == r.was_run);
+      const nlohmann::json record = fleet.RunsAt(fleet.service_address, yield);
+      for (const auto& [key, runs] : record.items()) {
+        CAPTURE(key);
+        if (r.path == kBook)
+          CHECK(runs == 1);
+      }
+    });
+  }
+}
+
 }  // namespace
 }  // namespace cactusward
