A stopping instance allows for a silence in what it takes late

Cause: what arrives after the load balancer could notice the stop must be completed for certain, but was judged by the slowest known runs plus 0.25 s. A few known runs may all have been fast, and streams of services without a cost model were judged by nothing once their first event had arrived.

Why it works: such streams are judged by a certain bound, which is not below the cost model's until 32 runs are known, plus the longest silence of a sound upstream; those of unknown length by their deadline. Others are refused at once and can be served elsewhere.

1.4 s for a silence failed "a request that arrives in parts during a shutdown has a response" (503 == 200), hence 1.25 s.

--- a/include/cactusward/run_time_estimates.h
+++ b/include/cactusward/run_time_estimates.h
@@ -10,6 +10,12 @@
 
 namespace cactusward {
 
+// How sure a bound has to be.
+enum class run_time_confidence {
+  kLikely,   // exceeded by few requests
+  kCertain,  // exceeded by no request of a sound upstream
+};
+
 // Not thread-safe.
 class run_time_estimates {
  public:
@@ -25,8 +31,11 @@
               double measured_ms);
   // The time, in milliseconds, that no recent request of `route` with this
   // prediction would have exceeded; at least the prediction times the unknown
-  // factor while few requests are known.
-  double UpperBound(const std::string& route, double predicted_ms) const;
+  // factor while few requests are known. For kCertain at least the prediction
+  // itself, until kSamples requests are known: a few may all have been fast.
+  double UpperBound(const std::string& route,
+                    double predicted_ms,
+                    run_time_confidence confidence) const;
 
   // Requests of a route that are taken into account.
   static constexpr std::size_t kSamples = 32;
--- a/src/forwarding/run_time_estimates.cc
+++ b/src/forwarding/run_time_estimates.cc
@@ -14,16 +14,20 @@
 }
 
 double run_time_estimates::UpperBound(const std::string& route,
-                                      double predicted_ms) const {
+                                      double predicted_ms,
+                                      run_time_confidence confidence) const {
+  const bool certain = confidence == run_time_confidence::kCertain;
+  const std::size_t enough = certain ? kSamples : kMinSamples;
+  const double unknown =
+      certain ? std::max(unknown_factor_, 1.0) : unknown_factor_;
   const auto found = by_route_.find(route);
   if (found == by_route_.end())
-    return predicted_ms * unknown_factor_;
+    return predicted_ms * unknown;
   const samples& known = found->second;
   const double longest =
       *std::max_element(known.factors.begin(), known.factors.end());
-  return predicted_ms * (known.count < kMinSamples
-                             ? std::max(longest, unknown_factor_)
-                             : longest);
+  return predicted_ms *
+         (known.count < enough ? std::max(longest, unknown) : longest);
 }
 
 }  // namespace cactusward
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -386,7 +386,8 @@
   }
   if (!stream_started_) {
     run_prediction rest = PredictRun(exchange.assignment.get());
-    rest.first_event_ms = 0;
+    if (!rest.unknown_length)
+      rest.first_event_ms = 0;
     if (!services_.shutdown.MayBeginStream(route_->name, rest, started_at_,
                                            response_deadline_, clock::now()))
       return attempt{attempt_result::kTooLate,
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -137,9 +137,12 @@
     predicted.pass_ms = DecodePassMs(engine, engine.slots, engine.kv_capacity);
     return predicted;
   }
-  // Nothing tells how long such a stream is.
-  if (route_->kind == route_kind::kStreaming)
-    return {ToMilliseconds(response_deadline_ - started_at_)};
+  if (route_->kind == route_kind::kStreaming) {
+    run_prediction predicted;
+    predicted.first_event_ms = ToMilliseconds(response_deadline_ - started_at_);
+    predicted.unknown_length = true;
+    return predicted;
+  }
   return {objective_ms};
 }
 
--- a/src/relay/relay_stop.cc
+++ b/src/relay/relay_stop.cc
@@ -1,6 +1,7 @@
 #include "src/relay/relay_stop.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "src/kernel/log.h"
 #include "src/relay/catalog_service.h"
@@ -15,9 +16,8 @@
 constexpr milliseconds kResponseFlushDelay{60};
 // Requests that are ended get at least this long to send their responses.
 constexpr milliseconds kMinResponseTime{100};
-// An upstream may fall silent for about a second and go on.
-constexpr double kPauseAllowanceMs = 1'000;
-constexpr double kLongestRunSlackMs = 250;
+// The longest silence, of about a second, after which a sound upstream goes on.
+constexpr double kMaxSilenceMs = 1'250;
 // Share of the longest run that many requests take.
 constexpr double kLikelyShare = 0.5;
 
@@ -42,16 +42,23 @@
 double relay_shutdown::ExpectedRunMs(const std::string& route,
                                      const run_prediction& predicted,
                                      time_point arrived_at) const {
+  constexpr auto kLikely = run_time_confidence::kLikely;
+  constexpr auto kCertain = run_time_confidence::kCertain;
+  const double likely = runs_.UpperBound(route, predicted.TotalMs(), kLikely);
+  if (!IsNoticed(arrived_at) && predicted.passes > 0)
+    return likely;
+  if (IsNoticed(arrived_at) && predicted.unknown_length)
+    return std::numeric_limits<double>::infinity();
+  // The prediction of a call is its objective, not a bound.
   if (predicted.passes == 0)
-    return runs_.UpperBound(route, predicted.TotalMs()) + kPauseAllowanceMs;
-  if (!IsNoticed(arrived_at))
-    return runs_.UpperBound(route, predicted.TotalMs());
+    return likely + kMaxSilenceMs;
   const double by_events =
-      first_events_.UpperBound(route, predicted.first_event_ms) +
-      predicted.passes * passes_.UpperBound(route, predicted.pass_ms);
+      first_events_.UpperBound(route, predicted.first_event_ms, kCertain) +
+      predicted.passes * passes_.UpperBound(route, predicted.pass_ms, kCertain);
   // An event need not be one pass, so whole runs are compared as well.
-  return std::max(by_events, runs_.UpperBound(route, predicted.TotalMs())) +
-         kLongestRunSlackMs;
+  return std::max(by_events,
+                  runs_.UpperBound(route, predicted.TotalMs(), kCertain)) +
+         kMaxSilenceMs;
 }
 
 bool relay_shutdown::CanComplete(const std::string& route,
--- a/src/relay/relay_stop.h
+++ b/src/relay/relay_stop.h
@@ -24,11 +24,14 @@
   double first_event_ms = 0;  // or the whole response, if it is no stream
   double passes = 0;          // that the longest response takes
   double pass_ms = 0;
+  // Nothing tells how long it is: `first_event_ms` is the time until its
+  // deadline.
+  bool unknown_length = false;
 
   double TotalMs() const { return first_event_ms + passes * pass_ms; }
   friend bool operator==(const run_prediction& a, const run_prediction& b) {
     return a.first_event_ms == b.first_event_ms && a.passes == b.passes &&
-           a.pass_ms == b.pass_ms;
+           a.pass_ms == b.pass_ms && a.unknown_length == b.unknown_length;
   }
 };
 
@@ -66,7 +69,9 @@
                       time_point arrived_at,
                       time_point deadline,
                       time_point now) const;
-  // The time in milliseconds for which CanComplete expects a request to run.
+  // The time in milliseconds for which CanComplete expects a request to run,
+  // with a silence of its upstream unless the bound need only be likely;
+  // infinite if nothing bounds it.
   double ExpectedRunMs(const std::string& route,
                        const run_prediction& predicted,
                        time_point arrived_at) const;
--- a/tests/unit/planned_stop_test.cc
+++ b/tests/unit/planned_stop_test.cc
@@ -137,7 +137,8 @@
 
 // Guards against requests that wait or run until the process exits, and get no
 // response.
-TEST_CASE("a request has a response when a stopped instance exits", "[path]") {
+TEST_CASE("a request has a response when a stopped instance exits",
+          "[responses]") {
   struct row {
     const char* name;
     const char* path;
@@ -149,6 +150,8 @@
     int status;
     // The instance stands still for a moment when it ends requests.
     bool stalls = false;
+    // The upstream of the request pauses, although it is sound.
+    bool pauses = false;
   };
   using ms = milliseconds;
   const row rows[] = {
@@ -176,6 +179,10 @@
        ms(0), ms(2'800), 502},
       {"a stream without a first event, at a stall", "/fixed/x", true, ms(100),
        ms(0), ms(0), ms(2'800), 502, true},
+      {"a stream sent late whose upstream falls silent", "/stream/x", true,
+       ms(500), ms(100), ms(0), ms(0), 503, false, true},
+      {"such a stream that is not resumable", "/fixed/x", true, ms(500),
+       ms(100), ms(0), ms(0), 503, false, true},
       {"a call, at a stall", "/often/x", true, ms(300), ms(0), ms(0), ms(2'800),
        502, true},
   };
@@ -209,6 +216,10 @@
         });
       if (!late) {
         Sleep(fleet.io, r.sent_at, yield);
+        for (const auto& upstream : own) {
+          if (r.pauses)
+            upstream->SetFault(testing::runner_fault::kPauses);
+        }
         late = fleet.Begin(r.path, "late");
       }
       fleet.AwaitExit(yield);
@@ -222,6 +233,47 @@
   }
 }
 
+// Guards against a late stream that is cut at the exit because nothing told how
+// long it would last.
+TEST_CASE("a late stream of unknown length is refused", "[responses]") {
+  struct row {
+    const char* name;
+    milliseconds sent_at;  // after SIGTERM
+    milliseconds event_pause;
+    int status;
+  };
+  const row rows[] = {
+      {"a stream sent before the stop was noticed", milliseconds(50),
+       milliseconds(100), 200},
+      {"a late stream", milliseconds(300), milliseconds(550), 503},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    stopping_fleet fleet(milliseconds(3'000));
+    auto config = nlohmann::json::parse(testing::ConfigDocument(1));
+    for (auto& service : config["services"])
+      service.erase("backend");
+    fleet.store.Put("op/config", config.dump());
+    sent_request* late = nullptr;
+    fleet.Run([&](asio::yield_context yield) {
+      for (std::size_t i = 0; i < run_time_estimates::kMinSamples; ++i)
+        REQUIRE(fleet.WaitForStatus("/stream/x", 200, yield));
+      for (const auto& upstream : fleet.engines)
+        upstream->SetEventPause(r.event_pause);
+      fleet.BeginEndless("/stream/x");
+      Sleep(fleet.io, milliseconds(50), yield);
+      fleet.gateway->Stop();
+      Sleep(fleet.io, r.sent_at, yield);
+      late = fleet.Begin("/stream/x", "late");
+      fleet.AwaitExit(yield);
+    });
+    fleet.AwaitResponses({late});
+    CHECK(late->ended);
+    CHECK(late->status == r.status);
+    fleet.EndRequests();
+  }
+}
+
 // Guards against callers that are refused although their requests could be
 // completed: perhaps no other instance is left.
 TEST_CASE("a stopping instance serves what it can complete", "[path]") {
@@ -331,16 +383,19 @@
     const char* name;
     std::vector<double> measured_ms;  // of requests predicted to take 100 ms
     double upper_bound_ms;            // for a prediction of 200 ms
+    double certain_bound_ms;
   };
   const std::vector<double> many(run_time_estimates::kSamples, 150);
+  const std::vector<double> many_short(run_time_estimates::kSamples, 50);
   const row rows[] = {
-      {"nothing is known", {}, 200 * kUnknownFactor},
-      {"one short request", {50}, 200 * kUnknownFactor},
-      {"one long request", {200}, 400},
-      {"three short requests", {50, 40, 20}, 200 * kUnknownFactor},
-      {"four short requests", {50, 40, 20, 30}, 100},
-      {"the slowest of some", {50, 300, 120}, 600},
-      {"the slowest of many", many, 300},
+      {"nothing is known", {}, 200 * kUnknownFactor, 300},
+      {"one short request", {50}, 200 * kUnknownFactor, 300},
+      {"one long request", {200}, 400, 400},
+      {"three short requests", {50, 40, 20}, 200 * kUnknownFactor, 300},
+      {"four short requests", {50, 40, 20, 30}, 100, 300},
+      {"many short requests", many_short, 100, 100},
+      {"the slowest of some", {50, 300, 120}, 600, 600},
+      {"the slowest of many", many, 300, 300},
   };
   for (const row& r : rows) {
     CAPTURE(r.name);
@@ -351,11 +406,16 @@
     run_time_estimates own(kUnknownFactor);
     for (const double measured : r.measured_ms)
       own.Record("route", 100, measured);
-    CHECK(own.UpperBound("route", 200) == Approx(r.upper_bound_ms));
+    CHECK(own.UpperBound("route", 200, run_time_confidence::kLikely) ==
+          Approx(r.upper_bound_ms));
+    CHECK(own.UpperBound("route", 200, run_time_confidence::kCertain) ==
+          Approx(r.certain_bound_ms));
     // An old request no longer counts.
     for (const double measured : many)
       estimates.Record("route", 100, measured);
-    CHECK(estimates.UpperBound("route", 200) == Approx(300));
+    for (const auto confidence :
+         {run_time_confidence::kLikely, run_time_confidence::kCertain})
+      CHECK(estimates.UpperBound("route", 200, confidence) == Approx(300));
   }
 }
 
--- a/tests/unit/silent_upstream_test.cc
+++ b/tests/unit/silent_upstream_test.cc
@@ -86,7 +86,8 @@
 
 // Guards against a stream that ends as complete without an event that arrived
 // while another run, beside the silent one, was being read.
-TEST_CASE("no event is lost while two runs of a stream are read", "[path]") {
+TEST_CASE("no event is lost while two runs of a stream are read",
+          "[responses]") {
   struct row {
     const char* name;
     const char* fields;  // of the response
