--- a/tests/unit/tunnel_test.cc
+++ b/tests/unit/tunnel_test.cc
@@ -4,6 +4,8 @@
 #include "src/edges/http_client.h"
 #include "src/edges/tunnel.h"
 #include "tests/support/closing_upstream.h"
+#include "tests/support/endless_upstream.h"
+#include "tests/support/memory_growth.h"
 #include "tests/support/platform_fakes.h"
 
 namespace cactusward {
@@ -189,5 +191,56 @@
   }
 }
 
+// Guards against a peer that keeps what endless upstreams send through it, for
+// callers that read slowly or not at all.
+TEST_CASE("an endless response through a peer is bounded") {
+  constexpr std::int64_t kMaxGrowthBytes = 32'000'000;
+  constexpr int kCallers = 64;
+  constexpr std::size_t kMaxBodyBytes = 64ULL * 1024;
+  constexpr milliseconds kPlayTime{1'500};
+  asio::io_context io;
+  http_client client(io);
+  fixed_policy policy(true);
+  tunnel_server server(io, kSecret, &client.direct(), &policy);
+  const std::string address = FreeAddress();
+  REQUIRE(server.Listen(address));
+  tunnel_connector through_peer(io, &client.direct(), address);
+  through_peer.SetServer(&server);
+  client.SetUpstreamConnector(&through_peer);
+  testing::endless_upstream upstream(io, "HTTP/1.1 200 OK\r\n\r\n", "a",
+                                     milliseconds(0));
+  int ended = 0;
+  for (int i = 0; i < kCallers; ++i) {
+    Spawn(io, "call", [&, reads = i % 2 == 0](asio::yield_context yield) {
+      const time_point end = clock::now() + kPlayTime;
+      outgoing_request request;
+      request.to_upstream = true;
+      if (reads) {
+        CHECK(!client.Call(upstream.address(), request, end, yield,
+                           kMaxBodyBytes));
+      } else {
+        const auto stream =
+            client.Open(upstream.address(), request, end, yield);
+        Sleep(io, end - clock::now(), yield);
+      }
+      ++ended;
+    });
+  }
+  std::int64_t growth = 0;
+  Spawn(io, "test", [&](asio::yield_context yield) {
+    const testing::memory_growth memory(io);
+    while (ended < kCallers)
+      Sleep(io, milliseconds(10), yield);
+    growth = memory.bytes();
+    Sleep(io, milliseconds(200), yield);
+    io.stop();
+  });
+  io.run();
+  CHECK(upstream.connections() == kCallers);
+  CHECK(upstream.closed() == kCallers);
+  CHECK(server.open() == 0);
+  CHECK(growth < kMaxGrowthBytes);
+}
+
 }  // namespace
 }  // namespace cactusward
