--- a/include/cactusward/engine_placement.h
+++ b/include/cactusward/engine_placement.h
@@ -18,9 +18,13 @@
   bool usable = true;   // listed, not leaving, not avoided
   double slowdown = 1;  // actual duration / duration by engine_parameters
   upstream_load load;
+  int max_running = 0;    // requests of all instances; 0: the slots
+  bool same_zone = true;  // in this instance's availability zone
 
   friend bool operator==(const engine_view& a, const engine_view& b) {
-    return a.usable == b.usable && a.slowdown == b.slowdown && a.load == b.load;
+    return a.usable == b.usable && a.slowdown == b.slowdown &&
+           a.load == b.load && a.max_running == b.max_running &&
+           a.same_zone == b.same_zone;
   }
 };
 
@@ -70,14 +74,21 @@
 struct placement_settings {
   // Smallest max_event_gap of the routes of the service.
   double strictest_event_gap_ms = 250;
-  int max_helpers = 16;
+  // Most engines in a request's list of helpers. With a reservation on it, the
+  // engine that decodes is in the list as well.
+  int max_helper_entries = 16;
+  // By how much the expected first event must be earlier at an engine of
+  // another availability zone; 0: zones do not matter.
+  double zone_preference_ms = 0;
   // This instance has just started and has no load reports of its peers yet.
   bool peers_unknown = false;
 
   friend bool operator==(const placement_settings& a,
                          const placement_settings& b) {
     return a.strictest_event_gap_ms == b.strictest_event_gap_ms &&
-           a.max_helpers == b.max_helpers && a.peers_unknown == b.peers_unknown;
+           a.max_helper_entries == b.max_helper_entries &&
+           a.zone_preference_ms == b.zone_preference_ms &&
+           a.peers_unknown == b.peers_unknown;
   }
 };
 
--- a/include/cactusward/forward_config.h
+++ b/include/cactusward/forward_config.h
@@ -42,6 +42,8 @@
   bool is_public = false;         // no key required
   bool resumable = false;         // streams may resume at another upstream
   std::vector<weighted_service> services;
+  // Regions in which its requests may be handled; empty: all.
+  std::vector<std::string> homes;
 
   // Whether a request that may have been executed may be sent again.
   bool IsRetryable() const {
@@ -55,16 +57,22 @@
            a.timeout == b.timeout && a.objective == b.objective &&
            a.max_event_gap == b.max_event_gap && a.priority == b.priority &&
            a.max_attempts == b.max_attempts && a.is_public == b.is_public &&
-           a.resumable == b.resumable && a.services == b.services;
+           a.resumable == b.resumable && a.services == b.services &&
+           a.homes == b.homes;
   }
 };
 
 struct forward_service {
   std::string name;
   std::optional<engine_parameters> engine;  // none: a plain service
+  // Requests a second that a cold upstream bears; 0: as many as any other.
+  double cold_per_second = 0;
+  milliseconds cold_start{0};  // how long a new process is cold
 
   friend bool operator==(const forward_service& a, const forward_service& b) {
-    return a.name == b.name && a.engine == b.engine;
+    return a.name == b.name && a.engine == b.engine &&
+           a.cold_per_second == b.cold_per_second &&
+           a.cold_start == b.cold_start;
   }
 };
 
@@ -73,10 +81,12 @@
   std::string organisation;
   std::vector<std::string> keys;
   std::optional<int> priority;  // overrides the route's
+  // Regions in which its requests may be handled; empty: all.
+  std::vector<std::string> homes;
 
   friend bool operator==(const key_holder& a, const key_holder& b) {
     return a.organisation == b.organisation && a.keys == b.keys &&
-           a.priority == b.priority;
+           a.priority == b.priority && a.homes == b.homes;
   }
 };
 
--- a/include/cactusward/upstream_catalog.h
+++ b/include/cactusward/upstream_catalog.h
@@ -24,12 +24,14 @@
   std::int64_t started_at_ms = 0;  // Unix time of its start; 0: unknown
   // Rises with each registration since that start; 0: unknown.
   std::int64_t sequence = 0;
+  // How much longer it is cold, as of this entry.
+  milliseconds cold_remaining{0};
 
   friend bool operator==(const upstream_entry& a, const upstream_entry& b) {
     return a.id == b.id && a.service == b.service && a.address == b.address &&
            a.availability_zone == b.availability_zone && a.slots == b.slots &&
            a.leaving == b.leaving && a.started_at_ms == b.started_at_ms &&
-           a.sequence == b.sequence;
+           a.sequence == b.sequence && a.cold_remaining == b.cold_remaining;
   }
 };
 
--- a/include/cactusward/upstream_limits.h
+++ b/include/cactusward/upstream_limits.h
@@ -27,6 +27,16 @@
   }
 };
 
+// How many requests cold upstreams bear beyond the rate that they state.
+struct cold_settings {
+  double overage = 1.5;  // factor of the rate
+  double tolerance = 5;  // requests, added to it in each second
+
+  friend bool operator==(const cold_settings& a, const cold_settings& b) {
+    return a.overage == b.overage && a.tolerance == b.tolerance;
+  }
+};
+
 // How a limit is divided.
 struct limit_share {
   std::size_t holders = 0;  // instances that may send
@@ -44,6 +54,13 @@
 // and five requests. A low limit is divided among few: each of many would have
 // to send too rarely. Precondition: `instances` is at least 1. Thread-safe.
 limit_share DivideLimit(double per_second, std::size_t instances);
+// Divides the limit of a cold upstream, so that in any one second two disjoint
+// groups of instances, each of which divides it among its own members, together
+// send at most `per_second` * overage + tolerance. Precondition: `instances` is
+// at least 1. Thread-safe.
+limit_share DivideColdLimit(double per_second,
+                            const cold_settings& settings,
+                            std::size_t instances);
 
 // Grants requests within this instance's shares. All instances that know the
 // same limits and instances select the same holders, by rendezvous hashing.
@@ -70,6 +87,16 @@
   // Merges a peer's report. @return whether the limit has changed.
   bool MergeReport(const limit_report& report, time_point now);
 
+  // Limits an upstream that is cold until `until`, beside the limit that it
+  // names; the stricter one binds. `until` not after `now` ends it.
+  // @return whether the limit has begun or ended.
+  bool SetColdLimit(std::uint32_t upstream,
+                    double per_second,
+                    time_point until,
+                    time_point now);
+  // Number of upstreams that are limited because they are cold.
+  std::size_t cold_size() const;
+
   // The limit of an upstream, in requests a second; nullopt if it has none.
   std::optional<double> LimitOf(std::uint32_t upstream) const;
   // Time since the response that states the limit. Precondition: there is one.
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -2,6 +2,8 @@
 #ifndef CACTUSWARD_SRC_DAEMON_SETTINGS_H_
 #define CACTUSWARD_SRC_DAEMON_SETTINGS_H_
 
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,6 +12,7 @@
 #include "cactusward/result.h"
 #include "cactusward/shared_retry_budget.h"
 #include "cactusward/time.h"
+#include "cactusward/upstream_limits.h"
 #include "src/kernel/log.h"
 
 namespace cactusward {
@@ -29,6 +32,11 @@
   milliseconds reregistration_grace{2'200};
   // Longest time for which an upstream's KV memory may be reserved.
   milliseconds max_reservation{20'000};
+  cold_settings cold;
+  // Whether upstreams that start or recover are loaded by how they respond.
+  bool ramp_up = true;
+  // By how much an engine of another availability zone must be quicker.
+  milliseconds zone_preference{20};
 
   friend bool operator==(const forwarding_settings& a,
                          const forwarding_settings& b) {
@@ -37,13 +45,46 @@
            a.metrics_listen == b.metrics_listen && a.registry == b.registry &&
            a.source_address == b.source_address && a.retries == b.retries &&
            a.reregistration_grace == b.reregistration_grace &&
-           a.max_reservation == b.max_reservation;
+           a.max_reservation == b.max_reservation && a.cold == b.cold &&
+           a.ramp_up == b.ramp_up && a.zone_preference == b.zone_preference;
+  }
+};
+
+// Bounds on what callers may make an instance hold.
+struct caller_limit_settings {
+  std::size_t memory_mb = 0;  // of this process; 0: half of the machine's
+  // 0: no limit, since a load balancer may connect for all callers.
+  int max_connections_per_address = 0;
+  // Kept free for upstreams, the registry and peers.
+  int reserved_descriptors = 256;
+  std::size_t max_pipelined_bytes = 64ULL * 1024;
+  int max_header_fields = 256;
+  std::int64_t min_body_rate = 256;  // bytes a second
+  milliseconds min_body_rate_window{10'000};
+  milliseconds max_unread_response{30'000};
+  // IP numbers without a limit of connections, such as a load balancer's.
+  std::vector<std::string> trusted_addresses;
+
+  friend bool operator==(const caller_limit_settings& a,
+                         const caller_limit_settings& b) {
+    return a.memory_mb == b.memory_mb &&
+           a.max_connections_per_address == b.max_connections_per_address &&
+           a.reserved_descriptors == b.reserved_descriptors &&
+           a.max_pipelined_bytes == b.max_pipelined_bytes &&
+           a.max_header_fields == b.max_header_fields &&
+           a.min_body_rate == b.min_body_rate &&
+           a.min_body_rate_window == b.min_body_rate_window &&
+           a.max_unread_response == b.max_unread_response &&
+           a.trusted_addresses == b.trusted_addresses;
   }
 };
 
 struct instance_settings {
   std::string instance;
   std::string availability_zone;
+  std::string region;  // empty: unknown
+  // Region by availability zone.
+  std::map<std::string, std::string> zone_regions;
   std::string listen;          // HTTP: callers, operators and scrapers
   std::string peer_listen;     // peers, TCP and UDP
   std::string peer_advertise;  // address at which peers reach peer_listen
@@ -61,11 +102,13 @@
   milliseconds drain_limit{600'000};
   log_level min_log_level = log_level::kInfo;
   std::optional<forwarding_settings> forwarding;
+  caller_limit_settings caller_limits;
 
   friend bool operator==(const instance_settings& a,
                          const instance_settings& b) {
     return a.instance == b.instance &&
-           a.availability_zone == b.availability_zone && a.listen == b.listen &&
+           a.availability_zone == b.availability_zone && a.region == b.region &&
+           a.zone_regions == b.zone_regions && a.listen == b.listen &&
            a.peer_listen == b.peer_listen &&
            a.peer_advertise == b.peer_advertise &&
            a.tunnel_listen == b.tunnel_listen && a.key_value == b.key_value &&
@@ -74,7 +117,8 @@
            a.seed_peers == b.seed_peers &&
            a.unusable_seeds == b.unusable_seeds &&
            a.drain_grace == b.drain_grace && a.drain_limit == b.drain_limit &&
-           a.min_log_level == b.min_log_level && a.forwarding == b.forwarding;
+           a.min_log_level == b.min_log_level && a.forwarding == b.forwarding &&
+           a.caller_limits == b.caller_limits;
   }
 };
 
--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -357,7 +357,7 @@
       request.best_effort ? max_first_event_ms
                           : request.objective_ms * kPreferredObjectiveShare;
   std::optional<engine_placement> best;
-  const int max_parts = settings.max_helpers + 1;
+  const int max_parts = settings.max_helper_entries + 1;
   for (int parts = 1; parts <= max_parts; ++parts) {
     auto placement = PlaceInParts(parameters, settings, request, engines,
                                   interactive_engines, parts, random);
