Evacuation of availability zones and home regions: decisions and catalog

An operator could not take the upstreams of a zone out of use, and requests could not be confined to regions.

Routes and organisations may list homes; placement uses only upstreams there. Settings of regions, cold upstreams, ramp-up, zone preference and callers' limits are read.

--- a/include/cactusward/evacuation_set.h
+++ b/include/cactusward/evacuation_set.h
@@ -23,6 +23,19 @@
   }
 };
 
+// The last that an instance knows of one zone, for its peers.
+struct evacuation_report {
+  std::string zone;
+  registry_position position;
+  bool evacuated = false;
+
+  friend bool operator==(const evacuation_report& a,
+                         const evacuation_report& b) {
+    return a.zone == b.zone && a.position == b.position &&
+           a.evacuated == b.evacuated;
+  }
+};
+
 // The evacuations that the registry lists. Changes may arrive in any order: the
 // one with the highest position decides, for each zone. When the registry is
 // restored from a copy, evacuations that the copy lacks stay in force for a
@@ -49,6 +62,11 @@
   // @return whether anything changed.
   bool Expire(time_point now);
 
+  // What is known of all zones that are or were evacuated.
+  std::vector<evacuation_report> Reports() const;
+  // Merges a peer's report. @return whether the zone's state has changed.
+  bool Merge(const evacuation_report& report, time_point now);
+
   bool Contains(std::string_view zone) const;
   // The evacuations in force, by zone.
   std::vector<zone_evacuation> entries() const;
--- a/include/cactusward/membership.h
+++ b/include/cactusward/membership.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "cactusward/evacuation_set.h"
 #include "cactusward/load_tracker.h"
 #include "cactusward/part_quarantine.h"
 #include "cactusward/registry_position.h"
@@ -101,7 +102,7 @@
 // The format that every supported release reads. It cannot be extended.
 constexpr int kBaseGossipFormat = 7;
 // The newest format of this release. Later ones append fields to it.
-constexpr int kGossipFormat = 8;
+constexpr int kGossipFormat = 9;
 
 // A datagram between instances.
 struct gossip_message {
@@ -133,6 +134,8 @@
   // An encoded message of the sender that the receiver handles and passes on to
   // the instances of its availability zone. Other fields are then not in use.
   std::string rebroadcast;
+  // Zones that are or were evacuated.
+  std::vector<evacuation_report> evacuations;
   // The newest format that the sender reads; of a ping request in the base
   // format it is not known.
   int sender_format = kGossipFormat;
@@ -150,7 +153,7 @@
            a.loads == b.loads && a.crashes == b.crashes &&
            a.quarantines == b.quarantines && a.sound_parts == b.sound_parts &&
            a.limits == b.limits && a.order == b.order &&
-           a.rebroadcast == b.rebroadcast &&
+           a.rebroadcast == b.rebroadcast && a.evacuations == b.evacuations &&
            a.sender_format == b.sender_format &&
            a.unreadable_fields == b.unreadable_fields;
   }
--- a/src/config/json_reader.cc
+++ b/src/config/json_reader.cc
@@ -56,6 +56,13 @@
   return path_ + "." + std::string(name);
 }
 
+std::vector<std::string> object_reader::FieldNames() const {
+  std::vector<std::string> names;
+  for (const auto& [name, value] : value_->items())
+    names.push_back(name);
+  return names;
+}
+
 const json* object_reader::Find(std::string_view name) {
   read_fields_.emplace(name);
   const auto it = value_->find(std::string(name));
--- a/src/config/json_reader.h
+++ b/src/config/json_reader.h
@@ -35,6 +35,8 @@
                 validation_errors* errors);
 
   bool Has(std::string_view name);
+  // The names of all fields, for an object whose fields are not known.
+  std::vector<std::string> FieldNames() const;
   std::int64_t Integer(std::string_view name,
                        std::int64_t fallback,
                        std::int64_t min,
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -16,6 +16,13 @@
 constexpr double kMillisecondsPerSecond = 1000;
 constexpr milliseconds kMaxDrainTime = std::chrono::hours(24);
 constexpr milliseconds kMaxForwardingTime = std::chrono::hours(1);
+constexpr double kMaxColdOverage = 100;
+constexpr double kMaxColdTolerance = 1'000'000;
+constexpr std::int64_t kMaxMemoryMegabytes = 1'000'000;
+constexpr std::int64_t kMaxConnections = 1'000'000;
+constexpr std::int64_t kMaxPipelinedBytes = 1'000'000'000;
+constexpr std::int64_t kMaxHeaderFields = 100'000;
+constexpr std::int64_t kMaxBodyRate = 1'000'000'000;
 
 // Reads an optional duration. A fraction of a millisecond is cut off.
 milliseconds ReadMilliseconds(object_reader& reader,
@@ -44,6 +51,53 @@
   return address;
 }
 
+std::map<std::string, std::string> ReadZoneRegions(object_reader& root) {
+  object_reader zones = root.Object("zones");
+  std::map<std::string, std::string> regions;
+  for (const std::string& zone : zones.FieldNames())
+    regions[zone] = zones.RequiredString(zone);
+  return regions;
+}
+
+caller_limit_settings ReadCallerLimits(object_reader reader) {
+  caller_limit_settings limits;
+  const auto read = [&reader](std::string_view name, std::int64_t fallback,
+                              std::int64_t min, std::int64_t max) {
+    return reader.Integer(name, fallback, min, max);
+  };
+  limits.memory_mb =
+      static_cast<std::size_t>(read("memory_mb", 0, 0, kMaxMemoryMegabytes));
+  limits.max_connections_per_address = static_cast<int>(
+      read("max_connections_per_address", limits.max_connections_per_address, 0,
+           kMaxConnections));
+  limits.reserved_descriptors = static_cast<int>(read(
+      "reserved_descriptors", limits.reserved_descriptors, 0, kMaxConnections));
+  limits.max_pipelined_bytes = static_cast<std::size_t>(
+      read("max_pipelined_bytes",
+           static_cast<std::int64_t>(limits.max_pipelined_bytes), 1,
+           kMaxPipelinedBytes));
+  limits.max_header_fields = static_cast<int>(
+      read("max_header_fields", limits.max_header_fields, 1, kMaxHeaderFields));
+  limits.min_body_rate =
+      read("min_body_rate", limits.min_body_rate, 0, kMaxBodyRate);
+  limits.min_body_rate_window =
+      ReadMilliseconds(reader, "min_body_rate_window_ms",
+                       limits.min_body_rate_window, kMaxForwardingTime);
+  limits.max_unread_response =
+      ReadMilliseconds(reader, "max_unread_response_ms",
+                       limits.max_unread_response, kMaxForwardingTime);
+  limits.trusted_addresses = reader.StringArray("trusted_addresses");
+  for (const std::string& address : limits.trusted_addresses) {
+    boost::system::error_code error;
+    asio::ip::make_address(address, error);
+    if (error)
+      reader.AddError("trusted_addresses", "\"" + address + "\"",
+                      "an IP number");
+  }
+  reader.RejectUnknownFields();
+  return limits;
+}
+
 log_level ReadLogLevel(object_reader& reader) {
   const std::string level =
       reader.Choice("log_level", "info", {"debug", "info", "warning", "error"});
@@ -78,6 +132,14 @@
   settings.max_reservation =
       ReadMilliseconds(reader, "max_reservation_ms", settings.max_reservation,
                        kMaxForwardingTime);
+  settings.cold.overage =
+      reader.Number("cold_overage", settings.cold.overage, 0, kMaxColdOverage);
+  settings.cold.tolerance = reader.Number(
+      "cold_tolerance", settings.cold.tolerance, 0, kMaxColdTolerance);
+  settings.ramp_up = reader.Boolean("ramp_up", settings.ramp_up);
+  settings.zone_preference =
+      ReadMilliseconds(reader, "zone_preference_ms", settings.zone_preference,
+                       kMaxForwardingTime);
   reader.RejectUnknownFields();
   return settings;
 }
@@ -108,6 +170,8 @@
   instance_settings settings;
   settings.instance = root.RequiredString("instance");
   settings.availability_zone = root.RequiredString("availability_zone");
+  settings.region = root.String("region", "");
+  settings.zone_regions = ReadZoneRegions(root);
   settings.listen = ReadAddress(root, "listen");
   settings.peer_listen = ReadAddress(root, "peer_listen");
   settings.peer_advertise = root.Has("peer_advertise")
@@ -117,6 +181,7 @@
     settings.tunnel_listen = ReadAddress(root, "tunnel_listen");
   if (root.Has("forwarding"))
     settings.forwarding = ReadForwarding(root.Object("forwarding"));
+  settings.caller_limits = ReadCallerLimits(root.Object("caller_limits"));
   object_reader secrets = root.Object("secrets");
   settings.peer_secret = secrets.RequiredString("peers", kMinSecretBytes);
   if (!settings.forwarding) {
--- a/src/membership/gossip_codec.cc
+++ b/src/membership/gossip_codec.cc
@@ -15,6 +15,8 @@
 using nlohmann::json;
 
 constexpr std::size_t kBaseMessageFields = 21;
+// The first format with evacuations.
+constexpr int kEvacuationFormat = 9;
 constexpr std::size_t kMemberFields = 6;
 constexpr std::size_t kMaxListItems = 512;
 // Fields of later formats that are kept for one member.
@@ -195,6 +197,15 @@
   return true;
 }
 
+bool ReadEvacuation(const json& item, evacuation_report* out) {
+  if (!HasFields(item, "siib"))
+    return false;
+  *out = {item[0].get<std::string>(),
+          {ToInt64(item[1]), ToInt64(item[2])},
+          item[3].get<bool>()};
+  return true;
+}
+
 // Reads what is readable of a list. @return the number of items left out, or 1
 // if there is no such list.
 template <typename Item>
@@ -262,6 +273,8 @@
     else
       ++unreadable;
   }
+  if (next < value.size())
+    unreadable += ReadList(value[next++], ReadEvacuation, &out->evacuations);
   return unreadable;
 }
 
@@ -357,6 +370,14 @@
     encoded.push_back(json::binary(std::vector<std::uint8_t>(
         message.rebroadcast.begin(), message.rebroadcast.end())));
   }
+  if (format >= kEvacuationFormat) {
+    json evacuations = json::array();
+    for (const evacuation_report& item : message.evacuations)
+      evacuations.push_back(
+          json::array({item.zone, item.position.era, item.position.revision,
+                       item.evacuated}));
+    encoded.push_back(std::move(evacuations));
+  }
   std::string bytes;
   json::to_cbor(encoded, bytes);
   return bytes;
--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -21,6 +21,24 @@
 // A snapshot of 200 KB takes 0.1 s at 20 Mbit/s, and ten may be requested from
 // one peer at the same time.
 constexpr milliseconds kPullTimeout{1'500};
+
+// Reads what is readable of the evacuations in a snapshot.
+std::vector<evacuation_report> ReadEvacuationReports(
+    const nlohmann::json& list) {
+  constexpr std::size_t kFields = 4;
+  std::vector<evacuation_report> reports;
+  for (const nlohmann::json& item : list) {
+    if (item.is_array() && item.size() >= kFields && item[0].is_string() &&
+        item[1].is_number_integer() && item[2].is_number_integer() &&
+        item[3].is_boolean())
+      reports.push_back(
+          {item[0].get<std::string>(),
+           {item[1].get<std::int64_t>(), item[2].get<std::int64_t>()},
+           item[3].get<bool>()});
+  }
+  return reports;
+}
+
 }  // namespace
 
 nlohmann::json catalog_service::Snapshot(std::int64_t known_version) {
@@ -29,6 +47,11 @@
   for (const auto& [id, raw] : raw_upstreams_)
     upstreams.push_back(
         nlohmann::json::array({id, raw.document, raw.revision}));
+  nlohmann::json evacuations = nlohmann::json::array();
+  for (const evacuation_report& report : evacuations_.Reports())
+    evacuations.push_back(
+        nlohmann::json::array({report.zone, report.position.era,
+                               report.position.revision, report.evacuated}));
   return {{"era", position_.era},
           {"revision", position_.revision},
           {"config", config_ && config_->version() > known_version
@@ -36,11 +59,13 @@
                          : std::string()},
           {"config_era", config_position_.era},
           {"config_revision", config_position_.revision},
-          {"upstreams", std::move(upstreams)}};
+          {"upstreams", std::move(upstreams)},
+          {"evacuations", std::move(evacuations)}};
 }
 
 void catalog_service::AddFields(gossip_message* message, time_point now) {
   message->catalog_position = position_;
+  message->evacuations = evacuations_.Reports();
   message->config_number = config_ ? config_->version() : 0;
   // The newest changes that fit.
   std::size_t first = recent_changes_.size();
@@ -95,6 +120,7 @@
 }
 
 void catalog_service::OnMessage(const gossip_message& message, time_point now) {
+  MergeEvacuations(message.evacuations, message.sender.name);
   if (message.catalog_position > position_)
     ApplyPeerChanges(message, now);
   const bool upstreams_behind = message.catalog_position > position_;
@@ -112,6 +138,17 @@
   RecordConfigKnown(position_);
 }
 
+void catalog_service::MergeEvacuations(
+    const std::vector<evacuation_report>& reports,
+    std::string_view origin) {
+  const auto before = evacuations_.entries();
+  bool changed = false;
+  for (const evacuation_report& report : reports)
+    changed = evacuations_.Merge(report, clock::now()) || changed;
+  if (changed)
+    OnEvacuationsChanged(before, origin);
+}
+
 void catalog_service::CatchUpUpstreams(const std::string& peer,
                                        time_point now) {
   if (!upstreams_pacer_.TryBegin(now, kRegistryLagTolerance))
@@ -216,6 +253,10 @@
                            item[1].get<std::string>()});
   }
   upstreams_pacer_.RecordCaughtUp();
+  // Instances of a release without evacuations do not report any.
+  if (const auto evacuations = response->find("evacuations");
+      evacuations != response->end() && evacuations->is_array())
+    MergeEvacuations(ReadEvacuationReports(*evacuations), peer);
   ApplySnapshot(batch, "peer", yield);
 }
 
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -66,6 +66,7 @@
       source_(source),
       peers_(peers),
       upstreams_(runtime.settings.forwarding->reregistration_grace),
+      evacuations_(runtime.settings.forwarding->reregistration_grace),
       upstreams_pacer_(kCatchUp),
       config_pacer_(kCatchUp) {}
 
@@ -77,6 +78,9 @@
   tick_timer_ = runtime_.timers.Every(kTickPeriod, [this](time_point now) {
     if (upstreams_.Expire(now))
       NotifyListeners();
+    const auto evacuated = evacuations_.entries();
+    if (evacuations_.Expire(now))
+      OnEvacuationsChanged(evacuated, "expiry");
     ConfirmIfDue(now);
   });
 }
@@ -216,6 +220,8 @@
   const auto config = source_->ReadConfig(yield);
   if (!config)
     return {config.kind(), config.detail()};
+  // Before a configuration lets this instance forward requests.
+  ReplaceEvacuations(*config, "registry");
   ApplyConfigs(*config, "registry", yield);
   RecordConfigKnown(config->position);
   return config->position.era;
@@ -529,6 +535,13 @@
         {{"removed", removals}, {"listed", upstreams_.entries().size()}});
     upstreams_.RecordOutage(now);
   }
+  std::vector<evacuation_report> evacuations;
+  for (const catalog_item& item : batch.items) {
+    if (item.kind == catalog_item_kind::kEvacuation)
+      evacuations.push_back(
+          {item.id, item.position, item.document.has_value()});
+  }
+  MergeEvacuations(evacuations, "registry");
   bool changed = false;
   for (const catalog_item& item : batch.items) {
     const bool is_upstream = item.kind == catalog_item_kind::kUpstream;
@@ -554,6 +567,55 @@
   ApplyConfigs(batch, "registry", yield);
 }
 
+void catalog_service::ReplaceEvacuations(const catalog_batch& batch,
+                                         const char* origin) {
+  std::vector<zone_evacuation> listed;
+  for (const catalog_item& item : batch.items) {
+    if (item.kind == catalog_item_kind::kEvacuation && item.document)
+      listed.push_back({item.id, item.position});
+  }
+  const auto before = evacuations_.entries();
+  if (!evacuations_.Replace(listed, batch.position, clock::now()))
+    return;
+  OnEvacuationsChanged(before, origin);
+  membership_->Broadcast();
+}
+
+void catalog_service::OnEvacuationsChanged(
+    const std::vector<zone_evacuation>& before,
+    std::string_view origin) {
+  const auto contains = [](const std::vector<zone_evacuation>& list,
+                           const std::string& zone) {
+    return std::any_of(
+        list.begin(), list.end(),
+        [&zone](const zone_evacuation& each) { return each.zone == zone; });
+  };
+  const auto log = [this, origin](const char* event,
+                                  const zone_evacuation& changed) {
+    const auto in_zone = std::count_if(
+        upstreams_.entries().begin(), upstreams_.entries().end(),
+        [&changed](const auto& listed) {
+          return listed.second.entry.availability_zone == changed.zone;
+        });
+    Log(log_level::kWarning, event,
+        {{"zone", changed.zone},
+         {"origin", origin},
+         {"catalog_era", changed.position.era},
+         {"revision", changed.position.revision},
+         {"upstreams", in_zone}});
+  };
+  const auto now_in_force = evacuations_.entries();
+  for (const zone_evacuation& each : now_in_force) {
+    if (!contains(before, each.zone))
+      log("zone_evacuated", each);
+  }
+  for (const zone_evacuation& each : before) {
+    if (!contains(now_in_force, each.zone))
+      log("zone_readmitted", each);
+  }
+  NotifyListeners();
+}
+
 void catalog_service::NotifyListeners() {
   for (const listener& listener : listeners_)
     listener();
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cactusward/catch_up_pacer.h"
+#include "cactusward/evacuation_set.h"
 #include "cactusward/upstream_catalog.h"
 #include "src/daemon/names.h"
 #include "src/daemon/runtime.h"
@@ -35,6 +36,8 @@
   // The configuration in force; null until one has been received.
   std::shared_ptr<const forward_config> Config() const { return config_; }
   const upstream_catalog& upstreams() const { return upstreams_; }
+  // The availability zones whose upstreams must not get any request.
+  const evacuation_set& evacuations() const { return evacuations_; }
   // Up to where all changes of upstreams are known.
   const registry_position& position() const { return position_; }
   // Time since the registry confirmed, to this instance or to a peer, that the
@@ -102,6 +105,15 @@
   void ApplyConfigs(const catalog_batch& batch,
                     const char* origin,
                     asio::yield_context yield);
+  // Replaces the evacuations by those of `batch`, a complete read of them.
+  void ReplaceEvacuations(const catalog_batch& batch, const char* origin);
+  // Merges what a peer reports of evacuations.
+  void MergeEvacuations(const std::vector<evacuation_report>& reports,
+                        std::string_view origin);
+  // Logs which zones were evacuated or readmitted since `before`, and notifies
+  // the listeners.
+  void OnEvacuationsChanged(const std::vector<zone_evacuation>& before,
+                            std::string_view origin);
   // Yields while decoding: other coroutines may install a newer configuration
   // in the meantime. @return whether the configuration was replaced.
   bool ApplyConfig(const catalog_item& item,
@@ -179,6 +191,7 @@
   // `position_`.
   std::int64_t registry_version_ = 0;
   upstream_catalog upstreams_;
+  evacuation_set evacuations_;
   std::map<std::string, raw_upstream> raw_upstreams_;
   // All changes of upstreams up to this position of the registry are known.
   registry_position position_;
--- a/src/relay/catalog_source.h
+++ b/src/relay/catalog_source.h
@@ -18,13 +18,14 @@
 
 namespace cactusward {
 
-enum class catalog_item_kind { kConfig, kUpstream, kOther };
+enum class catalog_item_kind { kConfig, kUpstream, kEvacuation, kOther };
 
 // One value stored in the registry.
 struct catalog_item {
   catalog_item_kind kind = catalog_item_kind::kOther;
-  std::string id;              // of the upstream; empty for other kinds
-  registry_position position;  // of its last change
+  // Of the upstream, or the name of the evacuated zone; empty for other kinds.
+  std::string id;
+  registry_position position;           // of its last change
   std::optional<std::string> document;  // empty if the value was removed
 
   friend bool operator==(const catalog_item& a, const catalog_item& b) {
@@ -58,8 +59,8 @@
   //     that a complete read is required.
   virtual result<catalog_batch> WaitForChanges(const registry_position& after,
                                                asio::yield_context yield) = 0;
-  // Reads only the configuration; a batch without items, whose position may
-  // have no revision, when there is none.
+  // Reads the configuration, if there is one, and all evacuations; the position
+  // of a registry without a revision may have none.
   // @return kStoreUnavailable.
   virtual result<catalog_batch> ReadConfig(asio::yield_context yield) = 0;
   // Reads the registry's current position. @return kStoreUnavailable.
--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -65,6 +65,7 @@
     upstream->process_key =
         UpstreamKey(id + "@" + std::to_string(entry.started_at_ms));
     upstream->rank = Hash64(id);
+    upstream->region = regions_.RegionOf(entry.availability_zone);
     by_service_[entry.service].push_back(upstream);
   }
   for (auto& [id, upstream] : by_id_) {
@@ -86,16 +87,30 @@
   return found == by_service_.end() ? none : found->second;
 }
 
-bool fleet_service::IsUpstream(const std::string& address) const {
+bool fleet_service::MayCarryTo(const std::string& address) const {
   return std::any_of(by_id_.begin(), by_id_.end(),
-                     [&address](const auto& known) {
-                       return known.second->entry.address == address;
+                     [this, &address](const auto& known) {
+                       return known.second->entry.address == address &&
+                              !IsInEvacuatedZone(*known.second);
+                     });
+}
+
+bool fleet_service::IsInEvacuatedZone(const fleet_upstream& upstream) const {
+  return catalog_->evacuations().Contains(upstream.entry.availability_zone);
+}
+
+bool fleet_service::IsEvacuated(const std::string& service) const {
+  const auto& upstreams = Upstreams(service);
+  return !upstreams.empty() &&
+         std::all_of(upstreams.begin(), upstreams.end(),
+                     [this](const auto& upstream) {
+                       return IsInEvacuatedZone(*upstream);
                      });
 }
 
 bool fleet_service::AcceptsRequests(const fleet_upstream& upstream,
                                     time_point now) const {
-  return upstream.IsRegistered() &&
+  return upstream.IsRegistered() && !IsInEvacuatedZone(upstream) &&
          announcements_.MaySend(upstream.process_key, now);
 }
 
@@ -120,6 +135,8 @@
     return "usable";
   if (!upstream.IsRegistered())
     return "not_registered";
+  if (IsInEvacuatedZone(upstream))
+    return "evacuated";
   if (!announcements_.MaySend(upstream.process_key, now))
     return announcements_.IsLeaving(upstream.process_key) ? "leaving"
                                                           : "backs_off";
@@ -210,7 +227,8 @@
   std::vector<held_back> all;
   for (const auto& upstream : Upstreams(service)) {
     const std::uint32_t process = upstream->process_key;
-    if (!upstream->IsRegistered() || announcements_.IsLeaving(process) ||
+    if (!upstream->IsRegistered() || IsInEvacuatedZone(*upstream) ||
+        announcements_.IsLeaving(process) ||
         except.count(upstream->entry.id) > 0)
       continue;
     const auto backoff_end = announcements_.BackoffEnd(process, now);
--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cactusward/engine_placement.h"
+#include "cactusward/home_regions.h"
 #include "cactusward/load_tracker.h"
 #include "cactusward/report_pacer.h"
 #include "cactusward/suspects.h"
@@ -34,6 +35,7 @@
   // takes ends with the process that said it.
   std::uint32_t process_key = 0;
   std::uint64_t rank = 0;  // sort key; the same on all instances
+  std::string region;      // of its availability zone; empty: unknown
   bool listed = true;
   upstream_health health;
   // Whether the registry has it and does not say that it leaves.
@@ -47,7 +49,11 @@
 class fleet_service : public service, public gossip_extension {
  public:
   explicit fleet_service(runtime& runtime)
-      : runtime_(runtime), limits_(runtime.settings.instance) {}
+      : runtime_(runtime),
+        regions_(runtime.settings.availability_zone,
+                 runtime.settings.region,
+                 runtime.settings.zone_regions),
+        limits_(runtime.settings.instance) {}
 
   std::string_view service_name() const override { return kFleetServiceName; }
   void Start() override;
@@ -56,10 +62,11 @@
   // leaving.
   const std::vector<std::shared_ptr<fleet_upstream>>& Upstreams(
       const std::string& service) const;
-  // Whether a listed upstream has `address`.
-  bool IsUpstream(const std::string& address) const;
-  // Whether `upstream` is registered and has not announced that it leaves, or
-  // that it wants no requests now.
+  // Whether a tunnel to `address` may be opened for a peer: a listed upstream
+  // has it that is not in an evacuated zone.
+  bool MayCarryTo(const std::string& address) const;
+  // Whether `upstream` is registered in a zone that is not evacuated, and has
+  // not announced that it leaves, or that it wants no requests now.
   bool AcceptsRequests(const fleet_upstream& upstream, time_point now) const;
   // Whether new requests may be placed on `upstream`.
   bool IsUsable(const fleet_upstream& upstream, time_point now) const;
@@ -81,6 +88,8 @@
   // Records that `upstream`, by a response that was received now, wants no
   // requests for `time`.
   void RecordBackoff(const fleet_upstream& upstream, milliseconds time);
+  // Whether `service` has upstreams, and all of them are in evacuated zones.
+  bool IsEvacuated(const std::string& service) const;
   // An upstream to which this instance may send nothing now.
   struct held_back {
     std::string upstream;
@@ -118,6 +127,7 @@
 
  private:
   void Rebuild();
+  bool IsInEvacuatedZone(const fleet_upstream& upstream) const;
   void ScheduleBroadcast(time_point at);
   void NotifyCapacityFreed();
   void UpdateLimitHolders(time_point now);
@@ -129,6 +139,7 @@
   runtime& runtime_;
   catalog_service* catalog_ = nullptr;
   membership_service* membership_ = nullptr;
+  region_map regions_;
   load_tracker tracker_;
   upstream_limits limits_;
   upstream_announcements announcements_;
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -117,6 +117,12 @@
   return settings;
 }
 
+bool relay_dispatcher::IsEligible(const placement_demand& demand,
+                                  const fleet_upstream& upstream) {
+  return demand.tried_upstreams.count(upstream.entry.id) == 0 &&
+         demand.homes.Allows(upstream.region);
+}
+
 std::unique_ptr<relay_assignment> relay_dispatcher::TryAssignCall(
     const placement_demand& demand,
     time_point now) {
@@ -128,8 +134,7 @@
       upstreams.empty() ? 0 : runtime_.random() % upstreams.size();
   for (std::size_t i = 0; i < upstreams.size(); ++i) {
     const auto& upstream = upstreams[(i + offset) % upstreams.size()];
-    if (!fleet_->IsUsable(*upstream, now) ||
-        demand.tried_upstreams.count(upstream->entry.id) > 0)
+    if (!fleet_->IsUsable(*upstream, now) || !IsEligible(demand, *upstream))
       continue;
     const auto found = loads.find(upstream->key);
     const int running = found == loads.end() ? 0 : found->second.running;
@@ -165,8 +170,8 @@
   engines.reserve(upstreams.size());
   for (const auto& upstream : upstreams) {
     engine_view view;
-    view.usable = fleet_->IsUsable(*upstream, now) &&
-                  demand.tried_upstreams.count(upstream->entry.id) == 0;
+    view.usable =
+        fleet_->IsUsable(*upstream, now) && IsEligible(demand, *upstream);
     view.slowdown = upstream->health.Slowdown(now);
     const auto found = loads.find(upstream->key);
     if (found != loads.end())
@@ -244,6 +249,11 @@
 bool relay_dispatcher::IsHeldBack(const placement_demand& demand,
                                   dispatch_failure* reason,
                                   time_point now) const {
+  if (fleet_->IsEvacuated(demand.service)) {
+    // The operator decides when the zones are readmitted.
+    reason->retry_after = kMaxRetryAfter;
+    return true;
+  }
   auto upstreams =
       fleet_->AllHeldBack(demand.service, demand.tried_upstreams, now);
   const auto until = EarliestEnd(upstreams);
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "cactusward/home_regions.h"
 #include "src/relay/fleet_service.h"
 
 namespace cactusward {
@@ -27,7 +28,8 @@
   time_point queue_deadline;
   // Ids of the upstreams that must not be chosen again.
   std::set<std::string> tried_upstreams;
-  int priority = 0;  // 0 is the most urgent
+  int priority = 0;    // 0 is the most urgent
+  home_regions homes;  // the regions of the upstreams that may be chosen
   // Whether the request must not be sent any more: it then leaves the queue.
   // Empty: it may be sent.
   std::function<bool()> is_refused;
@@ -116,10 +118,13 @@
       time_point now);
   // Whether no upstream that the request may still be sent to takes one from
   // this instance before the request leaves the queue, because of its request
-  // limit or because it wants none for a time.
+  // limit, because it wants none for a time, or because its zone is evacuated.
   bool IsHeldBack(const placement_demand& demand,
                   dispatch_failure* reason,
                   time_point now) const;
+  // Whether `upstream` may be chosen for the request at all.
+  static bool IsEligible(const placement_demand& demand,
+                         const fleet_upstream& upstream);
   milliseconds RetryAfter(const placement_demand& demand, time_point now) const;
   // Logs the state of the upstreams when a request leaves the queue unassigned.
   void LogNotPlaced(const placement_demand& demand, time_point now);
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -42,7 +42,7 @@
           runtime_,
           &peers_,
           [this](const std::string& address) {
-            return fleet_.IsUpstream(address);
+            return fleet_.MayCarryTo(address);
           },
           [this] { return shutdown_.stopping(); }),
       recovery_(runtime_),
@@ -150,6 +150,7 @@
 std::string relay_gateway::MetricsText() const {
   std::ostringstream out;
   const auto config = catalog_.Config();
+  const auto evacuated_since = catalog_.evacuations().oldest();
   out << report_.MetricsText() << "cactusward_config_version "
       << (config ? config->version() : 0) << '\n'
       << "cactusward_catalog_era " << catalog_.position().era << '\n'
@@ -167,6 +168,12 @@
       << "cactusward_waiting_for_upstream " << dispatcher_.waiting() << '\n'
       << "cactusward_quarantines " << quarantine_.size() << '\n'
       << "cactusward_limited_upstreams " << fleet_.limited_upstreams() << '\n'
+      << "cactusward_evacuated_zones "
+      << catalog_.evacuations().entries().size() << '\n'
+      << "cactusward_evacuation_age_milliseconds "
+      << ToMilliseconds(evacuated_since ? clock::now() - *evacuated_since
+                                        : duration(0))
+      << '\n'
       << "cactusward_cut_off_from_upstreams " << paths_.paths().IsCutOff()
       << '\n'
       << "cactusward_broken_paths " << paths_.paths().size() << '\n'
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -237,6 +237,8 @@
   demand.tried_upstreams = tried_upstreams_;
   demand.priority =
       holder_ && holder_->priority ? *holder_->priority : route_->priority;
+  demand.homes = home_regions(
+      route_->homes, holder_ ? holder_->homes : std::vector<std::string>());
   const time_point now = clock::now();
   demand.objective_at = objective_at_;
   const auto caller_timeout =
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -198,6 +198,10 @@
   }
   json entries = json::array();
   const std::string prefix = exchange.Query("path_prefix");
+  // Reads of the configuration.
+  while (prefix == "op/" && value_reads_unresponsive_ &&
+         !exchange.disconnected())
+    Sleep(io_, kPollInterval, yield);
   const std::string after = exchange.Query("after");
   bool has_more = false;
   for (const auto& [key, item] : items_) {
