Gossip format 9: golden message, and evacuations that peers keep alive

An instance in the grace period after a restore ended that period with each report of a peer at the same position, and took an evacuation whose period had passed from peers whose period lasted longer: it would never have ended. A message of an earlier format let an instance take the operator's keys for known at a position whose evacuations it had not been told.

Change: a report at the known position changes nothing; an expired evacuation gets the position of the read that lacked it. Confirmations without evacuations count only when the operator's keys are known at that position. A watcher tells its peers of an evacuation before it decodes a configuration of the same batch. A datagram has the 16 newest evacuations.

--- a/include/cactusward/evacuation_set.h
+++ b/include/cactusward/evacuation_set.h
@@ -78,7 +78,10 @@
     bool evacuated = false;
     registry_position position;
     time_point since;
+    // While a registry that was restored lacks the evacuation: until when it
+    // stays in force, and as of which position it is lacking.
     std::optional<time_point> grace_ends_at;
+    registry_position missing_at;
   };
 
   duration restore_grace_;
--- a/include/cactusward/membership.h
+++ b/include/cactusward/membership.h
@@ -136,6 +136,8 @@
   std::string rebroadcast;
   // Zones that are or were evacuated.
   std::vector<evacuation_report> evacuations;
+  // Whether these are all that the sender reports: earlier formats have none.
+  bool has_evacuations = true;
   // The newest format that the sender reads; of a ping request in the base
   // format it is not known.
   int sender_format = kGossipFormat;
@@ -154,6 +156,7 @@
            a.quarantines == b.quarantines && a.sound_parts == b.sound_parts &&
            a.limits == b.limits && a.order == b.order &&
            a.rebroadcast == b.rebroadcast && a.evacuations == b.evacuations &&
+           a.has_evacuations == b.has_evacuations &&
            a.sender_format == b.sender_format &&
            a.unreadable_fields == b.unreadable_fields;
   }
--- a/src/forwarding/evacuation_set.cc
+++ b/src/forwarding/evacuation_set.cc
@@ -8,7 +8,9 @@
                          const registry_position& position,
                          time_point now) {
   const auto found = zones_.find(zone);
-  if (found != zones_.end() && position < found->second.position)
+  // At the same position nothing has changed: a report of a peer must not end
+  // the grace period, nor bring back an evacuation whose period has passed.
+  if (found != zones_.end() && position <= found->second.position)
     return false;
   known_zone& known = zones_[zone];
   const bool is_new = !known.evacuated;
@@ -51,9 +53,11 @@
       known.evacuated = false;
       known.position = position;
       changed = true;
-    } else if (!known.grace_ends_at) {
-      known.grace_ends_at = now + restore_grace_;
+      continue;
     }
+    known.missing_at = position;
+    if (!known.grace_ends_at)
+      known.grace_ends_at = now + restore_grace_;
   }
   return changed;
 }
@@ -65,6 +69,9 @@
       continue;
     known.grace_ends_at.reset();
     known.evacuated = false;
+    // Above the lost position, so that reports of peers whose grace period
+    // lasts longer do not bring the evacuation back.
+    known.position = known.missing_at;
     changed = true;
   }
   return changed;
--- a/src/membership/gossip_codec.cc
+++ b/src/membership/gossip_codec.cc
@@ -273,8 +273,12 @@
     else
       ++unreadable;
   }
-  if (next < value.size())
-    unreadable += ReadList(value[next++], ReadEvacuation, &out->evacuations);
+  if (next < value.size()) {
+    const int left_out =
+        ReadList(value[next++], ReadEvacuation, &out->evacuations);
+    out->has_evacuations = left_out == 0;
+    unreadable += left_out;
+  }
   return unreadable;
 }
 
@@ -422,6 +426,7 @@
   if (!IsInteger(value[12]) || !IsInteger(value[20]))
     message.catalog_position = {};
   message.sender_format = std::max(ToInt(value[0]), kBaseGossipFormat);
+  message.has_evacuations = false;
   if (message.sender_format > kBaseGossipFormat)
     unreadable += ReadExtendedFields(value, &message);
   else if (message.kind != gossip_kind::kPingRequest)
--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -15,6 +15,8 @@
 constexpr milliseconds kChangeTtl{3'000};
 // Most bytes of changes in one datagram, which must not be fragmented.
 constexpr std::size_t kMaxChangeBytes = 900;
+// Most evacuations in one datagram: about 400 bytes. Snapshots have all.
+constexpr std::size_t kMaxEvacuationReports = 16;
 // How long the registry's delivery may lag behind a peer's before the peer is
 // asked. A watch delivers a change within a few round trips.
 constexpr milliseconds kRegistryLagTolerance{250};
@@ -22,6 +24,19 @@
 // one peer at the same time.
 constexpr milliseconds kPullTimeout{1'500};
 
+// The reports for a datagram, the newest changes first.
+std::vector<evacuation_report> NewestReports(
+    const evacuation_set& evacuations) {
+  std::vector<evacuation_report> reports = evacuations.Reports();
+  std::sort(reports.begin(), reports.end(),
+            [](const evacuation_report& a, const evacuation_report& b) {
+              return a.position > b.position;
+            });
+  if (reports.size() > kMaxEvacuationReports)
+    reports.resize(kMaxEvacuationReports);
+  return reports;
+}
+
 // Reads what is readable of the evacuations in a snapshot.
 std::vector<evacuation_report> ReadEvacuationReports(
     const nlohmann::json& list) {
@@ -65,7 +80,7 @@
 
 void catalog_service::AddFields(gossip_message* message, time_point now) {
   message->catalog_position = position_;
-  message->evacuations = evacuations_.Reports();
+  message->evacuations = NewestReports(evacuations_);
   message->config_number = config_ ? config_->version() : 0;
   // The newest changes that fit.
   std::size_t first = recent_changes_.size();
@@ -133,12 +148,16 @@
   if (message.catalog_position != position_ ||
       message.config_number != ConfigVersion() || message.confirmed_age_ms < 0)
     return;
+  // The changes up to that position may include evacuations, which messages of
+  // earlier formats do not tell: this instance then asks the registry itself.
+  if (!message.has_evacuations && config_known_position_ < position_)
+    return;
   RecordConfirmation(now - milliseconds(message.confirmed_age_ms));
   RecordRegistryVersion(position_.era, ConfigVersion());
   RecordConfigKnown(position_);
 }
 
-void catalog_service::MergeEvacuations(
+bool catalog_service::MergeEvacuations(
     const std::vector<evacuation_report>& reports,
     std::string_view origin) {
   const auto before = evacuations_.entries();
@@ -147,6 +166,7 @@
     changed = evacuations_.Merge(report, clock::now()) || changed;
   if (changed)
     OnEvacuationsChanged(before, origin);
+  return changed;
 }
 
 void catalog_service::CatchUpUpstreams(const std::string& peer,
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -541,7 +541,7 @@
       evacuations.push_back(
           {item.id, item.position, item.document.has_value()});
   }
-  MergeEvacuations(evacuations, "registry");
+  const bool evacuations_changed = MergeEvacuations(evacuations, "registry");
   bool changed = false;
   for (const catalog_item& item : batch.items) {
     const bool is_upstream = item.kind == catalog_item_kind::kUpstream;
@@ -562,7 +562,7 @@
         return item.kind == catalog_item_kind::kConfig;
       });
   // Peers need not wait until the configuration has been decoded either.
-  if (changed && has_config)
+  if ((changed || evacuations_changed) && has_config)
     membership_->Broadcast();
   ApplyConfigs(batch, "registry", yield);
 }
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -107,8 +107,8 @@
                     asio::yield_context yield);
   // Replaces the evacuations by those of `batch`, a complete read of them.
   void ReplaceEvacuations(const catalog_batch& batch, const char* origin);
-  // Merges what a peer reports of evacuations.
-  void MergeEvacuations(const std::vector<evacuation_report>& reports,
+  // Merges changes of evacuations. @return whether any zone's state changed.
+  bool MergeEvacuations(const std::vector<evacuation_report>& reports,
                         std::string_view origin);
   // Logs which zones were evacuated or readmitted since `before`, and notifies
   // the listeners.
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -47,7 +47,8 @@
   void SetExtraItem(std::string item) { extra_item_ = std::move(item); }
   // Accepts requests and never responds.
   void SetUnresponsive(bool unresponsive) { unresponsive_ = unresponsive; }
-  // Never responds to requests for a single value.
+  // Never responds to requests for a single value, or for those that the
+  // operator writes.
   void SetValueReadsUnresponsive(bool unresponsive) {
     value_reads_unresponsive_ = unresponsive;
   }
--- a/tests/unit/gossip_formats_test.cc
+++ b/tests/unit/gossip_formats_test.cc
@@ -80,6 +80,7 @@
   m.quarantines = {{{15, 16}, 3, 18, 17}};
   m.sound_parts = {{19, 20}};
   m.limits = {{21, 1'400, 22}, {23, -1, 24}};
+  m.evacuations = {{"zlin", {2, 880}, true}, {"brno", {1, 77}, false}};
   return m;
 }
 
@@ -96,8 +97,10 @@
   struct row {
     int format;
     int sender_format;
+    bool has_evacuations;
   };
-  const row r = GENERATE(values<row>({{7, 7}, {8, 8}}));
+  const row r =
+      GENERATE(values<row>({{7, 7, false}, {8, 8, false}, {9, 9, true}}));
   CAPTURE(r.format);
   const std::string golden = ReadGolden(r.format);
   REQUIRE_FALSE(golden.empty());
@@ -105,6 +108,9 @@
   REQUIRE(message);
   gossip_message expected = GoldenMessage();
   expected.sender_format = r.sender_format;
+  expected.has_evacuations = r.has_evacuations;
+  if (!r.has_evacuations)
+    expected.evacuations.clear();
   CHECK(*message == expected);
 }
 
@@ -114,7 +120,7 @@
   // The base format differs only in the announcement of newer ones.
   json written = ParseCbor(EncodeGossip(GoldenMessage(), kBaseGossipFormat));
   REQUIRE(written.size() > kTargetIndex);
-  CHECK(written[kTargetIndex] == "reads-format-8");
+  CHECK(written[kTargetIndex] == "reads-format-9");
   written[kTargetIndex] = "";
   CHECK(ToHex(ToCbor(written)) == ToHex(ReadGolden(kBaseGossipFormat)));
 }
@@ -151,12 +157,12 @@
   const row rows[] = {
       {"appended fields",
        [](json& m) {
-         m[0] = 9;
-         m[21] = 9;
+         m[0] = 10;
+         m[21] = 10;
          m.push_back(json::object({{"subset", 4}}));
          m.push_back("x");
        },
-       [](gossip_message& m) { m.sender_format = 9; }},
+       [](gossip_message& m) { m.sender_format = 10; }},
       {"appended fields of list items",
        [](json& m) {
          m[9][0].push_back(1);
@@ -167,6 +173,7 @@
          m[17][0].push_back(3);
          m[18][0].push_back(4);
          m[19][0].push_back(5);
+         m[24][0].push_back(6);
        },
        [](gossip_message&) {}},
       {"appended fields of members",
@@ -193,6 +200,12 @@
       {"one of two items unreadable",
        [](json& m) { m[19].push_back(json::array({"x"})); },
        [](gossip_message& m) { m.unreadable_fields = 1; }},
+      {"an unreadable evacuation", [](json& m) { m[24][0][1] = "2"; },
+       [](gossip_message& m) {
+         m.evacuations.erase(m.evacuations.begin());
+         m.has_evacuations = false;
+         m.unreadable_fields = 1;
+       }},
       // The other changes would not reach the sender's position either.
       {"an unreadable change of an upstream",
        [](json& m) {
@@ -293,7 +306,8 @@
       {},
       {{step::kRecord, 7, 7}},
       {{step::kRecord, 8, 8}, {step::kRecord, 7, 7}, {step::kRecord, 8, 8}},
-      {{step::kRecord, 9, 8}},
+      {{step::kRecord, 8, 8}, {step::kRecord, 9, 9}},
+      {{step::kRecord, 10, 9}},
       {{step::kRecord, 8, 8}, {step::kForget, 0, 7}},
       {{step::kRecord, 8, 8}, {step::kRetainNone, 0, 7}},
   };
@@ -311,13 +325,16 @@
     }
   }
   peer_formats formats;
-  member old_peer, new_peer, silent_peer;
+  member oldest_peer, old_peer, new_peer, silent_peer;
+  oldest_peer.peer_address = "oldest";
   old_peer.peer_address = "old";
   new_peer.peer_address = "new";
   silent_peer.peer_address = "silent";
-  formats.Record("old", 7);
-  formats.Record("new", 8);
-  CHECK(formats.CountOlder({&old_peer, &new_peer, &silent_peer}) == 1);
+  formats.Record("oldest", 7);
+  formats.Record("old", 8);
+  formats.Record("new", 9);
+  CHECK(formats.CountOlder(
+            {&oldest_peer, &old_peer, &new_peer, &silent_peer}) == 2);
 }
 
 // Instances of two releases that exchange messages in lockstep, each in the
