Home regions hold for tunnels, and requests without an upstream there end at once

A request with homes could be sent through a peer in any region, and waited in the queue when no upstream of its service was in an allowed one.

Change: send_options names the peers that may carry a connection, by their availability zone. The dispatcher refuses with 503 when no upstream of the service is in an allowed region (route_without_upstream, one line in 10 s for each route), or when all registered ones there are in evacuated zones; request limits of upstreams elsewhere no longer count.

--- a/include/cactusward/home_regions.h
+++ b/include/cactusward/home_regions.h
@@ -40,7 +40,10 @@
   home_regions(const std::vector<std::string>& of_route,
                const std::vector<std::string>& of_organisation);
 
+  // Whether some regions are not allowed.
   bool restricted() const { return restricted_; }
+  // The allowed regions, if restricted.
+  const std::set<std::string>& regions() const { return regions_; }
   // An unknown region is allowed only if all are.
   bool Allows(const std::string& region) const {
     return !restricted_ || regions_.count(region) > 0;
--- a/src/edges/connector.h
+++ b/src/edges/connector.h
@@ -2,6 +2,7 @@
 #ifndef CACTUSWARD_SRC_EDGES_CONNECTOR_H_
 #define CACTUSWARD_SRC_EDGES_CONNECTOR_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,6 +29,10 @@
   std::optional<tunnel_reference> tunnel;  // absent: directly
 };
 
+// Whether peers of an availability zone may carry a connection. Empty: all may.
+// Copied into coroutines that may outlive the attempt.
+using peer_zone_filter = std::function<bool(const std::string& zone)>;
+
 // Implementations are not thread-safe.
 class connector {
  public:
@@ -41,7 +46,18 @@
                                               time_point deadline,
                                               asio::yield_context yield,
                                               cancel_token* cancel) = 0;
-  // Whether an idle connection to `address` may carry another request.
+  // As Connect, but only through peers that `may_carry` accepts. Connectors
+  // that use no peers need not override it.
+  virtual result<upstream_connection> ConnectWithin(
+      const peer_zone_filter& /*may_carry*/,
+      const std::string& address,
+      time_point deadline,
+      asio::yield_context yield,
+      cancel_token* cancel) {
+    return Connect(address, deadline, yield, cancel);
+  }
+  // Whether an idle connection to `address` may carry another request. Idle
+  // connections are direct ones: a tunnel carries one request.
   virtual bool MayReuseConnections(const std::string& address) const = 0;
   // Whether the upstream itself ended the connection that `tunnel` carried. The
   // end of the tunnel alone does not tell: its peer may have crashed. Asks the
--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -399,15 +399,18 @@
   return count;
 }
 
-result<upstream_connection> http_client::Connect(const std::string& address,
-                                                 bool to_upstream,
-                                                 time_point deadline,
-                                                 asio::yield_context yield,
-                                                 cancel_token* cancel) {
+result<upstream_connection> http_client::Connect(
+    const std::string& address,
+    bool to_upstream,
+    const peer_zone_filter& may_carry,
+    time_point deadline,
+    asio::yield_context yield,
+    cancel_token* cancel) {
   auto connected =
       ConnectorFor(to_upstream)
-          .Connect(address, std::min(deadline, clock::now() + kConnectTimeout),
-                   yield, cancel);
+          .ConnectWithin(may_carry, address,
+                         std::min(deadline, clock::now() + kConnectTimeout),
+                         yield, cancel);
   if (connected)
     ++connections_opened_;
   return connected;
@@ -470,7 +473,7 @@
     }
   }
   auto connected =
-      Connect(address, request.to_upstream, deadline, yield, cancel);
+      Connect(address, request.to_upstream, {}, deadline, yield, cancel);
   // The request may have been delivered on the reused connection before it
   // closed.
   if (!connected && maybe_sent)
@@ -494,8 +497,8 @@
         TakeIdleConnection(address, options.max_idle_time, options.to_upstream);
   const bool reused = connected.socket != nullptr;
   if (!reused) {
-    auto opened =
-        Connect(address, options.to_upstream, deadline, yield, cancel);
+    auto opened = Connect(address, options.to_upstream, options.may_carry,
+                          deadline, yield, cancel);
     if (!opened)
       return {opened.kind(), opened.detail()};
     connected = std::move(*opened);
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -56,6 +56,9 @@
   bool may_abort_write = false;
   // Whether the connection is opened as those to upstreams are.
   bool to_upstream = false;
+  // Which peers may carry the connection, if it is opened as those to upstreams
+  // are.
+  peer_zone_filter may_carry;
 };
 
 struct http_response {
@@ -292,6 +295,7 @@
                         milliseconds keep_alive_time);
   result<upstream_connection> Connect(const std::string& address,
                                       bool to_upstream,
+                                      const peer_zone_filter& may_carry,
                                       time_point deadline,
                                       asio::yield_context yield,
                                       cancel_token* cancel);
--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -99,15 +99,6 @@
   return catalog_->evacuations().Contains(upstream.entry.availability_zone);
 }
 
-bool fleet_service::IsEvacuated(const std::string& service) const {
-  const auto& upstreams = Upstreams(service);
-  return !upstreams.empty() &&
-         std::all_of(upstreams.begin(), upstreams.end(),
-                     [this](const auto& upstream) {
-                       return IsInEvacuatedZone(*upstream);
-                     });
-}
-
 bool fleet_service::AcceptsRequests(const fleet_upstream& upstream,
                                     time_point now) const {
   return upstream.IsRegistered() && !IsInEvacuatedZone(upstream) &&
--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -88,8 +88,12 @@
   // Records that `upstream`, by a response that was received now, wants no
   // requests for `time`.
   void RecordBackoff(const fleet_upstream& upstream, milliseconds time);
-  // Whether `service` has upstreams, and all of them are in evacuated zones.
-  bool IsEvacuated(const std::string& service) const;
+  // Whether the availability zone of `upstream` is evacuated.
+  bool IsInEvacuatedZone(const fleet_upstream& upstream) const;
+  // The region of an availability zone; empty: unknown.
+  std::string RegionOf(const std::string& zone) const {
+    return regions_.RegionOf(zone);
+  }
   // An upstream to which this instance may send nothing now.
   struct held_back {
     std::string upstream;
@@ -127,7 +131,6 @@
 
  private:
   void Rebuild();
-  bool IsInEvacuatedZone(const fleet_upstream& upstream) const;
   void ScheduleBroadcast(time_point at);
   void NotifyCapacityFreed();
   void UpdateLimitHolders(time_point now);
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -22,6 +22,8 @@
 // Bounds of the log of requests that were not placed.
 constexpr milliseconds kNotPlacedLogInterval{100};
 constexpr std::size_t kMaxLoggedUpstreams = 8;
+// A route without an upstream is logged at most this often.
+constexpr milliseconds kWithoutUpstreamLogInterval{10'000};
 
 double MsUntil(time_point at, time_point now) {
   return ToMilliseconds(at - now);
@@ -249,19 +251,25 @@
 bool relay_dispatcher::IsHeldBack(const placement_demand& demand,
                                   dispatch_failure* reason,
                                   time_point now) const {
-  if (fleet_->IsEvacuated(demand.service)) {
-    // The operator decides when the zones are readmitted.
+  if (HasNoUpstream(demand, now)) {
+    // The operator decides when that changes.
     reason->retry_after = kMaxRetryAfter;
     return true;
   }
-  auto upstreams =
-      fleet_->AllHeldBack(demand.service, demand.tried_upstreams, now);
+  std::set<std::string> not_allowed;
+  for (const auto& upstream : fleet_->Upstreams(demand.service)) {
+    if (!demand.homes.Allows(upstream->region))
+      not_allowed.insert(upstream->entry.id);
+  }
+  std::set<std::string> except = not_allowed;
+  except.insert(demand.tried_upstreams.begin(), demand.tried_upstreams.end());
+  auto upstreams = fleet_->AllHeldBack(demand.service, except, now);
   const auto until = EarliestEnd(upstreams);
   if (until && *until < demand.queue_deadline)
     return false;
   // Perhaps all of them were tried.
   if (upstreams.empty())
-    upstreams = fleet_->AllHeldBack(demand.service, {}, now);
+    upstreams = fleet_->AllHeldBack(demand.service, not_allowed, now);
   if (upstreams.empty())
     return false;
   reason->retry_after = RetryAfterEnd(EarliestEnd(upstreams), now);
@@ -281,6 +289,39 @@
   return true;
 }
 
+bool relay_dispatcher::HasNoUpstream(const placement_demand& demand,
+                                     time_point now) const {
+  bool any_allowed = false;
+  bool any_registered = false;
+  for (const auto& upstream : fleet_->Upstreams(demand.service)) {
+    if (!demand.homes.Allows(upstream->region))
+      continue;
+    any_allowed = true;
+    if (!upstream->IsRegistered())
+      continue;
+    any_registered = true;
+    if (!fleet_->IsInEvacuatedZone(*upstream))
+      return false;
+  }
+  if (demand.homes.restricted() && !any_allowed)
+    LogWithoutUpstream(demand, now);
+  // Without homes, upstreams that are not known yet are waited for.
+  return any_registered || (demand.homes.restricted() && !any_allowed);
+}
+
+void relay_dispatcher::LogWithoutUpstream(const placement_demand& demand,
+                                          time_point now) const {
+  auto& logged_at = without_upstream_logged_at_[demand.route];
+  if (now - logged_at < kWithoutUpstreamLogInterval)
+    return;
+  logged_at = now;
+  Log(log_level::kWarning, "route_without_upstream",
+      {{"route", demand.route},
+       {"service", demand.service},
+       {"homes", demand.homes.regions()},
+       {"upstreams", fleet_->Upstreams(demand.service).size()}});
+}
+
 std::optional<milliseconds> relay_dispatcher::HeldBackTime(
     const std::string& service,
     time_point now) const {
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -18,6 +19,7 @@
 
 // What a request needs of an upstream.
 struct placement_demand {
+  std::string route;  // its name, for logs
   std::string service;
   std::optional<prompt_request> prompt;  // empty: a call without a prompt
   // The latest time at which the response meets its objective.
@@ -122,10 +124,15 @@
   bool IsHeldBack(const placement_demand& demand,
                   dispatch_failure* reason,
                   time_point now) const;
+  // Whether no upstream can take the request until the configuration, the list
+  // of upstreams or an evacuation changes: none is in an allowed region, or all
+  // registered ones there are in evacuated zones.
+  bool HasNoUpstream(const placement_demand& demand, time_point now) const;
   // Whether `upstream` may be chosen for the request at all.
   static bool IsEligible(const placement_demand& demand,
                          const fleet_upstream& upstream);
   milliseconds RetryAfter(const placement_demand& demand, time_point now) const;
+  void LogWithoutUpstream(const placement_demand& demand, time_point now) const;
   // Logs the state of the upstreams when a request leaves the queue unassigned.
   void LogNotPlaced(const placement_demand& demand, time_point now);
   placement_settings PlacementSettings(const std::string& service) const;
@@ -138,6 +145,8 @@
   fleet_service* fleet_ = nullptr;
   std::list<waiter*> waiters_;
   time_point not_placed_logged_at_;
+  // By route.
+  mutable std::map<std::string, time_point> without_upstream_logged_at_;
   bool dispatch_scheduled_ = false;
   std::unique_ptr<asio::steady_timer> dispatch_timer_;
 };
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -142,6 +142,11 @@
   };
   options.may_abort_write = route_->IsRetryable();
   options.to_upstream = true;
+  if (home_regions homes = Homes(); homes.restricted())
+    options.may_carry = [&fleet = services_.fleet,
+                         homes = std::move(homes)](const std::string& zone) {
+      return homes.Allows(fleet.RegionOf(zone));
+    };
   time_point connect_deadline = response_deadline_;
   if (!open_.empty())
     connect_deadline = exchange.sent_at + kConnectTimeoutBesideSilent;
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -231,14 +231,18 @@
   services_.report.Record(record_);
 }
 
+home_regions relay_request::Homes() const {
+  return {route_->homes, holder_ ? holder_->homes : std::vector<std::string>()};
+}
+
 placement_demand relay_request::MakeDemand() const {
   placement_demand demand;
+  demand.route = route_->name;
   demand.service = service_;
   demand.tried_upstreams = tried_upstreams_;
   demand.priority =
       holder_ && holder_->priority ? *holder_->priority : route_->priority;
-  demand.homes = home_regions(
-      route_->homes, holder_ ? holder_->homes : std::vector<std::string>());
+  demand.homes = Homes();
   const time_point now = clock::now();
   demand.objective_at = objective_at_;
   const auto caller_timeout =
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -11,6 +11,7 @@
 
 #include "cactusward/buffer_pool.h"
 #include "cactusward/forward_config.h"
+#include "cactusward/home_regions.h"
 #include "cactusward/shared_retry_budget.h"
 #include "cactusward/stall_meter.h"
 #include "src/relay/catalog_service.h"
@@ -81,6 +82,8 @@
   // Finds the route and the organisation. @return kOk or why the request is
   // refused.
   error_kind Admit();
+  // Where the request may be handled, by its route and its organisation.
+  home_regions Homes() const;
   placement_demand MakeDemand() const;
   // How long the request would run.
   // @param assignment null: none yet; it is not the load that delays it.
--- a/src/services/path_service.cc
+++ b/src/services/path_service.cc
@@ -83,9 +83,19 @@
                                                   time_point deadline,
                                                   asio::yield_context yield,
                                                   cancel_token* cancel) {
+  return ConnectWithin({}, address, deadline, yield, cancel);
+}
+
+result<upstream_connection> path_service::ConnectWithin(
+    const peer_zone_filter& may_carry,
+    const std::string& address,
+    time_point deadline,
+    asio::yield_context yield,
+    cancel_token* cancel) {
   const time_point limit = std::min(deadline, clock::now() + kConnectTimeout);
   if (paths_.IsBroken(address) && HasPeers()) {
-    auto through_peer = ConnectThroughPeer(address, limit, yield, cancel);
+    auto through_peer =
+        ConnectThroughPeer(may_carry, address, limit, yield, cancel);
     if (through_peer.connection) {
       paths_.RecordUse(address, clock::now());
       return std::move(*through_peer.connection);
@@ -95,10 +105,11 @@
     if (through_peer.refused || through_peer.unreachable)
       paths_.RecordUnreachable(address, through_peer.refused, clock::now());
   }
-  return ConnectBoth(address, limit, yield, cancel);
+  return ConnectBoth(may_carry, address, limit, yield, cancel);
 }
 
 result<upstream_connection> path_service::ConnectBoth(
+    const peer_zone_filter& may_carry,
     const std::string& address,
     time_point deadline,
     asio::yield_context yield,
@@ -132,10 +143,10 @@
       !direct_succeeded() && !cancelled() && !recent && HasPeers();
   if (asks_peers)
     Spawn(runtime_.io, "connect_through_peer",
-          [this, address, deadline, background,
+          [this, may_carry, address, deadline, background,
            through_peer](asio::yield_context inner) {
-            *through_peer = ConnectThroughPeer(address, deadline, inner,
-                                               &background->cancel);
+            *through_peer = ConnectThroughPeer(may_carry, address, deadline,
+                                               inner, &background->cancel);
             background->done = true;
             if (background->on_done)
               background->on_done();
@@ -195,14 +206,16 @@
       refused ? "refused, not confirmed by a peer" : "no connection in time"};
 }
 
-std::vector<member> path_service::Candidates(time_point now) const {
+std::vector<member> path_service::Candidates(const peer_zone_filter& may_carry,
+                                             time_point now) const {
   struct ranked {
     member peer;
     int rank = 0;
   };
   std::vector<ranked> all;
   for (member& peer : membership_->Live()) {
-    if (peer.name == runtime_.settings.instance)
+    if (peer.name == runtime_.settings.instance ||
+        (may_carry && !may_carry(peer.availability_zone)))
       continue;
     const auto known = known_peers_.find(ProcessName(peer));
     if (known != known_peers_.end() && now < known->second.avoided_until)
@@ -246,13 +259,14 @@
 }
 
 path_service::peer_result path_service::ConnectThroughPeer(
+    const peer_zone_filter& may_carry,
     const std::string& address,
     time_point deadline,
     asio::yield_context yield,
     cancel_token* cancel) {
   peer_result found;
   std::vector<member> unsuccessful;
-  std::vector<member> candidates = Candidates(clock::now());
+  std::vector<member> candidates = Candidates(may_carry, clock::now());
   for (int asked = 0; asked < kMaxPeersAsked && !candidates.empty(); ++asked) {
     if (clock::now() >= deadline || (cancel && cancel->cancelled()))
       break;
--- a/src/services/path_service.h
+++ b/src/services/path_service.h
@@ -46,6 +46,11 @@
                                       time_point deadline,
                                       asio::yield_context yield,
                                       cancel_token* cancel) override;
+  result<upstream_connection> ConnectWithin(const peer_zone_filter& may_carry,
+                                            const std::string& address,
+                                            time_point deadline,
+                                            asio::yield_context yield,
+                                            cancel_token* cancel) override;
   bool MayReuseConnections(const std::string& address) const override {
     return !paths_.IsBroken(address);
   }
@@ -89,16 +94,20 @@
     time_point opened_at;  // its last tunnel
   };
 
-  result<upstream_connection> ConnectBoth(const std::string& address,
+  result<upstream_connection> ConnectBoth(const peer_zone_filter& may_carry,
+                                          const std::string& address,
                                           time_point deadline,
                                           asio::yield_context yield,
                                           cancel_token* cancel);
-  peer_result ConnectThroughPeer(const std::string& address,
+  peer_result ConnectThroughPeer(const peer_zone_filter& may_carry,
+                                 const std::string& address,
                                  time_point deadline,
                                  asio::yield_context yield,
                                  cancel_token* cancel);
-  // Live peers to ask, in order of preference.
-  std::vector<member> Candidates(time_point now) const;
+  // Live peers to ask, of the zones that `may_carry` accepts, in order of
+  // preference.
+  std::vector<member> Candidates(const peer_zone_filter& may_carry,
+                                 time_point now) const;
   // Takes the next peer to ask out of `candidates`: one of an availability zone
   // in which none was unsuccessful, since a zone may be cut off as a whole.
   // Precondition: `candidates` is not empty.
