--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -22,6 +22,8 @@
 // Bounds of the log of requests that were not placed.
 constexpr milliseconds kNotPlacedLogInterval{100};
 constexpr std::size_t kMaxLoggedUpstreams = 8;
+// A route without an upstream is logged at most this often.
+constexpr milliseconds kWithoutUpstreamLogInterval{10'000};
 
 double MsUntil(time_point at, time_point now) {
   return ToMilliseconds(at - now);
@@ -117,6 +119,12 @@
   return settings;
 }
 
+bool relay_dispatcher::IsEligible(const placement_demand& demand,
+                                  const fleet_upstream& upstream) {
+  return demand.tried_upstreams.count(upstream.entry.id) == 0 &&
+         demand.homes.Allows(upstream.region);
+}
+
 std::unique_ptr<relay_assignment> relay_dispatcher::TryAssignCall(
     const placement_demand& demand,
     time_point now) {
@@ -128,8 +136,7 @@
       upstreams.empty() ? 0 : runtime_.random() % upstreams.size();
   for (std::size_t i = 0; i < upstreams.size(); ++i) {
     const auto& upstream = upstreams[(i + offset) % upstreams.size()];
-    if (!fleet_->IsUsable(*upstream, now) ||
-        demand.tried_upstreams.count(upstream->entry.id) > 0)
+    if (!fleet_->IsUsable(*upstream, now) || !IsEligible(demand, *upstream))
       continue;
     const auto found = loads.find(upstream->key);
     const int running = found == loads.end() ? 0 : found->second.running;
@@ -165,8 +172,8 @@
   engines.reserve(upstreams.size());
   for (const auto& upstream : upstreams) {
     engine_view view;
-    view.usable = fleet_->IsUsable(*upstream, now) &&
-                  demand.tried_upstreams.count(upstream->entry.id) == 0;
+    view.usable =
+        fleet_->IsUsable(*upstream, now) && IsEligible(demand, *upstream);
     view.slowdown = upstream->health.Slowdown(now);
     const auto found = loads.find(upstream->key);
     if (found != loads.end())
@@ -244,14 +251,25 @@
 bool relay_dispatcher::IsHeldBack(const placement_demand& demand,
                                   dispatch_failure* reason,
                                   time_point now) const {
-  auto upstreams =
-      fleet_->AllHeldBack(demand.service, demand.tried_upstreams, now);
+  if (HasNoUpstream(demand, now)) {
+    // The operator decides when that changes.
+    reason->retry_after = kMaxRetryAfter;
+    return true;
+  }
+  std::set<std::string> not_allowed;
+  for (const auto& upstream : fleet_->Upstreams(demand.service)) {
+    if (!demand.homes.Allows(upstream->region))
+      not_allowed.insert(upstream->entry.id);
+  }
+  std::set<std::string> except = not_allowed;
+  except.insert(demand.tried_upstreams.begin(), demand.tried_upstreams.end());
+  auto upstreams = fleet_->AllHeldBack(demand.service, except, now);
   const auto until = EarliestEnd(upstreams);
   if (until && *until < demand.queue_deadline)
     return false;
   // Perhaps all of them were tried.
   if (upstreams.empty())
-    upstreams = fleet_->AllHeldBack(demand.service, {}, now);
+    upstreams = fleet_->AllHeldBack(demand.service, not_allowed, now);
   if (upstreams.empty())
     return false;
   reason->retry_after = RetryAfterEnd(EarliestEnd(upstreams), now);
@@ -271,6 +289,39 @@
   return true;
 }
 
+bool relay_dispatcher::HasNoUpstream(const placement_demand& demand,
+                                     time_point now) const {
+  bool any_allowed = false;
+  bool any_registered = false;
+  for (const auto& upstream : fleet_->Upstreams(demand.service)) {
+    if (!demand.homes.Allows(upstream->region))
+      continue;
+    any_allowed = true;
+    if (!upstream->IsRegistered())
+      continue;
+    any_registered = true;
+    if (!fleet_->IsInEvacuatedZone(*upstream))
+      return false;
+  }
+  if (demand.homes.restricted() && !any_allowed)
+    LogWithoutUpstream(demand, now);
+  // Without homes, upstreams that are not known yet are waited for.
+  return any_registered || (demand.homes.restricted() && !any_allowed);
+}
+
+void relay_dispatcher::LogWithoutUpstream(const placement_demand& demand,
+                                          time_point now) const {
+  auto& logged_at = without_upstream_logged_at_[demand.route];
+  if (now - logged_at < kWithoutUpstreamLogInterval)
+    return;
+  logged_at = now;
+  Log(log_level::kWarning, "route_without_upstream",
+      {{"route", demand.route},
+       {"service", demand.service},
+       {"homes", demand.homes.regions()},
+       {"upstreams", fleet_->Upstreams(demand.service).size()}});
+}
+
 std::optional<milliseconds> relay_dispatcher::HeldBackTime(
     const std::string& service,
     time_point now) const {
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -4,11 +4,13 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "cactusward/home_regions.h"
 #include "src/relay/fleet_service.h"
 
 namespace cactusward {
@@ -17,6 +19,7 @@
 
 // What a request needs of an upstream.
 struct placement_demand {
+  std::string route;  // its name, for logs
   std::string service;
   std::optional<prompt_request> prompt;  // empty: a call without a prompt
   // The latest time at which the response meets its objective.
@@ -27,7 +30,8 @@
   time_point queue_deadline;
   // Ids of the upstreams that must not be chosen again.
   std::set<std::string> tried_upstreams;
-  int priority = 0;  // 0 is the most urgent
+  int priority = 0;    // 0 is the most urgent
+  home_regions homes;  // the regions of the upstreams that may be chosen
   // Whether the request must not be sent any more: it then leaves the queue.
   // Empty: it may be sent.
   std::function<bool()> is_refused;
@@ -116,11 +120,19 @@
       time_point now);
   // Whether no upstream that the request may still be sent to takes one from
   // this instance before the request leaves the queue, because of its request
-  // limit or because it wants none for a time.
+  // limit, because it wants none for a time, or because its zone is evacuated.
   bool IsHeldBack(const placement_demand& demand,
                   dispatch_failure* reason,
                   time_point now) const;
+  // Whether no upstream can take the request until the configuration, the list
+  // of upstreams or an evacuation changes: none is in an allowed region, or all
+  // registered ones there are in evacuated zones.
+  bool HasNoUpstream(const placement_demand& demand, time_point now) const;
+  // Whether `upstream` may be chosen for the request at all.
+  static bool IsEligible(const placement_demand& demand,
+                         const fleet_upstream& upstream);
   milliseconds RetryAfter(const placement_demand& demand, time_point now) const;
+  void LogWithoutUpstream(const placement_demand& demand, time_point now) const;
   // Logs the state of the upstreams when a request leaves the queue unassigned.
   void LogNotPlaced(const placement_demand& demand, time_point now);
   placement_settings PlacementSettings(const std::string& service) const;
@@ -133,6 +145,8 @@
   fleet_service* fleet_ = nullptr;
   std::list<waiter*> waiters_;
   time_point not_placed_logged_at_;
+  // By route.
+  mutable std::map<std::string, time_point> without_upstream_logged_at_;
   bool dispatch_scheduled_ = false;
   std::unique_ptr<asio::steady_timer> dispatch_timer_;
 };
