Limit requests to cold upstreams in each second

An upstream that has just started crashes above its stated rate. The named limit holds over four seconds with bursts, which is too much in one second. DivideColdLimit leaves half of the bound to a second group of instances, and an instance takes no share until it knows its peers. Both limits use the same token bucket and the same choice of holders; the stricter one binds.

--- a/include/cactusward/upstream_limits.h
+++ b/include/cactusward/upstream_limits.h
@@ -56,7 +56,8 @@
 limit_share DivideLimit(double per_second, std::size_t instances);
 // Divides the limit of a cold upstream, so that in any one second two disjoint
 // groups of instances, each of which divides it among its own members, together
-// send at most `per_second` * overage + tolerance. Precondition: `instances` is
+// send at most `per_second` * overage + tolerance. No instance is a holder if
+// that allows less than one request of each group. Precondition: `instances` is
 // at least 1. Thread-safe.
 limit_share DivideColdLimit(double per_second,
                             const cold_settings& settings,
@@ -69,12 +70,16 @@
 class upstream_limits {
  public:
   // @param self the name of this instance.
-  explicit upstream_limits(std::string self) : self_(std::move(self)) {}
+  explicit upstream_limits(std::string self, const cold_settings& cold = {})
+      : self_(std::move(self)), cold_settings_(cold) {}
 
   // Sets the names of the instances that divide the limits, this one included.
   // A name that is missing keeps its share for a while: the instance may be
   // partitioned from this one and still send.
   void SetInstances(const std::vector<std::string>& names, time_point now);
+  // Before `at` this instance may not know its peers, and takes no share of the
+  // limits of cold upstreams.
+  void SetPeersKnownAt(time_point at) { peers_known_at_ = at; }
 
   // Records what a response states. A response without a limit ends the known
   // one only if its request was sent after that was named.
@@ -89,13 +94,19 @@
 
   // Limits an upstream that is cold until `until`, beside the limit that it
   // names; the stricter one binds. `until` not after `now` ends it.
+  // Precondition: `per_second` is positive.
   // @return whether the limit has begun or ended.
   bool SetColdLimit(std::uint32_t upstream,
                     double per_second,
                     time_point until,
                     time_point now);
   // Number of upstreams that are limited because they are cold.
-  std::size_t cold_size() const;
+  std::size_t cold_size() const { return cold_.size(); }
+  // Whether an upstream is limited because it is cold.
+  bool IsCold(std::uint32_t upstream, time_point now) const;
+  // Drops the limits of upstreams that are no longer cold. @return the
+  // upstreams.
+  std::vector<std::uint32_t> ExpireCold(time_point now);
 
   // The limit of an upstream, in requests a second; nullopt if it has none.
   std::optional<double> LimitOf(std::uint32_t upstream) const;
@@ -120,25 +131,48 @@
   std::vector<std::uint32_t> Expire(time_point now);
 
  private:
-  struct known_limit {
-    std::optional<double> per_second;
-    time_point stated_at;  // of the response
+  // This instance's share of one limit.
+  struct token_bucket {
     limit_share share;
     bool is_holder = false;
     double tokens = 0;
     time_point tokens_at;
+
+    void Refill(time_point now);
+    // nullopt if this instance holds no share.
+    std::optional<time_point> NextGrant(time_point now) const;
+  };
+  struct known_limit {
+    std::optional<double> per_second;
+    time_point stated_at;  // of the response
+    token_bucket bucket;
+  };
+  struct cold_limit {
+    double per_second = 0;
+    time_point until;
+    token_bucket bucket;
   };
 
   bool Set(std::uint32_t upstream,
            std::optional<double> per_second,
            time_point stated_at,
            time_point now);
-  void Divide(std::uint32_t upstream, known_limit* limit, time_point now);
-  static void Refill(known_limit* limit, time_point now);
+  void Divide(std::uint32_t upstream, known_limit* limit, time_point now) const;
+  void Divide(std::uint32_t upstream, cold_limit* limit, time_point now) const;
+  void AssignShare(std::uint32_t upstream,
+                   const limit_share& share,
+                   token_bucket* bucket,
+                   time_point now) const;
+  std::size_t InstanceCount() const {
+    return instances_.empty() ? 1 : instances_.size();
+  }
 
   std::string self_;
+  cold_settings cold_settings_;
+  time_point peers_known_at_{};
   std::map<std::string, time_point> instances_;  // by name: last seen live
   std::map<std::uint32_t, known_limit> limits_;
+  std::map<std::uint32_t, cold_limit> cold_;
 };
 
 }  // namespace cactusward
--- a/src/forwarding/upstream_limits.cc
+++ b/src/forwarding/upstream_limits.cc
@@ -27,6 +27,17 @@
 constexpr milliseconds kEndedPeriod{10'000};
 // An upstream that gets no requests cannot confirm its limit.
 constexpr milliseconds kUnconfirmedPeriod{120'000};
+// Two groups of instances that do not see each other divide the limit of a cold
+// upstream.
+constexpr double kColdGroups = 2;
+// Share of a group's part that its holders use. The rest is left for instances
+// that disagree for a moment about who holds a share, and for requests that
+// take unequal times to the upstream.
+constexpr double kColdUse = 0.9;
+// Requests of one holder in a second: one saved up, and its steady rate. Many
+// holders with little each leave fewer instances without a share.
+constexpr double kColdHolderRequests = 2.25;
+constexpr double kColdBurst = 1;
 constexpr double kMilli = 1'000;
 constexpr double kMaxPerSecond = 1e9;
 
@@ -44,6 +55,27 @@
   return share;
 }
 
+limit_share DivideColdLimit(double per_second,
+                            const cold_settings& settings,
+                            std::size_t instances) {
+  const double group_requests =
+      (per_second * settings.overage + settings.tolerance) / kColdGroups;
+  limit_share share;
+  if (group_requests < kColdBurst)
+    return share;
+  const double used = std::max(kColdUse * group_requests, kColdBurst);
+  share.holders = static_cast<std::size_t>(
+      std::min(static_cast<double>(instances),
+               std::max(std::floor(used / kColdHolderRequests), 1.0)));
+  const auto holders = static_cast<double>(share.holders);
+  share.burst = kColdBurst;
+  // A rate below one a second adds no second request to any second.
+  share.per_second = std::max(std::min(used / holders - kColdBurst,
+                                       kSteadyShare * per_second / holders),
+                              kMinPerSecond);
+  return share;
+}
+
 void upstream_limits::SetInstances(const std::vector<std::string>& names,
                                    time_point now) {
   const std::size_t before = instances_.size();
@@ -59,17 +91,34 @@
     return;
   for (auto& [upstream, limit] : limits_)
     Divide(upstream, &limit, now);
+  for (auto& [upstream, limit] : cold_)
+    Divide(upstream, &limit, now);
 }
 
 void upstream_limits::Divide(std::uint32_t upstream,
                              known_limit* limit,
-                             time_point now) {
-  if (!limit->per_second)
-    return;
-  Refill(limit, now);
-  const bool was_holder = limit->is_holder;
-  limit->share = DivideLimit(*limit->per_second,
-                             std::max<std::size_t>(instances_.size(), 1));
+                             time_point now) const {
+  if (limit->per_second)
+    AssignShare(upstream, DivideLimit(*limit->per_second, InstanceCount()),
+                &limit->bucket, now);
+}
+
+void upstream_limits::Divide(std::uint32_t upstream,
+                             cold_limit* limit,
+                             time_point now) const {
+  AssignShare(
+      upstream,
+      DivideColdLimit(limit->per_second, cold_settings_, InstanceCount()),
+      &limit->bucket, std::max(now, peers_known_at_));
+}
+
+void upstream_limits::AssignShare(std::uint32_t upstream,
+                                  const limit_share& share,
+                                  token_bucket* bucket,
+                                  time_point now) const {
+  bucket->Refill(now);
+  const bool was_holder = bucket->is_holder;
+  bucket->share = share;
   // The holders are the instances with the highest hashes.
   const auto rank = [upstream](const std::string& name) {
     return Hash64(name, upstream);
@@ -79,19 +128,31 @@
       instances_.begin(), instances_.end(), [&](const auto& instance) {
         return instance.first != self_ && rank(instance.first) > own;
       }));
-  limit->is_holder = ahead < limit->share.holders;
+  bucket->is_holder = ahead < share.holders;
   // The previous holder may just have sent.
   if (!was_holder)
-    limit->tokens = 0;
-  limit->tokens = std::min(limit->tokens, limit->share.burst);
+    bucket->tokens = 0;
+  bucket->tokens = std::min(bucket->tokens, share.burst);
 }
 
-void upstream_limits::Refill(known_limit* limit, time_point now) {
+void upstream_limits::token_bucket::Refill(time_point now) {
   const double seconds =
-      ToMilliseconds(std::max(now - limit->tokens_at, duration(0))) / kMilli;
-  limit->tokens = std::min(limit->share.burst,
-                           limit->tokens + seconds * limit->share.per_second);
-  limit->tokens_at = now;
+      ToMilliseconds(std::max(now - tokens_at, duration(0))) / kMilli;
+  tokens = std::min(share.burst, tokens + seconds * share.per_second);
+  tokens_at = std::max(tokens_at, now);
+}
+
+std::optional<time_point> upstream_limits::token_bucket::NextGrant(
+    time_point now) const {
+  if (!is_holder)
+    return std::nullopt;
+  token_bucket bucket = *this;
+  bucket.Refill(now);
+  if (bucket.tokens >= 1)
+    return now;
+  const double seconds = (1 - bucket.tokens) / bucket.share.per_second;
+  return bucket.tokens_at + std::chrono::duration_cast<duration>(
+                                std::chrono::duration<double>(seconds));
 }
 
 bool upstream_limits::Set(std::uint32_t upstream,
@@ -101,13 +162,13 @@
   auto [found, is_new] = limits_.try_emplace(upstream);
   known_limit& limit = found->second;
   if (is_new)
-    limit.tokens_at = now;
+    limit.bucket.tokens_at = now;
   limit.stated_at = stated_at;
   if (limit.per_second == per_second)
     return false;
   limit.per_second = per_second;
   if (!per_second)
-    limit.is_holder = false;
+    limit.bucket.is_holder = false;
   Divide(upstream, &limit, now);
   return true;
 }
@@ -156,28 +217,69 @@
   return now - limits_.at(upstream).stated_at;
 }
 
+bool upstream_limits::SetColdLimit(std::uint32_t upstream,
+                                   double per_second,
+                                   time_point until,
+                                   time_point now) {
+  if (until <= now)
+    return cold_.erase(upstream) > 0;
+  const bool begins = !IsCold(upstream, now);
+  cold_limit& limit = cold_[upstream];
+  if (begins) {
+    limit = {};
+    limit.bucket.tokens_at = std::max(now, peers_known_at_);
+  }
+  limit.until = until;
+  if (limit.per_second != per_second) {
+    limit.per_second = per_second;
+    Divide(upstream, &limit, now);
+  }
+  return begins;
+}
+
+bool upstream_limits::IsCold(std::uint32_t upstream, time_point now) const {
+  const auto known = cold_.find(upstream);
+  return known != cold_.end() && now < known->second.until;
+}
+
+std::vector<std::uint32_t> upstream_limits::ExpireCold(time_point now) {
+  std::vector<std::uint32_t> expired;
+  for (auto it = cold_.begin(); it != cold_.end();) {
+    const bool is_over = it->second.until <= now;
+    if (is_over)
+      expired.push_back(it->first);
+    it = is_over ? cold_.erase(it) : std::next(it);
+  }
+  return expired;
+}
+
 std::optional<time_point> upstream_limits::NextGrant(std::uint32_t upstream,
                                                      time_point now) const {
+  std::optional<time_point> granted = now;
   const auto known = limits_.find(upstream);
-  if (known == limits_.end() || !known->second.per_second)
-    return now;
-  known_limit limit = known->second;
-  if (!limit.is_holder)
+  if (known != limits_.end() && known->second.per_second)
+    granted = known->second.bucket.NextGrant(now);
+  if (!granted || !IsCold(upstream, now))
+    return granted;
+  const cold_limit& cold = cold_.at(upstream);
+  const auto cold_grant =
+      now < peers_known_at_ ? std::nullopt : cold.bucket.NextGrant(now);
+  if (!cold_grant)
     return std::nullopt;
-  Refill(&limit, now);
-  if (limit.tokens >= 1)
-    return now;
-  const double seconds = (1 - limit.tokens) / limit.share.per_second;
-  return now + std::chrono::duration_cast<duration>(
-                   std::chrono::duration<double>(seconds));
+  return std::max(*granted, std::min(*cold_grant, cold.until));
 }
 
 void upstream_limits::Spend(std::uint32_t upstream, time_point now) {
+  const auto spend = [now](token_bucket* bucket) {
+    bucket->Refill(now);
+    bucket->tokens -= 1;
+  };
   const auto known = limits_.find(upstream);
-  if (known == limits_.end() || !known->second.per_second)
-    return;
-  Refill(&known->second, now);
-  known->second.tokens -= 1;
+  if (known != limits_.end() && known->second.per_second)
+    spend(&known->second.bucket);
+  const auto cold = cold_.find(upstream);
+  if (cold != cold_.end())
+    spend(&cold->second.bucket);
 }
 
 std::vector<limit_report> upstream_limits::Reports(time_point now) const {
--- a/tests/unit/upstream_limits_test.cc
+++ b/tests/unit/upstream_limits_test.cc
@@ -206,5 +206,253 @@
   CHECK(holders == 5);
 }
 
+// A fleet that sends to one cold upstream as much as it may.
+struct cold_row {
+  const char* name;
+  int instances;
+  double per_second;
+  cold_settings settings;
+  int restart_ms;       // between restarts of random instances; 0: none
+  bool renames;         // a restarted instance has a new name
+  int split_ms;         // two halves do not see each other from then; 0: never
+  int cold_again_ms;    // between two times at which it is cold again
+  int all_restart_ms;   // when all instances restart; 0: never
+  double least_served;  // requests a second; 0: any number
+};
+
+class cold_fleet {
+ public:
+  cold_fleet(const cold_row& row, std::uint64_t seed)
+      : row_(row), random_(seed) {
+    for (const std::string& name :
+         Names(static_cast<std::size_t>(row.instances)))
+      fleet_.push_back(
+          {name, upstream_limits(name, row.settings), -kUnknownMs});
+    for (std::size_t i = 0; i < fleet_.size(); ++i)
+      Learn(i, 0);
+  }
+
+  // @return when requests arrive at the upstream, in order.
+  std::vector<int> Run() {
+    for (int ms = 0; ms < kEndMs; ms += kStepMs) {
+      if (ms == row_.all_restart_ms && ms > 0) {
+        for (std::size_t i = 0; i < fleet_.size(); ++i)
+          Restart(i, ms);
+      }
+      if (row_.restart_ms > 0 && ms % row_.restart_ms == 0)
+        Restart(random_() % fleet_.size(), ms);
+      for (std::size_t i = 0; i < fleet_.size(); ++i) {
+        // Not all instances are informed at the same time.
+        if ((ms + static_cast<int>(i) * kStepMs) % kInformMs == 0)
+          Learn(i, ms);
+        Send(i, ms);
+      }
+    }
+    std::sort(arrivals_.begin(), arrivals_.end());
+    return arrivals_;
+  }
+
+  static constexpr int kEndMs = 40'000;
+
+ private:
+  static constexpr int kStepMs = 10;
+  static constexpr int kInformMs = 250;
+  static constexpr int kUnknownMs = 2'000;  // after the start of an instance
+  static constexpr int kDiscoveryMs = 1'000;
+  static constexpr int kMaxDelayMs = 30;  // on the way to the upstream
+
+  struct instance {
+    std::string name;
+    upstream_limits limits;
+    int started_ms;
+  };
+
+  bool Sees(std::size_t from, std::size_t to, int ms) const {
+    const bool split = row_.split_ms > 0 && ms >= row_.split_ms;
+    if (split && from % 2 != to % 2)
+      return false;
+    return from == to || (ms - fleet_[from].started_ms >= kDiscoveryMs &&
+                          ms - fleet_[to].started_ms >= kDiscoveryMs);
+  }
+  void Learn(std::size_t index, int ms) {
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < fleet_.size(); ++i) {
+      if (Sees(index, i, ms))
+        names.push_back(fleet_[i].name);
+    }
+    upstream_limits& limits = fleet_[index].limits;
+    limits.SetInstances(names, At(ms));
+    const int last_cold = row_.cold_again_ms > 0
+                              ? ms / row_.cold_again_ms * row_.cold_again_ms
+                              : 0;
+    const int until =
+        row_.cold_again_ms > 0 ? last_cold + row_.cold_again_ms : 2 * kEndMs;
+    limits.SetColdLimit(kUpstream, row_.per_second, At(until), At(ms));
+  }
+  void Restart(std::size_t index, int ms) {
+    instance& restarted = fleet_[index];
+    if (row_.renames)
+      restarted.name += "+";
+    restarted.limits = upstream_limits(restarted.name, row_.settings);
+    restarted.limits.SetPeersKnownAt(At(ms + kUnknownMs));
+    restarted.started_ms = ms;
+    Learn(index, ms);
+  }
+  void Send(std::size_t index, int ms) {
+    // It is warm for this instance until that hears that it is cold again.
+    if (!fleet_[index].limits.IsCold(kUpstream, At(ms)))
+      return;
+    for (int n = SendAll(&fleet_[index].limits, At(ms)); n > 0; --n)
+      arrivals_.push_back(ms + static_cast<int>(random_() % kMaxDelayMs));
+  }
+
+  cold_row row_;
+  std::mt19937_64 random_;
+  std::vector<instance> fleet_;
+  std::vector<int> arrivals_;
+};
+
+// Most arrivals in any span of one second.
+int MostInOneSecond(const std::vector<int>& arrivals) {
+  constexpr int kSecondMs = 1'000;
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < arrivals.size(); ++last) {
+    while (arrivals[last] - arrivals[first] >= kSecondMs)
+      ++first;
+    most = std::max(most, last - first + 1);
+  }
+  return static_cast<int>(most);
+}
+
+// Guards against a cold upstream that crashes under the sum of what instances
+// send that have restarted, or that believe that they are the whole fleet.
+TEST_CASE("all instances together keep the limit of a cold upstream") {
+  const cold_settings usual;
+  const cold_row rows[] = {
+      {"one instance", 1, 17, usual, 0, false, 0, 0, 0, 10},
+      {"few instances", 3, 17, usual, 0, false, 0, 0, 0, 7},
+      {"many instances", 78, 17, usual, 0, false, 0, 0, 0, 7},
+      {"restarts", 78, 17, usual, 500, false, 0, 0, 0, 5},
+      {"restarts under new names", 78, 17, usual, 900, true, 0, 0, 0, 1},
+      {"all restart", 109, 17, usual, 0, false, 0, 0, 8'000, 5},
+      {"all restart under new names", 78, 17, usual, 0, true, 0, 0, 8'000, 1},
+      {"two groups", 78, 17, usual, 0, false, 5'000, 0, 0, 7},
+      {"two groups of few", 4, 17, usual, 0, false, 5'000, 0, 0, 7},
+      {"two groups with restarts", 78, 17, usual, 700, false, 5'000, 0, 0, 5},
+      {"cold again and again", 78, 17, usual, 0, false, 5'000, 3'000, 0, 4},
+      {"a high limit", 109, 200, usual, 0, false, 5'000, 0, 0, 100},
+      {"a low limit", 109, 1, usual, 300, false, 5'000, 0, 0, 0},
+      {"a low limit without tolerance",
+       78,
+       2,
+       {1.5, 0},
+       0,
+       false,
+       5'000,
+       0,
+       0,
+       0},
+      {"no request of each group fits",
+       78,
+       1,
+       {1.5, 0},
+       0,
+       false,
+       5'000,
+       0,
+       0,
+       0},
+  };
+  const std::uint64_t seed = GENERATE(1, 2);
+  for (const cold_row& r : rows) {
+    CAPTURE(r.name, seed);
+    const auto arrivals = cold_fleet(r, seed).Run();
+    CHECK(MostInOneSecond(arrivals) <=
+          r.per_second * r.settings.overage + r.settings.tolerance);
+    CHECK(static_cast<double>(arrivals.size()) >=
+          r.least_served * cold_fleet::kEndMs / 1'000);
+  }
+}
+
+TEST_CASE("the shares of a cold limit leave half of it to another group") {
+  const double per_second = GENERATE(1.0, 3.0, 8.0, 17.0, 60.0, 333.0);
+  const std::size_t instances = GENERATE(1, 2, 7, 78, 109, 540);
+  CAPTURE(per_second, instances);
+  const cold_settings settings;
+  const limit_share share = DivideColdLimit(per_second, settings, instances);
+  CHECK(share.holders >= 1);
+  CHECK(share.holders <= instances);
+  CHECK(share.burst >= 1);
+  CHECK(2 * static_cast<double>(share.holders) *
+            (share.burst + share.per_second) <
+        per_second * settings.overage + settings.tolerance);
+}
+
+TEST_CASE("the stricter of the two limits of an upstream binds") {
+  struct row {
+    const char* name;
+    std::optional<double> named;
+    std::optional<double> cold;
+    int cold_until_ms;
+    int at_ms;
+    int peers_known_ms;
+    bool holds_share;
+    int most;  // requests in the second before `at_ms`
+  };
+  const row rows[] = {
+      {"neither", {}, {}, 0, 2'000, 0, true, 1'000},
+      {"the cold one", {}, 17.0, 9'000, 2'000, 0, true, 14},
+      {"the named one", 2.0, 17.0, 9'000, 2'000, 0, true, 8},
+      {"the cold one beside a higher one", 500.0, 17.0, 9'000, 2'000, 0, true,
+       14},
+      {"the cold one has ended", {}, 17.0, 500, 2'000, 0, true, 1'000},
+      {"peers are not known", {}, 17.0, 9'000, 2'000, 3'000, false, 0},
+      {"peers are known by now", {}, 17.0, 9'000, 4'000, 3'000, true, 14},
+      {"peers do not matter without it", {}, {}, 0, 2'000, 3'000, true, 1'000},
+      {"a very low cold one", {}, 0.001, 9'000, 6'000, 0, true, 1},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    upstream_limits limits("instance-0");
+    limits.SetPeersKnownAt(At(r.peers_known_ms));
+    limits.SetInstances(Names(1), At(0));
+    if (r.named)
+      limits.RecordResponse(kUpstream, r.named, At(-50), At(0));
+    if (r.cold)
+      CHECK(
+          limits.SetColdLimit(kUpstream, *r.cold, At(r.cold_until_ms), At(0)));
+    CHECK(limits.cold_size() == (r.cold ? 1 : 0));
+    int sent = 0;
+    for (int ms = r.at_ms - 1'000; ms < r.at_ms; ++ms) {
+      if (!limits.MaySend(kUpstream, At(ms)))
+        continue;
+      limits.Spend(kUpstream, At(ms));
+      ++sent;
+    }
+    CHECK(sent <= r.most);
+    CHECK((sent > 0) == (r.most > 0));
+    CHECK(limits.NextGrant(kUpstream, At(r.at_ms)).has_value() ==
+          r.holds_share);
+  }
+}
+
+TEST_CASE("a cold limit begins and ends with what the entries say") {
+  upstream_limits limits("instance-0");
+  CHECK_FALSE(limits.SetColdLimit(kUpstream, 17, At(0), At(0)));
+  CHECK(limits.SetColdLimit(kUpstream, 17, At(3'000), At(0)));
+  CHECK_FALSE(limits.SetColdLimit(kUpstream, 17, At(2'900), At(500)));
+  CHECK(limits.IsCold(kUpstream, At(2'899)));
+  CHECK(limits.ExpireCold(At(2'899)).empty());
+  CHECK_FALSE(limits.IsCold(kUpstream, At(2'900)));
+  CHECK(limits.ExpireCold(At(2'900)) == std::vector<std::uint32_t>{kUpstream});
+  CHECK(limits.SetColdLimit(kUpstream, 17, At(6'000), At(3'000)));
+  CHECK(limits.SetColdLimit(kUpstream, 17, At(3'500), At(3'500)));
+  CHECK(limits.cold_size() == 0);
+  CHECK(limits.MaySend(kUpstream, At(3'500)));
+  // It is no limit that peers have to learn of.
+  CHECK(limits.Reports(At(3'500)).empty());
+}
+
 }  // namespace
 }  // namespace cactusward
