Ramp up the load of upstreams that start or recover

upstream_ramp keeps the number of requests that may run at a process: it rises with time and timely responses and is halved by setbacks. Placement uses the smaller of the slots and this number. The surge model simulates engines that return together, cold.

--- a/include/cactusward/upstream_ramp.h
+++ b/include/cactusward/upstream_ramp.h
@@ -18,49 +18,61 @@
   std::uint32_t process = 0;
   duration lasted{0};
   int setbacks = 0;
+  bool reached_slots = true;  // false: it took too long
 
   friend bool operator==(const ended_ramp& a, const ended_ramp& b) {
     return a.process == b.process && a.lasted == b.lasted &&
-           a.setbacks == b.setbacks;
+           a.setbacks == b.setbacks && a.reached_slots == b.reached_slots;
   }
 };
 
 // Keeps, for each ramping process of an upstream, the number of requests of all
-// instances that may run there. It rises additively with timely responses and
-// falls by a factor with late ones and refusals. Processes are identified by a
-// key of the upstream's id and its start. Not thread-safe.
+// instances that may run there. It rises additively with time and with timely
+// responses, and falls by a factor with late ones and refusals. Each instance
+// has its own ramps: one of a large fleet receives few responses of one
+// upstream. Processes are identified by a key of the upstream's id and its
+// start. Not thread-safe.
 class upstream_ramp {
  public:
-  // Begins a ramp, or begins it again if the process is ramping.
+  // Whether a first event that took `measured_ms` was as early as the cost
+  // model allows. Thread-safe.
+  static bool IsTimely(double expected_ms, double measured_ms);
+
+  // Begins a ramp, or begins it again if the process is ramping. The number
+  // does not rise before `at`, which may be in the future.
   // Precondition: `slots` is at least 1.
-  void Begin(std::uint32_t process, int slots, time_point now);
+  // @return whether the process was not ramping.
+  bool Begin(std::uint32_t process, int slots, time_point at);
   // A response arrived in time. No effect on a process that is not ramping.
   void RecordTimely(std::uint32_t process, time_point now);
   // A response was late, the upstream refused a request or the exchange failed.
   // Setbacks of requests that were sent before the previous one do not count.
   void RecordSetback(std::uint32_t process, time_point sent_at, time_point now);
-  // The upstream states its load.
-  void RecordLoad(std::uint32_t process,
-                  int running,
-                  int waiting,
-                  time_point now);
+  // The upstream states its load. Requests that wait there count as a setback.
+  void RecordLoad(std::uint32_t process, int waiting, time_point now);
 
   // Most requests that may run at once; nullopt: the process is not ramping.
   std::optional<int> Limit(std::uint32_t process, time_point now) const;
   std::size_t size() const { return ramps_.size(); }
-  // Ends the ramps that have reached the slots. Call periodically.
+  // Removes the ramps that have ended. Call periodically.
   std::vector<ended_ramp> Expire(time_point now);
 
  private:
   struct ramp {
-    int slots = 1;
-    double limit = 1;
+    double slots = 1;
+    double limit = 1;  // at `changed_at`
     time_point began_at;
     time_point changed_at;
     time_point last_setback_at;
     int setbacks = 0;
+
+    double LimitAt(time_point now) const;
+    bool HasEnded(time_point now) const;
+    void Set(double next, time_point now);
   };
 
+  ramp* FindRunning(std::uint32_t process, time_point now);
+
   std::map<std::uint32_t, ramp> ramps_;
 };
 
--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -52,6 +52,12 @@
          engine.load.kv_tokens;
 }
 
+// Most requests that may run on the engine.
+int MaxRunning(const engine_parameters& parameters, const engine_view& engine) {
+  return engine.max_running > 0 ? std::min(engine.max_running, parameters.slots)
+                                : parameters.slots;
+}
+
 double CurrentPassMs(const engine_parameters& parameters,
                      const engine_view& engine) {
   if (engine.load.running == 0)
@@ -133,7 +139,7 @@
     if (!engine.usable)
       continue;
     ++usable_seen;
-    if (engine.load.running >= parameters.slots ||
+    if (engine.load.running >= MaxRunning(parameters, engine) ||
         FreeKvTokens(parameters, engine) <
             request.prompt_tokens + request.max_output_tokens)
       continue;
@@ -212,7 +218,7 @@
     if (shared &&
         prefill_ms > settings.strictest_event_gap_ms * kSharedPrefillShare)
       continue;
-    if (engine.load.running >= parameters.slots ||
+    if (engine.load.running >= MaxRunning(parameters, engine) ||
         !KeepsEventGaps(parameters, engine, prefill_ms,
                         request.max_event_gap_ms))
       continue;
--- a/tests/support/surge_model.cc
+++ b/tests/support/surge_model.cc
@@ -21,6 +21,13 @@
 constexpr double kPrefillTokensPerStep = 2'048;
 constexpr std::int64_t kMaxOutputTokens = 100;
 constexpr double kBlockAtMs = 2'000;
+// Time in which all instances learn that engines have returned.
+constexpr double kLearnMs = 100;
+constexpr double kReturnedPeriodMs = 5'000;
+// Engines that have returned carry their share when at least this part of it
+// was placed on them within the last half second.
+constexpr double kCarriedShare = 0.8;
+constexpr double kCarriedPeriodMs = 500;
 
 }  // namespace
 
@@ -45,6 +52,8 @@
     ScheduleArrivals(kind);
   if (settings_.blocked_share > 0)
     Schedule(kBlockAtMs, [this] { Block(); });
+  if (settings_.returning.engines > 0)
+    Schedule(settings_.returning.at_ms, [this] { BeginRamps(); });
   for (std::size_t instance_index = 0; instance_index < instances_.size();
        ++instance_index)
     ScheduleReportAt(instance_index,
@@ -84,6 +93,84 @@
          random_() % instances_.size() < settings_.reached_peers;
 }
 
+bool surge_model::IsReturning(std::size_t engine_index) const {
+  const int returning = settings_.returning.engines;
+  return returning > 0 && engine_index % static_cast<std::size_t>(
+                                             settings_.engines / returning) ==
+                              0;
+}
+
+bool surge_model::IsMissing(std::size_t engine_index,
+                            std::size_t instance_index) const {
+  const double learnt_ms = kLearnMs * static_cast<double>(instance_index) /
+                           static_cast<double>(instances_.size());
+  return IsReturning(engine_index) &&
+         now_ms_ < settings_.returning.at_ms + learnt_ms;
+}
+
+double surge_model::SlowdownOf(std::size_t engine_index) const {
+  const returning_engines& returning = settings_.returning;
+  if (!IsReturning(engine_index) || returning.warm_up_ms <= 0)
+    return 1;
+  const double left = std::clamp(
+      1 - (now_ms_ - returning.at_ms) / returning.warm_up_ms, 0.0, 1.0);
+  return 1 + (returning.cold_slowdown - 1) * left;
+}
+
+void surge_model::BeginRamps() {
+  if (!settings_.returning.ramp_up)
+    return;
+  for (instance& each : instances_) {
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      if (IsReturning(i))
+        each.ramp.Begin(static_cast<std::uint32_t>(i), settings_.engine.slots,
+                        Now());
+    }
+  }
+}
+
+void surge_model::CountPlacement(std::size_t engine_index) {
+  const double since_ms = now_ms_ - settings_.returning.at_ms;
+  if (settings_.returning.engines == 0 || since_ms < 0)
+    return;
+  const bool returning = IsReturning(engine_index);
+  if (returning && since_ms < kReturnedPeriodMs)
+    ++returned_.requests;
+  recent_placements_.emplace_back(now_ms_, returning);
+  while (now_ms_ - recent_placements_.front().first > kCarriedPeriodMs)
+    recent_placements_.pop_front();
+  const auto there = std::count_if(
+      recent_placements_.begin(), recent_placements_.end(),
+      [](const std::pair<double, bool>& each) { return each.second; });
+  const double share = static_cast<double>(settings_.returning.engines) /
+                       static_cast<double>(settings_.engines);
+  if (returned_.share_after_ms == 0 && since_ms >= kCarriedPeriodMs &&
+      static_cast<double>(there) >=
+          kCarriedShare * share *
+              static_cast<double>(recent_placements_.size()))
+    returned_.share_after_ms = since_ms;
+}
+
+void surge_model::RecordFirstEvent(const job& done) {
+  const double placed_since_ms = done.placed_ms - settings_.returning.at_ms;
+  if (IsReturning(done.engine) && placed_since_ms >= 0 &&
+      placed_since_ms < kReturnedPeriodMs &&
+      now_ms_ - done.request.arrived_ms >
+          settings_.classes[done.request.kind].objective_ms)
+    ++returned_.late;
+  upstream_ramp& ramp = instances_[done.request.instance_index].ramp;
+  const auto process = static_cast<std::uint32_t>(done.engine);
+  const double measured_ms = now_ms_ - done.placed_ms;
+  if (upstream_ramp::IsTimely(done.expected_first_event_ms, measured_ms))
+    ramp.RecordTimely(process, Now());
+  else
+    ramp.RecordSetback(
+        process,
+        Now() - std::chrono::duration_cast<duration>(
+                    std::chrono::duration<double, std::milli>(measured_ms)),
+        Now());
+}
+
 void surge_model::Block() {
   std::bernoulli_distribution draw(settings_.blocked_share);
   for (std::size_t i = 0; i < engines_.size(); ++i) {
@@ -115,6 +202,10 @@
     const auto found = loads.find(static_cast<std::uint32_t>(i));
     if (found != loads.end())
       views[i].load = found->second;
+    views[i].usable = !IsMissing(i, request.instance_index);
+    views[i].max_running = instances_[request.instance_index]
+                               .ramp.Limit(static_cast<std::uint32_t>(i), Now())
+                               .value_or(0);
   }
   const double waited = now_ms_ - request.arrived_ms;
   placement_settings settings;
@@ -148,6 +239,9 @@
   placed->request = request;
   placed->engine = placement.engine;
   placed->events_left = kind.events;
+  placed->placed_ms = now_ms_;
+  placed->expected_first_event_ms = placement.first_event_ms;
+  CountPlacement(placement.engine);
   placed->parts_left = static_cast<int>(placement.helpers.size()) + 1;
   const double ms_per_token = placement.prefill_ms * placed->parts_left /
                               static_cast<double>(request.tokens);
@@ -235,7 +329,7 @@
       sequences > 0 || (now_ms_ >= engine.blocked_until_ms &&
                         (!finished.empty() || !engine.prefilling.empty()));
   if (engine.in_pass)
-    Schedule(now_ms_ + length,
+    Schedule(now_ms_ + length * SlowdownOf(index),
              [this, index, finished] { EndPass(index, finished); });
 }
 
@@ -271,6 +365,7 @@
   const double first = now_ms_ - request.arrived_ms;
   if (request.counted && first > kind.objective_ms)
     ++results_[request.kind].late;
+  RecordFirstEvent(*done);
   for (const std::uint64_t id : done->tracking_ids)
     instances_[request.instance_index].tracker.EndPrefill(id);
   if (!IsInteractive(settings_.engine, {}, request.tokens))
--- a/tests/support/surge_model.h
+++ b/tests/support/surge_model.h
@@ -16,6 +16,7 @@
 #include "cactusward/engine_placement.h"
 #include "cactusward/load_tracker.h"
 #include "cactusward/report_pacer.h"
+#include "cactusward/upstream_ramp.h"
 
 namespace cactusward::testing {
 
@@ -34,6 +35,15 @@
   std::vector<double> phases;
 };
 
+// Engines that are missing at first and return together, cold.
+struct returning_engines {
+  int engines = 0;  // number of them, spread over all engines
+  double at_ms = 0;
+  double warm_up_ms = 0;     // time in which they become as quick as the others
+  double cold_slowdown = 1;  // factor of the time of their first pass
+  bool ramp_up = true;
+};
+
 struct surge_settings {
   engine_parameters engine;
   int instances = 76;
@@ -51,6 +61,7 @@
   double blocked_share = 0;
   double blocked_ms = 0;
   double peers_known_after_ms = 0;  // no load reports arrive before
+  returning_engines returning;
 };
 
 // Outcomes of the requests of one class.
@@ -62,6 +73,14 @@
   int in_time() const { return requests - refused - late; }
 };
 
+// Requests at the engines that have returned, in their first five seconds.
+struct returning_result {
+  int requests = 0;
+  int late = 0;
+  // Time until these engines get most of their share of the requests.
+  double share_after_ms = 0;
+};
+
 // Not thread-safe.
 class surge_model {
  public:
@@ -71,6 +90,8 @@
   std::vector<surge_result> Run();
   // Number of load reports that the instances have sent. Precondition: Run.
   int reports() const { return reports_; }
+  // Precondition: Run, and engines return.
+  const returning_result& returned() const { return returned_; }
 
  private:
   struct simulated_request {
@@ -87,6 +108,8 @@
     std::vector<std::uint64_t> tracking_ids;
     int parts_left = 0;
     int events_left = 0;
+    double placed_ms = 0;
+    double expected_first_event_ms = 0;
   };
   struct part {
     std::shared_ptr<job> parent;
@@ -104,6 +127,7 @@
   };
   struct instance {
     load_tracker tracker;
+    upstream_ramp ramp;
     double report_at_ms = -1;  // -1: no report is scheduled
     report_pacer pacer;
   };
@@ -112,6 +136,13 @@
   time_point Now() const;
   double PeersKnownAt() const { return settings_.peers_known_after_ms; }
   bool IsReached();
+  bool IsReturning(std::size_t engine_index) const;
+  bool IsMissing(std::size_t engine_index, std::size_t instance_index) const;
+  // Factor of the time that a pass takes.
+  double SlowdownOf(std::size_t engine_index) const;
+  void BeginRamps();
+  void CountPlacement(std::size_t engine_index);
+  void RecordFirstEvent(const job& done);
   void Block();
   // Draws the arrivals of a class.
   void ScheduleArrivals(std::size_t kind);
@@ -136,6 +167,10 @@
   std::vector<engine> engines_;
   std::vector<instance> instances_;
   std::vector<surge_result> results_;
+  returning_result returned_;
+  // Since the engines returned: when requests were placed, and whether at one
+  // of these engines.
+  std::deque<std::pair<double, bool>> recent_placements_;
 };
 
 }  // namespace cactusward::testing
