--- a/include/cactusward/upstream_catalog.h
+++ b/include/cactusward/upstream_catalog.h
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cactusward/registry_position.h"
@@ -65,7 +67,8 @@
 
   // Adds or replaces an entry. Ignores older positions, entries of an earlier
   // process with the same id, and entries that are older than one of an earlier
-  // era. @return whether anything that matters to requests changed.
+  // era. @return whether anything that matters to requests changed, other than
+  // the remaining cold time.
   bool Put(const upstream_entry& entry, const registry_position& position);
   // The registry holds no usable entry for `id` any more.
   // @return whether anything changed.
@@ -81,6 +84,13 @@
   // @return whether anything changed.
   bool Expire(time_point now);
 
+  // Ids of upstreams of which an entry that says that they are cold, or no
+  // longer, has been received and not been taken.
+  const std::set<std::string>& cold_changes() const { return cold_changes_; }
+  std::set<std::string> TakeColdChanges() {
+    return std::exchange(cold_changes_, {});
+  }
+
   // Usable or leaving upstreams by id.
   const std::map<std::string, registered_upstream>& entries() const {
     return entries_;
@@ -97,8 +107,11 @@
     time_point at;
   };
 
+  void Store(const upstream_entry& entry, const registry_position& position);
+
   duration reregistration_grace_;
   std::map<std::string, registered_upstream> entries_;
+  std::set<std::string> cold_changes_;
   // By id of a missing entry: when the entry is removed.
   std::map<std::string, time_point> grace_deadlines_;
   std::map<std::string, removed_upstream> removed_;
--- a/src/forwarding/upstream_catalog.cc
+++ b/src/forwarding/upstream_catalog.cc
@@ -1,7 +1,5 @@
 #include "cactusward/upstream_catalog.h"
 
-#include <set>
-
 namespace cactusward {
 namespace {
 
@@ -47,7 +45,7 @@
         return false;
       removed_.erase(removed);
     }
-    entries_[entry.id] = {entry, position};
+    Store(entry, position);
     return true;
   }
   registered_upstream& stored = known->second;
@@ -65,8 +63,19 @@
   }
   upstream_entry before = stored.entry;
   before.sequence = entry.sequence;
+  before.cold_remaining = entry.cold_remaining;
+  const bool changed = !(before == entry);
+  Store(entry, position);
+  return changed;
+}
+
+void upstream_catalog::Store(const upstream_entry& entry,
+                             const registry_position& position) {
+  registered_upstream& stored = entries_[entry.id];
+  if (entry.cold_remaining.count() > 0 ||
+      stored.entry.cold_remaining.count() > 0)
+    cold_changes_.insert(entry.id);
   stored = {entry, position};
-  return !(before == entry);
 }
 
 bool upstream_catalog::Remove(const std::string& id,
--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -114,7 +114,7 @@
   RecordChange({catalog_item_kind::kConfig, {}, message.catalog_position, {}});
   position_ = message.catalog_position;
   upstreams_pacer_.RecordCaughtUp();
-  if (changed)
+  if (changed || !upstreams_.cold_changes().empty())
     NotifyListeners();
   return true;
 }
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -506,7 +506,7 @@
     }
     raw_upstreams_ = std::move(raw);
     position_ = batch.position;
-    if (changed)
+    if (changed || !upstreams_.cold_changes().empty())
       NotifyListeners();
   }
   Log(log_level::kInfo, "catalog_read",
@@ -555,7 +555,7 @@
           is_upstream ? item : catalog_item{item.kind, {}, item.position, {}});
   }
   position_ = std::max(position_, batch.position);
-  if (changed)
+  if (changed || !upstreams_.cold_changes().empty())
     NotifyListeners();
   const bool has_config = std::any_of(
       batch.items.begin(), batch.items.end(), [](const catalog_item& item) {
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -36,6 +36,10 @@
   // The configuration in force; null until one has been received.
   std::shared_ptr<const forward_config> Config() const { return config_; }
   const upstream_catalog& upstreams() const { return upstreams_; }
+  // See upstream_catalog.
+  std::set<std::string> TakeColdChanges() {
+    return upstreams_.TakeColdChanges();
+  }
   // The availability zones whose upstreams must not get any request.
   const evacuation_set& evacuations() const { return evacuations_; }
   // Up to where all changes of upstreams are known.
--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -6,6 +6,7 @@
 #include "cactusward/upstreams.h"
 #include "src/kernel/log.h"
 #include "src/relay/catalog_service.h"
+#include "src/relay/relay_protocol.h"
 
 namespace cactusward {
 namespace {
@@ -17,6 +18,11 @@
 // report their loads again within the next refresh period.
 constexpr milliseconds kPeerLoadsUnknownPeriod =
     kRefreshPeriod + milliseconds(1'000);
+// Interval at which the holders of cold upstreams' limits are updated. They are
+// cold for a few seconds.
+constexpr milliseconds kColdPeriod{250};
+// As long as the catalog remembers removed entries.
+constexpr milliseconds kKnownProcessTtl{600'000};
 // Most upstream loads in one datagram.
 constexpr std::size_t kMaxLoadsPerMessage = 100;
 // Most request limits in one datagram: an upstream in need is an exception.
@@ -32,6 +38,7 @@
   membership_ =
       runtime_.registry.Find<membership_service>(kMembershipServiceName);
   started_at_ = clock::now();
+  limits_.SetPeersKnownAt(started_at_ + kPeerLoadsUnknownPeriod);
   broadcast_timer_ = std::make_unique<asio::steady_timer>(runtime_.io);
   catalog_->Subscribe([this] { Rebuild(); });
   Rebuild();
@@ -42,12 +49,18 @@
         for (const std::uint32_t expired : limits_.Expire(now))
           LogLimit(expired, "expiry", now);
         ExpireAnnouncements(now);
+        ExpireRamps(now);
         if (tracker_.own_requests() > 0)
           OnLoadChanged(report_urgency::kLater);
       });
+  cold_timer_ = runtime_.timers.Every(
+      kColdPeriod, [this](time_point now) { ExpireColdLimits(now); });
 }
 
 void fleet_service::Rebuild() {
+  const time_point now = clock::now();
+  const bool list_was_known = list_is_known_;
+  list_is_known_ = catalog_->position().revision > 0;
   std::map<std::string, std::shared_ptr<fleet_upstream>> by_id;
   by_service_.clear();
   for (const auto& [id, registered] : catalog_->upstreams().entries()) {
@@ -67,6 +80,12 @@
     upstream->rank = Hash64(id);
     upstream->region = regions_.RegionOf(entry.availability_zone);
     by_service_[entry.service].push_back(upstream);
+    const bool is_new_process =
+        known_processes_.count(upstream->process_key) == 0;
+    known_processes_[upstream->process_key] = now;
+    // What was listed at the first read has been running before.
+    if (is_new_process && list_was_known && !entry.leaving)
+      BeginRamp(*upstream, "started", now);
   }
   for (auto& [id, upstream] : by_id_) {
     const auto next = by_id.find(id);
@@ -77,6 +96,7 @@
   for (auto& [service, upstreams] : by_service_)
     std::sort(upstreams.begin(), upstreams.end(),
               [](const auto& a, const auto& b) { return a->rank < b->rank; });
+  ApplyColdEntries(now);
   NotifyCapacityFreed();
 }
 
@@ -153,6 +173,135 @@
   limits_.SetInstances(names, now);
 }
 
+std::string fleet_service::IdOf(std::uint32_t process_key) const {
+  for (const auto& [id, upstream] : by_id_) {
+    if (upstream->process_key == process_key)
+      return id;
+  }
+  return {};
+}
+
+void fleet_service::ApplyColdEntries(time_point now) {
+  const auto changes = catalog_->TakeColdChanges();
+  if (!changes.empty())
+    UpdateLimitHolders(now);
+  for (const auto& [id, upstream] : by_id_) {
+    if (changes.count(id) > 0)
+      SetCold(upstream.get(), now + upstream->entry.cold_remaining, now);
+    else if (now < upstream->cold_until)
+      UpdateColdLimit(*upstream, now);  // the configuration may have changed
+  }
+}
+
+void fleet_service::SetCold(fleet_upstream* upstream,
+                            time_point until,
+                            time_point now) {
+  const bool begins = upstream->cold_until <= now && until > now;
+  upstream->cold_until = until;
+  UpdateColdLimit(*upstream, now);
+  if (begins && !ramp_.Limit(upstream->process_key, now))
+    BeginRamp(*upstream, "cold", now);
+}
+
+void fleet_service::UpdateColdLimit(const fleet_upstream& upstream,
+                                    time_point now) {
+  const auto config = catalog_->Config();
+  const forward_service* const service =
+      config ? config->FindService(upstream.entry.service) : nullptr;
+  const double per_second = service ? service->cold_per_second : 0;
+  const time_point until = per_second > 0 ? upstream.cold_until : now;
+  if (limits_.SetColdLimit(upstream.process_key, per_second, until, now))
+    LogCold(upstream, per_second, now);
+}
+
+void fleet_service::ExpireColdLimits(time_point now) {
+  if (limits_.cold_size() == 0)
+    return;
+  UpdateLimitHolders(now);
+  for (const std::uint32_t process : limits_.ExpireCold(now)) {
+    const auto found = by_id_.find(IdOf(process));
+    if (found != by_id_.end())
+      LogCold(*found->second, 0, now);
+  }
+}
+
+void fleet_service::LogCold(const fleet_upstream& upstream,
+                            double per_second,
+                            time_point now) const {
+  const bool is_cold = limits_.IsCold(upstream.process_key, now);
+  Log(log_level::kInfo, is_cold ? "upstream_cold" : "upstream_warm",
+      {{"upstream", upstream.entry.id},
+       {"remaining_ms",
+        std::max(0.0, ToMilliseconds(upstream.cold_until - now))},
+       {"per_second", per_second},
+       {"holds_share",
+        limits_.NextGrant(upstream.process_key, now).has_value()}});
+}
+
+void fleet_service::BeginRamp(const fleet_upstream& upstream,
+                              std::string_view reason,
+                              time_point at) {
+  if (!runtime_.settings.forwarding->ramp_up || upstream.entry.slots <= 1)
+    return;
+  if (ramp_.Begin(upstream.process_key, upstream.entry.slots, at))
+    Log(log_level::kInfo, "upstream_ramp_began",
+        {{"upstream", upstream.entry.id}, {"reason", reason}});
+}
+
+void fleet_service::ExpireRamps(time_point now) {
+  for (const ended_ramp& ended : ramp_.Expire(now))
+    Log(log_level::kInfo, "upstream_ramp_ended",
+        {{"upstream", IdOf(ended.process)},
+         {"reason", ended.reached_slots ? "reached_slots" : "time_limit"},
+         {"after_ms", ToMilliseconds(ended.lasted)},
+         {"decreases", ended.setbacks}});
+}
+
+int fleet_service::MaxRunning(const fleet_upstream& upstream,
+                              time_point now) const {
+  // An avoided upstream is used only if most others are avoided as well.
+  if (upstream.health.IsAvoided(now))
+    return 0;
+  return ramp_.Limit(upstream.process_key, now).value_or(0);
+}
+
+void fleet_service::RecordState(const fleet_upstream& upstream,
+                                const upstream_reply& reply) {
+  const time_point now = clock::now();
+  if (reply.load)
+    ramp_.RecordLoad(upstream.process_key, reply.load->waiting, now);
+  if (!reply.cold_remaining || reply.cold_remaining->count() == 0)
+    return;
+  const auto found = by_id_.find(upstream.entry.id);
+  const time_point until = now + *reply.cold_remaining;
+  if (found == by_id_.end() ||
+      found->second->process_key != upstream.process_key ||
+      until <= found->second->cold_until)
+    return;
+  UpdateLimitHolders(now);
+  SetCold(found->second.get(), until, now);
+}
+
+void fleet_service::RecordPace(const fleet_upstream& upstream,
+                               bool timely,
+                               time_point sent_at) {
+  const time_point now = clock::now();
+  if (timely)
+    ramp_.RecordTimely(upstream.process_key, now);
+  else
+    ramp_.RecordSetback(upstream.process_key, sent_at, now);
+}
+
+void fleet_service::RecordSetback(const fleet_upstream& upstream,
+                                  time_point sent_at,
+                                  bool refused) {
+  const time_point now = clock::now();
+  ramp_.RecordSetback(upstream.process_key, sent_at, now);
+  // A refusal is no sign that the upstream could not be reached.
+  if (!refused && upstream.health.IsAvoided(now))
+    BeginRamp(upstream, "avoided", upstream.health.avoided_until());
+}
+
 void fleet_service::RecordLimit(const fleet_upstream& upstream,
                                 std::optional<double> per_second,
                                 time_point sent_at) {
@@ -186,6 +335,11 @@
 }
 
 void fleet_service::ExpireAnnouncements(time_point now) {
+  for (const auto& [id, upstream] : by_id_)
+    known_processes_[upstream->process_key] = now;
+  for (auto it = known_processes_.begin(); it != known_processes_.end();)
+    it = now - it->second > kKnownProcessTtl ? known_processes_.erase(it)
+                                             : std::next(it);
   if (announcements_.size() == 0)
     return;
   std::set<std::uint32_t> listed;
@@ -236,6 +390,7 @@
     held.upstream = upstream->entry.id;
     held.backs_off = backoff_end.has_value();
     held.until = limits_.NextGrant(process, now);
+    held.is_cold = limits_.IsCold(process, now);
     if (!held.backs_off && held.until && *held.until <= now)
       return {};
     if (held.until && backoff_end)
--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -19,6 +19,7 @@
 #include "cactusward/upstream_catalog.h"
 #include "cactusward/upstream_health.h"
 #include "cactusward/upstream_limits.h"
+#include "cactusward/upstream_ramp.h"
 #include "src/daemon/names.h"
 #include "src/daemon/runtime.h"
 #include "src/services/membership_service.h"
@@ -26,6 +27,7 @@
 namespace cactusward {
 
 class catalog_service;
+struct upstream_reply;
 
 // The state of one upstream as known to this instance.
 struct fleet_upstream {
@@ -38,6 +40,7 @@
   std::string region;      // of its availability zone; empty: unknown
   bool listed = true;
   upstream_health health;
+  time_point cold_until{};  // by its entry or by its responses
   // Whether the registry has it and does not say that it leaves.
   bool IsRegistered() const { return listed && !entry.leaving; }
   // Requests sent by this instance, by tracking id.
@@ -53,7 +56,7 @@
         regions_(runtime.settings.availability_zone,
                  runtime.settings.region,
                  runtime.settings.zone_regions),
-        limits_(runtime.settings.instance) {}
+        limits_(runtime.settings.instance, runtime.settings.forwarding->cold) {}
 
   std::string_view service_name() const override { return kFleetServiceName; }
   void Start() override;
@@ -88,6 +91,22 @@
   // Records that `upstream`, by a response that was received now, wants no
   // requests for `time`.
   void RecordBackoff(const fleet_upstream& upstream, milliseconds time);
+  // Records the load that a response of `upstream` states, and whether the
+  // upstream is cold.
+  void RecordState(const fleet_upstream& upstream, const upstream_reply& reply);
+  // Records whether a response, or the first event of a stream, was in time.
+  // @param sent_at when its request was sent.
+  void RecordPace(const fleet_upstream& upstream,
+                  bool timely,
+                  time_point sent_at);
+  // Records that an exchange failed, or that `upstream` refused a request. Call
+  // after the health has been recorded.
+  void RecordSetback(const fleet_upstream& upstream,
+                     time_point sent_at,
+                     bool refused);
+  // Most requests of all instances that may run on `upstream` while its load
+  // rises; 0: its slots.
+  int MaxRunning(const fleet_upstream& upstream, time_point now) const;
   // Whether `service` has upstreams, and all of them are in evacuated zones.
   bool IsEvacuated(const std::string& service) const;
   // An upstream to which this instance may send nothing now.
@@ -95,13 +114,14 @@
     std::string upstream;
     std::optional<time_point> until;  // nullopt: it holds no share of the limit
     bool backs_off = false;           // the upstream wants no requests
+    bool is_cold = false;             // and limited therefore
     std::optional<double> per_second;  // its request limit
     duration age{0};                   // of the response that states the limit
 
     friend bool operator==(const held_back& a, const held_back& b) {
       return a.upstream == b.upstream && a.until == b.until &&
-             a.backs_off == b.backs_off && a.per_second == b.per_second &&
-             a.age == b.age;
+             a.backs_off == b.backs_off && a.is_cold == b.is_cold &&
+             a.per_second == b.per_second && a.age == b.age;
     }
   };
   // The upstreams of `service`, other than those with the ids `except`, that
@@ -110,6 +130,8 @@
                                      const std::set<std::string>& except,
                                      time_point now) const;
   std::size_t limited_upstreams() const { return limits_.size(); }
+  std::size_t cold_upstreams() const { return limits_.cold_size(); }
+  std::size_t ramping_upstreams() const { return ramp_.size(); }
   // Whether this instance has started too recently to have received the load
   // reports of its peers.
   bool PeerLoadsUnknown(time_point now) const;
@@ -131,6 +153,20 @@
   void ScheduleBroadcast(time_point at);
   void NotifyCapacityFreed();
   void UpdateLimitHolders(time_point now);
+  // Applies the entries that say whether upstreams are cold.
+  void ApplyColdEntries(time_point now);
+  void SetCold(fleet_upstream* upstream, time_point until, time_point now);
+  void UpdateColdLimit(const fleet_upstream& upstream, time_point now);
+  void ExpireColdLimits(time_point now);
+  void LogCold(const fleet_upstream& upstream,
+               double per_second,
+               time_point now) const;
+  void BeginRamp(const fleet_upstream& upstream,
+                 std::string_view reason,
+                 time_point at);
+  void ExpireRamps(time_point now);
+  // The id of a listed process; empty if it is not listed.
+  std::string IdOf(std::uint32_t process_key) const;
   void ExpireAnnouncements(time_point now);
   void LogLimit(std::uint32_t process_key,
                 std::string_view origin,
@@ -143,6 +179,11 @@
   load_tracker tracker_;
   upstream_limits limits_;
   upstream_announcements announcements_;
+  upstream_ramp ramp_;
+  // Processes by key: when they were listed last. A process that is listed
+  // again after an outage of the registry has not started.
+  std::map<std::uint32_t, time_point> known_processes_;
+  bool list_is_known_ = false;  // the registry has been read
   time_point started_at_;
   std::map<std::string, std::shared_ptr<fleet_upstream>> by_id_;
   std::map<std::string, std::vector<std::shared_ptr<fleet_upstream>>>
@@ -153,6 +194,7 @@
   bool load_changed_ = false;
   report_pacer pacer_;
   std::unique_ptr<timer_subscription> refresh_timer_;
+  std::unique_ptr<timer_subscription> cold_timer_;
 };
 
 }  // namespace cactusward
--- a/src/relay/memory_reservation.cc
+++ b/src/relay/memory_reservation.cc
@@ -50,6 +50,8 @@
   auto* fleet = runtime.registry.Find<fleet_service>(kFleetServiceName);
   if (reply.leaving && !reply.wrong_upstream)
     fleet->RecordLeaving(upstream);
+  if (!reply.wrong_upstream)
+    fleet->RecordState(upstream, reply);
   if (reply.retry_after)
     fleet->RecordBackoff(upstream, *reply.retry_after);
   // Read to its end, so that the connection can be reused.
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -138,6 +138,9 @@
       continue;
     const auto found = loads.find(upstream->key);
     const int running = found == loads.end() ? 0 : found->second.running;
+    const int max_running = fleet_->MaxRunning(*upstream, now);
+    if (max_running > 0 && running >= max_running)
+      continue;
     const double load = (running + 1.0) / upstream->entry.slots *
                         upstream->health.Slowdown(now);
     if (!best || load < best_load) {
@@ -173,6 +176,7 @@
     view.usable =
         fleet_->IsUsable(*upstream, now) && IsEligible(demand, *upstream);
     view.slowdown = upstream->health.Slowdown(now);
+    view.max_running = fleet_->MaxRunning(*upstream, now);
     const auto found = loads.find(upstream->key);
     if (found != loads.end())
       view.load = found->second;
@@ -270,6 +274,7 @@
     described.push_back(
         {{"upstream", upstream.upstream},
          {"backs_off", upstream.backs_off},
+         {"cold", upstream.is_cold},
          {"per_second", upstream.per_second.value_or(-1)},
          {"age_ms", ToMilliseconds(upstream.age)},
          {"wait_ms",
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -346,7 +346,14 @@
   services_.recovery.RecordCompletion(fingerprint_);
   if (stream.status() / 100 == 2 && !stream.EndsWithConnection())
     RecordSurvival(*exchange.assignment);
-  record_.first_token = clock::now() - started_at_;
+  const time_point now = clock::now();
+  services_.fleet.RecordPace(
+      *exchange.upstream(),
+      now - exchange.sent_at -
+              (services_.stalls.Total(now) - exchange.stalled_at_send) <=
+          std::max(route_->objective, kMinCallTimeout),
+      exchange.sent_at);
+  record_.first_token = now - started_at_;
   Respond(final_response::FromUpstream(std::move(response), execution()),
           yield);
   return attempt{attempt_result::kCompleted, {}, false, std::nullopt};
@@ -480,9 +487,12 @@
   const duration waited =
       now - exchange.sent_at -
       (services_.stalls.Total(now) - exchange.stalled_at_send);
-  upstream->health.RecordFirstEventTime(
-      exchange.assignment->expected_first_event_ms, ToMilliseconds(waited),
-      now);
+  const double expected_ms = exchange.assignment->expected_first_event_ms;
+  upstream->health.RecordFirstEventTime(expected_ms, ToMilliseconds(waited),
+                                        now);
+  services_.fleet.RecordPace(
+      *upstream, upstream_ramp::IsTimely(expected_ms, ToMilliseconds(waited)),
+      exchange.sent_at);
   const auto running =
       upstream->running.find(exchange.assignment->primary.tracking_id);
   if (running != upstream->running.end())
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -168,6 +168,8 @@
       << "cactusward_waiting_for_upstream " << dispatcher_.waiting() << '\n'
       << "cactusward_quarantines " << quarantine_.size() << '\n'
       << "cactusward_limited_upstreams " << fleet_.limited_upstreams() << '\n'
+      << "cactusward_cold_upstreams " << fleet_.cold_upstreams() << '\n'
+      << "cactusward_ramping_upstreams " << fleet_.ramping_upstreams() << '\n'
       << "cactusward_evacuated_zones "
       << catalog_.evacuations().entries().size() << '\n'
       << "cactusward_evacuation_age_milliseconds "
--- a/src/relay/relay_protocol.h
+++ b/src/relay/relay_protocol.h
@@ -61,6 +61,18 @@
   }
 };
 
+// Load that an upstream states.
+struct stated_load {
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+
+  friend bool operator==(const stated_load& a, const stated_load& b) {
+    return a.running == b.running && a.waiting == b.waiting &&
+           a.slots == b.slots;
+  }
+};
+
 // Metadata from the header of an upstream's response.
 struct upstream_reply {
   std::string attempt_id;       // of the request that it responds to
@@ -75,6 +87,8 @@
   std::optional<milliseconds> retry_after;
   // Requests a second that the upstream takes from all instances together.
   std::optional<double> request_limit;
+  std::optional<stated_load> load;
+  std::optional<milliseconds> cold_remaining;  // how much longer it is cold
 
   friend bool operator==(const upstream_reply& a, const upstream_reply& b) {
     return a.attempt_id == b.attempt_id && a.not_executed == b.not_executed &&
@@ -82,7 +96,8 @@
            a.signed_by_upstream == b.signed_by_upstream &&
            a.encoded == b.encoded && a.at_fault == b.at_fault &&
            a.leaving == b.leaving && a.retry_after == b.retry_after &&
-           a.request_limit == b.request_limit;
+           a.request_limit == b.request_limit && a.load == b.load &&
+           a.cold_remaining == b.cold_remaining;
   }
 };
 
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -423,6 +423,10 @@
   if (last.end == attempt_result::kInvalidResponse && !last.stale_connection)
     CheckLiveness(exchange, yield);
   RecordOutcome(*exchange.assignment, last);
+  if (IsSetback(*exchange.assignment, last))
+    services_.fleet.RecordSetback(
+        *ResponsibleUpstream(*exchange.assignment, last), exchange.sent_at,
+        last.end == attempt_result::kNotExecuted);
   // A broken reused connection says nothing about the upstream, which may be
   // tried again.
   if (last.stale_connection && ++stale_retries_ <= kMaxStaleRetries)
@@ -464,6 +468,7 @@
           if (liveness != path_service::liveness::kRefuses)
             return;
           upstream->health.Record(exchange_outcome::kUnreachable, clock::now());
+          services.fleet.RecordSetback(*upstream, clock::now(), false);
           // Requests are not blamed for a crash that a part of a prompt caused.
           if (!services.quarantine.RecordCrash(upstream->entry.id, in_flight))
             services.recovery.RecordCrash(upstream->entry.id, in_flight);
@@ -480,6 +485,13 @@
   return assignment.upstream();
 }
 
+bool relay_request::IsSetback(const relay_assignment& assignment,
+                              const attempt& last) {
+  if (last.end == attempt_result::kNotSent)
+    return assignment.helpers.empty() && assignment.TargetsAcceptRequests();
+  return !last.stale_connection && last.end != attempt_result::kTimedOut;
+}
+
 void relay_request::RecordReply(const upstream_exchange& exchange,
                                 const upstream_reply& reply,
                                 bool names_request) {
@@ -488,6 +500,7 @@
   if (reply.wrong_upstream || !names_request)
     return;
   services_.fleet.RecordLimit(upstream, reply.request_limit, exchange.sent_at);
+  services_.fleet.RecordState(upstream, reply);
   if (reply.leaving)
     services_.fleet.RecordLeaving(upstream);
   if (!reply.retry_after)
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -95,6 +95,9 @@
   static const std::shared_ptr<fleet_upstream>& ResponsibleUpstream(
       const relay_assignment& assignment,
       const attempt& last);
+  // Whether a failed attempt says that its upstream can take less.
+  static bool IsSetback(const relay_assignment& assignment,
+                        const attempt& last);
   // Reserves the memory of a prompt that is held by several engines.
   // @return the engines that take part, with the ids of their reservations.
   result<std::vector<helper_address>> ReserveMemory(
