--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -359,6 +359,8 @@
   auto response = MakeResponse(200, "answer of " + id_);
   response.set("X-Attempt-Id", std::string(exchange.Header("X-Attempt-Id")));
   response.set("X-Response-Seal", "seal-" + id_);
+  if (!cold_remaining_.empty())
+    response.set("X-Cold-Start-Ms", cold_remaining_);
   if (!request_limit_.empty())
     response.set("Server-Limit", request_limit_);
   SetLeavingField(&response);
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -157,6 +157,8 @@
   int crashes() const { return crashes_; }
   // Sets a hook that is called at a crash.
   void OnCrash(std::function<void()> hook) { on_crash_ = std::move(hook); }
+  // States in its responses how much longer it is cold; empty: nothing.
+  void SetColdRemaining(std::string ms) { cold_remaining_ = std::move(ms); }
   // Names a limit of requests a second in its responses; empty: none.
   void SetRequestLimit(std::string per_second) {
     request_limit_ = std::move(per_second);
@@ -229,6 +231,7 @@
   std::vector<std::string> crashing_parts_;
   milliseconds downtime_{0};
   int crashes_ = 0;
+  std::string cold_remaining_;
   std::string request_limit_;
   bool leaving_ = false;
   std::string retry_after_;
--- a/tests/unit/forwarding_test.cc
+++ b/tests/unit/forwarding_test.cc
@@ -261,6 +261,31 @@
   CHECK_FALSE(catalog.Remove("a", {1, 4}, kStart));
 }
 
+// Guards against a log line and a new list each time that a cold upstream
+// registers again.
+TEST_CASE("the remaining cold time of an entry is no change of the list") {
+  using ids = std::set<std::string>;
+  upstream_catalog catalog(milliseconds(2'000));
+  catalog.Put(Entry("a"), {1, 1});
+  CHECK(catalog.TakeColdChanges().empty());
+  struct row {
+    int cold_ms;
+    int revision;
+    ids changes;
+  };
+  const row rows[] = {
+      {3'000, 2, {"a"}}, {2'000, 3, {"a"}}, {3'000, 3, {}},
+      {0, 4, {"a"}},     {0, 5, {}},        {3'000, 4, {}},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.cold_ms, r.revision);
+    upstream_entry entry = Entry("a");
+    entry.cold_remaining = milliseconds(r.cold_ms);
+    CHECK_FALSE(catalog.Put(entry, {1, r.revision}));
+    CHECK(catalog.TakeColdChanges() == r.changes);
+  }
+}
+
 TEST_CASE("a full list removes entries that are not in it") {
   upstream_catalog catalog(milliseconds(2'000));
   catalog.Put(Entry("a"), {1, 1});
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -92,6 +92,13 @@
       {"born", "18446744073709551615", false},
       {"born", "1180591620717411303424", false},
       {"born", R"("1700000000000")", false},
+      // An odd remaining cold time is treated as absent.
+      {"cold_remaining_ms", "1500", true},
+      {"cold_remaining_ms", "-1", true},
+      {"cold_remaining_ms", "1.5", true},
+      {"cold_remaining_ms", "18446744073709551615", true},
+      {"cold_remaining_ms", R"("soon")", true},
+      {"cold_remaining_ms", "{}", true},
       {"address", R"("[::1]:80")", true},
       {"address", R"("::1:80")", true},
       {"address", R"("10.0.0.1:0")", false},
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -85,6 +85,75 @@
   CHECK_FALSE(platform_protocol().ParseReply(200, {}).request_limit);
 }
 
+TEST_CASE("a response states the load and the remaining cold time") {
+  struct row {
+    const char* load_text;
+    std::optional<stated_load> load;
+    const char* cold_text;
+    std::optional<milliseconds> cold_remaining;
+  };
+  const row rows[] = {
+      {"3,0,12", stated_load{3, 0, 12}, "2900", milliseconds(2'900)},
+      {"12,40,12", stated_load{12, 40, 12}, "0", milliseconds(0)},
+      {"", {}, "", {}},
+      {"3,0", {}, "-1", {}},
+      {"3,0,12,1", {}, "1.5", {}},
+      {"3,-1,12", {}, "soon", {}},
+      {"3,0,4294967297", {}, "99999999999", {}},
+      {"a,b,c", {}, " 5", {}},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.load_text, r.cold_text);
+    http::response_header<> header;
+    header.set("X-Instance-Load", r.load_text);
+    header.set("X-Cold-Start-Ms", r.cold_text);
+    const upstream_reply reply = platform_protocol().ParseReply(200, header);
+    CHECK(reply.load == r.load);
+    CHECK(reply.cold_remaining == r.cold_remaining);
+  }
+}
+
+TEST_CASE("an entry and a service say how an upstream starts cold") {
+  struct row {
+    const char* entry_field;
+    milliseconds remaining;
+    const char* service_fields;
+    double per_second;
+    milliseconds start;
+  };
+  const milliseconds none(0);
+  const row rows[] = {
+      {R"("cold_remaining_ms":2500)", milliseconds(2'500),
+       R"("cold_start_s":3,"cold_per_s":17)", 17, milliseconds(3'000)},
+      {R"("cold_remaining_ms":0)", none, R"("cold_start_s":0.5)", 0,
+       milliseconds(500)},
+      {R"("cold_remaining_ms":null)", none, R"("cold_per_s":null)", 0, none},
+      {R"("cold_remaining_ms":-5)", none,
+       R"("cold_start_s":-1,"cold_per_s":-17)", 0, none},
+      {R"("cold_remaining_ms":2.5)", none, R"("cold_per_s":"17")", 0, none},
+      {R"("cold_remaining_ms":"9")", none, R"("cold_start_s":[])", 0, none},
+      {R"("cold_remaining_ms":9e99)", none, R"("cold_start_s":1e300)", 0, none},
+  };
+  const platform_catalog catalog(nullptr, "127.0.0.1:1");
+  for (const row& r : rows) {
+    CAPTURE(r.entry_field, r.service_fields);
+    const auto entry = catalog.DecodeUpstream(
+        "i-1",
+        std::string(
+            R"({"service":"s","address":"127.0.0.1:1","state":"ready",)") +
+            r.entry_field + "}");
+    REQUIRE(entry);
+    CHECK(entry->cold_remaining == r.remaining);
+    const auto config = catalog.DecodeConfig(
+        std::string(R"({"version":1,"services":[{"name":"s",)") +
+            r.service_fields + "}]}",
+        [] {});
+    REQUIRE(config);
+    CHECK((*config)->FindService("s")->cold_per_second == r.per_second);
+    CHECK((*config)->FindService("s")->cold_start == r.start);
+  }
+}
+
 TEST_CASE("malformed header fields are treated as absent") {
   struct row {
     const char* name;
--- a/tests/unit/request_limit_test.cc
+++ b/tests/unit/request_limit_test.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "cactusward/upstream_limits.h"
+#include "src/edges/json.h"
 #include "tests/support/small_fleet.h"
 
 namespace cactusward {
@@ -12,6 +14,7 @@
 using testing::kSettleTime;
 using testing::runner_fake;
 using testing::small_fleet;
+using testing::store_fake;
 
 // The users' bound: from the window after a limit was first named, the upstream
 // gets at most this in any span of four seconds.
@@ -202,5 +205,76 @@
   });
 }
 
+// Guards against instances that together send a cold upstream more than it
+// bears in a second, and against a limit that outlasts the cold time.
+TEST_CASE("a cold upstream gets no more than its rate allows", "[long]") {
+  struct row {
+    const char* name;
+    bool by_response;  // not by its entry
+    double cold_per_s;
+    double least_while_cold;  // requests a second
+  };
+  const row rows[] = {{"by its entry", false, 17, 3},
+                      {"by its responses", true, 17, 3},
+                      {"no limit in the configuration", false, 0, 20}};
+  constexpr milliseconds kCold{3'000};
+  constexpr milliseconds kSecond{1'000};
+  const auto index = GENERATE(range(0, static_cast<int>(std::size(rows))));
+  const row& r = rows[index];
+  CAPTURE(r.name);
+  limited_fleet day(3, "/often/x");
+  time_point cold_at;
+  time_point warm_at;
+  day.Run([&](asio::yield_context yield) {
+    store_fake& store = day.fleet().store;
+    auto config = nlohmann::json::parse(testing::ConfigDocument(2));
+    for (auto& service : config["services"])
+      service["cold_per_s"] = r.cold_per_s;
+    store.Put("op/config", config.dump());
+    // The instances know their peers by then.
+    Sleep(day.fleet().io, milliseconds(2'500), yield);
+    auto entry = nlohmann::json::parse(day.limited().Entry("plain"));
+    entry["cold_remaining_ms"] = kCold.count();
+    if (r.by_response)
+      day.limited().SetColdRemaining(std::to_string(kCold.count()));
+    else
+      store.Put("servers/" + day.limited().id(), entry.dump());
+    cold_at = clock::now() + testing::kSettleTime;
+    if (r.by_response)
+      day.Send(milliseconds(10), testing::kSettleTime, yield);
+    else
+      Sleep(day.fleet().io, testing::kSettleTime, yield);
+    day.Send(milliseconds(10), kCold - milliseconds(800), yield);
+    day.limited().SetColdRemaining("");
+    warm_at = clock::now() + kCold;
+    day.Send(milliseconds(10), kCold + milliseconds(1'500), yield);
+    Sleep(day.fleet().io, testing::kSettleTime, yield);
+  });
+  int most = 0;
+  int while_cold = 0;
+  int while_warm = 0;
+  for (const time_point first : day.arrivals()) {
+    const time_point cold_end = cold_at + kCold - milliseconds(800);
+    while_cold += first >= cold_at && first < cold_end ? 1 : 0;
+    while_warm += first >= warm_at ? 1 : 0;
+    if (first < cold_at || first >= cold_end)
+      continue;
+    most = std::max(
+        most,
+        static_cast<int>(std::count_if(
+            day.arrivals().begin(), day.arrivals().end(), [&](time_point at) {
+              return at >= first && at < first + kSecond && at < cold_end;
+            })));
+  }
+  const cold_settings settings;
+  if (r.cold_per_s > 0)
+    CHECK(most <= r.cold_per_s * settings.overage + settings.tolerance);
+  CHECK(while_cold >= r.least_while_cold * 2);
+  // It carries its half again: 100 requests a second for a second and a half.
+  CHECK(while_warm >= 40);
+  // The other upstream takes the rest.
+  CHECK(day.served() >= 0.95 * day.sent());
+}
+
 }  // namespace
 }  // namespace cactusward
