--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -278,7 +278,8 @@
       found->second->process_key != upstream.process_key ||
       until <= found->second->cold_until)
     return;
-  UpdateLimitHolders(now);
+  if (now >= found->second->cold_until)
+    UpdateLimitHolders(now);
   SetCold(found->second.get(), until, now);
 }
 
--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -81,6 +81,12 @@
   void SpendLimit(const fleet_upstream& upstream, time_point now) {
     limits_.Spend(upstream.process_key, now);
   }
+  // Counts a control request, which a cold upstream bears no better than other
+  // requests.
+  void SpendColdLimit(const fleet_upstream& upstream, time_point now) {
+    if (limits_.IsCold(upstream.process_key, now))
+      limits_.Spend(upstream.process_key, now);
+  }
   // Records the request limit that a response states, if any.
   // @param sent_at when its request was sent.
   void RecordLimit(const fleet_upstream& upstream,
--- a/src/relay/memory_reservation.cc
+++ b/src/relay/memory_reservation.cc
@@ -40,6 +40,8 @@
     asio::yield_context yield) {
   const time_point deadline = clock::now() + kControlTimeout;
   request.to_upstream = true;
+  auto* fleet = runtime.registry.Find<fleet_service>(kFleetServiceName);
+  fleet->SpendColdLimit(upstream, clock::now());
   const auto response = runtime.client.Open(upstream.entry.address, request,
                                             deadline, yield, cancel);
   if (!response)
@@ -47,7 +49,6 @@
   const int status = (*response)->status();
   const upstream_reply reply =
       protocol.ParseReply(status, (*response)->header());
-  auto* fleet = runtime.registry.Find<fleet_service>(kFleetServiceName);
   if (reply.leaving && !reply.wrong_upstream)
     fleet->RecordLeaving(upstream);
   if (!reply.wrong_upstream)
