Byte budget of callers: leases and their share of the process's memory

Cause: bodies are bounded one by one only, so that many of them exceed the memory of the machine. Change: byte_budget grants leases out of a total of which a part is only for small leases; Take is for work that must not be refused any more.

--- a/include/cactusward/byte_budget.h
+++ b/include/cactusward/byte_budget.h
@@ -1,4 +1,4 @@
-// Bounds the bytes that an instance holds for callers, upstreams and peers.
+// Bounds the bytes that an instance holds for callers.
 #ifndef CACTUSWARD_BYTE_BUDGET_H_
 #define CACTUSWARD_BYTE_BUDGET_H_
 
@@ -48,6 +48,9 @@
     // Grows or shrinks the lease to `bytes`. Shrinking always succeeds.
     // @return false, without a change, when the budget does not have the bytes.
     bool Resize(std::size_t bytes);
+    // Grows or shrinks the lease to `bytes`, also beyond the budget. For work
+    // that must not be refused any more: others are refused meanwhile.
+    void Take(std::size_t bytes);
     std::size_t bytes() const { return bytes_; }
 
    private:
@@ -60,6 +63,11 @@
   std::size_t used_ = 0;
 };
 
+// The part of a process's memory that may be held for callers. The rest is for
+// the program, its state, responses of upstreams and allocator overhead.
+// @param process_bytes memory that the process may use. Thread-safe.
+byte_budget_settings BudgetForProcess(std::size_t process_bytes);
+
 }  // namespace cactusward
 
 #endif  // CACTUSWARD_BYTE_BUDGET_H_
