Callers outside the limits: byte budget, bounded reads and connections

Cause: 80 callers whose bodies of 4 MB stop short of their end raise an instance from 12 MB to 333 MB; other callers hold connections, heads or responses without a bound. Change: one caller_guard for all servers of a process. Connections lease what they hold as it arrives; when the budget is exhausted the slowest sender is closed or the request is refused as not run (503 overloaded). Connections, pipelined bytes, header fields, the rate of bodies and unread responses are limited, and bodies above 64 KB are refused where no route needs one. Rejections are logged and counted.

--- a/include/cactusward/byte_budget.h
+++ b/include/cactusward/byte_budget.h
@@ -33,6 +33,12 @@
 
   std::size_t used() const { return used_; }
   const byte_budget_settings& settings() const { return settings_; }
+  // What leases may take together when one of them grows to `lease_bytes`.
+  std::size_t LimitFor(std::size_t lease_bytes) const {
+    return lease_bytes <= settings_.small_lease_bytes
+               ? settings_.total_bytes
+               : settings_.total_bytes - settings_.reserved_bytes;
+  }
 
   // The bytes that one buffer takes from the budget. Returned by the
   // destructor. Movable; a moved-from lease holds nothing.
--- a/include/cactusward/error.h
+++ b/include/cactusward/error.h
@@ -43,6 +43,7 @@
   kConfigInvalid,
   kConfigConflict,
   kPeerRefused,
+  kOverloaded,
   kInternal,
 };
 
--- a/src/daemon/gateway.cc
+++ b/src/daemon/gateway.cc
@@ -1,5 +1,7 @@
 #include "src/daemon/gateway.h"
 
+#include "src/daemon/caller_bounds.h"
+#include "src/edges/request_head.h"
 #include "src/kernel/log.h"
 #include "src/request/call_run.h"
 #include "src/request/completion_run.h"
@@ -8,6 +10,8 @@
 namespace {
 
 constexpr std::string_view kAdminPrefix = "/v1/admin/";
+constexpr std::string_view kCompletionsPath = "/v1/completions";
+constexpr std::string_view kChatPath = "/v1/chat/completions";
 constexpr std::string_view kServicesPrefix = "/v1/services/";
 constexpr milliseconds kResponseWriteTimeout{5'000};
 
@@ -20,6 +24,11 @@
           .count());
 }
 
+bool IsApiPath(std::string_view path) {
+  return path == kCompletionsPath || path == kChatPath ||
+         path.substr(0, kServicesPrefix.size()) == kServicesPrefix;
+}
+
 }  // namespace
 
 gateway::gateway(asio::io_context& io, instance_settings* settings)
@@ -47,7 +56,9 @@
       claims_(runtime_, &peers_),
       report_(runtime_),
       lifecycle_(runtime_, &server_),
-      server_(io, this, http_server_limits()) {
+      callers_(std::make_shared<caller_guard>(
+          MakeCallerBounds(settings->caller_limits))),
+      server_(io, this, http_server_limits(), callers_) {
   for (service* part :
        {static_cast<service*>(&config_), static_cast<service*>(&membership_),
         static_cast<service*>(&paths_), static_cast<service*>(&recovery_),
@@ -74,7 +85,9 @@
       {{"listen", settings_->listen},
        {"peer_listen", settings_->peer_listen},
        {"availability_zone", settings_->availability_zone},
-       {"incarnation", runtime_.incarnation}});
+       {"incarnation", runtime_.incarnation},
+       {"caller_budget_bytes", callers_->bounds().budget.total_bytes},
+       {"max_caller_connections", callers_->bounds().max_connections}});
   return true;
 }
 
@@ -115,8 +128,9 @@
     exchange.Respond(ready ? 200 : 503, "text/plain",
                      ready ? "ready\n" : "not ready\n", deadline, yield);
   } else if (path == "/metrics") {
-    exchange.Respond(200, "text/plain; version=0.0.4", report_.MetricsText(),
-                     deadline, yield);
+    exchange.Respond(200, "text/plain; version=0.0.4",
+                     report_.MetricsText() + callers_->MetricsText(), deadline,
+                     yield);
   } else if (path.substr(0, kAdminPrefix.size()) == kAdminPrefix) {
     operator_api_->Handle(exchange, yield);
   } else {
@@ -124,15 +138,23 @@
   }
 }
 
+std::uint64_t gateway::MaxBodyBytes(const http_request_head& head) const {
+  const std::string_view path = PathOf(head);
+  const bool takes_body =
+      path.substr(0, kAdminPrefix.size()) == kAdminPrefix
+          ? operator_api_->TakesBody(head)
+          : head.method() == http::verb::post && IsApiPath(path);
+  return takes_body ? http_handler::MaxBodyBytes(head) : kSmallBodyBytes;
+}
+
 void gateway::HandleApiRequest(http_exchange& exchange,
                                asio::yield_context yield) {
   const std::string path(exchange.Path());
   const bool is_post = exchange.request().method() == http::verb::post;
-  const bool completion = path == "/v1/completions";
-  const bool chat = path == "/v1/chat/completions";
+  const bool chat = path == kChatPath;
   const bool call =
       path.compare(0, kServicesPrefix.size(), kServicesPrefix) == 0;
-  if (!is_post || (!completion && !chat && !call)) {
+  if (!is_post || !IsApiPath(path)) {
     exchange.RespondError(error_kind::kNotFound, path, yield);
     return;
   }
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -6,6 +6,7 @@
 
 #include "src/daemon/operator_api.h"
 #include "src/edges/asio_timer_service.h"
+#include "src/edges/caller_guard.h"
 #include "src/edges/etcd_store.h"
 #include "src/edges/http_server.h"
 #include "src/edges/peer_link.h"
@@ -35,6 +36,7 @@
   void Reload(const instance_settings& next);
 
   void Handle(http_exchange& exchange, asio::yield_context yield) override;
+  std::uint64_t MaxBodyBytes(const http_request_head& head) const override;
   void OnPeerCall(const nlohmann::json& request, reply reply) override;
 
  private:
@@ -61,6 +63,7 @@
   lifecycle_service lifecycle_;
   handler_services handlers_;
   std::unique_ptr<operator_api> operator_api_;
+  std::shared_ptr<caller_guard> callers_;
   http_server server_;
 };
 
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -4,6 +4,7 @@
 
 #include "cactusward/hash.h"
 #include "src/edges/json.h"
+#include "src/edges/request_head.h"
 #include "src/services/claim_service.h"
 #include "src/services/config_service.h"
 #include "src/services/lifecycle_service.h"
@@ -32,11 +33,23 @@
       membership_(
           runtime.registry.Find<membership_service>(kMembershipServiceName)) {}
 
+bool operator_api::IsOperator(const http_request_head& head) const {
+  const auto field = head[http::field::authorization];
+  const std::string_view value(field.data(), field.size());
+  return value.substr(0, kBearerPrefix.size()) == kBearerPrefix &&
+         EqualConstantTime(value.substr(kBearerPrefix.size()),
+                           runtime_.settings.operator_key);
+}
+
+bool operator_api::TakesBody(const http_request_head& head) const {
+  const std::string_view path = PathOf(head);
+  const std::string_view name =
+      path.substr(std::min(kPrefix.size(), path.size()));
+  return (name == "config" || name == "config/check") && IsOperator(head);
+}
+
 void operator_api::Handle(http_exchange& exchange, asio::yield_context yield) {
-  const std::string_view header = exchange.Header("Authorization");
-  if (header.substr(0, kBearerPrefix.size()) != kBearerPrefix ||
-      !EqualConstantTime(header.substr(kBearerPrefix.size()),
-                         runtime_.settings.operator_key)) {
+  if (!IsOperator(exchange.request())) {
     exchange.RespondError(error_kind::kUnauthenticated, {}, yield);
     return;
   }
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -18,10 +18,13 @@
  public:
   operator_api(runtime& runtime, const handler_services& services);
 
+  // Whether a request with `head` comes from an operator and needs its body.
+  bool TakesBody(const http_request_head& head) const;
   // Handles a request under /v1/admin/.
   void Handle(http_exchange& exchange, asio::yield_context yield);
 
  private:
+  bool IsOperator(const http_request_head& head) const;
   void GetConfig(http_exchange& exchange, asio::yield_context yield);
   void CheckConfig(http_exchange& exchange, asio::yield_context yield);
   void ApplyConfig(http_exchange& exchange, asio::yield_context yield);
--- a/src/edges/http_server.h
+++ b/src/edges/http_server.h
@@ -14,11 +14,14 @@
 
 #include "cactusward/error.h"
 #include "cactusward/time.h"
+#include "src/edges/caller_guard.h"
 #include "src/edges/net.h"
+#include "src/edges/request_framing.h"
 
 namespace cactusward {
 
 using http_request = http::request<http::string_body>;
+using http_request_head = http::request_header<>;
 
 // One request and its response. Lives until the handler returns. Not
 // thread-safe.
@@ -26,9 +29,11 @@
  public:
   // @param closes asked when the response begins: whether the connection closes
   //     after it. Empty: only if the caller or CloseAfterResponse wants that.
+  // @param caller takes the memory of responses; may be null.
   http_exchange(tcp::socket* socket,
                 http_request request,
-                std::function<bool()> closes = {});
+                std::function<bool()> closes = {},
+                caller_guard::connection* caller = nullptr);
   ~http_exchange();
 
   const http_request& request() const { return request_; }
@@ -105,6 +110,11 @@
     std::function<void()> handler;
   };
   void WatchForDisconnect();
+  // Calls `write_some` until it returns true, and ends the connection when one
+  // call takes longer than a caller may leave a response unread.
+  // @return whether that was before `deadline`.
+  template <typename WriteSome>
+  bool WriteAll(time_point deadline, WriteSome write_some);
   // Sets the fields that all responses have.
   template <typename Response>
   void PrepareHeader(Response* response);
@@ -112,6 +122,7 @@
   tcp::socket* socket_;
   http_request request_;
   std::function<bool()> closes_;
+  caller_guard::connection* caller_;
   std::vector<std::pair<std::string, std::string>> headers_;
   std::shared_ptr<disconnect_watch> watch_;
   int status_ = 0;
@@ -126,6 +137,12 @@
  public:
   virtual ~http_handler() = default;
   virtual void Handle(http_exchange& exchange, asio::yield_context yield) = 0;
+  // The largest body that a request with `head` may have, beside the limit of
+  // the server. Asked before a body above kSmallBodyBytes is read.
+  virtual std::uint64_t MaxBodyBytes(const http_request_head& head) const;
+
+  // Requests that need no body may have one of this size.
+  static constexpr std::uint64_t kSmallBodyBytes = 64ULL * 1024;
 };
 
 struct http_server_limits {
@@ -145,10 +162,13 @@
 // Accepts connections and calls `handler` for each request. Not thread-safe.
 class http_server {
  public:
+  // @param guard bounds what callers may hold; null: default bounds without a
+  //     budget.
   // Precondition: `io` and `handler` outlive the server.
   http_server(asio::io_context& io,
               http_handler* handler,
-              http_server_limits limits);
+              http_server_limits limits,
+              std::shared_ptr<caller_guard> guard = nullptr);
 
   // Starts to listen. @return false when `address` is malformed or cannot be
   // bound.
@@ -180,17 +200,30 @@
   };
   void AcceptConnections(asio::yield_context yield);
   void ServeConnection(tcp::socket socket, asio::yield_context yield);
+  // A connection and the request that is being received on it.
+  struct receiver;
   // Reads a request. @return why it is refused; kOk if it is complete, nullopt
   // when the connection is to be closed.
-  std::optional<error_kind> ReceiveRequest(
-      tcp::socket& socket,
-      boost::beast::flat_buffer& buffer,
-      http::request_parser<http::string_body>& parser,
-      asio::yield_context yield);
+  std::optional<error_kind> ReceiveRequest(receiver& from,
+                                           asio::yield_context yield);
+  std::optional<error_kind> ReceiveHead(receiver& from,
+                                        asio::yield_context yield);
+  std::optional<error_kind> ReceiveBody(receiver& from,
+                                        asio::yield_context yield);
+  std::optional<error_kind> ReceiveChunks(receiver& from,
+                                          std::uint64_t max_bytes,
+                                          asio::yield_context yield);
+  // Waits for bytes and reads them into `bytes`.
+  // @param size set to what was read. @return as for ReceiveRequest.
+  std::optional<error_kind> ReadSome(receiver& from,
+                                     asio::mutable_buffer bytes,
+                                     std::size_t* size,
+                                     asio::yield_context yield);
   // @param is_first whether this is the first request of the connection.
   // @return whether another request may follow.
   bool ServeRequest(tcp::socket& socket,
                     boost::beast::flat_buffer& buffer,
+                    caller_guard::connection& caller,
                     bool is_first,
                     asio::yield_context yield);
   // Logs a request that has arrived on a connection that is being closed: its
@@ -204,6 +237,7 @@
   asio::io_context& io_;
   http_handler* handler_;
   http_server_limits limits_;
+  std::shared_ptr<caller_guard> guard_;
   tcp::acceptor acceptor_;
   int active_ = 0;
   int receiving_ = 0;
--- a/src/kernel/byte_budget.cc
+++ b/src/kernel/byte_budget.cc
@@ -44,11 +44,7 @@
   if (bytes > bytes_) {
     if (!budget_)
       return false;
-    const byte_budget_settings& settings = budget_->settings_;
-    const std::size_t limit =
-        bytes <= settings.small_lease_bytes
-            ? settings.total_bytes
-            : settings.total_bytes - settings.reserved_bytes;
+    const std::size_t limit = budget_->LimitFor(bytes);
     const std::size_t others = budget_->used_ - bytes_;
     if (bytes > limit || others > limit - bytes)
       return false;
--- a/src/kernel/error.cc
+++ b/src/kernel/error.cc
@@ -13,7 +13,7 @@
 constexpr int kRetryDelayMs = 1000;
 constexpr int kLongRetryDelayMs = 5000;
 
-constexpr std::array<error_response, 34> kErrorResponses = {{
+constexpr std::array<error_response, 35> kErrorResponses = {{
     {error_kind::kOk, "ok", 200, kNotExecuted, 0, "success"},
     {error_kind::kBadRequest, "bad_request", 400, kNotExecuted, 0,
      "the request is malformed"},
@@ -79,6 +79,8 @@
      "the configuration was changed by somebody else"},
     {error_kind::kPeerRefused, "peer_refused", 403, kNotExecuted, 0,
      "the peer is not authenticated"},
+    {error_kind::kOverloaded, "overloaded", 503, kNotExecuted, kRetryDelayMs,
+     "this instance has no memory for the request"},
     {error_kind::kInternal, "internal", 500, kUnknown, 0, "internal error"},
 }};
 
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -2,6 +2,8 @@
 
 #include <sstream>
 
+#include "src/daemon/caller_bounds.h"
+#include "src/edges/request_head.h"
 #include "src/kernel/log.h"
 
 namespace cactusward {
@@ -51,9 +53,11 @@
       dispatcher_(runtime_),
       report_(runtime_),
       monitor_(this),
-      server_(io, this, http_server_limits()),
-      readiness_server_(io, &monitor_, http_server_limits()),
-      metrics_server_(io, &monitor_, http_server_limits()),
+      callers_(std::make_shared<caller_guard>(
+          MakeCallerBounds(settings->caller_limits))),
+      server_(io, this, http_server_limits(), callers_),
+      readiness_server_(io, &monitor_, http_server_limits(), callers_),
+      metrics_server_(io, &monitor_, http_server_limits(), callers_),
       shutdown_(runtime_, &server_),
       retries_(settings->forwarding->retries),
       response_buffers_(kResponseBufferBytes),
@@ -103,7 +107,9 @@
        {"registry", forwarding.registry},
        {"availability_zone", settings_->availability_zone},
        {"seeds", settings_->seed_peers},
-       {"unusable_seeds", settings_->unusable_seeds}});
+       {"unusable_seeds", settings_->unusable_seeds},
+       {"caller_budget_bytes", callers_->bounds().budget.total_bytes},
+       {"max_caller_connections", callers_->bounds().max_connections}});
   return true;
 }
 
@@ -134,6 +140,18 @@
   relay_request(request_services_, exchange).Run(yield);
 }
 
+std::uint64_t relay_gateway::MaxBodyBytes(const http_request_head& head) const {
+  const auto config = catalog_.Config();
+  if (config && !config->Match(HostOf(head), PathOf(head)))
+    return kSmallBodyBytes;
+  return http_handler::MaxBodyBytes(head);
+}
+
+std::uint64_t relay_gateway::monitor::MaxBodyBytes(
+    const http_request_head& /*head*/) const {
+  return kSmallBodyBytes;
+}
+
 void relay_gateway::monitor::Handle(http_exchange& exchange,
                                     asio::yield_context yield) {
   const time_point deadline = clock::now() + kResponseWriteTimeout;
@@ -188,7 +206,8 @@
       << membership_.unreadable_datagrams() << '\n'
       << "cactusward_idle_connections " << client_.idle_connections() << '\n'
       << "cactusward_connections_opened " << client_.connections_opened()
-      << '\n';
+      << '\n'
+      << callers_->MetricsText();
   return out.str();
 }
 
--- a/src/relay/relay_gateway.h
+++ b/src/relay/relay_gateway.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "src/edges/asio_timer_service.h"
+#include "src/edges/caller_guard.h"
 #include "src/relay/relay_run.h"
 #include "src/relay/relay_stop.h"
 #include "src/services/path_service.h"
@@ -39,6 +40,7 @@
   void Reload(const instance_settings& next);
 
   void Handle(http_exchange& exchange, asio::yield_context yield) override;
+  std::uint64_t MaxBodyBytes(const http_request_head& head) const override;
   void OnPeerCall(const nlohmann::json& request, reply reply) override;
   // The metrics in the Prometheus text format.
   std::string MetricsText() const;
@@ -49,6 +51,7 @@
    public:
     explicit monitor(relay_gateway* gateway) : gateway_(gateway) {}
     void Handle(http_exchange& exchange, asio::yield_context yield) override;
+    std::uint64_t MaxBodyBytes(const http_request_head& head) const override;
 
    private:
     relay_gateway* gateway_;
@@ -74,6 +77,7 @@
   relay_dispatcher dispatcher_;
   report_service report_;
   monitor monitor_;
+  std::shared_ptr<caller_guard> callers_;  // of all servers
   http_server server_;
   http_server readiness_server_;
   http_server metrics_server_;
