Tests of callers outside the limits, with crowd and bounds fixed

The scenarios abuse_*.lua start one instance of each stack again for each path, with lowered `caller_limits`, and connect a small crowd from an address of its own. They check that the process lives, that its peak resident memory is at most `memory_mb`, that its open descriptors are at most its limit less `reserved_descriptors`, and that one ordinary request on a new connection is answered with 200 while the crowd is connected. The scenario runner gets raw connections, a limit of descriptors for a process, and its memory and descriptors from /proc. The fake runner pads its responses when the query asks for it.

Bodies and heads: memory 48 MB (heads: 24), descriptors 300 - 100 = 200. Crowds of slow or silent connections: 160 - 40 = 120 descriptors, 48 MB. Paths, where not said otherwise: model, plain, no route, readiness, metrics, and operators' API (own interface).

--- /dev/null
+++ b/tests/scenarios/abuse_bodies_chunked.lua
@@ -0,0 +1,2 @@
+-- As abuse_bodies_whole.lua, chunked.
+require("abuse_fleet").run("bodies_chunked")
--- /dev/null
+++ b/tests/scenarios/abuse_bodies_pieces.lua
@@ -0,0 +1,2 @@
+-- As abuse_bodies_whole.lua, in small pieces.
+require("abuse_fleet").run("bodies_pieces")
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -151,7 +151,7 @@
 end
 
 -- Options: key_value, advertise, name, drain_grace_ms,
--- drain_limit_ms, listen, peer.
+-- drain_limit_ms, listen, peer, caller_limits, max_descriptors.
 function fleet_class:add_instance(options)
   options = options or {}
   self.count = (self.count or 0) + 1
@@ -168,13 +168,16 @@
     secrets = { peers = options.peer_secret or fleet.peer_secret,
                 operators = fleet.operator_key },
     seed_peers = options.seed_peers,
+    caller_limits = options.caller_limits,
     drain_grace_ms = options.drain_grace_ms or 300,
     drain_limit_ms = options.drain_limit_ms }
   instance.settings = work .. "/" .. instance.name .. "-" ..
                       fleet.port_of(instance.address) .. ".json"
   write_file(instance.settings, to_json(settings))
+  instance.max_descriptors = options.max_descriptors
   instance.pid = start(instance.name,
-                       { "cactuswardd", "--settings=" .. instance.settings })
+                       { "cactuswardd", "--settings=" .. instance.settings }, nil,
+                       instance.max_descriptors)
   self.instances[#self.instances + 1] = instance
   return instance
 end
@@ -191,7 +194,8 @@
 function fleet_class:restart(instance)
   fleet.wait_for_end(instance.pid)
   instance.pid = start(instance.name,
-                       { "cactuswardd", "--settings=" .. instance.settings })
+                       { "cactuswardd", "--settings=" .. instance.settings }, nil,
+                       instance.max_descriptors)
 end
 
 function fleet_class:put_config(config, base, author, instance)
--- a/tests/scenarios/platform_fleet.lua
+++ b/tests/scenarios/platform_fleet.lua
@@ -84,9 +84,15 @@
                body = to_json(faults) }
 end
 
+function class:config(version, state)
+  local config = fleet.config(version, state)
+  for name, value in pairs(self.limits or {}) do config.limits[name] = value end
+  return config
+end
+
 function class:put_config(version, state)
   return self:store_control{ put = {
-      ["op/config"] = to_json(fleet.config(version, state)) } }
+      ["op/config"] = to_json(self:config(version, state)) } }
 end
 
 function class:register_runner(runner)
@@ -143,7 +149,7 @@
   write_file(instance.settings, to_json{
     instance = instance.id, availability_zone = "z", listen = instance.address,
     peer_listen = instance.peer, peer_advertise = instance.peer_advertised,
-    tunnel_listen = instance.tunnel,
+    tunnel_listen = instance.tunnel, caller_limits = self.caller_limits,
     seed_peers = seeds, drain_grace_ms = 300, drain_limit_ms = self.drain_limit_ms,
     secrets = { peers = "peer-secret-for-tests" },
     forwarding = { protocol = "platform", readiness_listen = instance.ready,
@@ -162,7 +168,8 @@
 -- Starts `process`; one that was killed must end first.
 function class:start(process)
   if process.pid then base.wait_for_end(process.pid) end
-  process.pid = start(process.id, process.arguments, process.environment)
+  process.pid = start(process.id, process.arguments, process.environment,
+                      process.max_descriptors)
   process.paused = false
 end
 
@@ -182,10 +189,13 @@
 
 -- Options: engines, plain, engines_2, plain_2, instances, crashing_parts,
 -- drain_limit_ms; program: the daemon that instances run, relative to the programs
--- of the test; state: of the configuration, of soak_config.lua.
+-- of the test; state: of the configuration, of soak_config.lua; limits: of the
+-- configuration; caller_limits, max_descriptors: of the instances.
 function fleet.start(options)
   local self = setmetatable({ runners = {}, instances = {},
                               program = options.program or "cactuswardd",
+                              limits = options.limits,
+                              caller_limits = options.caller_limits,
                               crashing_parts = options.crashing_parts or {},
                               drain_limit_ms = options.drain_limit_ms or 8000 }, class)
   self.store = { id = "store", address = base.address() }
@@ -199,6 +209,7 @@
   for _ = 1, options.instances do self:add_instance() end
   for _, instance in ipairs(self.instances) do
     self:write_settings(instance)
+    instance.max_descriptors = options.max_descriptors
     self:start(instance)
   end
   fleet.wait(5000, function() return self:put_config(1, options.state).status == 200 end)
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -34,6 +34,11 @@
   return response;
 }
 
+// Returns as many bytes as the value of a query says.
+std::string Padding(const std::string& bytes) {
+  return std::string(bytes.empty() ? 0 : std::stoul(bytes), 'x');
+}
+
 // @return whether `path` is of a route of streams.
 bool IsStream(std::string_view path) {
   constexpr std::string_view kStreams[] = {"/stream", "/fixed", "/long",
@@ -356,7 +361,8 @@
   received_requests_.push_back(exchange.request());
   const runner_fault fault = NextFault();
   const time_point deadline = clock::now() + kResponseTimeout;
-  auto response = MakeResponse(200, "answer of " + id_);
+  auto response = MakeResponse(
+      200, "answer of " + id_ + Padding(exchange.Query("padding")));
   response.set("X-Attempt-Id", std::string(exchange.Header("X-Attempt-Id")));
   response.set("X-Response-Seal", "seal-" + id_);
   if (!request_limit_.empty())
@@ -464,6 +470,7 @@
   const std::string requested_events = exchange.Query("events");
   const int events =
       requested_events.empty() ? kEvents : std::stoi(requested_events);
+  const std::string padding = Padding(exchange.Query("padding"));
   const milliseconds event_pause = event_pause_;
   const time_point deadline =
       clock::now() + kResponseTimeout + kPauseTime + events * event_pause;
@@ -486,8 +493,8 @@
   const std::string_view last = exchange.Header("Last-Event-Id");
   const int first = last.empty() ? 1 : std::stoi(std::string(last)) + 1;
   for (int i = first; i <= events; ++i) {
-    const std::string event =
-        "id: " + std::to_string(i) + "\ndata: " + std::to_string(i) + "\n\n";
+    const std::string event = "id: " + std::to_string(i) +
+                              "\ndata: " + std::to_string(i) + padding + "\n\n";
     if (crashes_ != crashes_before)
       return exchange.Abort();
     if (fault == runner_fault::kBreaksMidway && i == 3) {
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -122,7 +122,9 @@
 // @return nullopt for an unknown name.
 std::optional<runner_fault> ParseRunnerFault(std::string_view name);
 
-// A runner that counts the requests it executed.
+// A runner that counts the requests it executed. The query of a request may
+// name the number of `events` and the bytes of `padding` of each event or of
+// the response.
 class runner_fake : public http_handler {
  public:
   // Listens on `address`, unless it is empty.
--- a/tests/support/scenario_runner.cc
+++ b/tests/support/scenario_runner.cc
@@ -3,8 +3,11 @@
 //   scenario_runner --bin=DIR --work=DIR [--seed=N] FILE...
 //
 // Functions available to a scenario in addition to Lua's own:
-//   start(name, {program, arguments...}, {NAME=value}) -> id
-//       program is a file in --bin; with these environment variables
+//   start(name, {program, arguments...}, {NAME=value}, descriptors) -> id
+//       program is a file in --bin; with these environment variables and at
+//       most so many open descriptors
+//   process_use(id) -> {peak_bytes=, descriptors=} or nil when it has ended
+//       the most resident memory so far, and the descriptors open now
 //   signal(id, "KILL"|"TERM"|"STOP"|"CONT"|"HUP")  exited(id) -> code or nil
 //   call{method=, address=, path=, body=, headers=, timeout_ms=}
 //       -> {status=, body=, json=, headers=} or {error=}; with once=true the
@@ -22,6 +25,11 @@
 //   fault_caller(handle, ip, {drop_new=, drop_open=, reset_open=})
 //       faults of the connections from one address; reset_open: at once only
 //   raw(address, bytes, ms) -> bytes received   datagram(address, bytes)
+//   open_raw(address, {source=, receive_buffer=}) -> handle or nil
+//       a connection that reads nothing; from this IP number
+//   send_raw(handle, bytes)              sends in the background
+//   unsent(handle) -> bytes, closed      receive_raw(handle) -> bytes so far
+//   close_raw(handle)
 //   sleep(ms)   now() -> ms   write_file(path, text)   read_file(path)
 //   to_json(value)   from_json(text)   sha256(text)   expected(prompt, tokens)
 //   check(condition, text)     note(text)     work, bin, seed
@@ -44,6 +52,7 @@
 #include "src/model/token_stream.h"
 #include "tests/support/lua_json.h"
 #include "tests/support/process_table.h"
+#include "tests/support/raw_connection.h"
 #include "tests/support/relay.h"
 #include "tests/support/scenario_calls.h"
 
@@ -66,6 +75,7 @@
   kept_connections kept;
   process_table processes;
   std::vector<std::shared_ptr<scenario_call>> calls;
+  std::vector<std::shared_ptr<raw_connection>> connections;
   std::vector<std::unique_ptr<fault_proxy>> proxies;
   std::vector<std::unique_ptr<tcp::acceptor>> reserved_ports;
   std::string scenario;
@@ -103,7 +113,8 @@
       environment.push_back(variable + "=" + value.get<std::string>());
   }
   const pid_t pid = state.processes.Start(
-      arguments, absl::GetFlag(FLAGS_work) + "/" + name + ".log", environment);
+      arguments, absl::GetFlag(FLAGS_work) + "/" + name + ".log", environment,
+      static_cast<int>(luaL_optinteger(lua, 4, 0)));
   lua_pushinteger(lua, pid);
   return 1;
 }
@@ -129,6 +140,16 @@
   return 1;
 }
 
+int LuaProcessUse(lua_State* lua) {
+  const auto use = GetState(lua).processes.Use(
+      static_cast<pid_t>(luaL_checkinteger(lua, 1)));
+  if (!use)
+    return 0;
+  PushJson(lua, {{"peak_bytes", use->peak_resident_bytes},
+                 {"descriptors", use->open_descriptors}});
+  return 1;
+}
+
 int LuaBegin(lua_State* lua) {
   scenario_state& state = GetState(lua);
   state.calls.push_back(
@@ -280,6 +301,47 @@
   return 1;
 }
 
+raw_connection& GetConnection(lua_State* lua) {
+  return *GetState(lua).connections.at(
+      static_cast<std::size_t>(luaL_checkinteger(lua, 1)));
+}
+
+int LuaOpenRaw(lua_State* lua) {
+  scenario_state& state = GetState(lua);
+  const auto endpoint = ParseTcpEndpoint(luaL_checkstring(lua, 1));
+  const json requested = ReadJson(lua, 2);
+  auto connection = std::make_shared<raw_connection>(state.io);
+  if (!connection->Open(*endpoint, requested.value("source", ""),
+                        requested.value("receive_buffer", 0)))
+    return 0;
+  state.connections.push_back(std::move(connection));
+  lua_pushinteger(lua, static_cast<lua_Integer>(state.connections.size() - 1));
+  return 1;
+}
+
+int LuaSendRaw(lua_State* lua) {
+  GetConnection(lua).Send(StringArgument(lua, 2));
+  return 0;
+}
+
+int LuaUnsent(lua_State* lua) {
+  const raw_connection& connection = GetConnection(lua);
+  lua_pushinteger(lua, static_cast<lua_Integer>(connection.unsent_bytes()));
+  lua_pushboolean(lua, connection.closed() ? 1 : 0);
+  return 2;
+}
+
+int LuaReceiveRaw(lua_State* lua) {
+  const std::string bytes = GetConnection(lua).Receive();
+  lua_pushlstring(lua, bytes.data(), bytes.size());
+  return 1;
+}
+
+int LuaCloseRaw(lua_State* lua) {
+  GetConnection(lua).Close();
+  return 0;
+}
+
 int LuaDatagram(lua_State* lua) {
   const auto target = ParseHostPort(luaL_checkstring(lua, 1));
   udp::socket socket(GetState(lua).io, udp::v4());
@@ -372,6 +434,12 @@
                                 {"reset_kept", LuaResetKept},
                                 {"fault_caller", LuaFaultCaller},
                                 {"raw", LuaRaw},
+                                {"process_use", LuaProcessUse},
+                                {"open_raw", LuaOpenRaw},
+                                {"send_raw", LuaSendRaw},
+                                {"unsent", LuaUnsent},
+                                {"receive_raw", LuaReceiveRaw},
+                                {"close_raw", LuaCloseRaw},
                                 {"datagram", LuaDatagram},
                                 {"sleep", LuaSleep},
                                 {"now", LuaNow},
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -46,9 +46,10 @@
   run "settings_$(basename "$(dirname "$settings")")_$(basename "$settings" .json)" \
     "$folder/cactuswardd" --settings="$settings" --check
 done
-# The seed selects the port range, so each scenario has its own.
+# The seed selects the port range, so each scenario has its own. The crowds of
+# abuse_*.lua come last, so that further ones change no other scenario's seed.
 seed=1
-for scenario in tests/scenarios/*.lua; do
+for scenario in $(printf '%s\n' tests/scenarios/*.lua | grep -v /abuse_) tests/scenarios/abuse_*.lua; do
   name=$(basename "$scenario" .lua)
   case $name in *fleet | *_faults | *_checks | *_config) continue ;; esac
   run "$name" "$folder/scenario_runner" --bin="$folder" \
