--- a/include/cactusward/engine_placement.h
+++ b/include/cactusward/engine_placement.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <vector>
 
+#include "cactusward/composed_request.h"
 #include "cactusward/engine_cost.h"
 #include "cactusward/load_tracker.h"
 
@@ -76,7 +77,7 @@
   double strictest_event_gap_ms = 250;
   // Most engines in a request's list of helpers. With a reservation on it, the
   // engine that decodes is in the list as well.
-  int max_helper_entries = 16;
+  int max_helper_entries = composed_request_bound::kMaxHelperEntries;
   // By how much the expected first event must be earlier at an engine of
   // another availability zone; 0: zones do not matter.
   double zone_preference_ms = 0;
--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -276,6 +276,16 @@
   return left <= 0;
 }
 
+// Number of entries of the list of helpers. Engines fill the memory of the
+// entries in order, so that a reservation on a helper needs one on the engine
+// that decodes, which is then in the list as well.
+std::size_t HelperEntries(const engine_placement& placement) {
+  const bool reserved = std::any_of(
+      placement.helpers.begin(), placement.helpers.end(),
+      [](const auto& helper) { return helper.reserved_kv_tokens > 0; });
+  return placement.helpers.size() + (reserved ? 1 : 0);
+}
+
 std::optional<engine_placement> PlaceInParts(
     const engine_parameters& parameters,
     const placement_settings& settings,
@@ -309,6 +319,9 @@
   }
   if (!DistributeKvTokens(parameters, request, engines, &placement))
     return std::nullopt;
+  if (HelperEntries(placement) >
+      static_cast<std::size_t>(settings.max_helper_entries))
+    return std::nullopt;
   return placement;
 }
 
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -166,6 +166,7 @@
   const auto& loads = fleet_->tracker().Loads(now);
   placement_settings settings = PlacementSettings(demand.service);
   settings.peers_unknown = fleet_->PeerLoadsUnknown(now);
+  settings.max_helper_entries = demand.max_helper_entries;
   std::vector<engine_view> engines;
   engines.reserve(upstreams.size());
   for (const auto& upstream : upstreams) {
@@ -329,6 +330,11 @@
   return nullptr;
 }
 
+void relay_dispatcher::RecordComposedRejection(const nlohmann::json& sent) {
+  ++composed_rejections_;
+  Log(log_level::kError, "composed_request_rejected", sent);
+}
+
 void relay_dispatcher::LogNotPlaced(const placement_demand& demand,
                                     time_point now) {
   if (now - not_placed_logged_at_ < kNotPlacedLogInterval)
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -29,6 +29,7 @@
   // Ids of the upstreams that must not be chosen again.
   std::set<std::string> tried_upstreams;
   int priority = 0;    // 0 is the most urgent
+  int max_helper_entries = composed_request_bound::kMaxHelperEntries;
   home_regions homes;  // the regions of the upstreams that may be chosen
   // Whether the request must not be sent any more: it then leaves the queue.
   // Empty: it may be sent.
@@ -97,6 +98,10 @@
   std::optional<milliseconds> HeldBackTime(const std::string& service,
                                            time_point now) const;
   std::size_t waiting() const { return waiters_.size(); }
+  // Counts and logs a request that an upstream rejected for what this instance
+  // added to it. `sent`: what that was.
+  void RecordComposedRejection(const nlohmann::json& sent);
+  int composed_requests_rejected() const { return composed_rejections_; }
 
  private:
   struct waiter {
@@ -138,6 +143,7 @@
   fleet_service* fleet_ = nullptr;
   std::list<waiter*> waiters_;
   time_point not_placed_logged_at_;
+  int composed_rejections_ = 0;
   bool dispatch_scheduled_ = false;
   std::unique_ptr<asio::steady_timer> dispatch_timer_;
 };
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -132,6 +132,7 @@
   fields.last_event_id = last_event_id_;
   exchange.continues = last_event_id_.has_value();
   fields.helpers = helpers;
+  exchange.helpers = helpers;
   send_options options;
   options.fresh_connection =
       !route_->IsRetryable() || caller_.attempt_id.empty();
@@ -276,6 +277,15 @@
     return attempt{attempt_result::kInvalidResponse,
                    "response to another request", false, std::nullopt};
   }
+  const bool rejected = RecordRejection(exchange, reply);
+  // Without that statement, a rejection that cannot be tried again is passed
+  // on: the caller's part of the request may be the cause.
+  if (rejected && (reply.not_executed || HasAttemptsLeft())) {
+    may_have_run_ = may_have_run_ || !reply.not_executed;
+    return attempt{attempt_result::kRejected,
+                   "status " + std::to_string(stream.status()), false,
+                   std::nullopt};
+  }
   if (reply.not_executed) {
     if (reply.wrong_upstream)
       stream.DisableConnectionReuse();
@@ -299,6 +309,26 @@
   return std::nullopt;
 }
 
+bool relay_request::RecordRejection(const upstream_exchange& exchange,
+                                    const upstream_reply& reply) {
+  if (!composed_bound_.RecordStatus(exchange.stream->status(),
+                                    exchange.helpers.size()))
+    return false;
+  auto helpers = nlohmann::json::array();
+  for (const helper_address& helper : exchange.helpers)
+    helpers.push_back(
+        {{"address", helper.address}, {"reservation", helper.reservation}});
+  services_.dispatcher.RecordComposedRejection(
+      {{"request", caller_.attempt_id},
+       {"upstream", exchange.upstream()->entry.id},
+       {"status", exchange.stream->status()},
+       {"not_executed", reply.not_executed},
+       {"prompt_tokens", caller_.prompt_tokens},
+       {"last_event", last_event_id_.value_or(-1)},
+       {"helpers", std::move(helpers)}});
+  return true;
+}
+
 relay_request::attempt relay_request::ReadFailure(
     const upstream_exchange& exchange,
     error_kind kind,
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -166,6 +166,8 @@
       << ToMilliseconds(stalls_.Total(clock::now())) << '\n'
       << "cactusward_in_progress " << server_.active() << '\n'
       << "cactusward_waiting_for_upstream " << dispatcher_.waiting() << '\n'
+      << "cactusward_composed_requests_rejected "
+      << dispatcher_.composed_requests_rejected() << '\n'
       << "cactusward_quarantines " << quarantine_.size() << '\n'
       << "cactusward_limited_upstreams " << fleet_.limited_upstreams() << '\n'
       << "cactusward_evacuated_zones "
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -235,6 +235,7 @@
   placement_demand demand;
   demand.service = service_;
   demand.tried_upstreams = tried_upstreams_;
+  demand.max_helper_entries = composed_bound_.max_helper_entries();
   demand.priority =
       holder_ && holder_->priority ? *holder_->priority : route_->priority;
   demand.homes = home_regions(
@@ -427,7 +428,7 @@
   // tried again.
   if (last.stale_connection && ++stale_retries_ <= kMaxStaleRetries)
     --sent_attempts_;
-  else
+  else if (last.end != attempt_result::kRejected)
     tried_upstreams_.insert(
         ResponsibleUpstream(*exchange.assignment, last)->entry.id);
 }
@@ -532,6 +533,8 @@
       if (assignment.helpers.empty() && assignment.TargetsAcceptRequests())
         upstream->health.Record(exchange_outcome::kUnreachable, now);
       break;
+    // What this instance composed is at fault.
+    case attempt_result::kRejected:
     case attempt_result::kCallerGone:
     case attempt_result::kTooLate:
       break;
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -61,6 +61,7 @@
     kCompleted,        // the response was passed on
     kNotSent,          // no byte was sent
     kNotExecuted,      // the upstream stated that it did not run the request
+    kRejected,         // refused for what this instance added to it
     kInvalidResponse,  // no valid response; the request may have run
     kTimedOut,         // no complete response at the deadline
     kFailed,           // a complete response that reports a failure
@@ -121,6 +122,10 @@
                                  time_point until,
                                  asio::yield_context yield);
   std::optional<attempt> HandleHeader(upstream_exchange& exchange);
+  // Records that the upstream rejects what this instance added to the request,
+  // if `reply` says so. @return whether it does.
+  bool RecordRejection(const upstream_exchange& exchange,
+                       const upstream_reply& reply);
   std::optional<attempt> AdvanceBody(upstream_exchange& exchange,
                                      std::string_view bytes,
                                      asio::yield_context yield);
@@ -232,6 +237,7 @@
   std::uint64_t fingerprint_ = 0;
   cancel_token cancel_;
   std::set<std::string> tried_upstreams_;
+  composed_request_bound composed_bound_;
   bool may_have_run_ = false;
   bool ended_before_exit_ = false;  // cancelled by EndBeforeExit
   int sent_attempts_ = 0;
--- a/src/relay/upstream_exchange.h
+++ b/src/relay/upstream_exchange.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cactusward/buffer_pool.h"
 #include "cactusward/event_stream.h"
@@ -39,6 +40,7 @@
 
   std::unique_ptr<relay_assignment> assignment;
   memory_reservation memory;
+  std::vector<helper_address> helpers;  // the list that was sent
   cancel_token cancel;
   std::unique_ptr<http_stream> stream;  // must not outlive `cancel`
   time_point sent_at;
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -374,6 +374,15 @@
     exchange.RespondWith(response, deadline, yield);
     return;
   }
+  const std::string_view listed = exchange.Header("X-Peer-Helpers");
+  if (!listed.empty() && std::count(listed.begin(), listed.end(), ',') >=
+                             max_helper_entries_) {
+    response = MakeResponse(400, "{}");
+    response.set("X-Attempt-Id", std::string(exchange.Header("X-Attempt-Id")));
+    response.set("X-Not-Executed", "1");
+    exchange.RespondWith(response, deadline, yield);
+    return;
+  }
   if (!refused_helper_.empty() &&
       exchange.Header("X-Peer-Helpers").find(refused_helper_) !=
           std::string_view::npos) {
--- a/tests/support/platform_fakes.h
+++ b/tests/support/platform_fakes.h
@@ -147,6 +147,8 @@
     refused_helper_ = helper.address();
     helper_retry_after_ = std::move(retry_after);
   }
+  // Accepts at most `entries` in the list of helpers.
+  void SetMaxHelperEntries(int entries) { max_helper_entries_ = entries; }
   // Crashes when it would begin to respond to a request whose prompt has one of
   // `parts`, by id. It then breaks all requests, refuses connections for
   // `downtime` and starts again.
@@ -220,6 +222,7 @@
   int faulty_requests_ = 0;
   std::function<void(const http_request&)> on_run_;
   std::function<void()> on_crash_;
+  int max_helper_entries_ = 16;  // as engines do
   std::string refused_helper_;
   std::string helper_retry_after_;
   milliseconds control_delay_{0};
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -191,6 +191,46 @@
   CHECK(held < 401'000);
 }
 
+// Failure: with memory reserved on the engine that decodes, the list of helpers
+// had one entry more than engines accept, and they refused the request.
+TEST_CASE("the list of helpers is as long as engines accept at most") {
+  struct row {
+    std::int64_t tokens;
+    bool reserves;
+    std::size_t engines;
+    std::size_t most_helpers;
+  };
+  const row r = GENERATE(values<row>({
+      // One engine is kept for short prompts.
+      {300'000, false, 16, 14},
+      {300'000, false, 17, 15},
+      {300'000, false, 18, 16},
+      {300'000, false, 40, 16},
+      {400'000, true, 16, 14},
+      {400'000, true, 17, 15},
+      {400'000, true, 18, 15},
+      {400'000, true, 40, 15},
+  }));
+  CAPTURE(r.tokens, r.engines);
+  const placement_settings settings;
+  std::size_t most_helpers = 0;
+  for (double objective = 200; objective < 4'000; objective += 10) {
+    const auto placed =
+        PlacePrompt(Engine(), settings, Prompt(r.tokens, objective, 1'000),
+                    std::vector<engine_view>(r.engines), 1);
+    if (!placed)
+      continue;
+    std::int64_t reserved = 0;
+    for (const prefill_helper& helper : placed->helpers)
+      reserved += helper.reserved_kv_tokens;
+    CHECK((reserved > 0) == r.reserves);
+    CHECK(placed->helpers.size() + (reserved > 0 ? 1 : 0) <=
+          static_cast<std::size_t>(settings.max_helper_entries));
+    most_helpers = std::max(most_helpers, placed->helpers.size());
+  }
+  CHECK(most_helpers == r.most_helpers);
+}
+
 // Failure: on engines with fast prefill and little KV memory, a prompt that
 // does not fit on one engine counts as interactive and is not split.
 TEST_CASE("a prompt over the KV capacity is split despite a short prefill") {
--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -245,6 +245,50 @@
   });
 }
 
+// Guards against a request that is sent to one engine after the other although
+// each refuses its list of helpers as malformed, and against avoiding them.
+TEST_CASE("a list of helpers that an engine rejects is not sent again") {
+  struct row {
+    const char* tokens_per_second;
+    int prompt_tokens;
+    std::size_t engines;
+    int accepted_entries;
+    int status;
+    int arrivals;
+  };
+  const row r = GENERATE(values<row>({
+      // Half of the helpers suffice.
+      {"1000000.0", 220'000, 3, 1, 200, 2},
+      // It does not fit on fewer engines.
+      {"1550000.0", 330'000, 2, 1, 503, 1},
+      {"1550000.0", 330'000, 2, 2, 200, 1},
+  }));
+  CAPTURE(r.prompt_tokens, r.accepted_entries);
+  small_fleet fleet;
+  while (fleet.engines.size() < r.engines)
+    fleet.engines.push_back(std::make_unique<runner_fake>(fleet.io, "e2"));
+  fleet.store.Put("op/config", FastEngineConfig(r.tokens_per_second));
+  fleet.RegisterRunners();
+  for (const auto& engine : fleet.engines)
+    engine->SetMaxHelperEntries(r.accepted_entries);
+  fleet.Run([&](asio::yield_context yield) {
+    CHECK(
+        fleet
+            .Call("/stream/x", "a", yield, "key", kCallTimeout, r.prompt_tokens)
+            .status == r.status);
+    int arrivals = 0;
+    for (const auto& engine : fleet.engines)
+      arrivals += engine->arrivals();
+    CHECK(arrivals == r.arrivals);
+    const int rejected = r.accepted_entries < 2 ? 1 : 0;
+    CHECK(fleet.gateway->MetricsText().find(
+              "cactusward_composed_requests_rejected " +
+              std::to_string(rejected) + "\n") != std::string::npos);
+    for (int i = 0; i < 4; ++i)
+      CHECK(fleet.Call("/stream/x", "b", yield).status == 200);
+  });
+}
+
 // Guards against a request to upstreams that announced that they leave after
 // they were chosen, while memory was being reserved for the request.
 TEST_CASE(
