Long prefills of interactive prompts are split, other long ones stay behind them

In a model of the deployment with alternating waves, half of the late short prompts were late only by a gap between two events. Most of these gaps had two prefills of 100 to 180 ms in one pass, both of interactive prompts.

An interactive prompt whose prefill takes more than kSharedPrefillShare of the strictest event gap is split over front engines, the quickest of a random choice. Prompts that are not interactive first take engines behind all those that interactive ones choose from.

The surge model counts requests that are late only by a gap; in_time() keeps its meaning.

--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -40,6 +40,10 @@
 // Share of an engine's KV capacity that placement fills.
 constexpr double kKvCapacityShare = 0.96;
 
+// Number of random engines, for each that is needed, that an interactive prompt
+// chooses the quickest from.
+constexpr std::size_t kChoices = 2;
+
 struct candidate {
   std::size_t index = 0;
   const engine_view* view = nullptr;
@@ -325,6 +329,50 @@
   return placement;
 }
 
+// Splits the prefill of an interactive prompt over front engines if it is so
+// long that two such prefills in one pass exceed the strictest event gap.
+// @return nothing if it is shorter, or if the engines are too busy.
+std::optional<engine_placement> SplitInteractive(
+    const engine_parameters& parameters,
+    const placement_settings& settings,
+    const prompt_request& request,
+    const std::vector<engine_view>& engines,
+    std::uint64_t random) {
+  const double max_part_ms =
+      settings.strictest_event_gap_ms * kSharedPrefillShare;
+  const int parts = static_cast<int>(
+      std::ceil(PrefillMs(parameters, request.prompt_tokens) / max_part_ms));
+  if (parts <= 1 || parts > settings.max_helper_entries ||
+      settings.peers_unknown)
+    return std::nullopt;
+  const std::size_t interactive_engines =
+      InteractiveEngineCount(parameters, engines);
+  const std::size_t front_engines =
+      FrontEngineCount(engines, interactive_engines);
+  std::vector<std::size_t> usable;
+  for (std::size_t i = 0; i < engines.size() && usable.size() < front_engines;
+       ++i) {
+    if (engines[i].usable)
+      usable.push_back(i);
+  }
+  // The quickest of a random choice, as for prompts on one engine.
+  std::mt19937_64 generator(random);
+  std::shuffle(usable.begin(), usable.end(), generator);
+  usable.resize(
+      std::min(usable.size(), static_cast<std::size_t>(parts) * kChoices));
+  std::vector<engine_view> front = engines;
+  for (engine_view& engine : front)
+    engine.usable = false;
+  for (const std::size_t i : usable)
+    front[i].usable = true;
+  auto placement = PlaceInParts(parameters, settings, request, front,
+                                interactive_engines, parts, random);
+  if (placement &&
+      placement->first_event_ms > TimeLimitMs(request) * kMaxObjectiveShare)
+    return std::nullopt;
+  return placement;
+}
+
 }  // namespace
 
 bool IsInteractive(const engine_parameters& parameters,
@@ -361,27 +409,39 @@
     const prompt_request& request,
     const std::vector<engine_view>& engines,
     std::uint64_t random) {
-  if (IsInteractive(parameters, settings, request.prompt_tokens))
+  if (IsInteractive(parameters, settings, request.prompt_tokens)) {
+    if (auto split =
+            SplitInteractive(parameters, settings, request, engines, random))
+      return split;
     return PlaceInteractive(parameters, settings, request, engines, random);
+  }
   const std::size_t interactive_engines =
       InteractiveEngineCount(parameters, engines);
   const double max_first_event_ms = TimeLimitMs(request) * kMaxObjectiveShare;
   const double preferred_first_event_ms =
       request.best_effort ? max_first_event_ms
                           : request.objective_ms * kPreferredObjectiveShare;
-  std::optional<engine_placement> best;
   const int max_parts = settings.max_helper_entries + 1;
-  for (int parts = 1; parts <= max_parts; ++parts) {
-    auto placement = PlaceInParts(parameters, settings, request, engines,
-                                  interactive_engines, parts, random);
-    if (!placement || placement->first_event_ms > max_first_event_ms)
-      continue;
-    if (!best || placement->first_event_ms < best->first_event_ms)
-      best = placement;
-    if (best->first_event_ms <= preferred_first_event_ms)
-      break;
-  }
-  return best;
+  const auto place_behind = [&](std::size_t front_engines) {
+    std::optional<engine_placement> best;
+    for (int parts = 1; parts <= max_parts; ++parts) {
+      auto placement = PlaceInParts(parameters, settings, request, engines,
+                                    front_engines, parts, random);
+      if (!placement || placement->first_event_ms > max_first_event_ms)
+        continue;
+      if (!best || placement->first_event_ms < best->first_event_ms)
+        best = placement;
+      if (best->first_event_ms <= preferred_first_event_ms)
+        break;
+    }
+    return best;
+  };
+  // Interactive requests that no report includes yet may be on any engine that
+  // they choose from, so that these engines come last.
+  if (const auto behind =
+          place_behind(FrontEngineCount(engines, interactive_engines)))
+    return behind;
+  return place_behind(interactive_engines);
 }
 
 std::optional<engine_placement> PlaceWithBestEffortFallback(
--- a/tests/support/surge_model.cc
+++ b/tests/support/surge_model.cc
@@ -244,6 +244,7 @@
   std::vector<std::shared_ptr<job>> remaining;
   engines_[index].in_pass = true;
   for (const auto& sequence : engines_[index].decoding) {
+    RecordEvent(sequence.get());
     if (--sequence->events_left > 0) {
       remaining.push_back(sequence);
       continue;
@@ -265,11 +266,23 @@
   BeginPass(index);
 }
 
+void surge_model::RecordEvent(job* decoding) {
+  const simulated_request& request = decoding->request;
+  const bool gap = now_ms_ - decoding->last_event_ms >
+                   settings_.classes[request.kind].max_event_gap_ms;
+  if (request.counted && gap && !decoding->late)
+    ++results_[request.kind].late_by_gap;
+  decoding->late = decoding->late || gap;
+  decoding->last_event_ms = now_ms_;
+}
+
 void surge_model::EndPrefill(const std::shared_ptr<job>& done) {
   const simulated_request& request = done->request;
   const surge_class& kind = settings_.classes[request.kind];
   const double first = now_ms_ - request.arrived_ms;
-  if (request.counted && first > kind.objective_ms)
+  done->last_event_ms = now_ms_;
+  done->late = first > kind.objective_ms;
+  if (request.counted && done->late)
     ++results_[request.kind].late;
   for (const std::uint64_t id : done->tracking_ids)
     instances_[request.instance_index].tracker.EndPrefill(id);
--- a/tests/support/surge_model.h
+++ b/tests/support/surge_model.h
@@ -57,9 +57,12 @@
 struct surge_result {
   int requests = 0;
   int refused = 0;
-  int late = 0;
+  int late = 0;         // by the first event
+  int late_by_gap = 0;  // the first event was in time, a later one was not
 
+  // By the first event.
   int in_time() const { return requests - refused - late; }
+  int in_time_throughout() const { return in_time() - late_by_gap; }
 };
 
 // Not thread-safe.
@@ -87,6 +90,8 @@
     std::vector<std::uint64_t> tracking_ids;
     int parts_left = 0;
     int events_left = 0;
+    double last_event_ms = 0;
+    bool late = false;
   };
   struct part {
     std::shared_ptr<job> parent;
@@ -122,6 +127,8 @@
   std::int64_t DrawTokens(const surge_class& kind);
   void BeginPass(std::size_t index);
   void EndPass(std::size_t index, const std::vector<part>& finished);
+  // A request that decodes gets its next event.
+  void RecordEvent(job* decoding);
   void EndPrefill(const std::shared_ptr<job>& done);
   void ScheduleReport(std::size_t instance_index, report_urgency urgency);
   void ScheduleReportAt(std::size_t instance_index, double at_ms);
--- a/tests/unit/surge_test.cc
+++ b/tests/unit/surge_test.cc
@@ -166,6 +166,85 @@
   }
 }
 
+// Failure: prompts of the longer sort among the interactive ones met in one
+// pass, and each stream of that engine had a gap beyond its maximum.
+TEST_CASE("streams of short prompts keep their event gaps", "[long]") {
+  struct row {
+    const char* name;
+    testing::surge_settings settings;
+  };
+  testing::surge_settings alternating;  // fewer engines than instances
+  alternating.engine = testing::LargeFleetEngine();
+  alternating.engine.kv_capacity = 197'200;
+  alternating.engine.steps_per_pass = 48;
+  alternating.engine.step_ms = 1.02;
+  alternating.engine.prefill_tokens_per_second = 206'000;
+  alternating.engine.attention_ms_per_million_pairs = 0.138;
+  alternating.instances = 109;
+  alternating.engines = 54;
+  alternating.seconds = 40;
+  testing::surge_settings bursts;
+  bursts.engine = testing::LargeFleetEngine();
+  bursts.engine.kv_capacity = 344'250;
+  bursts.engine.steps_per_pass = 38;
+  bursts.engine.step_ms = 1.31;
+  bursts.engine.prefill_tokens_per_second = 154'000;
+  bursts.engine.attention_ms_per_million_pairs = 0.162;
+  bursts.instances = 78;
+  bursts.engines = 78;
+  bursts.seconds = 30;
+  testing::surge_class short_prompts = ShortPrompts(79);
+  short_prompts.prompt_tokens = 4'960;
+  short_prompts.log_stddev = 0.9;
+  short_prompts.max_prompt_tokens = 23'800;
+  short_prompts.events = 31;
+  testing::surge_class medium_prompts = MediumPrompts(5.4);
+  testing::surge_class long_prompts = LongPrompts(3.3);
+  long_prompts.prompt_tokens = 190'000;
+  long_prompts.max_prompt_tokens = 600'000;
+  long_prompts.objective_ms = 3'000;
+  short_prompts.phases = {0.35, 2.4};
+  medium_prompts.phases = {1.3, 0.5};
+  long_prompts.phases = {2.8, 0.05};
+  alternating.classes = {short_prompts, medium_prompts, long_prompts};
+  short_prompts = ShortPrompts(93);
+  short_prompts.prompt_tokens = 4'960;
+  short_prompts.log_stddev = 0.9;
+  short_prompts.max_prompt_tokens = 23'800;
+  short_prompts.objective_ms = 250;
+  short_prompts.events = 36;
+  long_prompts = LongPrompts(2.1);
+  long_prompts.prompt_tokens = 260'000;
+  long_prompts.objective_ms = 8'000;
+  long_prompts.phases = {1, 2.5};
+  bursts.classes = {short_prompts, MediumPrompts(11.3), long_prompts};
+  const row rows[] = {{"waves that alternate", alternating},
+                      {"bursts of long prompts", bursts}};
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    std::vector<testing::surge_result> total(r.settings.classes.size());
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      const auto results = testing::surge_model(r.settings, seed).Run();
+      for (std::size_t i = 0; i < total.size(); ++i) {
+        total[i].requests += results[i].requests;
+        total[i].refused += results[i].refused;
+        total[i].late += results[i].late;
+        total[i].late_by_gap += results[i].late_by_gap;
+      }
+    }
+    for (const testing::surge_result& each : total) {
+      UNSCOPED_INFO(each.requests << " requests, " << each.refused
+                                  << " refused, " << each.late << " late, "
+                                  << each.late_by_gap << " by a gap");
+    }
+    // 90% of the short and medium prompts; 0.74 is the users' target for the
+    // mean worth of a day.
+    CHECK(total[0].in_time_throughout() * 10 >= total[0].requests * 9);
+    CHECK(total[1].in_time_throughout() * 10 >= total[1].requests * 9);
+    CHECK(total[2].in_time_throughout() * 100 >= total[2].requests * 74);
+  }
+}
+
 TEST_CASE("load is reported early, at a rate that instances can handle") {
   struct row {
     std::size_t instances;
