--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -100,7 +100,7 @@
       {"3,0,12,1", {}, "1.5", {}},
       {"3,-1,12", {}, "soon", {}},
       {"3,0,4294967297", {}, "99999999999", {}},
-      {"a,b,c", {}, " 5", {}},
+      {"a,b,c", {}, "5 ms", {}},
   };
   for (const row& r : rows) {
     CAPTURE(r.load_text, r.cold_text);
--- a/tests/unit/request_limit_test.cc
+++ b/tests/unit/request_limit_test.cc
@@ -205,22 +205,23 @@
   });
 }
 
+struct cold_row {
+  const char* name;
+  bool by_response;  // not by its entry
+  double cold_per_s;
+  double least_while_cold;  // requests a second
+};
+const cold_row kColdRows[] = {{"by its entry", false, 17, 3},
+                              {"by its responses", true, 17, 3},
+                              {"no limit in the configuration", false, 0, 20}};
+
 // Guards against instances that together send a cold upstream more than it
 // bears in a second, and against a limit that outlasts the cold time.
 TEST_CASE("a cold upstream gets no more than its rate allows", "[long]") {
-  struct row {
-    const char* name;
-    bool by_response;  // not by its entry
-    double cold_per_s;
-    double least_while_cold;  // requests a second
-  };
-  const row rows[] = {{"by its entry", false, 17, 3},
-                      {"by its responses", true, 17, 3},
-                      {"no limit in the configuration", false, 0, 20}};
   constexpr milliseconds kCold{3'000};
   constexpr milliseconds kSecond{1'000};
-  const auto index = GENERATE(range(0, static_cast<int>(std::size(rows))));
-  const row& r = rows[index];
+  const auto index = GENERATE(range(0, static_cast<int>(std::size(kColdRows))));
+  const cold_row& r = kColdRows[index];
   CAPTURE(r.name);
   limited_fleet day(3, "/often/x");
   time_point cold_at;
