An attempt with reservations ends when its upstream sends no response head

A prompt with reservations at an upstream that hangs kept them, renewed, for 13.8 s; upstreams take reserved memory that no request uses for 9 s as leaked. The attempt now ends 8 s after it was sent if no response head has arrived, and releases its memory. UnusedReservationEnd decides; RelayResponse asks it.

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -1,6 +1,7 @@
 // The exchanges of a request with upstreams, and their responses.
 #include <algorithm>
 
+#include "cactusward/unused_reservation.h"
 #include "src/kernel/log.h"
 #include "src/relay/relay_run.h"
 
@@ -185,8 +186,20 @@
           until, std::max(SilentAt(exchange, now), now + kSilentPollPeriod));
     if (open_.size() > 1)
       until = std::min(until, now + kSilentPollPeriod);
+    const auto unused_end = UnusedReservationEnd(
+        exchange.memory.allocations().size(),
+        exchange.kind != upstream_exchange::response_kind::kUnknown,
+        exchange.sent_at);
+    until = std::min(until, unused_end.value_or(until));
     const std::size_t delivered_before = exchange.delivered_bytes;
-    const auto ended = Advance(exchange, until, yield);
+    auto ended = Advance(exchange, until, yield);
+    if (!ended && unused_end && clock::now() >= *unused_end &&
+        exchange.kind == upstream_exchange::response_kind::kUnknown) {
+      may_have_run_ = true;
+      ended =
+          attempt{attempt_result::kSilent,
+                  "no response while memory was reserved", false, std::nullopt};
+    }
     if (ended && (ended->end == attempt_result::kCompleted ||
                   ended->end == attempt_result::kCallerGone ||
                   ended->end == attempt_result::kTooLate)) {
