--- a/include/cactusward/unused_reservation.h
+++ b/include/cactusward/unused_reservation.h
@@ -10,8 +10,8 @@
 namespace cactusward {
 
 // Upstreams take reserved memory that no request uses for nine seconds as
-// leaked. Reserving before the request is sent, and releasing, take up to about
-// 400 ms each.
+// leaked. Each control request that reserves before the request is sent, or
+// releases, may take up to 400 ms.
 constexpr milliseconds kMaxUnusedReservation{8'000};
 
 // When an attempt that holds `reservations` has to end because its upstream may
