Soak: cold upstreams and evacuated zones

Upstreams become cold at any moment (cold_runner) and after a planned replacement; their services have cold_per_s 3. Zones are evacuated and readmitted (evacuate_zone) beside the other faults, and a restored store gets the key again. Runners stand in two zones in turn. soak_zone_checks.lua checks at most cold_per_s x 1.5 + 5 requests in any second from the users' notice time on, and that nothing reaches an evacuated zone 5 s (8 s without "strict") after the acknowledgement. Instances that started or were out of touch less than the stable window ago are not judged, nor what the store acknowledged just before it failed.

--- a/tests/scenarios/platform_fleet.lua
+++ b/tests/scenarios/platform_fleet.lua
@@ -58,6 +58,11 @@
   local backend = { slots = 16, kv_capacity = 315000, stride = 51, step_ms = 0.85,
                     read_per_s = 177000, pairs_per_m = 0.184 }
   local services = { { name = "engines", backend = backend }, { name = "plain" } }
+  if state and state.cold_per_s then
+    for _, service in ipairs(services) do
+      service.cold_per_s, service.cold_start_s = state.cold_per_s, state.cold_start_s
+    end
+  end
   if state then
     services[3] = { name = "engines_2", backend = backend }
     services[4] = { name = "plain_2" }
@@ -97,7 +102,9 @@
 
 function class:register_runner(runner)
   return self:store_control{ put = { ["servers/" .. runner.id] = to_json{
-      service = runner.service, address = runner.advertised, zone = "z", slots = 16,
+      service = runner.service, address = runner.advertised, zone = runner.zone, slots = 16,
+      cold_remaining_ms = runner.cold_until and
+          math.max(0, math.floor(runner.cold_until - now())),
       state = runner.leaving and runner.leaving ~= "responses" and "draining" or "ready",
       born = runner.born } } }
 end
@@ -106,6 +113,7 @@
   local n = #self.runners + 1
   local runner = { id = service .. "-" .. n, service = service, born = 1,
                    address = base.address(), advertised = base.address(),
+                   zone = self.zones[n % #self.zones + 1],
                    record = work .. "/record-" .. n .. ".txt" }
   runner.relay = relay(runner.advertised, runner.address)
   runner.arguments = { "platform_standin", "--role=runner",
@@ -188,12 +196,13 @@
 end
 
 -- Options: engines, plain, engines_2, plain_2, instances, crashing_parts,
--- drain_limit_ms; program: the daemon that instances run, relative to the programs
+-- drain_limit_ms; zones: of the runners, in turn; program: the daemon that instances run, relative to the programs
 -- of the test; state: of the configuration, of soak_config.lua; limits: of the
 -- configuration; caller_limits, max_descriptors: of the instances.
 function fleet.start(options)
   local self = setmetatable({ runners = {}, instances = {},
                               program = options.program or "cactuswardd",
+                              zones = options.zones or { "z" },
                               limits = options.limits,
                               caller_limits = options.caller_limits,
                               crashing_parts = options.crashing_parts or {},
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -22,6 +22,7 @@
 local kMaxLeavingMs = strict and 2000 or 5000     -- the users' drain_ms
 local kStableMs = 3000                            -- the users' stable_window_ms
 local kLimitWindowMs = strict and 3000 or 8000
+local kMaxEvacuationMs = strict and 5000 or 8000  -- the users' evacuation_ms
 local kMaxApplyMs = strict and 3000 or 10000      -- the users' config_apply_ms
 -- What an instance may need to keep to a route's time.
 local kRouteMarginMs = 300
@@ -40,7 +41,7 @@
                        engines_2 = math.max(2, instances // 4),
                        plain_2 = math.max(2, instances // 4),
                        state = config.current(),
-                       drain_limit_ms = kStopTimeMs,
+                       drain_limit_ms = kStopTimeMs, zones = { "z", "y" },
                        crashing_parts = { kCrashingPart } }
 for _, i in ipairs(f.instances) do i.callers = {} end
 note(string.format("%d processes", 1 + #f.instances + #f.runners))
@@ -53,7 +54,7 @@
   check(false, string.format("%s (at %.0f)", text, now()))
 end
 
-local faults = require("soak_faults")(f, config)
+local faults = require("soak_faults")(f, config, kMaxEvacuationMs)
 local other_program = options:match("other=(%S+)")
 faults.programs = other_program and { "cactuswardd", other_program }
 local pick_random, in_fault_span = faults.pick_random, faults.in_fault_span
@@ -536,6 +537,12 @@
 require("soak_checks"){ runners = f.runners, sent = sent, by_id = by_id, ran_at = ran_at,
                         answers_of_leaving = answers_of_leaving, faults = faults,
                         max_leaving_ms = kMaxLeavingMs, fail = fail }
+require("soak_zone_checks"){ runners = f.runners, by_id = by_id, faults = faults,
+                             cold_per_s = config.current().cold_per_s,
+                             max_notice_ms = kMaxLeavingMs, stable_ms = kStableMs,
+                             max_evacuation_ms = kMaxEvacuationMs,
+                             was_in_touch = was_in_touch, was_cut_off = was_cut_off,
+                             store = f.store, fail = fail, note = note }
 require("soak_cut_checks"){ runners = f.runners, instances = f.instances, sent = sent,
                             faults = faults, stable_ms = kStableMs, fail = fail }
 
--- a/tests/scenarios/soak_config.lua
+++ b/tests/scenarios/soak_config.lua
@@ -15,7 +15,7 @@
 local config = { version = 1, acknowledged = {}, versions = {},
                  kIdleLimitsMs = kIdleLimitsMs }
 local state = { idle_ms = pick_random(kIdleLimitsMs), timeout_ms = fleet.kDeadlineMs,
-                moved_to = "plain", split = { engines = 1 }, second_key = true, more = 0 }
+                cold_per_s = 3, cold_start_s = 3, moved_to = "plain", split = { engines = 1 }, second_key = true, more = 0 }
 
 -- Another value of `list` than `current`.
 local function pick_other(list, current)
--- a/tests/scenarios/soak_faults.lua
+++ b/tests/scenarios/soak_faults.lua
@@ -2,13 +2,16 @@
 local function pick_random(list) return list[math.random(#list)] end
 
 -- Precondition: `f` is a fleet of platform_fleet.lua with the configuration
--- `config`, of soak_config.lua.
-return function(f, config)
+-- `config`, of soak_config.lua. `evacuation_ms`: the users' time until nothing more
+-- reaches an evacuated zone.
+return function(f, config, evacuation_ms)
 config.acknowledged[1] = now()
 local faults = { pick_random = pick_random, killed = {}, stopped = {}, crashes = {},
+                 max_restart_ms = 1500,  -- from the end of a process to its next start
                  restores = {},        -- times
                  resets = {},          -- {instance, runner, at}
                  caller_resets = {},   -- times, by the callers' connections
+                 evacuations = {},     -- {zone, from, to}, as the store acknowledged
                  cuts = {} }           -- {from, to, way, instances: set}
 
 -- Times at which failures of a target are expected: {from, to, kind}.
@@ -134,7 +137,7 @@
 function faults.record_crash(runner, alive_at)
   mark_fault_span(runner, 3000, "kill", alive_at)
   faults.crashes[#faults.crashes + 1] = now()
-  faults.restart_later(runner, math.random(300, 1500))
+  faults.restart_later(runner, math.random(300, faults.max_restart_ms))
 end
 
 function faults.kill(process)
@@ -142,7 +145,7 @@
   faults.killed[process.pid] = true
   mark_fault_span(process, 3000, "kill")
   signal(process.pid, "KILL")
-  faults.restart_later(process, math.random(50, 1500))
+  faults.restart_later(process, math.random(50, faults.max_restart_ms))
 end
 
 local function responds(instance)
@@ -256,6 +259,51 @@
         timeout_ms = 300, body = to_json(settings) }
 end
 
+-- Registers `runner` as cold for `ms`. Records the time in which it is, which begins
+-- with the store's acknowledgement.
+local function register_cold(runner, ms)
+  runner.cold_until = now() + ms
+  if f:register_runner(runner).status ~= 200 then return end
+  runner.cold_spans = runner.cold_spans or {}
+  table.insert(runner.cold_spans, { from = now(), to = runner.cold_until })
+end
+
+-- Empties a zone for longer than instances have to take notice of it.
+local evacuation  -- the one in force
+local function evacuation_key(zone) return "op/evacuate/" .. zone end
+local function put_evacuation()
+  if not evacuation or
+      f:store_control{ put = { [evacuation_key(evacuation.zone)] = "{}" } }.status ~= 200 then
+    return
+  end
+  evacuation.from = now()
+  table.insert(faults.evacuations, evacuation)
+end
+local function end_evacuation(at)
+  if evacuation then evacuation.to = at end
+end
+local function remove_evacuations()
+  local keys = { __array = true }
+  for _, zone in ipairs(f.zones) do
+    if not evacuation or evacuation.zone ~= zone then keys[#keys + 1] = evacuation_key(zone) end
+  end
+  f:store_control{ remove = keys }
+end
+local function evacuate_zone()
+  if evacuation then return end
+  local zone, ms = pick_random(f.zones), evacuation_ms + math.random(1000, 5000)
+  evacuation = { zone = zone }
+  enqueue_for_store(put_evacuation)
+  schedule(ms, function()
+    enqueue_for_store(function()
+      end_evacuation(now())
+      evacuation = nil
+      remove_evacuations()
+    end)
+  end)
+  return string.format("%s for %d ms", zone, ms)
+end
+
 -- Lets `runner` leave: it announces this in the store, in its responses or in
 -- both, goes on for a while, ends, and is replaced by a successor. Records the
 -- times between which the store has acknowledged the announcement, and when the
@@ -281,7 +329,7 @@
       span.to = now()
       runner.leaving, runner.leave_span = nil, nil
       runner.born = runner.born + 1
-      f:register_runner(runner)
+      register_cold(runner, math.random(3000, 6000))
       faults.kill(runner)
     end)
   end)
@@ -335,6 +383,13 @@
 -- write again what was lost.
 local function write_again()
   schedule(math.random(100, 1500), function() enqueue_for_store(put_config) end)
+  schedule(math.random(100, 1500), function()
+    enqueue_for_store(function()
+      if evacuation then evacuation = { zone = evacuation.zone } end
+      put_evacuation()
+      remove_evacuations()
+    end)
+  end)
   for _, r in ipairs(f.runners) do
     schedule(math.random(100, 2000), function()
       enqueue_for_store(function()
@@ -367,6 +422,7 @@
         mark_fault_span(f.store, 500, "restore")
         f:store_control{ restore = true, down = false }
         table.insert(faults.restores, now())
+        end_evacuation(now())
         config.acknowledged = {}
         faults.restoring = false
         write_again()
@@ -540,6 +596,13 @@
     schedule(math.random(4000, 9000), function() set("") end)
     return limit .. " at " .. r.id
   end,
+  cold_runner = function()
+    local r, ms = pick_random(f.runners), math.random(4000, 8000)
+    enqueue_for_store(function() register_cold(r, ms) end)
+    schedule(ms, function() end)
+    return string.format("%s for %d ms", r.id, ms)
+  end,
+  evacuate_zone = evacuate_zone,
   change_config = function() change_config() end,
   configs_in_series = function()
     in_series(math.random(5, 15), 500, function() change_config() end)
