--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -30,7 +30,7 @@
   time_point queue_deadline;
   // Ids of the upstreams that must not be chosen again.
   std::set<std::string> tried_upstreams;
-  int priority = 0;    // 0 is the most urgent
+  int priority = 0;  // 0 is the most urgent
   int max_helper_entries = composed_request_bound::kMaxHelperEntries;
   home_regions homes;  // the regions of the upstreams that may be chosen
   // Whether the request must not be sent any more: it then leaves the queue.
--- a/tests/support/platform_fakes.cc
+++ b/tests/support/platform_fakes.cc
@@ -383,8 +383,8 @@
     return;
   }
   const std::string_view listed = exchange.Header("X-Peer-Helpers");
-  if (!listed.empty() && std::count(listed.begin(), listed.end(), ',') >=
-                             max_helper_entries_) {
+  if (!listed.empty() &&
+      std::count(listed.begin(), listed.end(), ',') >= max_helper_entries_) {
     response = MakeResponse(400, "{}");
     response.set("X-Attempt-Id", std::string(exchange.Header("X-Attempt-Id")));
     response.set("X-Not-Executed", "1");
