--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -1,5 +1,6 @@
 #include "src/relay/relay_gateway.h"
 
+#include <algorithm>
 #include <sstream>
 
 #include "src/daemon/caller_bounds.h"
@@ -16,8 +17,12 @@
 // Short against the silences of upstreams that it is deducted from.
 constexpr milliseconds kStallTickPeriod{100};
 // Responses of upstreams that are read completely before they are passed on,
-// all together; one may take half of it. Fits into the smallest instances.
-constexpr std::size_t kResponseBufferBytes = 32ULL * 1024 * 1024;
+// all together; one may take half of it. The memory of the process grows by up
+// to 2.5 times as much, as buffers are copied when they grow.
+constexpr std::size_t kMaxResponseBufferBytes = 24ULL * 1024 * 1024;
+// Share of the callers' budget that they take at most: an eighth of the memory
+// of the process.
+constexpr std::size_t kResponseBufferDivisor = 3;
 // Well below the time for which connections stay idle.
 constexpr milliseconds kIdleConnectionPeriod{2'000};
 // Initial incarnation number in the membership. A restarted process learns from
@@ -60,7 +65,9 @@
       metrics_server_(io, &monitor_, http_server_limits(), callers_),
       shutdown_(runtime_, &server_),
       retries_(settings->forwarding->retries),
-      response_buffers_(kResponseBufferBytes),
+      response_buffers_(std::min(
+          kMaxResponseBufferBytes,
+          callers_->bounds().budget.total_bytes / kResponseBufferDivisor)),
       stalls_(kStallTickPeriod, clock::now()),
       request_services_{runtime_,  *adapter_.protocol, catalog_,
                         fleet_,    dispatcher_,        paths_,
