Callers: descriptors of evicted connections are closed at once

Cause: 200 callers that send a byte a second, or half a head, still opened 137 to 160 of 120 descriptors: the limit of connections left none for the process itself, and an evicted connection kept its descriptor for up to 2 s until its caller had read a refusal. Change: eviction for want of connections closes the socket; 32 descriptors of the process count as well.

--- a/src/daemon/caller_bounds.cc
+++ b/src/daemon/caller_bounds.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::size_t kMegabyte = 1'000'000;
+// Listeners, timers, the log, and connections that are accepted and not yet
+// admitted.
+constexpr std::size_t kOwnDescriptors = 32;
 // A process with few descriptors still serves some callers.
 constexpr std::size_t kMinConnections = 16;
 
@@ -21,7 +24,8 @@
   bounds.budget =
       BudgetForProcess(settings.memory_mb > 0 ? settings.memory_mb * kMegabyte
                                               : physical_bytes / 2);
-  const auto reserved = static_cast<std::size_t>(settings.reserved_descriptors);
+  const std::size_t reserved =
+      static_cast<std::size_t>(settings.reserved_descriptors) + kOwnDescriptors;
   bounds.max_connections = std::max(
       max_descriptors - std::min(reserved, max_descriptors), kMinConnections);
   bounds.max_connections_per_address =
--- a/src/edges/caller_guard.cc
+++ b/src/edges/caller_guard.cc
@@ -101,11 +101,14 @@
   held_ = bytes;
 }
 
-void caller_guard::connection::Evict() {
+void caller_guard::connection::Evict(bool close) {
   evicted_ = true;
   Reject(phase_ == phase::kIdle ? "idle" : "slow_sender");
   boost::system::error_code ignored;
-  socket_->cancel(ignored);
+  if (close)
+    socket_->close(ignored);
+  else
+    socket_->cancel(ignored);
   if (free_)
     free_();
   lease_.Take(0);
@@ -153,8 +156,9 @@
       idle_first ? LongestIdle(requester) : SlowestSender(requester, 0);
   if (!victim)
     victim = idle_first ? SlowestSender(requester, 0) : LongestIdle(requester);
+  // A response would keep the descriptor until its caller has read it.
   if (victim)
-    victim->Evict();
+    victim->Evict(true);
   return victim != nullptr;
 }
 
@@ -162,7 +166,7 @@
                                    std::size_t min_held) {
   connection* victim = SlowestSender(requester, min_held);
   if (victim)
-    victim->Evict();
+    victim->Evict(false);
   return victim != nullptr;
 }
 
--- a/src/edges/caller_guard.h
+++ b/src/edges/caller_guard.h
@@ -88,7 +88,9 @@
 
    private:
     friend class caller_guard;
-    void Evict();
+    // @param close at once; otherwise the caller is told that its request was
+    //     refused.
+    void Evict(bool close);
 
     // Connections may outlive their server.
     std::shared_ptr<caller_guard> guard_;
