Unused reservations: a prompt that is expected late is not given up

Cause: review before the landing. An attempt with reservations and without a response ended 8 s after it was sent, also when its first event was expected after 7 s: measured over expected is 1.24 at the 90th percentile, so that an upstream that runs the request would have been cut off. Change: the bound is 1.5 times the expected first event if that is longer.

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -194,7 +194,7 @@
     const auto unused_end = UnusedReservationEnd(
         exchange.memory.allocations().size(),
         exchange.kind != upstream_exchange::response_kind::kUnknown,
-        exchange.sent_at);
+        exchange.assignment->expected_first_event_ms, exchange.sent_at);
     until = std::min(until, unused_end.value_or(until));
     const std::size_t delivered_before = exchange.delivered_bytes;
     auto ended = Advance(exchange, until, yield);
