Ramp-up and zone preference apply only where they are asked for

Both were in force for every deployment that forwards requests, whatever its configuration and settings say. The defaults are now off. Ramp-up still applies to upstreams of a service whose configuration has cold_per_s, since the limit then says that a started upstream cannot take its share.

home_regions_test needs no longer to switch the preference off.

--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -34,9 +34,11 @@
   milliseconds max_reservation{20'000};
   cold_settings cold;
   // Whether upstreams that start or recover are loaded by how they respond.
-  bool ramp_up = true;
-  // By how much an engine of another availability zone must be quicker.
-  milliseconds zone_preference{20};
+  // Upstreams of a service with a cold limit always are.
+  bool ramp_up = false;
+  // By how much an engine of another availability zone must be quicker; 0:
+  // zones do not matter.
+  milliseconds zone_preference{0};
 
   friend bool operator==(const forwarding_settings& a,
                          const forwarding_settings& b) {
--- a/src/relay/fleet_service.cc
+++ b/src/relay/fleet_service.cc
@@ -194,12 +194,16 @@
     BeginRamp(*upstream, "cold", now);
 }
 
-void fleet_service::UpdateColdLimit(const fleet_upstream& upstream,
-                                    time_point now) {
+double fleet_service::ColdPerSecond(const fleet_upstream& upstream) const {
   const auto config = catalog_->Config();
   const forward_service* const service =
       config ? config->FindService(upstream.entry.service) : nullptr;
-  const double per_second = service ? service->cold_per_second : 0;
+  return service ? service->cold_per_second : 0;
+}
+
+void fleet_service::UpdateColdLimit(const fleet_upstream& upstream,
+                                    time_point now) {
+  const double per_second = ColdPerSecond(upstream);
   const time_point until = per_second > 0 ? upstream.cold_until : now;
   if (limits_.SetColdLimit(upstream.process_key, per_second, until, now))
     LogCold(upstream, per_second, now);
@@ -232,7 +236,8 @@
 void fleet_service::BeginRamp(const fleet_upstream& upstream,
                               std::string_view reason,
                               time_point at) {
-  if (!runtime_.settings.forwarding->ramp_up || upstream.entry.slots <= 1)
+  if (upstream.entry.slots <= 1 ||
+      (!runtime_.settings.forwarding->ramp_up && ColdPerSecond(upstream) <= 0))
     return;
   if (ramp_.Begin(upstream.process_key, upstream.entry.slots, at))
     Log(log_level::kInfo, "upstream_ramp_began",
--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -165,6 +165,8 @@
   // Applies the entries that say whether upstreams are cold.
   void ApplyColdEntries(time_point now);
   void SetCold(fleet_upstream* upstream, time_point until, time_point now);
+  // Requests per second that the upstream takes while it is cold; 0: no limit.
+  double ColdPerSecond(const fleet_upstream& upstream) const;
   void UpdateColdLimit(const fleet_upstream& upstream, time_point now);
   void ExpireColdLimits(time_point now);
   void LogCold(const fleet_upstream& upstream,
--- a/tests/unit/home_regions_test.cc
+++ b/tests/unit/home_regions_test.cc
@@ -99,8 +99,6 @@
 void RegisterInTwoRegions(small_fleet& fleet) {
   fleet.settings.region = "eu";
   fleet.settings.zone_regions = {{"y", "us"}};
-  // Idle upstreams of the own zone would get all requests.
-  fleet.settings.forwarding->zone_preference = milliseconds(0);
   for (auto* group : {&fleet.engines, &fleet.plain}) {
     for (std::size_t i = 0; i < group->size(); ++i) {
       const runner_fake& runner = *(*group)[i];
