Surge model: KV memory, reservations, network hops and the fleet's own event gap

Cause: engines of the model started prompts whose KV memory was not free, requests reached engines and callers without delay, and placement used an event gap of 250 ms also where the strictest route of the fleet allows 300 ms.

Change: a prompt starts when its KV memory fits; prompts with reservations take all of them before they are sent, or are placed again; each hop takes 2 ms; the strictest gap is that of the classes. The outcome of each request is kept.

--- a/tests/support/surge_model.cc
+++ b/tests/support/surge_model.cc
@@ -7,7 +7,10 @@
 namespace {
 
 constexpr double kMillisecondsPerSecond = 1'000;
+// Between caller and instance, two instances, or instance and engine.
 constexpr double kNetworkMs = 2;
+// Caller to instance, engine to instance, instance to caller.
+constexpr int kOtherNetworkHops = 3;
 // As in the dispatcher: a waiting request is tried again after this time, and
 // refused after this share of its deadline.
 constexpr double kPlacementRetryMs = 40;
@@ -193,6 +196,15 @@
             DrawTokens(settings_.classes[kind])});
 }
 
+placement_settings surge_model::PlacementSettings() const {
+  placement_settings settings;
+  settings.strictest_event_gap_ms = settings_.classes.front().max_event_gap_ms;
+  for (const surge_class& kind : settings_.classes)
+    settings.strictest_event_gap_ms =
+        std::min(settings.strictest_event_gap_ms, kind.max_event_gap_ms);
+  return settings;
+}
+
 void surge_model::TryPlace(const simulated_request& request) {
   const surge_class& kind = settings_.classes[request.kind];
   load_tracker& tracker = instances_[request.instance_index].tracker;
@@ -208,7 +220,7 @@
                                .value_or(0);
   }
   const double waited = now_ms_ - request.arrived_ms;
-  placement_settings settings;
+  placement_settings settings = PlacementSettings();
   settings.peers_unknown = now_ms_ < PeersKnownAt();
   prompt_request prompt;
   prompt.prompt_tokens = request.tokens;
@@ -220,15 +232,40 @@
                std::max({kMinCallerTimeoutMs,
                          kind.objective_ms * kCallerTimeoutObjectives,
                          kind.max_event_gap_ms * kCallerTimeoutEventGaps}));
-  if (const auto placement = PlaceWithBestEffortFallback(
-          settings_.engine, settings, prompt, views, random_()))
+  const auto placement = PlaceWithBestEffortFallback(settings_.engine, settings,
+                                                     prompt, views, random_());
+  if (placement && CanReserve(request, *placement))
     return Place(request, *placement);
   if (waited < kind.deadline_ms * kMaxWaitShare) {
     Schedule(now_ms_ + kPlacementRetryMs,
              [this, request] { TryPlace(request); });
     return;
   }
-  results_[request.kind].refused += request.counted ? 1 : 0;
+  if (!request.counted)
+    return;
+  ++results_[request.kind].refused;
+  surge_outcome refused;
+  refused.kind = request.kind;
+  refused.arrived_ms = request.arrived_ms;
+  refused.refused = true;
+  outcomes_.push_back(refused);
+}
+
+// Reservations are made on the engine that decodes and on the helpers before
+// the prompt is sent.
+bool surge_model::CanReserve(const simulated_request& request,
+                             const engine_placement& placement) const {
+  const auto fits = [this](std::size_t index, std::int64_t tokens) {
+    return engines_[index].kv_tokens + tokens <= settings_.engine.kv_capacity;
+  };
+  std::int64_t own = request.tokens + kMaxOutputTokens;
+  bool all_fit = true;
+  for (const prefill_helper& helper : placement.helpers) {
+    own -= helper.reserved_kv_tokens;
+    all_fit = all_fit && fits(helper.engine, helper.reserved_kv_tokens);
+  }
+  const bool reserves = own < request.tokens + kMaxOutputTokens;
+  return !reserves || (all_fit && fits(placement.engine, own));
 }
 
 void surge_model::Place(const simulated_request& request,
@@ -245,7 +282,11 @@
   placed->parts_left = static_cast<int>(placement.helpers.size()) + 1;
   const double ms_per_token = placement.prefill_ms * placed->parts_left /
                               static_cast<double>(request.tokens);
-  const bool interactive = IsInteractive(settings_.engine, {}, request.tokens);
+  const bool interactive =
+      IsInteractive(settings_.engine, PlacementSettings(), request.tokens);
+  std::int64_t reserved = 0;
+  for (const prefill_helper& helper : placement.helpers)
+    reserved += helper.reserved_kv_tokens;
   const auto begin = [&](std::size_t index, bool first,
                          std::int64_t reserved_kv_tokens) {
     tracked_request tracked;
@@ -259,21 +300,19 @@
     tracked.kv_tokens = reserved_kv_tokens;
     tracked.sent_at = Now();
     placed->tracking_ids.push_back(tracker.Begin(tracked));
-    engine& chosen = engines_[index];
-    const part next{placed, placement.prefill_ms, ms_per_token,
-                    !placement.helpers.empty(), first};
-    // Parts go before whole prompts, otherwise first come, first served.
-    auto place = chosen.prefilling.end();
-    if (next.split)
-      place = std::find_if(chosen.prefilling.begin(), chosen.prefilling.end(),
-                           [](const part& each) { return !each.split; });
-    chosen.prefilling.insert(place, next);
-    if (!chosen.in_pass)
-      BeginPass(index);
+    placed->kv_tokens.emplace_back(index, reserved_kv_tokens);
+    const bool admitted = !first || reserved > 0;
+    if (admitted)
+      engines_[index].kv_tokens += reserved_kv_tokens;
+    const part next{placed,
+                    placement.prefill_ms,
+                    ms_per_token,
+                    reserved_kv_tokens,
+                    !placement.helpers.empty(),
+                    first,
+                    admitted};
+    Schedule(now_ms_ + kNetworkMs, [this, index, next] { Send(index, next); });
   };
-  std::int64_t reserved = 0;
-  for (const prefill_helper& helper : placement.helpers)
-    reserved += helper.reserved_kv_tokens;
   begin(placement.engine, true, request.tokens + kMaxOutputTokens - reserved);
   for (const prefill_helper& helper : placement.helpers)
     begin(helper.engine, false, helper.reserved_kv_tokens);
@@ -281,6 +320,18 @@
                  interactive ? report_urgency::kSoon : report_urgency::kAtOnce);
 }
 
+void surge_model::Send(std::size_t index, const part& next) {
+  engine& chosen = engines_[index];
+  // Parts go before whole prompts, otherwise first come, first served.
+  auto place = chosen.prefilling.end();
+  if (next.split)
+    place = std::find_if(chosen.prefilling.begin(), chosen.prefilling.end(),
+                         [](const part& each) { return !each.split; });
+  chosen.prefilling.insert(place, next);
+  if (!chosen.in_pass)
+    BeginPass(index);
+}
+
 // Log-normal distribution, as observed within one class of prompts.
 std::int64_t surge_model::DrawTokens(const surge_class& kind) {
   std::lognormal_distribution<double> draw(
@@ -313,6 +364,15 @@
       ++it;
       continue;
     }
+    // A prompt takes its KV memory when its prefill begins.
+    if (!it->admitted &&
+        engine.kv_tokens + it->kv_tokens > settings_.engine.kv_capacity) {
+      ++it;
+      continue;
+    }
+    if (!it->admitted)
+      engine.kv_tokens += it->kv_tokens;
+    it->admitted = true;
     free_slots -= it->decodes ? 1 : 0;
     const double slice = std::min(it->remaining_ms, tokens * it->ms_per_token);
     tokens -= slice / it->ms_per_token;
@@ -343,10 +403,13 @@
       remaining.push_back(sequence);
       continue;
     }
+    RecordEnd(*sequence);
+    for (const auto& [held_by, tokens] : sequence->kv_tokens)
+      engines_[held_by].kv_tokens -= tokens;
     for (const std::uint64_t id : sequence->tracking_ids)
       instances_[sequence->request.instance_index].tracker.End(id);
-    const bool interactive =
-        IsInteractive(settings_.engine, {}, sequence->request.tokens);
+    const bool interactive = IsInteractive(
+        settings_.engine, PlacementSettings(), sequence->request.tokens);
     ScheduleReport(
         sequence->request.instance_index,
         interactive ? report_urgency::kLater : report_urgency::kSoon);
@@ -364,16 +427,25 @@
   const simulated_request& request = decoding->request;
   const bool gap = now_ms_ - decoding->last_event_ms >
                    settings_.classes[request.kind].max_event_gap_ms;
-  if (request.counted && gap && !decoding->late)
-    ++results_[request.kind].late_by_gap;
-  decoding->late = decoding->late || gap;
+  decoding->late_by_gap = decoding->late_by_gap || (gap && !decoding->late);
   decoding->last_event_ms = now_ms_;
 }
 
+void surge_model::RecordEnd(const job& done) {
+  const simulated_request& request = done.request;
+  if (!request.counted)
+    return;
+  results_[request.kind].late_by_gap += done.late_by_gap ? 1 : 0;
+  outcomes_.push_back({request.kind, request.arrived_ms, done.first_event_ms,
+                       false, done.late, done.late_by_gap});
+}
+
 void surge_model::EndPrefill(const std::shared_ptr<job>& done) {
   const simulated_request& request = done->request;
   const surge_class& kind = settings_.classes[request.kind];
-  const double first = now_ms_ - request.arrived_ms;
+  const double first =
+      now_ms_ - request.arrived_ms + kNetworkMs * kOtherNetworkHops;
+  done->first_event_ms = first;
   done->last_event_ms = now_ms_;
   done->late = first > kind.objective_ms;
   if (request.counted && done->late)
@@ -381,7 +453,7 @@
   RecordFirstEvent(*done);
   for (const std::uint64_t id : done->tracking_ids)
     instances_[request.instance_index].tracker.EndPrefill(id);
-  if (!IsInteractive(settings_.engine, {}, request.tokens))
+  if (!IsInteractive(settings_.engine, PlacementSettings(), request.tokens))
     ScheduleReport(request.instance_index, report_urgency::kSoon);
   engine& decoding_engine = engines_[done->engine];
   --decoding_engine.waiting_for_helpers;
--- a/tests/support/surge_model.h
+++ b/tests/support/surge_model.h
@@ -1,8 +1,8 @@
 // Simulation of a fleet in virtual time. Instances place prompts by the loads
 // that they last reported to each other. Engines work in passes: a pass
-// prefills what is waiting when it begins, up to a number of tokens per step,
-// and decodes one event of each other request. Parts of split prompts are
-// prefilled before whole prompts.
+// prefills what is waiting when it begins and fits in slots and KV memory, up
+// to a number of tokens per step, and decodes one event of each other request.
+// Parts of split prompts are prefilled before whole prompts.
 #ifndef CACTUSWARD_TESTS_SUPPORT_SURGE_MODEL_H_
 #define CACTUSWARD_TESTS_SUPPORT_SURGE_MODEL_H_
 
@@ -76,6 +76,16 @@
   int in_time_throughout() const { return in_time() - late_by_gap; }
 };
 
+// What became of one counted request.
+struct surge_outcome {
+  std::size_t kind = 0;  // index of its class
+  double arrived_ms = 0;
+  double first_event_ms = -1;  // since its arrival; -1: refused
+  bool refused = false;
+  bool late = false;         // by the first event
+  bool late_by_gap = false;  // only by a later event
+};
+
 // Requests at the engines that have returned, in their first five seconds.
 struct returning_result {
   int requests = 0;
@@ -91,6 +101,8 @@
 
   // @return results of each class, in the order of the settings.
   std::vector<surge_result> Run();
+  // Outcomes of the counted requests, in order of their end. Precondition: Run.
+  const std::vector<surge_outcome>& outcomes() const { return outcomes_; }
   // Number of load reports that the instances have sent. Precondition: Run.
   int reports() const { return reports_; }
   // Precondition: Run, and engines return.
@@ -109,23 +121,30 @@
     simulated_request request;
     std::size_t engine = 0;  // index of the engine that decodes
     std::vector<std::uint64_t> tracking_ids;
+    // By engine: released when the request ends.
+    std::vector<std::pair<std::size_t, std::int64_t>> kv_tokens;
     int parts_left = 0;
     int events_left = 0;
     double placed_ms = 0;
     double expected_first_event_ms = 0;
+    double first_event_ms = 0;  // since its arrival
     double last_event_ms = 0;
-    bool late = false;
+    bool late = false;         // by the first event
+    bool late_by_gap = false;  // only by a later event
   };
   struct part {
     std::shared_ptr<job> parent;
     double remaining_ms = 0;
     double ms_per_token = 0;
+    std::int64_t kv_tokens = 0;  // that its engine must have free
     bool split = false;
     bool decodes = false;
+    bool admitted = false;  // holds its KV memory
   };
   struct engine {
     std::deque<part> prefilling;
     std::vector<std::shared_ptr<job>> decoding;
+    std::int64_t kv_tokens = 0;   // held
     int waiting_for_helpers = 0;  // requests with unfinished parts elsewhere
     bool in_pass = false;
     double blocked_until_ms = 0;
@@ -152,12 +171,18 @@
   // Draws the arrivals of a class.
   void ScheduleArrivals(std::size_t kind);
   void Arrive(std::size_t kind);
+  placement_settings PlacementSettings() const;
   void TryPlace(const simulated_request& request);
+  bool CanReserve(const simulated_request& request,
+                  const engine_placement& placement) const;
   void Place(const simulated_request& request,
              const engine_placement& placement);
+  // A part of a prompt reaches its engine.
+  void Send(std::size_t index, const part& next);
   std::int64_t DrawTokens(const surge_class& kind);
   void BeginPass(std::size_t index);
   void EndPass(std::size_t index, const std::vector<part>& finished);
+  void RecordEnd(const job& done);
   // A request that decodes gets its next event.
   void RecordEvent(job* decoding);
   void EndPrefill(const std::shared_ptr<job>& done);
@@ -174,6 +199,7 @@
   std::vector<engine> engines_;
   std::vector<instance> instances_;
   std::vector<surge_result> results_;
+  std::vector<surge_outcome> outcomes_;
   returning_result returned_;
   // Since the engines returned: when requests were placed, and whether at one
   // of these engines.
