Surge test: waves of short prompts of deployment B at 2.9 times the usual rate

Change: 0.3 and 2.9 in "streams of short prompts keep their event gaps"; its bounds are as before. Result: all cases of surge_test.cc and upstream_ramp_test.cc pass, run one by one by name.

--- a/tests/unit/surge_test.cc
+++ b/tests/unit/surge_test.cc
@@ -203,7 +203,7 @@
   long_prompts.prompt_tokens = 190'000;
   long_prompts.max_prompt_tokens = 600'000;
   long_prompts.objective_ms = 3'000;
-  short_prompts.phases = {0.35, 2.4};
+  short_prompts.phases = {0.3, 2.9};
   medium_prompts.phases = {1.3, 0.5};
   long_prompts.phases = {2.8, 0.05};
   alternating.classes = {short_prompts, medium_prompts, long_prompts};
