--- a/src/services/dispatcher.cc
+++ b/src/services/dispatcher.cc
@@ -70,8 +70,9 @@
   if (!chosen) {
     // No upstream wants the request in time.
     const auto backoff_end = pool->BackoffEnd(now);
-    if (backoff_end &&
-        *backoff_end > request.deadline - request.min_decode_time)
+    if (pool->IsEvacuated(now) ||
+        (backoff_end &&
+         *backoff_end > request.deadline - request.min_decode_time))
       *failure = error_kind::kNoUpstream;
     return nullptr;
   }
@@ -106,7 +107,8 @@
   }
   const double rate =
       static_cast<double>(pool->service().prefill_tokens_per_second) *
-      static_cast<double>(std::max<std::size_t>(pool->size(), 1));
+      static_cast<double>(std::max<std::size_t>(
+          pool->CountOutsideEvacuatedZones(clock::now()), 1));
   return milliseconds(
       static_cast<std::int64_t>(tokens_ahead / rate * kMillisecondsPerSecond));
 }
@@ -127,6 +129,8 @@
     if (failure != error_kind::kOk)
       return {failure, {}};
   }
+  if (pool->IsEvacuated(clock::now()))
+    return {error_kind::kNoUpstream, request.service};
   const bool is_model = pool->service().kind == service_kind::kModel;
   if (is_model &&
       clock::now() + QueueDelay(request, pool) + request.min_decode_time >
