--- a/src/services/evacuation_service.cc
+++ b/src/services/evacuation_service.cc
@@ -22,6 +22,10 @@
 constexpr milliseconds kReadPeriod{1'200};
 constexpr double kMaxFleetReadsPerSecond = 50;
 constexpr double kJitter = 0.2;
+// An instance without contact to the key-value service or a peer for longer
+// stops admitting requests. As for the configuration; the rest of the 5 s is
+// left for requests that were admitted before and are not placed yet.
+constexpr milliseconds kIsolationLimit{3'000};
 // Bounds the time of one round: peers that do not respond take kPullTimeout.
 constexpr std::size_t kMaxPeersAsked = 4;
 // About 700 bytes with the longest names; a datagram must not be fragmented.
@@ -83,17 +87,32 @@
 
 void evacuation_service::Read(asio::yield_context yield) {
   while (true) {
-    const auto stored = runtime_.store->List(
-        std::string(kEvacuationPrefix), clock::now() + kStoreTimeout, yield);
-    if (stored)
+    // The response may be as old as the request.
+    const time_point asked_at = clock::now();
+    const auto stored = runtime_.store->List(std::string(kEvacuationPrefix),
+                                             asked_at + kStoreTimeout, yield);
+    if (stored) {
+      read_at_ = asked_at;
       ApplyRead(*stored, yield);
-    else if (!is_known_)
+    } else if (!is_known_) {
       PullFromPeers(yield);
+    }
     Sleep(runtime_.io, is_known_ ? ReadPeriod() : duration(kMinRetryDelay),
           yield);
   }
 }
 
+bool evacuation_service::IsUsable(time_point now) const {
+  if (!is_known_)
+    return false;
+  if (read_at_ && now - *read_at_ <= kIsolationLimit)
+    return true;
+  if (!membership_->HasPeers())
+    return true;
+  const auto last_message_at = membership_->LastMessageTime();
+  return last_message_at && now - *last_message_at <= kIsolationLimit;
+}
+
 void evacuation_service::ApplyRead(const std::vector<stored_value>& stored,
                                    asio::yield_context yield) {
   // Not the highest one seen: revisions go back when the service is restored,
--- a/src/services/evacuation_service.h
+++ b/src/services/evacuation_service.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,8 +32,12 @@
 
   const evacuation_set& evacuations() const { return evacuations_; }
   // Whether the state of all zones has been obtained from the key-value service
-  // or from a peer. Before, no request may be admitted.
+  // or from a peer.
   bool IsKnown() const { return is_known_; }
+  // Whether requests may be admitted: the state of all zones is known, and the
+  // key-value service or a peer has recently been in contact and would have
+  // reported a newer one. An instance that has no peers stays usable.
+  bool IsUsable(time_point now) const;
   // Calls `listener` after each change of an evacuation.
   void Subscribe(std::function<void()> listener) {
     listeners_.push_back(std::move(listener));
@@ -84,6 +89,7 @@
   const upstream_directory* directory_ = nullptr;
   evacuation_set evacuations_;
   bool is_known_ = false;
+  std::optional<time_point> read_at_;   // the last successful read
   std::int64_t seen_mod_revision_ = 0;  // of the key-value service, last read
   std::vector<std::function<void()>> listeners_;
 };
--- a/src/services/lifecycle_service.cc
+++ b/src/services/lifecycle_service.cc
@@ -36,7 +36,7 @@
 }
 
 bool lifecycle_service::IsUsable(time_point now) const {
-  return config_->IsUsable(now) && evacuations_->IsKnown();
+  return config_->IsUsable(now) && evacuations_->IsUsable(now);
 }
 
 void lifecycle_service::Drain() {
