Hold queued requests back while an instance has no contact

An instance that is cut off stops admitting requests after 3 s, but placed those that it had admitted before, and their retries, for as long as their deadlines allow: possibly in a zone that was evacuated meanwhile. The dispatcher now places nothing until the key-value service or a peer has been in contact again.

--- a/src/services/dispatcher.cc
+++ b/src/services/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "src/services/dispatcher.h"
 
 #include "src/services/config_service.h"
+#include "src/services/evacuation_service.h"
 #include "src/services/membership_service.h"
 
 namespace cactusward {
@@ -33,6 +34,8 @@
 
 void dispatcher::Start() {
   config_ = runtime_.registry.Find<config_service>(kConfigServiceName);
+  evacuations_ =
+      runtime_.registry.Find<evacuation_service>(kEvacuationServiceName);
   directory_ =
       runtime_.registry.Find<upstream_directory>(kDirectoryServiceName);
   auto* membership =
@@ -62,6 +65,10 @@
     return nullptr;
   }
   const time_point now = clock::now();
+  // Requests that were admitted before the instance was cut off wait: a zone
+  // may have been evacuated meanwhile.
+  if (evacuations_ && !evacuations_->IsUsable(now))
+    return nullptr;
   const pool_view view(pool, now);
   const auto chosen =
       request.routing.isolated
