--- a/src/daemon/gateway.cc
+++ b/src/daemon/gateway.cc
@@ -44,12 +44,13 @@
           MakeCallerBounds(settings->caller_limits))),
       peers_(io, settings->peer_secret, this, callers_),
       config_(runtime_, &peers_),
+      evacuations_(runtime_, &peers_),
       membership_(runtime_),
       paths_(
           runtime_,
           &peers_,
           [this](const std::string& address) {
-            return directory_.IsUpstream(address);
+            return directory_.MayCarryTo(address);
           },
           [this] { return lifecycle_.draining(); },
           callers_),
@@ -61,12 +62,13 @@
       lifecycle_(runtime_, &server_),
       server_(io, this, http_server_limits(), callers_) {
   for (service* part :
-       {static_cast<service*>(&config_), static_cast<service*>(&membership_),
-        static_cast<service*>(&paths_), static_cast<service*>(&recovery_),
-        static_cast<service*>(&directory_), static_cast<service*>(&dispatcher_),
-        static_cast<service*>(&claims_), static_cast<service*>(&report_),
-        static_cast<service*>(&lifecycle_)})
+       {static_cast<service*>(&config_), static_cast<service*>(&evacuations_),
+        static_cast<service*>(&membership_), static_cast<service*>(&paths_),
+        static_cast<service*>(&recovery_), static_cast<service*>(&directory_),
+        static_cast<service*>(&dispatcher_), static_cast<service*>(&claims_),
+        static_cast<service*>(&report_), static_cast<service*>(&lifecycle_)})
     registry_.Add(part);
+  membership_.AddExtension(static_cast<gossip_extension*>(&evacuations_));
   client_.SetUpstreamConnector(&paths_);
   handlers_ = handler_services::FindIn(registry_);
   operator_api_ = std::make_unique<operator_api>(runtime_, handlers_);
@@ -111,6 +113,8 @@
           : std::string();
   if (op == "config_get")
     return reply({{"config", config_.tracker().Encoded()}});
+  if (op == "evacuations_get")
+    return reply(evacuations_.Snapshot());
   if (op != "claim")
     return reply({{"error", ErrorResponseFor(error_kind::kBadRequest).name}});
   Spawn(io_, "peer_claim",
@@ -130,8 +134,9 @@
                      ready ? "ready\n" : "not ready\n", deadline, yield);
   } else if (path == "/metrics") {
     exchange.Respond(200, "text/plain; version=0.0.4",
-                     report_.MetricsText() + callers_->MetricsText(), deadline,
-                     yield);
+                     report_.MetricsText() + evacuations_.MetricsText() +
+                         callers_->MetricsText(),
+                     deadline, yield);
   } else if (path.substr(0, kAdminPrefix.size()) == kAdminPrefix) {
     operator_api_->Handle(exchange, yield);
   } else {
--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -24,6 +24,7 @@
 constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr milliseconds kMaxIdleTime{10'000};
 constexpr milliseconds kConnectTimeout{1'000};
+constexpr const char* kNoLongerAccepts = "upstream no longer accepts requests";
 // Idle connections expire this long before the time announced by the peer: a
 // request in flight when the peer closes the connection would be lost.
 constexpr milliseconds kKeepAliveMargin{500};
@@ -428,8 +429,7 @@
   auto stream = std::make_unique<http_stream>(this, address,
                                               std::move(connected), cancel);
   if (request.may_send && !request.may_send())
-    return {error_kind::kUpstreamRefused,
-            "upstream no longer accepts requests"};
+    return {error_kind::kUpstreamRefused, kNoLongerAccepts};
   {
     const auto message = BuildMessage(address, request);
     tcp::socket* connection = stream->connection_->socket.get();
@@ -510,8 +510,7 @@
     connected = std::move(*opened);
   }
   if (options.may_send && !options.may_send())
-    return {error_kind::kUpstreamRefused,
-            "upstream no longer accepts requests"};
+    return {error_kind::kUpstreamRefused, kNoLongerAccepts};
   SetDeadPeerTimeout(*connected.socket, options.dead_peer_timeout,
                      message.body().size());
   auto stream = std::make_unique<http_stream>(this, address,
