--- a/tests/support/surge_model.h
+++ b/tests/support/surge_model.h
@@ -128,7 +128,7 @@
     int events_left = 0;
     double placed_ms = 0;
     double expected_first_event_ms = 0;
-    double slowdown = 1;  // in the expected time
+    double slowdown = 1;        // in the expected time
     double first_event_ms = 0;  // since its arrival
     double last_event_ms = 0;
     bool late = false;         // by the first event
