Bound unauthenticated connections at the ports between instances

Cause: an unauthenticated connection at the peer port could hold a frame of 4 MB and the fields of a handshake of 16,000 bytes without a time limit, and neither port bounded the number of such connections. The accept loop of websocketpp also retried at once without descriptors.

Change: unauthenticated_connections decides which connection is closed and when the next is accepted. Before its first valid frame a peer's connection may hold 4 KB of handshake and 128 KB of frame for 3 s; the tunnel port's limits are 4 KB and 1 s. Calls and tunnels are charged to the byte budget. Rejections are counted and logged as caller_rejected.

Unit tests: "peers are served alongside*", "a whole fleet connects*", "the oldest unauthenticated*", "a call after one that timed out*" 97 assertions and "*tunnel*" 28 assertions, all passed.

--- a/src/daemon/caller_bounds.cc
+++ b/src/daemon/caller_bounds.cc
@@ -15,6 +15,15 @@
 // A process with few descriptors still serves some callers.
 constexpr std::size_t kMinConnections = 16;
 
+// Of the descriptors that are not for callers, each of the two ports between
+// instances may take a quarter before authentication.
+constexpr std::size_t kUnauthenticatedDivisor = 4;
+constexpr std::size_t kMinUnauthenticated = 16;
+// A connection takes up to 128 KB, the largest first frame. A connection of a
+// peer authenticates in two round trips, so that a fleet that starts at once
+// soon gets its turn.
+constexpr std::size_t kMaxUnauthenticated = 64;
+
 }  // namespace
 
 caller_bounds MakeCallerBounds(const caller_limit_settings& settings,
@@ -37,6 +46,10 @@
   bounds.max_unread_response = settings.max_unread_response;
   bounds.trusted_addresses = {settings.trusted_addresses.begin(),
                               settings.trusted_addresses.end()};
+  bounds.max_unauthenticated =
+      std::clamp(static_cast<std::size_t>(settings.reserved_descriptors) /
+                     kUnauthenticatedDivisor,
+                 kMinUnauthenticated, kMaxUnauthenticated);
   return bounds;
 }
 
--- a/src/daemon/gateway.cc
+++ b/src/daemon/gateway.cc
@@ -40,7 +40,9 @@
       store_(&client_, settings->key_value),
       runtime_{io,      *settings, NewIncarnation(), timers_,
                client_, &store_,   registry_,        random_},
-      peers_(io, settings->peer_secret, this),
+      callers_(std::make_shared<caller_guard>(
+          MakeCallerBounds(settings->caller_limits))),
+      peers_(io, settings->peer_secret, this, callers_),
       config_(runtime_, &peers_),
       membership_(runtime_),
       paths_(
@@ -49,15 +51,14 @@
           [this](const std::string& address) {
             return directory_.IsUpstream(address);
           },
-          [this] { return lifecycle_.draining(); }),
+          [this] { return lifecycle_.draining(); },
+          callers_),
       recovery_(runtime_),
       directory_(runtime_),
       dispatcher_(runtime_),
       claims_(runtime_, &peers_),
       report_(runtime_),
       lifecycle_(runtime_, &server_),
-      callers_(std::make_shared<caller_guard>(
-          MakeCallerBounds(settings->caller_limits))),
       server_(io, this, http_server_limits(), callers_) {
   for (service* part :
        {static_cast<service*>(&config_), static_cast<service*>(&membership_),
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -51,6 +51,7 @@
   etcd_store store_;
   service_registry registry_;
   runtime runtime_;
+  std::shared_ptr<caller_guard> callers_;  // of all ports
   peer_link peers_;
   config_service config_;
   membership_service membership_;
@@ -63,7 +64,6 @@
   lifecycle_service lifecycle_;
   handler_services handlers_;
   std::unique_ptr<operator_api> operator_api_;
-  std::shared_ptr<caller_guard> callers_;
   http_server server_;
 };
 
--- a/src/edges/caller_guard.h
+++ b/src/edges/caller_guard.h
@@ -30,6 +30,8 @@
   milliseconds min_body_rate_window{10'000};
   milliseconds max_unread_response{30'000};  // 0: no limit
   std::set<std::string> trusted_addresses;   // without a limit per address
+  // Of each port between instances.
+  std::size_t max_unauthenticated = 64;
 
   friend bool operator==(const caller_bounds& a, const caller_bounds& b) {
     return a.budget == b.budget && a.max_connections == b.max_connections &&
@@ -39,7 +41,8 @@
            a.min_body_rate == b.min_body_rate &&
            a.min_body_rate_window == b.min_body_rate_window &&
            a.max_unread_response == b.max_unread_response &&
-           a.trusted_addresses == b.trusted_addresses;
+           a.trusted_addresses == b.trusted_addresses &&
+           a.max_unauthenticated == b.max_unauthenticated;
   }
 };
 
@@ -109,6 +112,8 @@
 
   // Counts a refused request or a closed connection, and logs it.
   void Reject(std::string_view cause, const std::string& address);
+  // For what peers hold. Valid as long as the guard.
+  byte_budget& budget() { return budget_; }
   std::size_t bytes() const { return budget_.used(); }
   std::size_t connections() const { return connections_.size(); }
   // In the Prometheus text format.
--- a/src/edges/peer_link.h
+++ b/src/edges/peer_link.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "cactusward/result.h"
+#include "src/edges/caller_guard.h"
 #include "src/edges/net.h"
 
 namespace cactusward {
@@ -25,8 +26,13 @@
 // Client and server side of the calls between instances. Not thread-safe.
 class peer_link {
  public:
+  // @param callers bounds unauthenticated connections and the bytes of calls
+  //     that are being handled; null: the defaults of caller_bounds.
   // Precondition: `io` and `handler` outlive the link.
-  peer_link(asio::io_context& io, std::string secret, peer_handler* handler);
+  peer_link(asio::io_context& io,
+            std::string secret,
+            peer_handler* handler,
+            std::shared_ptr<caller_guard> callers = nullptr);
   ~peer_link();
 
   // @return false when `address` is malformed or cannot be bound.
--- a/src/edges/tunnel.cc
+++ b/src/edges/tunnel.cc
@@ -29,6 +29,10 @@
 // Tunnels have no length: their peers buffer only a part.
 constexpr std::size_t kUnboundedBytes = std::numeric_limits<std::size_t>::max();
 constexpr std::size_t kBufferBytes = 16ULL * 1024;
+// The request of a peer takes about 200 bytes.
+constexpr std::size_t kMaxRequestBytes = 4ULL * 1024;
+// Two buffers, the touched parts of two stacks, sockets and records.
+constexpr std::size_t kTunnelBytes = 64ULL * 1024;
 // A small part of the connections that an instance may have.
 constexpr int kMaxTunnels = 600;
 // How long the end of a tunnel is remembered, and at most how many.
@@ -90,6 +94,33 @@
   }
 }
 
+// A connection in the list of unauthenticated ones, for a scope.
+class unauthenticated_entry {
+ public:
+  unauthenticated_entry(std::shared_ptr<unauthenticated_connections> list,
+                        const std::shared_ptr<caller_guard>& callers,
+                        const std::shared_ptr<tcp::socket>& peer,
+                        const std::string& address)
+      : list_(std::move(list)) {
+    id_ = list_->Add(
+        [callers, peer, address](std::string_view cause) {
+          callers->Reject(cause, address);
+          boost::system::error_code ignored;
+          peer->close(ignored);
+        },
+        clock::now());
+  }
+  ~unauthenticated_entry() { Remove(); }
+  unauthenticated_entry(const unauthenticated_entry&) = delete;
+  unauthenticated_entry& operator=(const unauthenticated_entry&) = delete;
+
+  bool Remove() { return list_->Remove(id_); }
+
+ private:
+  std::shared_ptr<unauthenticated_connections> list_;
+  unauthenticated_connections::connection_id id_ = 0;
+};
+
 }  // namespace
 
 std::string_view NameOf(tunnel_outcome outcome) {
@@ -163,12 +194,20 @@
 tunnel_server::tunnel_server(asio::io_context& io,
                              std::string secret,
                              direct_connector* direct,
-                             tunnel_policy* policy)
+                             tunnel_policy* policy,
+                             std::shared_ptr<caller_guard> callers)
     : io_(io),
       secret_(std::move(secret)),
       direct_(direct),
       policy_(policy),
-      acceptor_(io) {}
+      callers_(callers ? std::move(callers)
+                       : std::make_shared<caller_guard>(caller_bounds())),
+      acceptor_(io) {
+  unauthenticated_limits limits;
+  limits.max_connections = callers_->bounds().max_unauthenticated;
+  limits.timeout = kRequestTimeout;
+  unauthenticated_ = std::make_shared<unauthenticated_connections>(limits);
+}
 
 bool tunnel_server::Listen(const std::string& address) {
   const auto endpoint = ParseTcpEndpoint(address);
@@ -195,6 +234,10 @@
 
 void tunnel_server::Accept(asio::yield_context yield) {
   while (acceptor_.is_open()) {
+    if (const auto wait_until = unauthenticated_->MakeRoom(clock::now())) {
+      Sleep(io_, *wait_until - clock::now(), yield);
+      continue;
+    }
     auto socket = std::make_shared<tcp::socket>(io_);
     boost::system::error_code error;
     acceptor_.async_accept(*socket, yield[error]);
@@ -213,23 +256,40 @@
                           asio::yield_context yield) {
   boost::system::error_code error;
   peer->set_option(tcp::no_delay(true), error);
-  boost::beast::flat_buffer buffer;
+  // Members must not be used by what the coroutine destroys at its end.
+  const auto callers = callers_;
+  const auto address = peer->remote_endpoint(error).address().to_string();
+  unauthenticated_entry entry(unauthenticated_, callers, peer, address);
+  boost::beast::flat_buffer buffer(kMaxRequestBytes);
   http::request_parser<http::empty_body> parser;
+  parser.header_limit(kMaxRequestBytes);
   {
     deadline_guard guard(peer.get(), clock::now() + kRequestTimeout);
     http::async_read_header(*peer, buffer, parser, yield[error]);
+    if (guard.expired() && entry.Remove())
+      callers->Reject("authentication_timeout", address);
   }
-  if (error)
+  if (error) {
+    if (entry.Remove() && error != http::error::end_of_stream)
+      callers->Reject("unauthenticated", address);
     return;
+  }
   const http::request<http::empty_body> request = parser.release();
   const std::string upstream(ToView(request.target()));
   const std::string id(ToView(request[kIdField]));
   const bool authentic =
       request.method() == http::verb::connect &&
       EqualConstantTime(ToView(request[kTagField]), Tag(secret_, upstream, id));
+  byte_budget::lease lease(&callers->budget());
+  if (authentic)
+    entry.Remove();
+  else
+    callers->Reject("unauthenticated", address);
   tunnel_outcome outcome = tunnel_outcome::kDenied;
   std::shared_ptr<tcp::socket> target;
-  if (authentic && open_ < kMaxTunnels && policy_->MayOpen(upstream)) {
+  // A peer that is denied a tunnel asks another one.
+  if (authentic && open_ < kMaxTunnels && policy_->MayOpen(upstream) &&
+      lease.Resize(kTunnelBytes)) {
     auto connected = direct_->Connect(
         upstream, clock::now() + kUpstreamConnectTimeout, yield, nullptr);
     if (connected) {
--- a/src/edges/tunnel.h
+++ b/src/edges/tunnel.h
@@ -13,8 +13,10 @@
 #include <string>
 
 #include "cactusward/result.h"
+#include "src/edges/caller_guard.h"
 #include "src/edges/direct_connector.h"
 #include "src/edges/net.h"
+#include "src/edges/unauthenticated_connections.h"
 
 namespace cactusward {
 
@@ -59,11 +61,14 @@
 // Carries tunnels for peers. Not thread-safe.
 class tunnel_server {
  public:
+  // @param callers bounds unauthenticated connections and the bytes of tunnels;
+  //     null: the defaults of caller_bounds.
   // Precondition: `io`, `direct` and `policy` outlive the server.
   tunnel_server(asio::io_context& io,
                 std::string secret,
                 direct_connector* direct,
-                tunnel_policy* policy);
+                tunnel_policy* policy,
+                std::shared_ptr<caller_guard> callers = nullptr);
 
   // @return false when `address` is malformed or cannot be bound.
   bool Listen(const std::string& address);
@@ -80,6 +85,7 @@
   };
 
   void Accept(asio::yield_context yield);
+  // Reads the request of a peer, opens the tunnel and carries it.
   void Serve(const std::shared_ptr<tcp::socket>& peer,
              asio::yield_context yield);
   // Passes bytes on in both directions until one side ends.
@@ -93,6 +99,9 @@
   std::string secret_;
   direct_connector* direct_;
   tunnel_policy* policy_;
+  std::shared_ptr<caller_guard> callers_;
+  // Connections outlive the server when their coroutines are destroyed.
+  std::shared_ptr<unauthenticated_connections> unauthenticated_;
   tcp::acceptor acceptor_;
   int open_ = 0;
   std::deque<ended_tunnel> ended_by_upstream_;
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -42,7 +42,9 @@
       runtime_{io,      *settings, kFirstIncarnation, timers_,
                client_, nullptr,   registry_,         random_},
       adapter_(make_adapter(*settings->forwarding, &client_)),
-      peers_(io, settings->peer_secret, this),
+      callers_(std::make_shared<caller_guard>(
+          MakeCallerBounds(settings->caller_limits))),
+      peers_(io, settings->peer_secret, this, callers_),
       catalog_(runtime_, adapter_.catalog.get(), &peers_),
       membership_(runtime_),
       paths_(
@@ -51,15 +53,14 @@
           [this](const std::string& address) {
             return fleet_.MayCarryTo(address);
           },
-          [this] { return shutdown_.stopping(); }),
+          [this] { return shutdown_.stopping(); },
+          callers_),
       recovery_(runtime_),
       quarantine_(runtime_),
       fleet_(runtime_),
       dispatcher_(runtime_),
       report_(runtime_),
       monitor_(this),
-      callers_(std::make_shared<caller_guard>(
-          MakeCallerBounds(settings->caller_limits))),
       server_(io, this, http_server_limits(), callers_),
       readiness_server_(io, &monitor_, http_server_limits(), callers_),
       metrics_server_(io, &monitor_, http_server_limits(), callers_),
--- a/src/relay/relay_gateway.h
+++ b/src/relay/relay_gateway.h
@@ -67,6 +67,7 @@
   service_registry registry_;
   runtime runtime_;
   relay_adapter adapter_;
+  std::shared_ptr<caller_guard> callers_;  // of all ports
   peer_link peers_;
   catalog_service catalog_;
   membership_service membership_;
@@ -77,7 +78,6 @@
   relay_dispatcher dispatcher_;
   report_service report_;
   monitor monitor_;
-  std::shared_ptr<caller_guard> callers_;  // of all servers
   http_server server_;
   http_server readiness_server_;
   http_server metrics_server_;
--- a/src/services/path_service.cc
+++ b/src/services/path_service.cc
@@ -54,7 +54,8 @@
 path_service::path_service(runtime& runtime,
                            peer_link* peers,
                            std::function<bool(const std::string&)> is_upstream,
-                           std::function<bool()> is_stopping)
+                           std::function<bool()> is_stopping,
+                           std::shared_ptr<caller_guard> callers)
     : runtime_(runtime),
       peers_(peers),
       is_upstream_(std::move(is_upstream)),
@@ -63,7 +64,8 @@
       server_(runtime.io,
               runtime.settings.peer_secret,
               &runtime.client.direct(),
-              this) {}
+              this,
+              std::move(callers)) {}
 
 void path_service::Start() {
   membership_ =
--- a/src/services/path_service.h
+++ b/src/services/path_service.h
@@ -30,11 +30,13 @@
  public:
   // @param is_upstream whether an address is that of a registered upstream.
   // @param is_stopping whether this instance opens no more tunnels.
+  // @param callers bounds the connections at the port for tunnels.
   // Precondition: `peers` and what the functions refer to outlive the service.
   path_service(runtime& runtime,
                peer_link* peers,
                std::function<bool(const std::string&)> is_upstream,
-               std::function<bool()> is_stopping);
+               std::function<bool()> is_stopping,
+               std::shared_ptr<caller_guard> callers);
 
   std::string_view service_name() const override { return kPathServiceName; }
   void Start() override;
--- a/tests/scenarios/abuse_config.lua
+++ b/tests/scenarios/abuse_config.lua
@@ -107,7 +107,8 @@
   return { with_length(target, #text) .. text }
 end })
 -- Without a whole head, targets of one address are the same.
-local kAddresses = { model = true, readiness = true, metrics = true, ["peers' port"] = true }
+local kAddresses = { model = true, readiness = true, metrics = true, ["peers' port"] = true,
+                     ["tunnels' port"] = true }
 add("silent", kConnections, { only = kAddresses, send = function() return {} end })
 add("silent_of_one_address", kConnections, { only = kAddresses,
     limits = { max_connections_per_address = 40 }, send = function() return {} end })
--- a/tests/scenarios/abuse_fleet.lua
+++ b/tests/scenarios/abuse_fleet.lua
@@ -12,8 +12,10 @@
 
 local kOwnFields = "Authorization: Bearer " .. own.key .. "\r\n"
 function stacks.own(form, caller_limits)
+  local tunnel_address = own.address()
   local fleet = own.start{ instances = 1, runners = 1, services = 1, instance = {
-      caller_limits = caller_limits, max_descriptors = form.descriptors } }
+      caller_limits = caller_limits, max_descriptors = form.descriptors,
+      tunnel_listen = tunnel_address } }
   local i = fleet.instances[1]
   local function target(name, path, address)
     return { name = name, path = path, address = address or i.address, fields = kOwnFields }
@@ -25,7 +27,8 @@
       target("no route", "/v2/anything"), target("readiness", "/readyz"),
       target("operators", "/v1/admin/config?base=0&author=x"),
       target("metrics", "/metrics") },
-    peers_port = target("peers' port", "/", i.listen_peer),
+    ports = { peers = target("peers' port", "/", i.listen_peer),
+              tunnels = target("tunnels' port", "/", tunnel_address) },
     restart = function() fleet:restart(i) end,
     ready = function() return fleet:wait_ready(kReadyMs) end,
     ordinary = function() return own.completion(i.address, "an ordinary prompt", 4) end }
@@ -47,7 +50,8 @@
                 target("no route", "/nowhere/x"),
                 target("readiness", "/readyz", i.ready),
                 target("metrics", "/metrics", i.metrics) },
-    peers_port = target("peers' port", "/", i.peer),
+    ports = { peers = target("peers' port", "/", i.peer),
+              tunnels = target("tunnels' port", "/", i.tunnel) },
     restart = function() fleet:start(i) end,
     ready = function() return fleet:wait_ready(kReadyMs) end,
     ordinary = function()
@@ -121,16 +125,16 @@
 
 local abuse = {}
 
--- Runs the form `name` against the targets of both stacks; `peers_port`: against the
--- peers' port only.
-function abuse.run(name, peers_port)
+-- Runs the form `name` against the targets of both stacks; `port` ("peers" or
+-- "tunnels"): against that port between instances only.
+function abuse.run(name, port)
   local form = forms[name]
   local caller_limits = { memory_mb = form.memory_mb, reserved_descriptors = form.reserved }
   for key, value in pairs(form.limits or {}) do caller_limits[key] = value end
   for _, stack_name in ipairs{ "own", "relay" } do
     local stack = stacks[stack_name](form, caller_limits)
     local first = true
-    for _, target in ipairs(peers_port and { stack.peers_port } or stack.targets) do
+    for _, target in ipairs(port and { stack.ports[port] } or stack.targets) do
       if not form.only or form.only[target.name] then
         if not first then
           signal(stack.instance.pid, "KILL")
--- a/tests/scenarios/abuse_peers_port.lua
+++ b/tests/scenarios/abuse_peers_port.lua
@@ -6,5 +6,5 @@
                        "trailer_fields", "extension_of_one_chunk",
                        "extensions_of_all_chunks", "pipelining", "byte_a_second", "silent",
                        "silent_of_one_address", "half_a_head" } do
-  abuse.run(form, true)
+  abuse.run(form, "peers")
 end
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -151,7 +151,7 @@
 end
 
 -- Options: key_value, advertise, name, drain_grace_ms,
--- drain_limit_ms, listen, peer, caller_limits, max_descriptors.
+-- drain_limit_ms, listen, peer, tunnel_listen, caller_limits, max_descriptors.
 function fleet_class:add_instance(options)
   options = options or {}
   self.count = (self.count or 0) + 1
@@ -162,6 +162,7 @@
   local settings = {
     instance = instance.name, availability_zone = options.zone or "brno",
     listen = instance.address, peer_listen = instance.listen_peer,
+    tunnel_listen = options.tunnel_listen,
     peer_advertise = instance.peer,
     platform = { key_value = options.key_value or self.platform,
                  instance_list = options.instance_list or self.platform },
