Admission queue of the forwarding stack

Cause: relay_dispatcher ordered the queue by priority and objective alone, held prompts for their whole queue time that nothing could take, and told refused callers the mean backlog of all engines, also of other services.

Change: admission_queue (no network, no clock) orders waiting requests, decides whether one may wait, and computes the time to retry after from what is queued ahead, pending prefill and KV memory. The surge model has a queue and callers that return once.

Tests changed: the settings of deployment A in surge_test.cc moved to a function, unchanged.

--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -140,6 +140,9 @@
   settings.zone_preference =
       ReadMilliseconds(reader, "zone_preference_ms", settings.zone_preference,
                        kMaxForwardingTime);
+  settings.refuse_on_arrival =
+      reader.Boolean("refuse_on_arrival", settings.refuse_on_arrival);
+  settings.fair_queue = reader.Boolean("fair_queue", settings.fair_queue);
   reader.RejectUnknownFields();
   return settings;
 }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -37,6 +37,11 @@
   bool ramp_up = true;
   // By how much an engine of another availability zone must be quicker.
   milliseconds zone_preference{20};
+  // Whether requests that cannot be placed before they would leave the queue
+  // are refused on arrival.
+  bool refuse_on_arrival = false;
+  // Whether waiting requests are ordered by the shares of organisations.
+  bool fair_queue = false;
 
   friend bool operator==(const forwarding_settings& a,
                          const forwarding_settings& b) {
@@ -46,7 +51,9 @@
            a.source_address == b.source_address && a.retries == b.retries &&
            a.reregistration_grace == b.reregistration_grace &&
            a.max_reservation == b.max_reservation && a.cold == b.cold &&
-           a.ramp_up == b.ramp_up && a.zone_preference == b.zone_preference;
+           a.ramp_up == b.ramp_up && a.zone_preference == b.zone_preference &&
+           a.refuse_on_arrival == b.refuse_on_arrival &&
+           a.fair_queue == b.fair_queue;
   }
 };
 
--- a/src/relay/relay_dispatcher.cc
+++ b/src/relay/relay_dispatcher.cc
@@ -4,6 +4,7 @@
 
 #include "src/kernel/log.h"
 #include "src/relay/catalog_service.h"
+#include "src/relay/dispatch_log.h"
 
 namespace cactusward {
 namespace {
@@ -15,13 +16,8 @@
 constexpr milliseconds kDispatchPeriod{40};
 // The strictest event gap assumed when no route of the service states one.
 constexpr double kDefaultMaxEventGapMs = 250;
-// Bounds of the Retry-After delay: at least a few load report intervals, and
-// well below the deadlines in use.
-constexpr milliseconds kMinRetryAfter{300};
-constexpr milliseconds kMaxRetryAfter{4'000};
-// Bounds of the log of requests that were not placed.
+// Bounds of the log of requests that were not placed, or refused on arrival.
 constexpr milliseconds kNotPlacedLogInterval{100};
-constexpr std::size_t kMaxLoggedUpstreams = 8;
 // A route without an upstream is logged at most this often.
 constexpr milliseconds kWithoutUpstreamLogInterval{10'000};
 // A call goes to another availability zone if an upstream there has this many
@@ -57,37 +53,6 @@
 
 }  // namespace
 
-relay_assignment::~relay_assignment() {
-  load_tracker& tracker = fleet_->tracker();
-  tracker.End(primary.tracking_id);
-  for (const target& helper : helpers)
-    tracker.End(helper.tracking_id);
-  fleet_->OnLoadChanged(urgent_ ? report_urgency::kSoon
-                                : report_urgency::kLater);
-}
-
-bool relay_assignment::TargetsAcceptRequests() const {
-  const time_point now = clock::now();
-  return fleet_->AcceptsRequests(*primary.upstream, now) &&
-         std::all_of(helpers.begin(), helpers.end(),
-                     [this, now](const target& helper) {
-                       return fleet_->AcceptsRequests(*helper.upstream, now);
-                     });
-}
-
-void relay_assignment::EndPrefill() {
-  if (!prefilling_)
-    return;
-  prefilling_ = false;
-  load_tracker& tracker = fleet_->tracker();
-  tracker.EndPrefill(primary.tracking_id);
-  for (const target& helper : helpers)
-    tracker.EndPrefill(helper.tracking_id);
-  // Peers deduct a short prefill by the age of their report.
-  if (urgent_)
-    fleet_->OnLoadChanged(report_urgency::kSoon);
-}
-
 void relay_dispatcher::Start() {
   catalog_ = runtime_.registry.Find<catalog_service>(kCatalogServiceName);
   fleet_ = runtime_.registry.Find<fleet_service>(kFleetServiceName);
@@ -106,7 +71,8 @@
 }
 
 placement_settings relay_dispatcher::PlacementSettings(
-    const std::string& service) const {
+    const placement_demand& demand,
+    time_point now) const {
   placement_settings settings;
   settings.strictest_event_gap_ms = 0;
   const auto config = catalog_->Config();
@@ -114,7 +80,7 @@
     const double max_gap_ms = static_cast<double>(route.max_event_gap.count());
     const bool serves = std::any_of(
         route.services.begin(), route.services.end(),
-        [&service](const auto& part) { return part.service == service; });
+        [&demand](const auto& part) { return part.service == demand.service; });
     if (!serves || max_gap_ms <= 0)
       continue;
     if (settings.strictest_event_gap_ms == 0 ||
@@ -123,6 +89,10 @@
   }
   if (settings.strictest_event_gap_ms == 0)
     settings.strictest_event_gap_ms = kDefaultMaxEventGapMs;
+  settings.peers_unknown = fleet_->PeerLoadsUnknown(now);
+  settings.zone_preference_ms = static_cast<double>(
+      runtime_.settings.forwarding->zone_preference.count());
+  settings.max_helper_entries = demand.max_helper_entries;
   return settings;
 }
 
@@ -175,17 +145,11 @@
   return assignment;
 }
 
-std::unique_ptr<relay_assignment> relay_dispatcher::TryAssignPrompt(
+std::vector<engine_view> relay_dispatcher::EngineViews(
     const placement_demand& demand,
-    const engine_parameters& engine,
-    time_point now) {
+    time_point now) const {
   const auto& upstreams = fleet_->Upstreams(demand.service);
   const auto& loads = fleet_->tracker().Loads(now);
-  placement_settings settings = PlacementSettings(demand.service);
-  settings.peers_unknown = fleet_->PeerLoadsUnknown(now);
-  settings.zone_preference_ms = static_cast<double>(
-      runtime_.settings.forwarding->zone_preference.count());
-  settings.max_helper_entries = demand.max_helper_entries;
   std::vector<engine_view> engines;
   engines.reserve(upstreams.size());
   for (const auto& upstream : upstreams) {
@@ -200,6 +164,16 @@
       view.load = found->second;
     engines.push_back(view);
   }
+  return engines;
+}
+
+std::unique_ptr<relay_assignment> relay_dispatcher::TryAssignPrompt(
+    const placement_demand& demand,
+    const engine_parameters& engine,
+    time_point now) {
+  const auto& upstreams = fleet_->Upstreams(demand.service);
+  const placement_settings settings = PlacementSettings(demand, now);
+  const std::vector<engine_view> engines = EngineViews(demand, now);
   prompt_request request = *demand.prompt;
   request.objective_ms = MsUntil(demand.objective_at, now);
   request.caller_timeout_ms = MsUntil(demand.caller_timeout_at, now);
@@ -254,18 +228,60 @@
   return TryAssignPrompt(demand, *engine, now);
 }
 
-milliseconds relay_dispatcher::RetryAfter(const placement_demand& demand,
-                                          time_point now) const {
-  // The pending prefill of all upstreams, divided by the number of upstreams of
-  // this service. Requests queued here are not included.
-  double backlog = 0;
-  for (const auto& [key, load] : fleet_->tracker().Loads(now))
-    backlog += static_cast<double>(load.prefill_ms);
-  const auto& upstreams = fleet_->Upstreams(demand.service);
-  if (!upstreams.empty())
-    backlog /= static_cast<double>(upstreams.size());
-  return std::clamp(milliseconds(static_cast<std::int64_t>(backlog)),
-                    kMinRetryAfter, kMaxRetryAfter);
+std::optional<admission_view> relay_dispatcher::AdmissionView(
+    const placement_demand& demand,
+    std::uint64_t id,
+    time_point now) const {
+  const engine_parameters* engine = FindEngine(demand.service);
+  if (!engine || !demand.prompt)
+    return std::nullopt;
+  admission_view view;
+  view.parameters = *engine;
+  view.placement = PlacementSettings(demand, now);
+  view.prompt = *demand.prompt;
+  view.prompt.objective_ms = MsUntil(demand.objective_at, now);
+  view.prompt.caller_timeout_ms = MsUntil(demand.caller_timeout_at, now);
+  view.decode_passes = DecodePasses(*engine, demand.prompt->max_output_tokens);
+  view.engines = EngineViews(demand, now);
+  view.ahead = queue_.WorkAhead(id, now);
+  return view;
+}
+
+milliseconds relay_dispatcher::RetryTime(const waiter& waiting,
+                                         time_point now) const {
+  auto view = AdmissionView(*waiting.demand, waiting.id, now);
+  if (!view)
+    return kMinRetryAfter;
+  // The objective of the repeated request begins anew.
+  view->prompt.objective_ms =
+      MsUntil(waiting.demand->objective_at, waiting.arrived_at);
+  return RetryAfter(RoomAfterMs(*view), runtime_.random());
+}
+
+bool relay_dispatcher::IsRefusedOnArrival(const waiter& waiting,
+                                          dispatch_failure* reason,
+                                          time_point now) {
+  const placement_demand& demand = *waiting.demand;
+  // A request that was sent before may have run.
+  if (!queue_.settings().refuse_on_arrival || !demand.tried_upstreams.empty())
+    return false;
+  const auto view = AdmissionView(demand, waiting.id, now);
+  if (!view || HasSpareRoom(*view) ||
+      ExpectedWaitMs(*view, MsUntil(demand.queue_deadline, now)))
+    return false;
+  const double room_ms = RoomAfterMs(*view);
+  *reason = {error_kind::kQueueFull, RetryAfter(room_ms, runtime_.random())};
+  ++refused_on_arrival_;
+  if (now - refused_logged_at_ >= kNotPlacedLogInterval) {
+    refused_logged_at_ = now;
+    Log(log_level::kInfo, "request_refused_on_arrival",
+        {{"route", demand.route},
+         {"organisation", demand.organisation},
+         {"prompt_tokens", demand.prompt->prompt_tokens},
+         {"expected_wait_ms", room_ms},
+         {"retry_after_ms", reason->retry_after.count()}});
+  }
+  return true;
 }
 
 bool relay_dispatcher::IsHeldBack(const placement_demand& demand,
@@ -293,20 +309,7 @@
   if (upstreams.empty())
     return false;
   reason->retry_after = RetryAfterEnd(EarliestEnd(upstreams), now);
-  auto described = nlohmann::json::array();
-  for (const fleet_service::held_back& upstream : upstreams)
-    described.push_back(
-        {{"upstream", upstream.upstream},
-         {"backs_off", upstream.backs_off},
-         {"cold", upstream.is_cold},
-         {"per_second", upstream.per_second.value_or(-1)},
-         {"age_ms", ToMilliseconds(upstream.age)},
-         {"wait_ms",
-          upstream.until ? ToMilliseconds(*upstream.until - now) : -1}});
-  Log(log_level::kInfo, "request_held_back",
-      {{"service", demand.service},
-       {"retry_after_ms", reason->retry_after.count()},
-       {"upstreams", std::move(described)}});
+  LogHeldBack(demand, upstreams, reason->retry_after, now);
   return true;
 }
 
@@ -358,37 +361,87 @@
     dispatch_failure* reason,
     asio::yield_context yield) {
   const time_point now = clock::now();
-  if (auto assignment = TryAssign(demand, now))
-    return assignment;
-  *reason = {error_kind::kNoUpstream, RetryAfter(demand, now)};
-  if (demand.queue_deadline <= now || IsHeldBack(demand, reason, now))
-    return nullptr;
+  // In a fair queue, a request does not overtake those that wait.
+  if (!queue_.settings().fair_queue || waiters_.empty()) {
+    if (auto assignment = TryAssign(demand, now))
+      return assignment;
+  }
   waiter self(runtime_.io, &demand);
-  waiters_.push_back(&self);
-  cancel->OnCancel([&self] { self.timer.cancel(); });
+  Enqueue(&self, now);
+  if (!self.assignment)
+    Wait(&self, cancel, reason, yield);
+  Dequeue(self);
+  return std::move(self.assignment);
+}
+
+void relay_dispatcher::Wait(waiter* self,
+                            cancel_token* cancel,
+                            dispatch_failure* reason,
+                            asio::yield_context yield) {
+  const placement_demand& demand = *self->demand;
+  reason->kind = error_kind::kNoUpstream;
+  if (demand.queue_deadline <= self->arrived_at) {
+    // Only a request that was not sent yet is answered with this time.
+    reason->retry_after = demand.tried_upstreams.empty()
+                              ? RetryTime(*self, self->arrived_at)
+                              : kMinRetryAfter;
+    return;
+  }
+  if (IsHeldBack(demand, reason, self->arrived_at) ||
+      IsRefusedOnArrival(*self, reason, self->arrived_at))
+    return;
+  cancel->OnCancel([self] { self->timer.cancel(); });
   ScheduleDispatch();
   bool held_back = false;
-  while (!self.assignment && !cancel->cancelled() && !held_back &&
+  while (!self->assignment && !cancel->cancelled() && !held_back &&
          clock::now() < demand.queue_deadline &&
          !(demand.is_refused && demand.is_refused())) {
-    WaitOn(self.timer,
+    WaitOn(self->timer,
            std::min(demand.queue_deadline, clock::now() + kDispatchPeriod),
            yield);
-    held_back = !self.assignment && IsHeldBack(demand, reason, clock::now());
+    held_back = !self->assignment && IsHeldBack(demand, reason, clock::now());
     ScheduleDispatch();
   }
   cancel->OnCancel({});
-  waiters_.remove(&self);
-  if (self.assignment)
-    return std::move(self.assignment);
-  if (held_back)
-    return nullptr;
+  if (self->assignment || held_back)
+    return;
   reason->kind =
       cancel->cancelled() ? error_kind::kCallerGone : error_kind::kQueueFull;
-  reason->retry_after = RetryAfter(demand, clock::now());
-  if (!cancel->cancelled())
-    LogNotPlaced(demand, clock::now());
-  return nullptr;
+  if (cancel->cancelled())
+    return;
+  reason->retry_after = RetryTime(*self, clock::now());
+  const time_point end = clock::now();
+  if (end - not_placed_logged_at_ < kNotPlacedLogInterval)
+    return;
+  not_placed_logged_at_ = end;
+  LogNotPlaced(demand, fleet_, waiters_.size(), end);
+}
+
+void relay_dispatcher::Enqueue(waiter* waiting, time_point now) {
+  const placement_demand& demand = *waiting->demand;
+  waiting_request request;
+  request.service = demand.service;
+  request.organisation = demand.organisation;
+  request.priority = demand.priority;
+  request.arrived_at = now;
+  request.objective_at = demand.objective_at;
+  request.leaves_at = demand.queue_deadline;
+  const engine_parameters* engine = FindEngine(demand.service);
+  if (engine && demand.prompt) {
+    request.work_ms = PrefillMs(*engine, demand.prompt->prompt_tokens);
+    request.kv_tokens =
+        demand.prompt->prompt_tokens + demand.prompt->max_output_tokens;
+  }
+  waiting->arrived_at = now;
+  waiting->id = queue_.Add(request);
+  waiters_[waiting->id] = waiting;
+  if (queue_.settings().fair_queue && waiters_.size() > 1)
+    DispatchQueued();
+}
+
+void relay_dispatcher::Dequeue(const waiter& waiting) {
+  queue_.Remove(waiting.id);
+  waiters_.erase(waiting.id);
 }
 
 void relay_dispatcher::RecordComposedRejection(const nlohmann::json& sent) {
@@ -396,46 +449,6 @@
   Log(log_level::kError, "composed_request_rejected", sent);
 }
 
-void relay_dispatcher::LogNotPlaced(const placement_demand& demand,
-                                    time_point now) {
-  if (now - not_placed_logged_at_ < kNotPlacedLogInterval)
-    return;
-  not_placed_logged_at_ = now;
-  const auto& loads = fleet_->tracker().Loads(now);
-  std::map<std::string_view, int> uses;
-  auto described = nlohmann::json::array();
-  for (const auto& upstream : fleet_->Upstreams(demand.service)) {
-    const std::string_view use =
-        demand.tried_upstreams.count(upstream->entry.id) > 0
-            ? "tried"
-            : fleet_->DescribeUse(*upstream, now);
-    ++uses[use];
-    if (described.size() == kMaxLoggedUpstreams)
-      continue;
-    const auto found = loads.find(upstream->key);
-    const upstream_load load =
-        found == loads.end() ? upstream_load() : found->second;
-    described.push_back({{"upstream", upstream->entry.id},
-                         {"use", use},
-                         {"running", load.running},
-                         {"interactive", load.interactive},
-                         {"prefill_ms", load.prefill_ms},
-                         {"kv_tokens", load.kv_tokens},
-                         {"slowdown", upstream->health.Slowdown(now)}});
-  }
-  auto counts = nlohmann::json::object();
-  for (const auto& [use, count] : uses)
-    counts[std::string(use)] = count;
-  Log(log_level::kInfo, "request_not_placed",
-      {{"service", demand.service},
-       {"prompt_tokens", demand.prompt ? demand.prompt->prompt_tokens : 0},
-       {"objective_ms", MsUntil(demand.objective_at, now)},
-       {"caller_timeout_ms", MsUntil(demand.caller_timeout_at, now)},
-       {"waiting", waiters_.size()},
-       {"uses", std::move(counts)},
-       {"upstreams", std::move(described)}});
-}
-
 void relay_dispatcher::ScheduleDispatch() {
   if (dispatch_scheduled_ || waiters_.empty())
     return;
@@ -450,25 +463,13 @@
 
 void relay_dispatcher::DispatchQueued() {
   const time_point now = clock::now();
-  // By priority, then by earliest objective.
-  std::vector<waiter*> order(waiters_.begin(), waiters_.end());
-  std::stable_sort(order.begin(), order.end(),
-                   [now](const waiter* a, const waiter* b) {
-                     if (a->demand->priority != b->demand->priority)
-                       return a->demand->priority < b->demand->priority;
-                     // Requests that have missed their objective come last.
-                     const bool a_late = a->demand->objective_at <= now;
-                     const bool b_late = b->demand->objective_at <= now;
-                     if (a_late != b_late)
-                       return b_late;
-                     return a->demand->objective_at < b->demand->objective_at;
-                   });
-  for (waiter* waiting : order) {
-    if (waiting->assignment)
-      continue;
+  for (const std::uint64_t id : queue_.Order(now)) {
+    waiter* waiting = waiters_.at(id);
     waiting->assignment = TryAssign(*waiting->demand, now);
-    if (waiting->assignment)
-      waiting->timer.cancel();
+    if (!waiting->assignment)
+      continue;
+    queue_.RemovePlaced(id, now);
+    waiting->timer.cancel();
   }
 }
 
--- a/src/relay/relay_dispatcher.h
+++ b/src/relay/relay_dispatcher.h
@@ -2,78 +2,20 @@
 #ifndef CACTUSWARD_SRC_RELAY_RELAY_DISPATCHER_H_
 #define CACTUSWARD_SRC_RELAY_RELAY_DISPATCHER_H_
 
-#include <functional>
-#include <list>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
-#include "cactusward/home_regions.h"
+#include "cactusward/admission_queue.h"
 #include "src/relay/fleet_service.h"
+#include "src/relay/placement_demand.h"
+#include "src/relay/relay_assignment.h"
 
 namespace cactusward {
 
 class catalog_service;
 
-// What a request needs of an upstream.
-struct placement_demand {
-  std::string route;  // its name, for logs
-  std::string service;
-  std::optional<prompt_request> prompt;  // empty: a call without a prompt
-  // The latest time at which the response meets its objective.
-  time_point objective_at;
-  // The caller abandons the request if no first event has arrived by then.
-  time_point caller_timeout_at;
-  // The request leaves the queue at this time.
-  time_point queue_deadline;
-  // Ids of the upstreams that must not be chosen again.
-  std::set<std::string> tried_upstreams;
-  int priority = 0;  // 0 is the most urgent
-  int max_helper_entries = composed_request_bound::kMaxHelperEntries;
-  home_regions homes;  // the regions of the upstreams that may be chosen
-  // Whether the request must not be sent any more: it then leaves the queue.
-  // Empty: it may be sent.
-  std::function<bool()> is_refused;
-};
-
-// The upstreams that a request is assigned to. Their load includes the request
-// until the assignment is destroyed.
-class relay_assignment {
- public:
-  struct target {
-    std::shared_ptr<fleet_upstream> upstream;
-    std::int64_t reserved_kv_tokens = 0;  // 0: no reservation is needed
-    std::uint64_t tracking_id = 0;
-  };
-
-  relay_assignment(fleet_service* fleet, bool urgent)
-      : fleet_(fleet), urgent_(urgent) {}
-  ~relay_assignment();
-  relay_assignment(const relay_assignment&) = delete;
-  relay_assignment& operator=(const relay_assignment&) = delete;
-
-  const std::shared_ptr<fleet_upstream>& upstream() const {
-    return primary.upstream;
-  }
-  // Whether all targets still accept requests. The assignment may be older than
-  // the announcement that a target leaves, or that it wants no requests.
-  bool TargetsAcceptRequests() const;
-  // Reports that prefill is complete on all targets. Idempotent.
-  void EndPrefill();
-
-  target primary;
-  std::vector<target> helpers;
-  double expected_first_event_ms = 0;  // 0 for a call without a prompt
-  double prefill_ms = 0;
-
- private:
-  fleet_service* fleet_;
-  bool urgent_;
-  bool prefilling_ = true;
-};
-
 // Why a request could not be assigned.
 struct dispatch_failure {
   error_kind kind = error_kind::kNoUpstream;
@@ -82,7 +24,10 @@
 
 class relay_dispatcher : public service {
  public:
-  explicit relay_dispatcher(runtime& runtime) : runtime_(runtime) {}
+  explicit relay_dispatcher(runtime& runtime)
+      : runtime_(runtime),
+        queue_({runtime.settings.forwarding->refuse_on_arrival,
+                runtime.settings.forwarding->fair_queue}) {}
 
   std::string_view service_name() const override {
     return kRelayDispatcherName;
@@ -100,6 +45,10 @@
   std::optional<milliseconds> HeldBackTime(const std::string& service,
                                            time_point now) const;
   std::size_t waiting() const { return waiters_.size(); }
+  std::map<int, std::size_t> WaitingByPriority() const {
+    return queue_.SizeByPriority();
+  }
+  int refused_on_arrival() const { return refused_on_arrival_; }
   // Counts and logs a request that an upstream rejected for what this instance
   // added to it. `sent`: what that was.
   void RecordComposedRejection(const nlohmann::json& sent);
@@ -110,6 +59,8 @@
     waiter(asio::io_context& io, const placement_demand* d)
         : demand(d), timer(io) {}
     const placement_demand* demand;
+    std::uint64_t id = 0;  // in the queue
+    time_point arrived_at;
     asio::steady_timer timer;
     std::unique_ptr<relay_assignment> assignment;
   };
@@ -136,11 +87,29 @@
   // Whether `upstream` may be chosen for the request at all.
   static bool IsEligible(const placement_demand& demand,
                          const fleet_upstream& upstream);
-  milliseconds RetryAfter(const placement_demand& demand, time_point now) const;
+  std::vector<engine_view> EngineViews(const placement_demand& demand,
+                                       time_point now) const;
+  // What admission knows of a request that waits with the id `id`; nullopt for
+  // a call.
+  std::optional<admission_view> AdmissionView(const placement_demand& demand,
+                                              std::uint64_t id,
+                                              time_point now) const;
+  // Waits for the assignment of a queued request.
+  void Wait(waiter* self,
+            cancel_token* cancel,
+            dispatch_failure* reason,
+            asio::yield_context yield);
+  // Adds a request to the queue, and places it if it is its turn.
+  void Enqueue(waiter* waiting, time_point now);
+  void Dequeue(const waiter& waiting);
+  // Whether the request would wait in vain. Logs and counts it if so.
+  bool IsRefusedOnArrival(const waiter& waiting,
+                          dispatch_failure* reason,
+                          time_point now);
+  milliseconds RetryTime(const waiter& waiting, time_point now) const;
   void LogWithoutUpstream(const placement_demand& demand, time_point now) const;
-  // Logs the state of the upstreams when a request leaves the queue unassigned.
-  void LogNotPlaced(const placement_demand& demand, time_point now);
-  placement_settings PlacementSettings(const std::string& service) const;
+  placement_settings PlacementSettings(const placement_demand& demand,
+                                       time_point now) const;
   const engine_parameters* FindEngine(const std::string& service) const;
   void ScheduleDispatch();
   void DispatchQueued();
@@ -148,7 +117,10 @@
   runtime& runtime_;
   catalog_service* catalog_ = nullptr;
   fleet_service* fleet_ = nullptr;
-  std::list<waiter*> waiters_;
+  admission_queue queue_;
+  std::map<std::uint64_t, waiter*> waiters_;  // by id in the queue
+  int refused_on_arrival_ = 0;
+  time_point refused_logged_at_;
   time_point not_placed_logged_at_;
   // By route.
   mutable std::map<std::string, time_point> without_upstream_logged_at_;
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -191,6 +191,8 @@
       << ToMilliseconds(stalls_.Total(clock::now())) << '\n'
       << "cactusward_in_progress " << server_.active() << '\n'
       << "cactusward_waiting_for_upstream " << dispatcher_.waiting() << '\n'
+      << "cactusward_refused_on_arrival " << dispatcher_.refused_on_arrival()
+      << '\n'
       << "cactusward_composed_requests_rejected "
       << dispatcher_.composed_requests_rejected() << '\n'
       << "cactusward_quarantines " << quarantine_.size() << '\n'
@@ -219,6 +221,9 @@
       << "cactusward_connections_opened " << client_.connections_opened()
       << '\n'
       << callers_->MetricsText();
+  for (const auto& [priority, count] : dispatcher_.WaitingByPriority())
+    out << "cactusward_queued{priority=\"" << priority << "\"} " << count
+        << '\n';
   return out.str();
 }
 
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -238,6 +238,7 @@
 placement_demand relay_request::MakeDemand() const {
   placement_demand demand;
   demand.route = route_->name;
+  demand.organisation = record_.organisation;
   demand.service = service_;
   demand.tried_upstreams = tried_upstreams_;
   demand.max_helper_entries = composed_bound_.max_helper_entries();
--- a/tests/support/surge_model.cc
+++ b/tests/support/surge_model.cc
@@ -20,6 +20,11 @@
 // Maximum prefill of one step, in tokens.
 constexpr double kPrefillTokensPerStep = 2'048;
 constexpr std::int64_t kMaxOutputTokens = 100;
+// Callers honour a time to retry after up to this share of the time left.
+constexpr double kMaxRetryShare = 1.0 / 3;
+// The part of a normal distribution beyond this many standard deviations is the
+// largest tenth.
+constexpr double kLargestTenthDeviations = 1.2816;
 constexpr double kBlockAtMs = 2'000;
 // Time in which all instances learn that engines have returned.
 constexpr double kLearnMs = 100;
@@ -34,9 +39,17 @@
 surge_model::surge_model(const surge_settings& settings, std::uint64_t seed)
     : settings_(settings),
       random_(seed),
+      arrival_random_(seed),
       engines_(static_cast<std::size_t>(settings.engines)),
       instances_(static_cast<std::size_t>(settings.instances)),
-      results_(settings.classes.size()) {}
+      results_(settings.classes.size()),
+      by_organisation_(settings.organisations.size()),
+      largest_(settings.classes.size()) {
+  if (!settings.admission)
+    return;
+  for (instance& each : instances_)
+    each.queue.emplace(*settings.admission);
+}
 
 void surge_model::Schedule(double ms, std::function<void()> action) {
   actions_.emplace(ms, std::move(action));
@@ -187,48 +200,189 @@
 void surge_model::Arrive(std::size_t kind) {
   const bool counted =
       now_ms_ >= settings_.counted_from_seconds * kMillisecondsPerSecond;
-  results_[kind].requests += counted ? 1 : 0;
-  TryPlace({kind, counted,
-            static_cast<std::size_t>(random_() % instances_.size()), now_ms_,
-            DrawTokens(settings_.classes[kind])});
+  // With admission, the same requests arrive whatever the settings are.
+  std::mt19937_64& draw = settings_.admission ? arrival_random_ : random_;
+  simulated_request request{
+      kind, counted, static_cast<std::size_t>(draw() % instances_.size()),
+      now_ms_, DrawTokens(settings_.classes[kind], draw)};
+  request.deadline_ms = settings_.classes[kind].deadline_ms;
+  if (!settings_.organisations.empty()) {
+    std::discrete_distribution<std::size_t> organisation(
+        settings_.organisations.begin(), settings_.organisations.end());
+    request.organisation = organisation(draw);
+  }
+  Count(request, &surge_result::requests);
+  if (settings_.admission)
+    Enter(request);
+  else
+    PlaceOrRetry(request);
 }
 
-void surge_model::TryPlace(const simulated_request& request) {
+void surge_model::Count(const simulated_request& request,
+                        int surge_result::*number) {
+  if (!request.counted)
+    return;
   const surge_class& kind = settings_.classes[request.kind];
-  load_tracker& tracker = instances_[request.instance_index].tracker;
+  ++(results_[request.kind].*number);
+  if (!by_organisation_.empty())
+    ++(by_organisation_[request.organisation].*number);
+  if (static_cast<double>(request.tokens) >
+      static_cast<double>(kind.prompt_tokens) *
+          std::exp(kLargestTenthDeviations * kind.log_stddev -
+                   kind.log_stddev * kind.log_stddev / 2))
+    ++(largest_[request.kind].*number);
+}
+
+std::vector<engine_view> surge_model::Views(const simulated_request& request) {
+  instance& at = instances_[request.instance_index];
   std::vector<engine_view> views(engines_.size());
-  const auto loads = tracker.Loads(Now());
+  const auto loads = at.tracker.Loads(Now());
   for (std::size_t i = 0; i < views.size(); ++i) {
     const auto found = loads.find(static_cast<std::uint32_t>(i));
     if (found != loads.end())
       views[i].load = found->second;
     views[i].usable = !IsMissing(i, request.instance_index);
-    views[i].max_running = instances_[request.instance_index]
-                               .ramp.Limit(static_cast<std::uint32_t>(i), Now())
-                               .value_or(0);
+    views[i].max_running =
+        at.ramp.Limit(static_cast<std::uint32_t>(i), Now()).value_or(0);
   }
-  const double waited = now_ms_ - request.arrived_ms;
+  return views;
+}
+
+placement_settings surge_model::Placement() const {
   placement_settings settings;
   settings.peers_unknown = now_ms_ < PeersKnownAt();
+  return settings;
+}
+
+prompt_request surge_model::Prompt(const simulated_request& request) const {
+  const surge_class& kind = settings_.classes[request.kind];
+  const double waited = now_ms_ - request.arrived_ms;
   prompt_request prompt;
   prompt.prompt_tokens = request.tokens;
   prompt.max_output_tokens = kMaxOutputTokens;
   prompt.max_event_gap_ms = kind.max_event_gap_ms;
   prompt.objective_ms = kind.objective_ms - waited;
   prompt.caller_timeout_ms =
-      std::min(kind.deadline_ms - waited,
+      std::min(request.deadline_ms - waited,
                std::max({kMinCallerTimeoutMs,
                          kind.objective_ms * kCallerTimeoutObjectives,
                          kind.max_event_gap_ms * kCallerTimeoutEventGaps}));
-  if (const auto placement = PlaceWithBestEffortFallback(
-          settings_.engine, settings, prompt, views, random_()))
-    return Place(request, *placement);
-  if (waited < kind.deadline_ms * kMaxWaitShare) {
+  return prompt;
+}
+
+bool surge_model::TryPlace(const simulated_request& request) {
+  const auto placement =
+      PlaceWithBestEffortFallback(settings_.engine, Placement(),
+                                  Prompt(request), Views(request), random_());
+  if (placement)
+    Place(request, *placement);
+  return placement.has_value();
+}
+
+void surge_model::PlaceOrRetry(const simulated_request& request) {
+  if (TryPlace(request))
+    return;
+  if (now_ms_ - request.arrived_ms < request.deadline_ms * kMaxWaitShare)
     Schedule(now_ms_ + kPlacementRetryMs,
-             [this, request] { TryPlace(request); });
+             [this, request] { PlaceOrRetry(request); });
+  else
+    Count(request, &surge_result::refused);
+}
+
+void surge_model::Enter(const simulated_request& request) {
+  instance& at = instances_[request.instance_index];
+  const surge_class& kind = settings_.classes[request.kind];
+  const double wait_ms = request.deadline_ms * kMaxWaitShare;
+  const bool fair = settings_.admission->fair_queue;
+  if ((!fair || at.waiting.empty()) && TryPlace(request)) {
+    if (request.returned)
+      Count(request, &surge_result::in_room);
     return;
   }
-  results_[request.kind].refused += request.counted ? 1 : 0;
+  const auto after = [this](double ms) {
+    return Now() + std::chrono::duration_cast<duration>(
+                       std::chrono::duration<double, std::milli>(ms));
+  };
+  waiting_request queued;
+  queued.organisation = std::to_string(request.organisation);
+  queued.priority = kind.priority;
+  queued.work_ms = PrefillMs(settings_.engine, request.tokens);
+  queued.kv_tokens = request.tokens + kMaxOutputTokens;
+  queued.arrived_at = Now();
+  queued.objective_at = after(kind.objective_ms);
+  queued.leaves_at = after(wait_ms);
+  const std::uint64_t id = at.queue->Add(queued);
+  at.waiting[id] = request;
+  if (fair && at.waiting.size() > 1) {
+    Dispatch(request.instance_index);
+    if (at.waiting.count(id) == 0)
+      return;
+  }
+  if (settings_.admission->refuse_on_arrival) {
+    const admission_view view = AdmissionView(request, id);
+    if (!HasSpareRoom(view) && !ExpectedWaitMs(view, wait_ms))
+      return Refuse(id, request);
+  }
+  ScheduleDispatch(request.instance_index);
+}
+
+void surge_model::ScheduleDispatch(std::size_t instance_index) {
+  instance& at = instances_[instance_index];
+  if (at.dispatch_scheduled || at.waiting.empty())
+    return;
+  at.dispatch_scheduled = true;
+  Schedule(now_ms_ + kPlacementRetryMs, [this, instance_index] {
+    instances_[instance_index].dispatch_scheduled = false;
+    Dispatch(instance_index);
+    ScheduleDispatch(instance_index);
+  });
+}
+
+void surge_model::Dispatch(std::size_t instance_index) {
+  instance& at = instances_[instance_index];
+  for (const std::uint64_t id : at.queue->Order(Now())) {
+    const simulated_request request = at.waiting.at(id);
+    if (TryPlace(request)) {
+      at.queue->RemovePlaced(id, Now());
+      at.waiting.erase(id);
+    } else if (now_ms_ - request.arrived_ms >=
+               request.deadline_ms * kMaxWaitShare) {
+      Count(request, &surge_result::held_in_vain);
+      Refuse(id, request);
+    }
+  }
+}
+
+admission_view surge_model::AdmissionView(const simulated_request& request,
+                                          std::uint64_t id) {
+  admission_view view;
+  view.parameters = settings_.engine;
+  view.placement = Placement();
+  view.prompt = Prompt(request);
+  view.decode_passes = settings_.classes[request.kind].events;
+  view.engines = Views(request);
+  view.ahead = instances_[request.instance_index].queue->WorkAhead(id, Now());
+  return view;
+}
+
+void surge_model::Refuse(std::uint64_t id, const simulated_request& request) {
+  instance& at = instances_[request.instance_index];
+  admission_view view = AdmissionView(request, id);
+  view.prompt.objective_ms = settings_.classes[request.kind].objective_ms;
+  at.queue->Remove(id);
+  at.waiting.erase(id);
+  const auto retry_ms =
+      static_cast<double>(RetryAfter(RoomAfterMs(view), random_()).count());
+  const double left = request.deadline_ms - (now_ms_ - request.arrived_ms);
+  if (request.returned || retry_ms > left * kMaxRetryShare)
+    return Count(request, &surge_result::refused);
+  simulated_request again = request;
+  again.returned = true;
+  again.arrived_ms = now_ms_ + retry_ms;
+  again.deadline_ms = left - retry_ms;
+  again.instance_index = random_() % instances_.size();
+  Count(again, &surge_result::returned);
+  Schedule(again.arrived_ms, [this, again] { Enter(again); });
 }
 
 void surge_model::Place(const simulated_request& request,
@@ -282,12 +436,13 @@
 }
 
 // Log-normal distribution, as observed within one class of prompts.
-std::int64_t surge_model::DrawTokens(const surge_class& kind) {
+std::int64_t surge_model::DrawTokens(const surge_class& kind,
+                                     std::mt19937_64& random) {
   std::lognormal_distribution<double> draw(
       std::log(static_cast<double>(kind.prompt_tokens)) -
           kind.log_stddev * kind.log_stddev / 2,
       kind.log_stddev);
-  return std::min(static_cast<std::int64_t>(draw(random_)),
+  return std::min(static_cast<std::int64_t>(draw(random)),
                   kind.max_prompt_tokens);
 }
 
@@ -364,8 +519,8 @@
   const simulated_request& request = decoding->request;
   const bool gap = now_ms_ - decoding->last_event_ms >
                    settings_.classes[request.kind].max_event_gap_ms;
-  if (request.counted && gap && !decoding->late)
-    ++results_[request.kind].late_by_gap;
+  if (gap && !decoding->late)
+    Count(request, &surge_result::late_by_gap);
   decoding->late = decoding->late || gap;
   decoding->last_event_ms = now_ms_;
 }
@@ -376,8 +531,8 @@
   const double first = now_ms_ - request.arrived_ms;
   done->last_event_ms = now_ms_;
   done->late = first > kind.objective_ms;
-  if (request.counted && done->late)
-    ++results_[request.kind].late;
+  if (done->late)
+    Count(request, &surge_result::late);
   RecordFirstEvent(*done);
   for (const std::uint64_t id : done->tracking_ids)
     instances_[request.instance_index].tracker.EndPrefill(id);
--- a/tests/support/surge_model.h
+++ b/tests/support/surge_model.h
@@ -10,9 +10,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <vector>
 
+#include "cactusward/admission_queue.h"
 #include "cactusward/engine_placement.h"
 #include "cactusward/load_tracker.h"
 #include "cactusward/report_pacer.h"
@@ -30,6 +32,7 @@
   double deadline_ms = 10'000;
   double max_event_gap_ms = 250;
   int events = 32;  // per response
+  int priority = 0;
   // Factors of the rate in successive phases of surge_settings::phase_seconds;
   // empty: a constant rate.
   std::vector<double> phases;
@@ -62,16 +65,26 @@
   double blocked_ms = 0;
   double peers_known_after_ms = 0;  // no load reports arrive before
   returning_engines returning;
+  // Requests wait in the queue of their instance, and callers that are refused
+  // return once. nullopt: each request is tried again on its own, and refused
+  // callers do not return.
+  std::optional<admission_settings> admission;
+  // Shares of the organisations in the requests; empty: there are none.
+  std::vector<double> organisations;
 };
 
 // Outcomes of the requests of one class.
 struct surge_result {
   int requests = 0;
   int refused = 0;
-  int late = 0;         // by the first event
-  int late_by_gap = 0;  // the first event was in time, a later one was not
+  int late = 0;          // by the first event
+  int late_by_gap = 0;   // the first event was in time, a later one was not
+  int held_in_vain = 0;  // left a queue unplaced, also if the caller returned
+  int returned = 0;      // refused, and sent again
+  int in_room = 0;       // placed at once when they were sent again
 
   // By the first event.
+  int served() const { return requests - refused; }
   int in_time() const { return requests - refused - late; }
   int in_time_throughout() const { return in_time() - late_by_gap; }
 };
@@ -91,6 +104,13 @@
 
   // @return results of each class, in the order of the settings.
   std::vector<surge_result> Run();
+  // Results of each organisation. Precondition: Run.
+  const std::vector<surge_result>& organisations() const {
+    return by_organisation_;
+  }
+  // Results of the largest tenth of the prompts of each class. Precondition:
+  // Run.
+  const std::vector<surge_result>& largest() const { return largest_; }
   // Number of load reports that the instances have sent. Precondition: Run.
   int reports() const { return reports_; }
   // Precondition: Run, and engines return.
@@ -103,6 +123,9 @@
     std::size_t instance_index = 0;  // index of the instance that received it
     double arrived_ms = 0;
     std::int64_t tokens = 0;
+    std::size_t organisation = 0;
+    double deadline_ms = 0;  // from `arrived_ms`
+    bool returned = false;   // it was refused before
   };
   // A placed request: prefilled in parts on its engines, decoded on one.
   struct job {
@@ -135,6 +158,9 @@
     upstream_ramp ramp;
     double report_at_ms = -1;  // -1: no report is scheduled
     report_pacer pacer;
+    std::optional<admission_queue> queue;
+    std::map<std::uint64_t, simulated_request> waiting;  // by id in the queue
+    bool dispatch_scheduled = false;
   };
 
   void Schedule(double ms, std::function<void()> action);
@@ -152,10 +178,24 @@
   // Draws the arrivals of a class.
   void ScheduleArrivals(std::size_t kind);
   void Arrive(std::size_t kind);
-  void TryPlace(const simulated_request& request);
+  void Count(const simulated_request& request, int surge_result::*number);
+  std::vector<engine_view> Views(const simulated_request& request);
+  prompt_request Prompt(const simulated_request& request) const;
+  placement_settings Placement() const;
+  // @return whether the request was placed.
+  bool TryPlace(const simulated_request& request);
+  void PlaceOrRetry(const simulated_request& request);
+  // The request is placed, waits in the queue of its instance or is refused.
+  void Enter(const simulated_request& request);
+  void Dispatch(std::size_t instance_index);
+  void ScheduleDispatch(std::size_t instance_index);
+  admission_view AdmissionView(const simulated_request& request,
+                               std::uint64_t id);
+  void Refuse(std::uint64_t id, const simulated_request& request);
   void Place(const simulated_request& request,
              const engine_placement& placement);
-  std::int64_t DrawTokens(const surge_class& kind);
+  static std::int64_t DrawTokens(const surge_class& kind,
+                                 std::mt19937_64& random);
   void BeginPass(std::size_t index);
   void EndPass(std::size_t index, const std::vector<part>& finished);
   // A request that decodes gets its next event.
@@ -167,6 +207,7 @@
 
   surge_settings settings_;
   std::mt19937_64 random_;
+  std::mt19937_64 arrival_random_;
   double now_ms_ = 0;
   double last_arrival_ms_ = 0;
   int reports_ = 0;
@@ -174,6 +215,8 @@
   std::vector<engine> engines_;
   std::vector<instance> instances_;
   std::vector<surge_result> results_;
+  std::vector<surge_result> by_organisation_;
+  std::vector<surge_result> largest_;
   returning_result returned_;
   // Since the engines returned: when requests were placed, and whether at one
   // of these engines.
--- a/tests/unit/surge_test.cc
+++ b/tests/unit/surge_test.cc
@@ -166,6 +166,120 @@
   }
 }
 
+// Bursts of long prompts beside short ones (deployment A).
+testing::surge_settings BurstsOfLongPrompts() {
+  testing::surge_settings bursts;
+  bursts.engine = testing::LargeFleetEngine();
+  bursts.engine.kv_capacity = 344'250;
+  bursts.engine.steps_per_pass = 38;
+  bursts.engine.step_ms = 1.31;
+  bursts.engine.prefill_tokens_per_second = 154'000;
+  bursts.engine.attention_ms_per_million_pairs = 0.162;
+  bursts.instances = 78;
+  bursts.engines = 78;
+  bursts.seconds = 30;
+  testing::surge_class short_prompts = ShortPrompts(93);
+  short_prompts.prompt_tokens = 4'960;
+  short_prompts.log_stddev = 0.9;
+  short_prompts.max_prompt_tokens = 23'800;
+  short_prompts.objective_ms = 250;
+  short_prompts.events = 36;
+  testing::surge_class long_prompts = LongPrompts(2.1);
+  long_prompts.prompt_tokens = 260'000;
+  long_prompts.objective_ms = 8'000;
+  long_prompts.phases = {1, 2.5};
+  bursts.classes = {short_prompts, MediumPrompts(11.3), long_prompts};
+  return bursts;
+}
+
+struct outcomes {
+  std::vector<testing::surge_result> kinds;
+  std::vector<testing::surge_result> largest;
+  std::vector<testing::surge_result> organisations;
+};
+
+// Adds results to a total, which is empty at first.
+void Add(const std::vector<testing::surge_result>& part,
+         std::vector<testing::surge_result>* total) {
+  total->resize(part.size());
+  for (std::size_t i = 0; i < part.size(); ++i) {
+    testing::surge_result& sum = (*total)[i];
+    sum.requests += part[i].requests;
+    sum.refused += part[i].refused;
+    sum.late += part[i].late;
+    sum.late_by_gap += part[i].late_by_gap;
+    sum.held_in_vain += part[i].held_in_vain;
+    sum.returned += part[i].returned;
+    sum.in_room += part[i].in_room;
+  }
+}
+
+outcomes RunBursts(const admission_settings& admission, int engines = 78) {
+  testing::surge_settings bursts = BurstsOfLongPrompts();
+  bursts.engines = engines;
+  bursts.classes[1].priority = 1;
+  bursts.classes[2].priority = 2;
+  bursts.organisations.assign(24, 1);
+  bursts.organisations[0] = 12;
+  bursts.organisations[1] = 6;
+  bursts.admission = admission;
+  outcomes total;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    testing::surge_model model(bursts, seed);
+    Add(model.Run(), &total.kinds);
+    Add(model.largest(), &total.largest);
+    Add(model.organisations(), &total.organisations);
+  }
+  return total;
+}
+
+// Failures in bursts of long prompts: a large organisation, urgent requests or
+// smaller prompts, which need fewer engines at once, crowd out others.
+TEST_CASE("in bursts of long prompts nobody starves in the queue", "[long]") {
+  const admission_settings settings =
+      GENERATE(values<admission_settings>({{false, true}, {true, true}}));
+  CAPTURE(settings.refuse_on_arrival);
+  const outcomes plain = RunBursts({});
+  const outcomes total = RunBursts(settings);
+  const auto& kinds = total.kinds;
+  testing::surge_result all;
+  for (std::size_t i = 0; i < kinds.size(); ++i) {
+    for (const auto* each : {&plain.kinds[i], &kinds[i]})
+      UNSCOPED_INFO(each->requests
+                    << " requests, " << each->refused << " refused, "
+                    << each->held_in_vain << " held in vain, " << each->late
+                    << " late, " << each->late_by_gap << " by a gap, "
+                    << each->returned << " returned, " << each->in_room
+                    << " of them to free engines");
+    all.requests += kinds[i].requests;
+    all.refused += kinds[i].refused;
+    CHECK(kinds[i].in_time_throughout() * 100 >=
+          kinds[i].requests * (i < 2 ? 90 : 74));
+    // At least half as often as their kind.
+    CHECK(total.largest[i].served() * 2 * kinds[i].requests >=
+          total.largest[i].requests * kinds[i].served());
+  }
+  // At least a quarter as often as all.
+  for (const auto& groups : {kinds, total.organisations}) {
+    for (const testing::surge_result& each : groups)
+      CHECK(each.served() * 4 * all.requests >= each.requests * all.served());
+  }
+  CHECK(kinds[2].held_in_vain <= plain.kinds[2].held_in_vain);
+}
+
+// Failure: after the loss of half of the engines, most long prompts were held
+// for the whole of their queue time and then refused.
+TEST_CASE("long prompts that engines cannot serve do not wait", "[long]") {
+  const testing::surge_result plain = RunBursts({}, 39).kinds[2];
+  const testing::surge_result refusing = RunBursts({true, false}, 39).kinds[2];
+  for (const auto* each : {&plain, &refusing})
+    UNSCOPED_INFO(each->requests
+                  << " requests, " << each->in_time() << " in time, "
+                  << each->refused << " refused, " << each->held_in_vain
+                  << " held in vain, " << each->returned << " returned");
+  CHECK(refusing.held_in_vain * 2 <= plain.held_in_vain);
+}
+
 // Failure: prompts of the longer sort among the interactive ones met in one
 // pass, and each stream of that engine had a gap beyond its maximum.
 TEST_CASE("streams of short prompts keep their event gaps", "[long]") {
@@ -183,16 +297,7 @@
   alternating.instances = 109;
   alternating.engines = 54;
   alternating.seconds = 40;
-  testing::surge_settings bursts;
-  bursts.engine = testing::LargeFleetEngine();
-  bursts.engine.kv_capacity = 344'250;
-  bursts.engine.steps_per_pass = 38;
-  bursts.engine.step_ms = 1.31;
-  bursts.engine.prefill_tokens_per_second = 154'000;
-  bursts.engine.attention_ms_per_million_pairs = 0.162;
-  bursts.instances = 78;
-  bursts.engines = 78;
-  bursts.seconds = 30;
+  const testing::surge_settings bursts = BurstsOfLongPrompts();
   testing::surge_class short_prompts = ShortPrompts(79);
   short_prompts.prompt_tokens = 4'960;
   short_prompts.log_stddev = 0.9;
@@ -207,17 +312,6 @@
   medium_prompts.phases = {1.3, 0.5};
   long_prompts.phases = {2.8, 0.05};
   alternating.classes = {short_prompts, medium_prompts, long_prompts};
-  short_prompts = ShortPrompts(93);
-  short_prompts.prompt_tokens = 4'960;
-  short_prompts.log_stddev = 0.9;
-  short_prompts.max_prompt_tokens = 23'800;
-  short_prompts.objective_ms = 250;
-  short_prompts.events = 36;
-  long_prompts = LongPrompts(2.1);
-  long_prompts.prompt_tokens = 260'000;
-  long_prompts.objective_ms = 8'000;
-  long_prompts.phases = {1, 2.5};
-  bursts.classes = {short_prompts, MediumPrompts(11.3), long_prompts};
   const row rows[] = {{"waves that alternate", alternating},
                       {"bursts of long prompts", bursts}};
   for (const row& r : rows) {
