Evacuate an availability zone on the product's own interface

Cause: the completion daemon and cactuswardctl had no evacuations.

A request is checked again before its first byte. Commands zone evacuate, readmit and status. key_value_store gets WatchPrefix; the fake of claims_test has it, too, with no other change.

--- a/include/cactusward/evacuation_set.h
+++ b/include/cactusward/evacuation_set.h
@@ -2,6 +2,7 @@
 #ifndef CACTUSWARD_EVACUATION_SET_H_
 #define CACTUSWARD_EVACUATION_SET_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -64,6 +65,10 @@
 
   // What is known of all zones that are or were evacuated.
   std::vector<evacuation_report> Reports() const;
+  // The `max` reports with the highest positions, the highest first.
+  std::vector<evacuation_report> NewestReports(std::size_t max) const;
+  // The last change of `zone`; nullopt if it was never evacuated.
+  std::optional<evacuation_report> ReportOf(std::string_view zone) const;
   // Merges a peer's report. @return whether the zone's state has changed.
   bool Merge(const evacuation_report& report, time_point now);
 
--- a/include/cactusward/key_value_store.h
+++ b/include/cactusward/key_value_store.h
@@ -84,6 +84,13 @@
                                 std::int64_t revision,
                                 const change_handler& handler,
                                 boost::asio::yield_context yield) = 0;
+
+  // As Watch, for all keys that begin with `prefix`.
+  // Precondition: `prefix` is not empty.
+  virtual std::error_code WatchPrefix(const std::string& prefix,
+                                      std::int64_t revision,
+                                      const change_handler& handler,
+                                      boost::asio::yield_context yield) = 0;
 };
 
 }  // namespace cactusward
--- a/include/cactusward/upstreams.h
+++ b/include/cactusward/upstreams.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cactusward/evacuation_set.h"
 #include "cactusward/membership.h"
 #include "cactusward/routing.h"
 #include "cactusward/suspects.h"
@@ -75,6 +76,7 @@
     std::string availability_zone;
     bool accepting = false;
     bool leaving = false;
+    bool evacuated = false;  // its availability zone is
     bool ejected = false;
     bool reachable = true;
     int in_flight = 0;
@@ -89,6 +91,11 @@
   // Replaces the platform's list; other services in it are ignored. An upstream
   // that is no longer listed is kept, not accepting, while it has dispatches.
   void SetListings(const std::vector<upstream_listing>& listings);
+  // Sets the availability zones whose upstreams accept no requests. Null: none.
+  // Precondition: `evacuations` outlives the pool.
+  void SetEvacuations(const evacuation_set* evacuations) {
+    evacuations_ = evacuations;
+  }
   void SetService(const upstream_service& service) { service_ = service; }
   void SetMaxEjectedShare(double share) { ejection_.max_ejected_share = share; }
 
@@ -136,6 +143,15 @@
 
   // Number of upstreams in the view.
   std::size_t size() const { return order_.size(); }
+  // Number of listed upstreams that do not leave and whose zones are not
+  // evacuated, whether they can be reached or not.
+  std::size_t CountOutsideEvacuatedZones(time_point now) const;
+  // Whether the service has no upstream because all that are listed and do not
+  // leave are in evacuated zones, so that waiting cannot help.
+  bool IsEvacuated(time_point now) const;
+  // Whether the zone of the upstream at `address` is evacuated; also of one
+  // that is no longer listed.
+  bool IsInEvacuatedZone(const std::string& address) const;
   // The upstream at `index` of an order that is the same at all instances.
   upstream_view ViewAt(std::size_t index, time_point now) const;
   const std::string& AddressAt(std::size_t index) const;
@@ -186,8 +202,13 @@
   entry* Find(const std::string& address);
   const entry* Find(const std::string& address) const;
   static bool IsLeaving(const entry& entry, time_point now);
-  // Whether it is listed, can be reached and does not leave.
-  static bool IsAvailable(const entry& entry, time_point now);
+  bool IsInEvacuatedZone(const entry& entry) const {
+    return evacuations_ &&
+           evacuations_->Contains(entry.listing.availability_zone);
+  }
+  // Whether it is listed, can be reached, does not leave, and its zone is not
+  // evacuated.
+  bool IsAvailable(const entry& entry, time_point now) const;
   entry* FindDispatch(std::uint64_t id);
   token_sums Unreported(const entry& entry) const;
   std::size_t EjectedCount(time_point now) const;
@@ -197,6 +218,7 @@
   upstream_service service_;
   std::string own_zone_;
   ejection_settings ejection_;
+  const evacuation_set* evacuations_ = nullptr;
   std::unordered_map<std::string, std::unique_ptr<entry>> entries_;
   std::vector<entry*> order_;  // by rank
   std::unordered_map<std::uint64_t, entry*> entry_of_;
--- a/src/daemon/gateway.cc
+++ b/src/daemon/gateway.cc
@@ -42,12 +42,13 @@
                client_, &store_,   registry_,        random_},
       peers_(io, settings->peer_secret, this),
       config_(runtime_, &peers_),
+      evacuations_(runtime_, &peers_),
       membership_(runtime_),
       paths_(
           runtime_,
           &peers_,
           [this](const std::string& address) {
-            return directory_.IsUpstream(address);
+            return directory_.MayCarryTo(address);
           },
           [this] { return lifecycle_.draining(); }),
       recovery_(runtime_),
@@ -60,12 +61,13 @@
           MakeCallerBounds(settings->caller_limits))),
       server_(io, this, http_server_limits(), callers_) {
   for (service* part :
-       {static_cast<service*>(&config_), static_cast<service*>(&membership_),
-        static_cast<service*>(&paths_), static_cast<service*>(&recovery_),
-        static_cast<service*>(&directory_), static_cast<service*>(&dispatcher_),
-        static_cast<service*>(&claims_), static_cast<service*>(&report_),
-        static_cast<service*>(&lifecycle_)})
+       {static_cast<service*>(&config_), static_cast<service*>(&evacuations_),
+        static_cast<service*>(&membership_), static_cast<service*>(&paths_),
+        static_cast<service*>(&recovery_), static_cast<service*>(&directory_),
+        static_cast<service*>(&dispatcher_), static_cast<service*>(&claims_),
+        static_cast<service*>(&report_), static_cast<service*>(&lifecycle_)})
     registry_.Add(part);
+  membership_.AddExtension(static_cast<gossip_extension*>(&evacuations_));
   client_.SetUpstreamConnector(&paths_);
   handlers_ = handler_services::FindIn(registry_);
   operator_api_ = std::make_unique<operator_api>(runtime_, handlers_);
@@ -110,6 +112,8 @@
           : std::string();
   if (op == "config_get")
     return reply({{"config", config_.tracker().Encoded()}});
+  if (op == "evacuations_get")
+    return reply(evacuations_.Snapshot());
   if (op != "claim")
     return reply({{"error", ErrorResponseFor(error_kind::kBadRequest).name}});
   Spawn(io_, "peer_claim",
@@ -129,8 +133,9 @@
                      ready ? "ready\n" : "not ready\n", deadline, yield);
   } else if (path == "/metrics") {
     exchange.Respond(200, "text/plain; version=0.0.4",
-                     report_.MetricsText() + callers_->MetricsText(), deadline,
-                     yield);
+                     report_.MetricsText() + evacuations_.MetricsText() +
+                         callers_->MetricsText(),
+                     deadline, yield);
   } else if (path.substr(0, kAdminPrefix.size()) == kAdminPrefix) {
     operator_api_->Handle(exchange, yield);
   } else {
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -13,6 +13,7 @@
 #include "src/services/claim_service.h"
 #include "src/services/config_service.h"
 #include "src/services/dispatcher.h"
+#include "src/services/evacuation_service.h"
 #include "src/services/lifecycle_service.h"
 #include "src/services/membership_service.h"
 #include "src/services/path_service.h"
@@ -53,6 +54,7 @@
   runtime runtime_;
   peer_link peers_;
   config_service config_;
+  evacuation_service evacuations_;
   membership_service membership_;
   path_service paths_;
   recovery_service recovery_;
--- a/src/daemon/names.h
+++ b/src/daemon/names.h
@@ -7,6 +7,7 @@
 namespace cactusward {
 
 inline constexpr std::string_view kConfigServiceName = "config";
+inline constexpr std::string_view kEvacuationServiceName = "evacuations";
 inline constexpr std::string_view kMembershipServiceName = "membership";
 inline constexpr std::string_view kDirectoryServiceName = "upstreams";
 inline constexpr std::string_view kDispatcherServiceName = "dispatcher";
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -1,12 +1,14 @@
 #include "src/daemon/operator_api.h"
 
 #include <charconv>
+#include <set>
 
 #include "cactusward/hash.h"
 #include "src/edges/json.h"
 #include "src/edges/request_head.h"
 #include "src/services/claim_service.h"
 #include "src/services/config_service.h"
+#include "src/services/evacuation_service.h"
 #include "src/services/lifecycle_service.h"
 #include "src/services/membership_service.h"
 #include "src/services/recovery_service.h"
@@ -18,6 +20,9 @@
 
 constexpr std::string_view kPrefix = "/v1/admin/";
 constexpr std::string_view kBearerPrefix = "Bearer ";
+constexpr std::string_view kZonePrefix = "zones/";
+constexpr std::string_view kEvacuationSuffix = "/evacuation";
+constexpr std::int64_t kMicrosecondsPerMillisecond = 1'000;
 constexpr milliseconds kGatherTimeout{1'500};
 constexpr milliseconds kApplyTimeout{8'000};
 
@@ -25,6 +30,38 @@
   return json::array({count.total, count.bad});
 }
 
+// The zone of a path zones/ZONE/evacuation; nullopt for another path.
+std::optional<std::string> ZoneOfPath(std::string_view name) {
+  if (name.size() <= kZonePrefix.size() + kEvacuationSuffix.size() ||
+      name.substr(0, kZonePrefix.size()) != kZonePrefix ||
+      name.substr(name.size() - kEvacuationSuffix.size()) != kEvacuationSuffix)
+    return std::nullopt;
+  name.remove_prefix(kZonePrefix.size());
+  name.remove_suffix(kEvacuationSuffix.size());
+  return std::string(name);
+}
+
+// Reads the response of one instance to "zones".
+// @return nullopt if it does not know the state of all zones.
+std::optional<std::vector<evacuation_report>> ReadZones(const json& report) {
+  const auto zones = report.find("zones");
+  if (!report.is_object() || zones == report.end() || !zones->is_array() ||
+      report.value("known", json()) != true)
+    return std::nullopt;
+  std::vector<evacuation_report> states;
+  for (const json& zone : *zones) {
+    const bool is_readable = zone.is_object() &&
+                             zone.value("zone", json()).is_string() &&
+                             zone.value("number", json()).is_number_integer() &&
+                             zone.value("evacuated", json()).is_boolean();
+    if (is_readable)
+      states.push_back({zone["zone"].get<std::string>(),
+                        {0, zone["number"].get<std::int64_t>()},
+                        zone["evacuated"].get<bool>()});
+  }
+  return states;
+}
+
 }  // namespace
 
 operator_api::operator_api(runtime& runtime, const handler_services& services)
@@ -70,6 +107,10 @@
     exchange.RespondJson(Members(), yield);
     return;
   }
+  const bool is_change =
+      method == http::verb::put || method == http::verb::delete_;
+  if (is_change && ZoneOfPath(name))
+    return ChangeEvacuation(exchange, name, yield);
   json local = LocalReport(name);
   if (local.is_null() || method != http::verb::get) {
     exchange.RespondError(error_kind::kNotFound, name, yield);
@@ -79,7 +120,9 @@
     exchange.RespondJson(local, yield);
     return;
   }
-  exchange.RespondJson(GatherReports(name, yield), yield);
+  exchange.RespondJson(
+      name == "zones" ? ZoneStatuses(yield) : GatherReports(name, yield),
+      yield);
 }
 
 void operator_api::GetConfig(http_exchange& exchange,
@@ -131,11 +174,63 @@
       {{"revision", accepted->number}, {"digest", accepted->digest}}, yield);
 }
 
+void operator_api::ChangeEvacuation(http_exchange& exchange,
+                                    const std::string& name,
+                                    asio::yield_context yield) {
+  const std::string zone = ZoneOfPath(name).value_or("");
+  const bool evacuate = exchange.request().method() == http::verb::put;
+  const auto accepted = services_.evacuations->Change(
+      zone, evacuate, clock::now() + kApplyTimeout, yield);
+  if (!accepted) {
+    exchange.RespondError(accepted.kind(), accepted.detail(), yield);
+    return;
+  }
+  const auto counts = services_.directory->CountByZone();
+  const auto count = counts.find(zone);
+  exchange.RespondJson(
+      {{"zone", zone},
+       {"evacuated", accepted->evacuated},
+       {"number", accepted->position.revision},
+       {"upstreams", count == counts.end() ? 0 : count->second}},
+      yield);
+}
+
+json operator_api::ZoneStatuses(asio::yield_context yield) {
+  const json responses = GatherReports("zones", yield);
+  instance_evacuations reports;
+  for (const auto& [instance, response] : responses.items())
+    reports[instance] = ReadZones(response);
+  // An instance that is taken for dead may be cut off, and still serve callers.
+  for (const member& member : membership_->All()) {
+    if (member.state == member_state::kDead)
+      reports.emplace(member.name, std::nullopt);
+  }
+  const auto counts = services_.directory->CountByZone();
+  std::set<std::string> zones;
+  for (const auto& [zone, count] : counts)
+    zones.insert(zone);
+  json list = json::array();
+  for (const zone_status& status : MergeZoneReports(reports, zones)) {
+    const auto count = counts.find(status.zone);
+    list.push_back(
+        {{"zone", status.zone},
+         {"evacuated", status.evacuated},
+         {"number", status.number},
+         {"since_unix_ms", status.number / kMicrosecondsPerMillisecond},
+         {"upstreams", count == counts.end() ? 0 : count->second},
+         {"complying", status.complying},
+         {"behind", status.behind}});
+  }
+  return list;
+}
+
 json operator_api::LocalReport(std::string_view name) {
   if (name == "status")
     return Status();
   if (name == "upstreams")
     return Upstreams();
+  if (name == "zones")
+    return Zones();
   if (name == "queues")
     return Queues();
   if (name == "burn")
@@ -170,6 +265,7 @@
                       {"availability_zone", row.availability_zone},
                       {"accepting", row.accepting},
                       {"leaving", row.leaving},
+                      {"evacuated", row.evacuated},
                       {"ejected", row.ejected},
                       {"reachable", row.reachable},
                       {"in_flight", row.in_flight},
@@ -179,6 +275,17 @@
   return list;
 }
 
+json operator_api::Zones() {
+  json zones = json::array();
+  for (const evacuation_report& state :
+       services_.evacuations->evacuations().Reports())
+    zones.push_back({{"zone", state.zone},
+                     {"number", state.position.revision},
+                     {"evacuated", state.evacuated}});
+  return {{"known", services_.evacuations->IsKnown()},
+          {"zones", std::move(zones)}};
+}
+
 json operator_api::Queues() {
   json list = json::array();
   for (const queue_row& row : services_.dispatch->QueueRows())
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -1,4 +1,5 @@
-// HTTP API for operators: configuration, drain, members and reports.
+// HTTP API for operators: configuration, evacuations, drain, members and
+// reports.
 #ifndef CACTUSWARD_SRC_DAEMON_OPERATOR_API_H_
 #define CACTUSWARD_SRC_DAEMON_OPERATOR_API_H_
 
@@ -28,10 +29,18 @@
   void GetConfig(http_exchange& exchange, asio::yield_context yield);
   void CheckConfig(http_exchange& exchange, asio::yield_context yield);
   void ApplyConfig(http_exchange& exchange, asio::yield_context yield);
+  // Evacuates or readmits the zone in a path zones/ZONE/evacuation.
+  void ChangeEvacuation(http_exchange& exchange,
+                        const std::string& name,
+                        asio::yield_context yield);
+  // The state of each zone in the fleet.
+  nlohmann::json ZoneStatuses(asio::yield_context yield);
   // A report of this instance; null for an unknown report name.
   nlohmann::json LocalReport(std::string_view name);
   nlohmann::json Status();
   nlohmann::json Upstreams();
+  // What this instance knows of evacuations.
+  nlohmann::json Zones();
   nlohmann::json Queues();
   nlohmann::json Burn();
   // The report `name` of every live instance, by instance name.
--- a/src/edges/etcd_store.cc
+++ b/src/edges/etcd_store.cc
@@ -63,6 +63,14 @@
   return {{"key", EncodeBase64(key)}};
 }
 
+json PrefixRange(const std::string& prefix) {
+  std::string end = prefix;
+  ++end.back();
+  json range = KeyRange(prefix);
+  range["range_end"] = EncodeBase64(end);
+  return range;
+}
+
 json EncodeWrite(const key_write& write) {
   if (!write.value)
     return {{"request_delete_range", KeyRange(write.key)}};
@@ -151,11 +159,8 @@
 result<std::vector<stored_value>> etcd_store::List(const std::string& prefix,
                                                    time_point deadline,
                                                    asio::yield_context yield) {
-  std::string end = prefix;
-  ++end.back();
-  json range = KeyRange(prefix);
-  range["range_end"] = EncodeBase64(end);
-  const auto response = Post("/v3/kv/range", range, deadline, yield);
+  const auto response =
+      Post("/v3/kv/range", PrefixRange(prefix), deadline, yield);
   if (!response)
     return {response.kind(), response.detail()};
   return ReadKeyValues(*response);
@@ -220,14 +225,26 @@
                                   std::int64_t revision,
                                   const change_handler& handler,
                                   asio::yield_context yield) {
+  return WatchRange(KeyRange(key), revision, handler, yield);
+}
+
+std::error_code etcd_store::WatchPrefix(const std::string& prefix,
+                                        std::int64_t revision,
+                                        const change_handler& handler,
+                                        asio::yield_context yield) {
+  return WatchRange(PrefixRange(prefix), revision, handler, yield);
+}
+
+std::error_code etcd_store::WatchRange(json range,
+                                       std::int64_t revision,
+                                       const change_handler& handler,
+                                       asio::yield_context yield) {
   ++calls_;
+  range["start_revision"] = std::to_string(revision + 1);
   outgoing_request request;
   request.method = http::verb::post;
   request.target = "/v3/watch";
-  request.body = json({{"create_request",
-                        {{"key", EncodeBase64(key)},
-                         {"start_revision", std::to_string(revision + 1)}}}})
-                     .dump();
+  request.body = json({{"create_request", std::move(range)}}).dump();
   auto stream =
       client_->Open(address_, request, clock::now() + kWatchOpenTimeout, yield);
   if (!stream || (*stream)->status() != 200)
--- a/src/edges/etcd_store.h
+++ b/src/edges/etcd_store.h
@@ -35,6 +35,10 @@
                         std::int64_t revision,
                         const change_handler& handler,
                         asio::yield_context yield) override;
+  std::error_code WatchPrefix(const std::string& prefix,
+                              std::int64_t revision,
+                              const change_handler& handler,
+                              asio::yield_context yield) override;
 
   // Requests sent so far; reported as load on the key-value service.
   std::int64_t calls() const { return calls_; }
@@ -45,6 +49,12 @@
                               time_point deadline,
                               asio::yield_context yield);
 
+  // Watches a range of keys, given as in a create_request.
+  std::error_code WatchRange(nlohmann::json range,
+                             std::int64_t revision,
+                             const change_handler& handler,
+                             asio::yield_context yield);
+
   http_client* client_;
   std::string address_;
   std::int64_t calls_ = 0;
--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -24,6 +24,7 @@
 constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr milliseconds kMaxIdleTime{10'000};
 constexpr milliseconds kConnectTimeout{1'000};
+constexpr const char* kNoLongerAccepts = "upstream no longer accepts requests";
 // Idle connections expire this long before the time announced by the peer: a
 // request in flight when the peer closes the connection would be lost.
 constexpr milliseconds kKeepAliveMargin{500};
@@ -425,6 +426,8 @@
     cancel_token* cancel,
     bool* unanswered) {
   *unanswered = true;
+  if (request.may_send && !request.may_send())
+    return {error_kind::kUpstreamRefused, kNoLongerAccepts};
   auto stream = std::make_unique<http_stream>(this, address,
                                               std::move(connected), cancel);
   {
@@ -480,8 +483,11 @@
     return {error_kind::kUpstreamFailed, "kept connection broke"};
   if (!connected)
     return {connected.kind(), connected.detail()};
-  return SendAndReadHeader(address, request, std::move(*connected), deadline,
-                           yield, cancel, &unanswered);
+  auto stream = SendAndReadHeader(address, request, std::move(*connected),
+                                  deadline, yield, cancel, &unanswered);
+  if (maybe_sent && stream.kind() == error_kind::kUpstreamRefused)
+    return {error_kind::kUpstreamFailed, "kept connection broke"};
+  return stream;
 }
 
 result<std::unique_ptr<http_stream>> http_client::Start(
@@ -504,8 +510,7 @@
     connected = std::move(*opened);
   }
   if (options.may_send && !options.may_send())
-    return {error_kind::kUpstreamRefused,
-            "upstream no longer accepts requests"};
+    return {error_kind::kUpstreamRefused, kNoLongerAccepts};
   SetDeadPeerTimeout(*connected.socket, options.dead_peer_timeout,
                      message.body().size());
   auto stream = std::make_unique<http_stream>(this, address,
--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -37,6 +37,9 @@
   std::string response_header;
   // Whether the connection is opened as those to upstreams are.
   bool to_upstream = false;
+  // Asked when the connection is established, before the first byte is written;
+  // the request is not sent when it returns false. Empty: it is sent.
+  std::function<bool()> may_send;
 };
 
 // Options of http_client::Send.
--- a/src/forwarding/evacuation_set.cc
+++ b/src/forwarding/evacuation_set.cc
@@ -98,6 +98,27 @@
   return reports;
 }
 
+std::vector<evacuation_report> evacuation_set::NewestReports(
+    std::size_t max) const {
+  std::vector<evacuation_report> reports = Reports();
+  std::sort(reports.begin(), reports.end(),
+            [](const evacuation_report& a, const evacuation_report& b) {
+              return a.position > b.position;
+            });
+  if (reports.size() > max)
+    reports.resize(max);
+  return reports;
+}
+
+std::optional<evacuation_report> evacuation_set::ReportOf(
+    std::string_view zone) const {
+  const auto found = zones_.find(zone);
+  if (found == zones_.end())
+    return std::nullopt;
+  return evacuation_report{found->first, found->second.position,
+                           found->second.evacuated};
+}
+
 bool evacuation_set::Merge(const evacuation_report& report, time_point now) {
   return report.evacuated ? Put(report.zone, report.position, now)
                           : Remove(report.zone, report.position);
--- a/src/model/platform_standin.cc
+++ b/src/model/platform_standin.cc
@@ -194,11 +194,29 @@
     watcher->timer.cancel();
 }
 
+std::map<std::string, platform_standin::stored_entry>::const_iterator
+platform_standin::NextChange(const watcher& watcher) const {
+  auto next = values_.end();
+  for (auto it = values_.lower_bound(watcher.key); it != values_.end(); ++it) {
+    const bool in_range = watcher.range_end.empty()
+                              ? it->first == watcher.key
+                              : it->first < watcher.range_end;
+    if (!in_range)
+      break;
+    if (it->second.mod_revision > watcher.sent_revision &&
+        (next == values_.end() ||
+         it->second.mod_revision < next->second.mod_revision))
+      next = it;
+  }
+  return next;
+}
+
 void platform_standin::HandleWatch(http_exchange& exchange,
                                    const json& request,
                                    asio::yield_context yield) {
   watcher subscription(io_);
   subscription.key = ReadBytes(request, "key");
+  subscription.range_end = ReadBytes(request, "range_end");
   subscription.sent_revision = ReadInteger(request, "start_revision") - 1;
   watchers_.insert(&subscription);
   exchange.OnDisconnect([&subscription] {
@@ -210,11 +228,14 @@
               exchange.WriteChunk("{\"result\":{\"created\":true}}\n",
                                   clock::now() + kWriteTimeout, yield);
   while (open && !subscription.disconnected && !faults_.down) {
-    const auto it = values_.find(subscription.key);
-    if (it != values_.end() &&
-        it->second.mod_revision > subscription.sent_revision) {
-      if (faults_.watch_lag_ms > 0)
+    auto it = NextChange(subscription);
+    if (it != values_.end()) {
+      if (faults_.watch_lag_ms > 0) {
         Sleep(io_, milliseconds(faults_.watch_lag_ms), yield);
+        it = NextChange(subscription);
+        if (it == values_.end())
+          continue;
+      }
       subscription.sent_revision = it->second.mod_revision;
       const json event = {
           {"result",
--- a/src/model/platform_standin.h
+++ b/src/model/platform_standin.h
@@ -41,6 +41,7 @@
   struct watcher {
     explicit watcher(asio::io_context& io) : timer(io) {}
     std::string key;
+    std::string range_end;  // empty: only `key`
     std::int64_t sent_revision = 0;
     asio::steady_timer timer;
     bool disconnected = false;
@@ -59,6 +60,10 @@
                    const nlohmann::json& request,
                    asio::yield_context yield);
   void WakeWatchers();
+  // The value with the lowest revision that `watcher` has not been sent yet;
+  // the end of `values_` if there is none.
+  std::map<std::string, stored_entry>::const_iterator NextChange(
+      const watcher& watcher) const;
   void ExpireLeases();
   void HandleControl(http_exchange& exchange, asio::yield_context yield);
   void HandlePutInstances(http_exchange& exchange, asio::yield_context yield);
--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -24,19 +24,6 @@
 // one peer at the same time.
 constexpr milliseconds kPullTimeout{1'500};
 
-// The reports for a datagram, the newest changes first.
-std::vector<evacuation_report> NewestReports(
-    const evacuation_set& evacuations) {
-  std::vector<evacuation_report> reports = evacuations.Reports();
-  std::sort(reports.begin(), reports.end(),
-            [](const evacuation_report& a, const evacuation_report& b) {
-              return a.position > b.position;
-            });
-  if (reports.size() > kMaxEvacuationReports)
-    reports.resize(kMaxEvacuationReports);
-  return reports;
-}
-
 // Reads what is readable of the evacuations in a snapshot.
 std::vector<evacuation_report> ReadEvacuationReports(
     const nlohmann::json& list) {
@@ -80,7 +67,7 @@
 
 void catalog_service::AddFields(gossip_message* message, time_point now) {
   message->catalog_position = position_;
-  message->evacuations = NewestReports(evacuations_);
+  message->evacuations = evacuations_.NewestReports(kMaxEvacuationReports);
   message->config_number = config_ ? config_->version() : 0;
   // The newest changes that fit.
   std::size_t first = recent_changes_.size();
--- a/src/request/call_run.cc
+++ b/src/request/call_run.cc
@@ -84,12 +84,13 @@
   outgoing.fresh_connection = attempts_.claimed();
   outgoing.dead_peer_timeout = kLostMachineTimeout;
   outgoing.to_upstream = true;
+  outgoing.may_send = request_attempts::SendCheckFor(placed);
   auto response =
       runtime_.client.Call(placed.address(), outgoing, context_.deadline(),
                            yield, kMaxAnswerBytes, attempts_.cancel());
   if (!response)
-    return {response.kind(), response.detail(),
-            response.kind() != error_kind::kUpstreamUnreachable};
+    return request_attempts::UnansweredOutcome(response.kind(),
+                                               response.detail());
   services_.directory->RecordResponse(placed.pool(), placed.address(),
                                       response->load_metrics);
   if (StatesNotExecuted(response->status))
--- a/src/request/completion_run.cc
+++ b/src/request/completion_run.cc
@@ -123,12 +123,13 @@
 attempt_outcome completion_request::Relay(placed_request& placed,
                                           asio::yield_context yield) {
   attempt_tokens_ = 0;
+  outgoing_request outgoing = BuildRequest();
+  outgoing.may_send = request_attempts::SendCheckFor(placed);
   auto stream =
-      runtime_.client.Open(placed.address(), BuildRequest(),
-                           context_.deadline(), yield, attempts_.cancel());
+      runtime_.client.Open(placed.address(), outgoing, context_.deadline(),
+                           yield, attempts_.cancel());
   if (!stream)
-    return {stream.kind(), stream.detail(),
-            stream.kind() != error_kind::kUpstreamUnreachable};
+    return request_attempts::UnansweredOutcome(stream.kind(), stream.detail());
   services_.directory->RecordResponse(
       placed.pool(), placed.address(),
       (*stream)->Header("endpoint-load-metrics"));
--- a/src/request/request_attempts.cc
+++ b/src/request/request_attempts.cc
@@ -113,6 +113,21 @@
           !StatesNotRun(body)};
 }
 
+std::function<bool()> request_attempts::SendCheckFor(
+    const placed_request& placed) {
+  return [pool = placed.pool(), address = placed.address()] {
+    return !pool->IsInEvacuatedZone(address);
+  };
+}
+
+attempt_outcome request_attempts::UnansweredOutcome(error_kind kind,
+                                                    const std::string& detail) {
+  // kUpstreamRefused: SendCheckFor held the request back.
+  return {kind, detail,
+          kind != error_kind::kUpstreamUnreachable &&
+              kind != error_kind::kUpstreamRefused};
+}
+
 attempt_outcome request_attempts::Run(
     placement_request placement,
     bool repeatable,
--- a/src/request/request_attempts.h
+++ b/src/request/request_attempts.h
@@ -54,6 +54,13 @@
                                        int http_status,
                                        std::string_view retry_after,
                                        std::string_view body);
+  // Checks, for outgoing_request::may_send, whether the upstream of `placed`
+  // may still get the request: its zone may have been evacuated since.
+  static std::function<bool()> SendCheckFor(const placed_request& placed);
+  // The outcome of an attempt without a response, for which http_client::Open
+  // or Call returned `kind`.
+  static attempt_outcome UnansweredOutcome(error_kind kind,
+                                           const std::string& detail);
   // Waits for an upstream, runs `attempt` there, and records the outcome in the
   // health statistics of the upstream.
   // @param repeatable whether work that reached an upstream may run again.
--- a/src/request/request_context.cc
+++ b/src/request/request_context.cc
@@ -5,6 +5,7 @@
 #include "cactusward/hash.h"
 #include "src/services/claim_service.h"
 #include "src/services/config_service.h"
+#include "src/services/evacuation_service.h"
 #include "src/services/lifecycle_service.h"
 #include "src/services/recovery_service.h"
 
@@ -26,6 +27,7 @@
 handler_services handler_services::FindIn(const service_registry& registry) {
   handler_services found;
   found.config = registry.Find<config_service>(kConfigServiceName);
+  found.evacuations = registry.Find<evacuation_service>(kEvacuationServiceName);
   found.lifecycle = registry.Find<lifecycle_service>(kLifecycleServiceName);
   found.directory = registry.Find<upstream_directory>(kDirectoryServiceName);
   found.dispatch = registry.Find<dispatcher>(kDispatcherServiceName);
--- a/src/request/request_context.h
+++ b/src/request/request_context.h
@@ -16,6 +16,7 @@
 
 namespace cactusward {
 
+class evacuation_service;
 class lifecycle_service;
 class recovery_service;
 class claim_service;
@@ -23,6 +24,7 @@
 // The services that request handlers use.
 struct handler_services {
   config_service* config = nullptr;
+  evacuation_service* evacuations = nullptr;
   lifecycle_service* lifecycle = nullptr;
   upstream_directory* directory = nullptr;
   dispatcher* dispatch = nullptr;
--- a/src/routing/upstream_pool.cc
+++ b/src/routing/upstream_pool.cc
@@ -104,8 +104,30 @@
           now - *entry.leaving_observed_at < kLeavingTtl);
 }
 
-bool upstream_pool::IsAvailable(const entry& entry, time_point now) {
-  return entry.listed && entry.reachable && !IsLeaving(entry, now);
+bool upstream_pool::IsAvailable(const entry& entry, time_point now) const {
+  return entry.listed && entry.reachable && !IsLeaving(entry, now) &&
+         !IsInEvacuatedZone(entry);
+}
+
+bool upstream_pool::IsInEvacuatedZone(const std::string& address) const {
+  const entry* entry = Find(address);
+  return entry && IsInEvacuatedZone(*entry);
+}
+
+std::size_t upstream_pool::CountOutsideEvacuatedZones(time_point now) const {
+  return static_cast<std::size_t>(std::count_if(
+      order_.begin(), order_.end(), [this, now](const entry* entry) {
+        return entry->listed && !IsLeaving(*entry, now) &&
+               !IsInEvacuatedZone(*entry);
+      }));
+}
+
+bool upstream_pool::IsEvacuated(time_point now) const {
+  const bool any_evacuated =
+      std::any_of(order_.begin(), order_.end(), [this](const entry* entry) {
+        return entry->listed && IsInEvacuatedZone(*entry);
+      });
+  return any_evacuated && CountOutsideEvacuatedZones(now) == 0;
 }
 
 void upstream_pool::RecordBackoff(const std::string& address,
@@ -364,8 +386,9 @@
     const upstream_view view = ViewAt(i, now);
     rows.push_back({entry.listing.address, entry.listing.availability_zone,
                     view.accepting, IsLeaving(entry, now),
-                    entry.ejected_until > now, entry.reachable, view.in_flight,
-                    view.backlog_tokens, view.kv_reserved});
+                    IsInEvacuatedZone(entry), entry.ejected_until > now,
+                    entry.reachable, view.in_flight, view.backlog_tokens,
+                    view.kv_reserved});
   }
   return rows;
 }
--- a/src/services/dispatcher.cc
+++ b/src/services/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "src/services/dispatcher.h"
 
 #include "src/services/config_service.h"
+#include "src/services/evacuation_service.h"
 #include "src/services/membership_service.h"
 
 namespace cactusward {
@@ -33,6 +34,8 @@
 
 void dispatcher::Start() {
   config_ = runtime_.registry.Find<config_service>(kConfigServiceName);
+  evacuations_ =
+      runtime_.registry.Find<evacuation_service>(kEvacuationServiceName);
   directory_ =
       runtime_.registry.Find<upstream_directory>(kDirectoryServiceName);
   auto* membership =
@@ -62,6 +65,10 @@
     return nullptr;
   }
   const time_point now = clock::now();
+  // Requests that were admitted before the instance was cut off wait: a zone
+  // may have been evacuated meanwhile.
+  if (evacuations_ && !evacuations_->IsUsable(now))
+    return nullptr;
   const pool_view view(pool, now);
   const auto chosen =
       request.routing.isolated
@@ -70,8 +77,9 @@
   if (!chosen) {
     // No upstream wants the request in time.
     const auto backoff_end = pool->BackoffEnd(now);
-    if (backoff_end &&
-        *backoff_end > request.deadline - request.min_decode_time)
+    if (pool->IsEvacuated(now) ||
+        (backoff_end &&
+         *backoff_end > request.deadline - request.min_decode_time))
       *failure = error_kind::kNoUpstream;
     return nullptr;
   }
@@ -106,7 +114,8 @@
   }
   const double rate =
       static_cast<double>(pool->service().prefill_tokens_per_second) *
-      static_cast<double>(std::max<std::size_t>(pool->size(), 1));
+      static_cast<double>(std::max<std::size_t>(
+          pool->CountOutsideEvacuatedZones(clock::now()), 1));
   return milliseconds(
       static_cast<std::int64_t>(tokens_ahead / rate * kMillisecondsPerSecond));
 }
@@ -127,6 +136,8 @@
     if (failure != error_kind::kOk)
       return {failure, {}};
   }
+  if (pool->IsEvacuated(clock::now()))
+    return {error_kind::kNoUpstream, request.service};
   const bool is_model = pool->service().kind == service_kind::kModel;
   if (is_model &&
       clock::now() + QueueDelay(request, pool) + request.min_decode_time >
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -17,6 +17,7 @@
 namespace cactusward {
 
 class config_service;
+class evacuation_service;
 
 // Input of dispatcher::Place.
 struct placement_request {
@@ -107,6 +108,7 @@
 
   runtime& runtime_;
   config_service* config_ = nullptr;
+  const evacuation_service* evacuations_ = nullptr;
   upstream_directory* directory_ = nullptr;
   std::unique_ptr<routing_policy> policy_;
   routing_settings policy_settings_;
--- a/src/services/lifecycle_service.cc
+++ b/src/services/lifecycle_service.cc
@@ -3,6 +3,7 @@
 #include "src/kernel/log.h"
 #include "src/services/claim_service.h"
 #include "src/services/config_service.h"
+#include "src/services/evacuation_service.h"
 #include "src/services/membership_service.h"
 #include "src/services/path_service.h"
 
@@ -17,19 +18,25 @@
 void lifecycle_service::Start() {
   config_ = runtime_.registry.Find<config_service>(kConfigServiceName);
   claims_ = runtime_.registry.Find<claim_service>(kClaimServiceName);
+  evacuations_ =
+      runtime_.registry.Find<evacuation_service>(kEvacuationServiceName);
   membership_ =
       runtime_.registry.Find<membership_service>(kMembershipServiceName);
   paths_ = runtime_.registry.Find<path_service>(kPathServiceName);
 }
 
 bool lifecycle_service::IsReady(time_point now) const {
-  return !draining() && config_->IsUsable(now);
+  return !draining() && IsUsable(now);
 }
 
 error_kind lifecycle_service::Admission(time_point now) const {
   if (schedule_ && now >= schedule_->grace_ends_at)
     return error_kind::kDraining;
-  return config_->IsUsable(now) ? error_kind::kOk : error_kind::kNotReady;
+  return IsUsable(now) ? error_kind::kOk : error_kind::kNotReady;
+}
+
+bool lifecycle_service::IsUsable(time_point now) const {
+  return config_->IsUsable(now) && evacuations_->IsUsable(now);
 }
 
 void lifecycle_service::Drain() {
--- a/src/services/lifecycle_service.h
+++ b/src/services/lifecycle_service.h
@@ -14,6 +14,7 @@
 namespace cactusward {
 
 class config_service;
+class evacuation_service;
 class claim_service;
 class membership_service;
 class path_service;
@@ -50,6 +51,9 @@
   std::size_t in_flight() const { return pending_.size(); }
 
  private:
+  // Whether the configuration and the evacuated zones are known well enough to
+  // admit requests.
+  bool IsUsable(time_point now) const;
   bool HasPendingWork() const;
   void WaitUntilDrained(asio::yield_context yield);
   void WaitForPendingWork(time_point until, asio::yield_context yield);
@@ -57,6 +61,7 @@
   runtime& runtime_;
   http_server* server_;
   config_service* config_ = nullptr;
+  const evacuation_service* evacuations_ = nullptr;
   claim_service* claims_ = nullptr;
   membership_service* membership_ = nullptr;
   const path_service* paths_ = nullptr;
--- a/src/services/upstream_directory.cc
+++ b/src/services/upstream_directory.cc
@@ -7,6 +7,7 @@
 #include "src/edges/connector.h"
 #include "src/kernel/log.h"
 #include "src/services/config_service.h"
+#include "src/services/evacuation_service.h"
 #include "src/services/membership_service.h"
 #include "src/services/recovery_service.h"
 
@@ -55,6 +56,10 @@
   membership_ =
       runtime_.registry.Find<membership_service>(kMembershipServiceName);
   recovery_ = runtime_.registry.Find<recovery_service>(kRecoveryServiceName);
+  evacuations_ =
+      runtime_.registry.Find<evacuation_service>(kEvacuationServiceName);
+  if (evacuations_)
+    evacuations_->Subscribe([this] { NotifyCapacityFreed(); });
   config_->tracker().Subscribe([this](const active_config&) { ApplyConfig(); });
   SpawnRestarting(
       runtime_.io, "instance_list",
@@ -70,9 +75,12 @@
   const auto active = config_->Current();
   for (const upstream_service& service : active->config.services) {
     auto& pool = pools_[service.name];
-    if (!pool)
+    if (!pool) {
       pool = std::make_unique<upstream_pool>(
           service, runtime_.settings.availability_zone, ejection_settings());
+      if (evacuations_)
+        pool->SetEvacuations(&evacuations_->evacuations());
+    }
     pool->SetService(service);
     pool->SetMaxEjectedShare(active->config.recovery.max_ejected_share);
     pool->SetListings(listings_);
@@ -135,10 +143,21 @@
   NotifyCapacityFreed();
 }
 
-bool upstream_directory::IsUpstream(const std::string& address) const {
+bool upstream_directory::MayCarryTo(const std::string& address) const {
   return std::any_of(
       listings_.begin(), listings_.end(),
-      [&address](const auto& listing) { return listing.address == address; });
+      [this, &address](const upstream_listing& listing) {
+        return listing.address == address &&
+               !(evacuations_ && evacuations_->evacuations().Contains(
+                                     listing.availability_zone));
+      });
+}
+
+std::map<std::string, std::size_t> upstream_directory::CountByZone() const {
+  std::map<std::string, std::size_t> counts;
+  for (const upstream_listing& listing : listings_)
+    ++counts[listing.availability_zone];
+  return counts;
 }
 
 bool upstream_directory::IsOwnerOf(const std::string& address) {
--- a/src/services/upstream_directory.h
+++ b/src/services/upstream_directory.h
@@ -17,6 +17,7 @@
 namespace cactusward {
 
 class config_service;
+class evacuation_service;
 class membership_service;
 class recovery_service;
 
@@ -44,9 +45,11 @@
 
   // The pool of a service, or null for a service that was never configured.
   upstream_pool* Pool(const std::string& service);
+  // Whether a listed upstream has `address`, and its zone is not evacuated.
+  bool MayCarryTo(const std::string& address) const;
+  // Number of listed upstreams by availability zone.
+  std::map<std::string, std::size_t> CountByZone() const;
   // The pools of all services, by service name.
-  // Whether a listed upstream has `address`.
-  bool IsUpstream(const std::string& address) const;
   std::vector<upstream_pool*> Pools();
 
   // Begins a dispatch. `cancel`, if not null, is cancelled when the upstream's
@@ -128,6 +131,7 @@
   runtime& runtime_;
   stall_meter stalls_;
   config_service* config_ = nullptr;
+  evacuation_service* evacuations_ = nullptr;
   membership_service* membership_ = nullptr;
   recovery_service* recovery_ = nullptr;
   std::map<std::string, std::unique_ptr<upstream_pool>> pools_;
--- a/tests/unit/claims_test.cc
+++ b/tests/unit/claims_test.cc
@@ -86,6 +86,12 @@
                         asio::yield_context) override {
     return error_kind::kStoreUnavailable;
   }
+  std::error_code WatchPrefix(const std::string&,
+                              std::int64_t,
+                              const change_handler&,
+                              asio::yield_context) override {
+    return error_kind::kStoreUnavailable;
+  }
 
   // Keeps a copy for Restore.
   void Save() { saved_ = {values_, leases_, revision_}; }
--- a/tests/unit/evacuation_test.cc
+++ b/tests/unit/evacuation_test.cc
@@ -3,12 +3,14 @@
 #include <nlohmann/json.hpp>
 
 #include "cactusward/evacuation_set.h"
+#include "src/edges/tunnel.h"
 #include "tests/support/small_fleet.h"
 
 namespace cactusward {
 namespace {
 
 using testing::ExtraInstanceSettings;
+using testing::FreeAddress;
 using testing::kCallTimeout;
 using testing::kPollPeriod;
 using testing::runner_fake;
@@ -348,6 +350,37 @@
   }
 }
 
+// Guards against a peer that carries requests into an evacuated zone for an
+// instance that does not know the evacuation yet.
+TEST_CASE("no tunnel is opened to an evacuated zone", "[evacuation]") {
+  two_zones zones;
+  small_fleet& fleet = zones.fleet;
+  fleet.settings.tunnel_listen = FreeAddress();
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(fleet.WaitForStatus("/often/x", 200, yield));
+    const auto connect_to = [&](const runner_fake& upstream) {
+      return OpenTunnel(fleet.client.direct(), fleet.settings.peer_secret,
+                        fleet.settings.tunnel_listen, upstream.address(), "id",
+                        clock::now() + kCallTimeout, yield, nullptr)
+          .outcome;
+    };
+    struct row {
+      bool evacuated;
+      tunnel_outcome outcome;
+    };
+    for (const row& r :
+         {row{false, tunnel_outcome::kOpen}, row{true, tunnel_outcome::kDenied},
+          row{false, tunnel_outcome::kOpen}}) {
+      CAPTURE(r.evacuated);
+      r.evacuated ? zones.Evacuate("y") : zones.Readmit("y");
+      REQUIRE(zones.WaitForZones(r.evacuated ? 1 : 0, yield));
+      CHECK(connect_to(*fleet.engines[1]) == r.outcome);
+      CHECK(connect_to(*fleet.plain[1]) == r.outcome);
+      CHECK(connect_to(*fleet.engines[0]) == tunnel_outcome::kOpen);
+    }
+  });
+}
+
 // Guards against an evacuation that ends with a registry whose copy lacks it,
 // and against one that the operator cannot end there.
 TEST_CASE("a restored registry does not end an evacuation at once",
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -46,6 +46,37 @@
   CHECK(second == error_kind::kUpstreamFailed);
 }
 
+// Guards against a request that is sent although its upstream was evacuated
+// while the connection was being established.
+TEST_CASE("a request that may not be sent is not sent") {
+  asio::io_context io;
+  tcp::acceptor acceptor(io,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  const std::string address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  http_client client(io);
+  std::size_t received = 1;
+  error_kind kind = error_kind::kOk;
+  asio::spawn(io, [&](asio::yield_context yield) {
+    tcp::socket socket(io);
+    acceptor.async_accept(socket, yield);
+    std::string buffer(4096, '\0');
+    boost::system::error_code error;
+    received = socket.async_read_some(asio::buffer(buffer), yield[error]);
+  });
+  asio::spawn(io, [&](asio::yield_context yield) {
+    outgoing_request request;
+    request.may_send = [] { return false; };
+    kind = client
+               .Call(address, request, clock::now() + std::chrono::seconds(20),
+                     yield)
+               .kind();
+  });
+  io.run();
+  CHECK(kind == error_kind::kUpstreamRefused);
+  CHECK(received == 0);
+}
+
 // Guards against connections to upstreams that are gone, or bytes received on
 // them, being kept for as long as the process runs.
 TEST_CASE("idle connections are closed when they cannot be reused") {
--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -288,6 +288,37 @@
   CHECK_FALSE(pool_.BackoffEnd(t0_ + first));
 }
 
+// Guards against requests to an evacuated zone, and against requests that wait
+// for a service whose zones are all evacuated.
+TEST_CASE_METHOD(pool_fixture, "upstreams of evacuated zones do not accept") {
+  for (int i : {2, 3})
+    listings_[static_cast<std::size_t>(i)].availability_zone = "zlin";
+  pool_.SetListings(listings_);
+  evacuation_set evacuations(duration(0));
+  pool_.SetEvacuations(&evacuations);
+  struct row {
+    evacuation_report report;
+    bool first_accepts;
+    bool last_accepts;
+    std::size_t left;
+  };
+  const row rows[] = {
+      {{"olomouc", {0, 1}, true}, true, true, 4},
+      {{"zlin", {0, 2}, true}, true, false, 2},
+      {{"brno", {0, 3}, true}, false, false, 0},
+      {{"zlin", {0, 4}, false}, false, true, 2},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.report.zone, r.report.evacuated);
+    evacuations.Merge(r.report, t0_);
+    CHECK(ViewOf(Address(0), t0_).accepting == r.first_accepts);
+    CHECK(ViewOf(Address(3), t0_).accepting == r.last_accepts);
+    CHECK(pool_.IsInEvacuatedZone(Address(3)) != r.last_accepts);
+    CHECK(pool_.CountOutsideEvacuatedZones(t0_) == r.left);
+    CHECK(pool_.IsEvacuated(t0_) == (r.left == 0));
+  }
+}
+
 TEST_CASE_METHOD(pool_fixture, "an unlisted upstream stays while in use") {
   const auto id = Send(3, 100, t0_);
   listings_.erase(listings_.begin() + 3);
--- a/tools/cactuswardctl.cc
+++ b/tools/cactuswardctl.cc
@@ -2,6 +2,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/time/time.h>
 
 #include <cstdlib>
 #include <fstream>
@@ -31,7 +32,8 @@
     int,
     wait_ms,
     3000,
-    "time to wait for every instance to have the revision, in ms (apply)");
+    "time to wait for every instance to have the revision or the state of a "
+    "zone, in ms (apply, evacuate, readmit)");
 
 namespace {
 
@@ -48,6 +50,12 @@
     "  cactuswardctl config diff FILE          what FILE would change\n"
     "  cactuswardctl config apply FILE --author=NAME [--base=N]\n"
     "  cactuswardctl config status             revision at each instance\n"
+    "  cactuswardctl zone evacuate ZONE        send nothing more to its "
+    "upstreams\n"
+    "  cactuswardctl zone readmit ZONE         use its upstreams again\n"
+    "  cactuswardctl zone status               evacuations, and which "
+    "instances\n"
+    "                                          do not know them yet\n"
     "  cactuswardctl fleet                     instances and upstreams\n"
     "  cactuswardctl queues                    queue depths and oldest waits\n"
     "  cactuswardctl burn [--html=FILE]        service-level burn\n"
@@ -322,6 +330,91 @@
   return 0;
 }
 
+std::string Joined(const json& names) {
+  std::string joined;
+  for (const json& name : names)
+    joined += (joined.empty() ? "" : ", ") + name.get<std::string>();
+  return joined;
+}
+
+std::string UtcTime(std::int64_t unix_ms) {
+  return absl::FormatTime("%Y-%m-%d %H:%M:%SZ", absl::FromUnixMillis(unix_ms),
+                          absl::UTCTimeZone());
+}
+
+// Waits until all instances know the state `number` of `zone` or a later one.
+int WaitUntilKnown(fleet_client& fleet,
+                   const std::string& zone,
+                   std::int64_t number) {
+  const auto started_at = cactusward::clock::now();
+  const milliseconds limit(absl::GetFlag(FLAGS_wait_ms));
+  std::string behind = "every instance";
+  while (true) {
+    const auto zones = fleet.Get("/v1/admin/zones");
+    for (const json& status : zones.value_or(json::array())) {
+      if (status.value("zone", "") != zone ||
+          status.value("number", std::int64_t{0}) < number)
+        continue;
+      behind = Joined(status["behind"]);
+      if (!behind.empty())
+        continue;
+      const auto waited = cactusward::clock::now() - started_at;
+      std::cout << "in force at " << status["complying"].dump()
+                << " instances after "
+                << static_cast<int>(cactusward::ToMilliseconds(waited))
+                << " ms\n";
+      return 0;
+    }
+    if (cactusward::clock::now() - started_at >= limit) {
+      std::cerr << "not known to be in force at: " << behind << '\n';
+      return kExitNotInForce;
+    }
+    cactusward::asio::io_context io;
+    cactusward::asio::steady_timer(io, kPollInterval).wait();
+  }
+}
+
+int ZoneChange(fleet_client& fleet, const std::string& zone, bool evacuate) {
+  const auto response = fleet.Call(
+      evacuate ? cactusward::http::verb::put : cactusward::http::verb::delete_,
+      "/v1/admin/zones/" + zone + "/evacuation");
+  if (!response)
+    return kExitUnreachable;
+  if (response->status != 200)
+    return PrintError(*response);
+  const auto accepted = cactusward::ParseJson(response->body);
+  if (!accepted || !accepted->is_object()) {
+    std::cerr << response->body << '\n';
+    return kExitFailed;
+  }
+  std::cout << "accepted: " << zone
+            << (evacuate ? " is evacuated\n" : " is in use\n");
+  if (accepted->value("upstreams", 0) == 0)
+    std::cerr << "warning: no upstream is listed in " << zone << '\n';
+  return WaitUntilKnown(fleet, zone,
+                        accepted->value("number", std::int64_t{0}));
+}
+
+int ZoneStatus(fleet_client& fleet) {
+  const auto zones = fleet.Get("/v1/admin/zones");
+  if (!zones)
+    return kExitUnreachable;
+  if (absl::GetFlag(FLAGS_json)) {
+    std::cout << zones->dump(2) << '\n';
+    return 0;
+  }
+  text_table table({"zone", "evacuated", "since", "upstreams", "complying",
+                    "not complying"});
+  for (const json& zone : *zones) {
+    const std::int64_t since = zone.value("since_unix_ms", std::int64_t{0});
+    table.Add({zone.value("zone", ""), zone["evacuated"].dump(),
+               since > 0 ? UtcTime(since) : "-", zone["upstreams"].dump(),
+               zone["complying"].dump(), Joined(zone["behind"])});
+  }
+  std::cout << table.ToString();
+  return 0;
+}
+
 int Drain(fleet_client& fleet) {
   const auto response =
       fleet.Call(cactusward::http::verb::post, "/v1/admin/drain");
@@ -349,6 +442,11 @@
     if (subcommand == "apply")
       return ConfigApply(fleet, arguments[2]);
   }
+  if (command == "zone" && subcommand == "status")
+    return ZoneStatus(fleet);
+  if (command == "zone" && arguments.size() == 3 &&
+      (subcommand == "evacuate" || subcommand == "readmit"))
+    return ZoneChange(fleet, arguments[2], subcommand == "evacuate");
   if (command == "fleet")
     return Fleet(fleet);
   if (command == "queues")
