--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -6,6 +6,7 @@
 #include "cactusward/hash.h"
 #include "src/kernel/log.h"
 #include "src/kernel/run_and_clean_up.h"
+#include "src/relay/helper_reservation.h"
 
 namespace cactusward {
 namespace {
@@ -346,41 +347,6 @@
   return granted;
 }
 
-result<std::vector<helper_address>> relay_request::ReserveMemory(
-    const relay_assignment& assignment,
-    memory_reservation* memory,
-    asio::yield_context yield) {
-  // The share of the primary engine is reserved as well: if the prompt had to
-  // wait for memory there, it would keep the memory of the others occupied.
-  std::vector<const relay_assignment::target*> engines;
-  if (assignment.primary.reserved_kv_tokens > 0)
-    engines.push_back(&assignment.primary);
-  for (const relay_assignment::target& helper : assignment.helpers)
-    engines.push_back(&helper);
-  std::vector<memory_reservation::allocation> allocations;
-  for (const relay_assignment::target* engine : engines) {
-    if (engine->reserved_kv_tokens > 0)
-      allocations.push_back({engine->upstream, engine->reserved_kv_tokens, {}});
-  }
-  if (!allocations.empty()) {
-    const std::string id_prefix =
-        caller_.attempt_id + "-" + std::to_string(attempts_);
-    const auto granted = memory->Acquire(id_prefix, allocations,
-                                         response_deadline_, &cancel_, yield);
-    if (!granted)
-      return {granted.kind(), granted.detail()};
-  }
-  std::vector<helper_address> addresses;
-  std::size_t reserved = 0;
-  for (const relay_assignment::target* engine : engines) {
-    helper_address address{engine->upstream->entry.address, {}};
-    if (engine->reserved_kv_tokens > 0)
-      address.reservation = memory->allocations()[reserved++].id;
-    addresses.push_back(std::move(address));
-  }
-  return addresses;
-}
-
 std::optional<relay_request::attempt> relay_request::StartAttempt(
     std::unique_ptr<relay_assignment> assignment,
     asio::yield_context yield) {
@@ -391,7 +357,9 @@
   const std::shared_ptr<fleet_upstream> upstream = exchange->upstream();
   record_.upstream = upstream->entry.id;
   const auto helpers =
-      ReserveMemory(*exchange->assignment, &exchange->memory, yield);
+      ReserveHelpers(*exchange->assignment,
+                     caller_.attempt_id + "-" + std::to_string(attempts_),
+                     response_deadline_, &cancel_, &exchange->memory, yield);
   if (!helpers) {
     attempt failed{attempt_result::kNotSent, helpers.detail(), false,
                    std::nullopt};
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -102,12 +102,6 @@
   // Whether a failed attempt says that its upstream can take less.
   static bool IsSetback(const relay_assignment& assignment,
                         const attempt& last);
-  // Reserves the memory of a prompt that is held by several engines.
-  // @return the engines that take part, with the ids of their reservations.
-  result<std::vector<helper_address>> ReserveMemory(
-      const relay_assignment& assignment,
-      memory_reservation* memory,
-      asio::yield_context yield);
   // Sends the request to an upstream and adds the exchange to `open_`.
   // @return why it was not sent; empty if it was.
   std::optional<attempt> StartAttempt(
