--- a/tests/unit/surge_test.cc
+++ b/tests/unit/surge_test.cc
@@ -126,7 +126,7 @@
 // engines, then many short ones. Hundreds of instances place few requests each,
 // so that what an instance places depends on what it knows of all others: if
 // reports are late or reach only a part of them, many choose the same engines.
-TEST_CASE("hundreds of instances serve waves that alternate", "[long]") {
+TEST_CASE("hundreds of instances serve waves that alternate", "[surge]") {
   testing::surge_settings settings;
   settings.engine = testing::HundredsFleetEngine();
   settings.instances = 195;
@@ -235,7 +235,7 @@
 
 // Failures in bursts of long prompts: a large organisation, urgent requests or
 // smaller prompts, which need fewer engines at once, crowd out others.
-TEST_CASE("in bursts of long prompts nobody starves in the queue", "[long]") {
+TEST_CASE("in bursts of long prompts nobody starves in the queue", "[surge]") {
   const admission_settings settings =
       GENERATE(values<admission_settings>({{false, true}, {true, true}}));
   CAPTURE(settings.refuse_on_arrival);
@@ -269,7 +269,7 @@
 
 // Failure: after the loss of half of the engines, most long prompts were held
 // for the whole of their queue time and then refused.
-TEST_CASE("long prompts that engines cannot serve do not wait", "[long]") {
+TEST_CASE("long prompts that engines cannot serve do not wait", "[surge]") {
   const testing::surge_result plain = RunBursts({}, 39).kinds[2];
   const testing::surge_result refusing = RunBursts({true, false}, 39).kinds[2];
   for (const auto* each : {&plain, &refusing})
@@ -282,7 +282,7 @@
 
 // Failure: prompts of the longer sort among the interactive ones met in one
 // pass, and each stream of that engine had a gap beyond its maximum.
-TEST_CASE("streams of short prompts keep their event gaps", "[long]") {
+TEST_CASE("streams of short prompts keep their event gaps", "[surge]") {
   struct row {
     const char* name;
     testing::surge_settings settings;
