--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -8,6 +8,8 @@
 constexpr int kRunners = 4;
 constexpr int kStableWindowMs = 3'000;
 constexpr int kDowntimeMs = 3'000;
+// An entry is removed after three heartbeats (1,200 ms) of silence.
+constexpr int kEntryLapsesMs = 3'600;
 constexpr int kPoisonPeriodMs = 5'000;
 constexpr int kPoisonRequests = 8;
 constexpr int kWorkMs = 15;
@@ -55,14 +57,19 @@
   }
   std::thread([&store, each] {
     rig::SleepMs(kDowntimeMs);
-    store.Remove("servers/" + each->id);
-    const std::lock_guard<std::mutex> lock(each->mutex);
-    ++each->starts;
-    each->id = "stock-" + std::to_string(each->number) + "-" +
-               std::to_string(each->starts);
-    each->process->Start();
-    Register(store, *each);
-    rig::Record("runner %s is back", each->id.c_str());
+    std::string lapsed;
+    {
+      const std::lock_guard<std::mutex> lock(each->mutex);
+      lapsed = each->id;
+      ++each->starts;
+      each->id = "stock-" + std::to_string(each->number) + "-" +
+                 std::to_string(each->starts);
+      each->process->Start();
+      Register(store, *each);
+      rig::Record("runner %s is back", each->id.c_str());
+    }
+    rig::SleepMs(kEntryLapsesMs - kDowntimeMs);
+    store.Remove("servers/" + lapsed);
   }).detach();
 }
 
