--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -5,22 +5,22 @@
 namespace {
 
 constexpr int kInstances = 3;
-// The runner of zone 1, the one of zone 2, and the one that replaces the first.
-constexpr int kRunners = 3;
-constexpr int kReplaced = 0, kNew = 2;
+// One runner in each zone, and the one that replaces the first.
+constexpr int kRunners = 4;
+constexpr int kReplaced = 0, kNew = 3;
 constexpr int kTokensPerEvent = 51;
 // Events of the streams before the stop, of the one that runs as it begins, and
 // of the late ones.
 constexpr int kShort = 10;
 constexpr int kRunning = 100;
 constexpr int kLate = 44;
-constexpr int kEventMs[kRunners] = {45, 45, 115};
+constexpr int kEventMs[kRunners] = {45, 45, 45, 115};
 constexpr int kPrefillMs = 30;
 constexpr int kRunsBefore = 40;
 constexpr int kLeavesAfterMs = 500;
 constexpr int kConnectAfterMs = 1'800;
 constexpr int kSendAfterMs = 3'100;
-constexpr int kLateStreams = 4;
+constexpr int kLateStreams = 6;
 
 std::string IdOf(int runner) {
   return "model-" + std::to_string(runner + 1);
@@ -77,7 +77,7 @@
               int sequence,
               const std::string& state) {
   store.Put("servers/" + IdOf(runner),
-            rig::Entry("model", at, "zone-" + std::to_string(runner % 2 + 1),
+            rig::Entry("model", at, "zone-" + std::to_string(runner % 3 + 1),
                        16, 1'790'000'000'000, sequence, state)
                 .dump());
 }
