A response whose status is none of HTTP is an error

Callers got responses with status 000 as answers, on plain routes and streams, and as the body of a call on the own interface.

Cause: the HTTP library accepts any three digits as a status, and http_stream::ReadHeader passed on whatever it parsed. A status outside of 100 to 599 is no status of HTTP. A 101 was skipped like other interim responses, so that bytes of another protocol, which no request asks for, were read as the final response.

ReadHeader now ends such a response as garbled. All clients read heads there: forwarding, tunnels, retries, resumed streams, the own interface, probes and stores. The request may have run, so callers get a 502, and only requests that may be repeated are sent again. The connection is not reused.

--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -19,8 +19,10 @@
 constexpr std::size_t kMaxParseBufferBytes = 64ULL * 1024;
 // Responses with status 1xx before the final one.
 constexpr int kMaxInterimResponses = 4;
-constexpr int kStatusClassSize = 100;
-constexpr int kInformationalClass = 1;
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kMinFinalStatus = 200;
 constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr milliseconds kMaxIdleTime{10'000};
 constexpr milliseconds kConnectTimeout{1'000};
@@ -275,8 +277,15 @@
               "upstream no longer accepts requests"};
     if (*ended)
       return {RecordReadError(*ended), ended->message()};
-    // The library does not know all codes, such as 103.
-    if (status() / kStatusClassSize != kInformationalClass) {
+    // The library accepts any three digits. No request asks for another
+    // protocol.
+    if (status() < kMinStatus || status() > kMaxStatus ||
+        status() == kSwitchingProtocols) {
+      broken_ = true;
+      return {error_kind::kUpstreamGarbled,
+              "status " + std::to_string(status())};
+    }
+    if (status() >= kMinFinalStatus) {
       finished_ = connection_->parser->is_done();
       return true;
     }
--- a/tests/unit/tunnel_test.cc
+++ b/tests/unit/tunnel_test.cc
@@ -5,8 +5,10 @@
 #include "src/edges/tunnel.h"
 #include "tests/support/closing_upstream.h"
 #include "tests/support/endless_upstream.h"
+#include "tests/support/invalid_responses.h"
 #include "tests/support/memory_growth.h"
 #include "tests/support/platform_fakes.h"
+#include "tests/support/scripted_upstream.h"
 
 namespace cactusward {
 namespace {
@@ -191,6 +193,38 @@
   }
 }
 
+// Guards against an invalid response that is taken for a valid one because it
+// comes through a peer.
+TEST_CASE("an invalid response through a peer is an error") {
+  for (const testing::invalid_response& r : testing::InvalidStatuses()) {
+    CAPTURE(r.name);
+    asio::io_context io;
+    http_client client(io);
+    fixed_policy policy(true);
+    tunnel_server server(io, kSecret, &client.direct(), &policy);
+    const std::string address = FreeAddress();
+    REQUIRE(server.Listen(address));
+    tunnel_connector through_peer(io, &client.direct(), address);
+    through_peer.SetServer(&server);
+    client.SetUpstreamConnector(&through_peer);
+    testing::scripted_upstream upstream(io, [&r](const http_request&, int) {
+      return testing::scripted_upstream::reply{{{r.Bytes("", "hello"), {}}},
+                                               true};
+    });
+    Spawn(io, "test", [&](asio::yield_context yield) {
+      outgoing_request request;
+      request.target = "/";
+      request.to_upstream = true;
+      CHECK(
+          client
+              .Call(upstream.address(), request, clock::now() + kTimeout, yield)
+              .kind() == error_kind::kUpstreamGarbled);
+      io.stop();
+    });
+    io.run();
+  }
+}
+
 // Guards against a peer that keeps what endless upstreams send through it, for
 // callers that read slowly or not at all.
 TEST_CASE("an endless response through a peer is bounded") {
