The response to a request for a tunnel needs the status of its outcome

OpenTunnel read only the field Tunnel-Outcome. A response with status 000 or 502 that names the outcome "open" opened a tunnel, whose bytes were then read as those of the upstream.

The outcome now counts only with the status that tunnel_server sends with it: 200 for an open tunnel, 502 for all others. Anything else is a peer without a response, so another one is asked. No byte of a request is sent before that, so nothing can run twice.

--- a/src/edges/tunnel.cc
+++ b/src/edges/tunnel.cc
@@ -57,6 +57,12 @@
   return {text.data(), text.size()};
 }
 
+// The status of the response that states `outcome`.
+http::status StatusFor(tunnel_outcome outcome) {
+  return outcome == tunnel_outcome::kOpen ? http::status::ok
+                                          : http::status::bad_gateway;
+}
+
 // Closes without the regular end of the connection, so that the other side does
 // not take what it has received for complete.
 void Reset(tcp::socket& socket) {
@@ -177,10 +183,11 @@
   if (error || (cancel && cancel->cancelled()))
     return attempt;
   const std::string_view outcome = ToView(parser.get()[kOutcomeField]);
+  const http::status status = parser.get().result();
   for (const auto known :
        {tunnel_outcome::kOpen, tunnel_outcome::kRefusedByUpstream,
         tunnel_outcome::kUnreachable, tunnel_outcome::kDenied}) {
-    if (outcome == NameOf(known))
+    if (outcome == NameOf(known) && status == StatusFor(known))
       attempt.outcome = known;
   }
   // An upstream sends nothing before it has received a request.
@@ -302,8 +309,7 @@
                     : tunnel_outcome::kUnreachable;
     }
   }
-  http::response<http::empty_body> response(
-      target ? http::status::ok : http::status::bad_gateway, kHttpVersion);
+  http::response<http::empty_body> response(StatusFor(outcome), kHttpVersion);
   response.set(kOutcomeField, ToBeast(NameOf(outcome)));
   if (!target)
     response.keep_alive(false);
--- a/tests/unit/tunnel_test.cc
+++ b/tests/unit/tunnel_test.cc
@@ -73,6 +73,49 @@
   }
 }
 
+// Guards against a tunnel whose bytes would be read as those of an upstream,
+// though it does not lead to one.
+TEST_CASE("an invalid response of a peer opens no tunnel") {
+  struct row {
+    std::string name;
+    std::string response;
+    tunnel_outcome outcome;
+  };
+  const std::string open = "Tunnel-Outcome: open\r\n";
+  std::vector<row> rows = {
+      {"open", "HTTP/1.1 200 OK\r\n" + open + "\r\n", tunnel_outcome::kOpen},
+      {"denied", "HTTP/1.1 502 x\r\nTunnel-Outcome: denied\r\n\r\n",
+       tunnel_outcome::kDenied},
+      {"open, but failed", "HTTP/1.1 502 x\r\n" + open + "\r\n",
+       tunnel_outcome::kPeerGone},
+      {"denied, but successful",
+       "HTTP/1.1 200 OK\r\nTunnel-Outcome: denied\r\n\r\n",
+       tunnel_outcome::kPeerGone},
+      {"no outcome", "HTTP/1.1 200 OK\r\n\r\n", tunnel_outcome::kPeerGone},
+  };
+  for (const testing::invalid_response& invalid : testing::InvalidStatuses())
+    rows.push_back(
+        {invalid.name, invalid.Bytes(open, ""), tunnel_outcome::kPeerGone});
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    asio::io_context io;
+    testing::scripted_upstream peer(io, [&r](const http_request&, int) {
+      return testing::scripted_upstream::reply{{{r.response, {}}}};
+    });
+    direct_connector direct(io);
+    Spawn(io, "test", [&](asio::yield_context yield) {
+      const auto attempt =
+          OpenTunnel(direct, kSecret, peer.address(), FreeAddress(), "id",
+                     clock::now() + kTimeout, yield, nullptr);
+      CHECK(attempt.outcome == r.outcome);
+      CHECK((attempt.socket != nullptr) ==
+            (r.outcome == tunnel_outcome::kOpen));
+      io.stop();
+    });
+    io.run();
+  }
+}
+
 // Connects to one address through a tunnel.
 class tunnel_connector : public connector {
  public:
