Partial events on the own interface count against the pool of bodies

Cause: forwarded streams take their partial events from a pool that all requests share, completions only had the bound of 1 MiB for each stream. They now share the pool of http_client::Call's bodies, so that a few that grow without end leave room for the others. Partial events of sound engines are small.

--- a/src/edges/http_client.h
+++ b/src/edges/http_client.h
@@ -262,6 +262,8 @@
   // theirs.
   void CloseUnusableConnections(time_point now);
   std::size_t idle_connections() const;
+  // Memory for what is kept of the responses of upstreams, all together.
+  buffer_pool& upstream_bodies() { return upstream_bodies_; }
   // Number of connections opened since construction.
   std::int64_t connections_opened() const { return connections_opened_; }
 
--- a/src/formats/completion_format.h
+++ b/src/formats/completion_format.h
@@ -49,6 +49,8 @@
   bool Feed(std::string_view bytes, std::vector<std::string>* out);
   // Whether an incomplete event is buffered.
   bool HasPartialEvent() const { return !buffer_.empty(); }
+  // Size of the incomplete event.
+  std::size_t pending_bytes() const { return buffer_.size(); }
 
  private:
   std::string buffer_;
--- a/src/request/completion_run.cc
+++ b/src/request/completion_run.cc
@@ -1,5 +1,6 @@
 #include "src/request/completion_run.h"
 
+#include "cactusward/buffer_pool.h"
 #include "src/edges/json.h"
 #include "src/services/config_service.h"
 
@@ -152,6 +153,7 @@
                                                 placed_request& placed,
                                                 asio::yield_context yield) {
   event_splitter splitter;
+  buffer_pool::share buffered(&runtime_.client.upstream_bodies());
   std::vector<std::string> events;
   bool complete = false;
   while (!complete) {
@@ -163,7 +165,9 @@
       return {error_kind::kUpstreamFailed, "stream ended early", true};
     placed.RecordBytes();
     events.clear();
-    if (!splitter.Feed(*bytes, &events))
+    // Appending may allocate double.
+    if (!splitter.Feed(*bytes, &events) ||
+        !buffered.Resize(2 * splitter.pending_bytes()))
       return {error_kind::kUpstreamGarbled, "event too large", true};
     for (const std::string& data : events) {
       const auto handled = OnEvent(data, placed);
