A reset during a request is no regular end of its tunnel

A part of a response without a length could count as complete when it came through a peer: the upstream reset the connection while a long request was being written, and the peer confirmed a regular end. The instance that wrote the request waited until its deadline.

Cause: the kernel reports a reset once. When a write of the request takes it, the read ends like that of a closed connection, and in a trace the read returned before the write. tunnel_server::Carry looked at the result of the writes before there was one, and recorded the end as the upstream's.

At the end of a response whose connection has hung up, Carry now waits for a write that has not returned, which the kernel ends at once. A write that ends with broken_pipe still means a regular end, as the upstream had closed its side before.

--- a/src/edges/tunnel.cc
+++ b/src/edges/tunnel.cc
@@ -2,6 +2,8 @@
 
 #include <absl/strings/escaping.h>
 
+#include <poll.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
@@ -84,9 +86,19 @@
   kTargetBroke
 };
 
+// Whether both directions of a connection have ended, as after a reset.
+// Precondition: this side has ended neither.
+bool HasHungUp(tcp::socket& socket) {
+  pollfd state{};
+  state.fd = socket.native_handle();
+  return poll(&state, 1, 0) > 0 && (state.revents & (POLLHUP | POLLERR)) != 0;
+}
+
 // Passes bytes on from `source` to `target`.
+// @param writing whether a write to `target` has not returned; may be null.
 pass_on_end PassOn(tcp::socket& source,
                    tcp::socket& target,
+                   bool* writing,
                    asio::yield_context yield) {
   const auto buffer = std::make_unique<std::array<char, kBufferBytes>>();
   boost::system::error_code error;
@@ -96,8 +108,12 @@
     if (error)
       return error == asio::error::eof ? pass_on_end::kSourceEnded
                                        : pass_on_end::kSourceBroke;
+    if (writing)
+      *writing = true;
     asio::async_write(target, asio::buffer(buffer->data(), received),
                       yield[error]);
+    if (writing)
+      *writing = false;
     if (error)
       return error == asio::error::broken_pipe ? pass_on_end::kTargetEnded
                                                : pass_on_end::kTargetBroke;
@@ -343,27 +359,36 @@
   SetDeadPeerTimeout(*upstream, kDeadPeerTimeout, kUnboundedBytes);
   SetDeadPeerTimeout(*peer, kDeadPeerTimeout, kUnboundedBytes);
   struct request_state {
-    explicit request_state(asio::io_context& io) : peer_ended(io) {}
-    asio::steady_timer peer_ended;  // cancelled when the peer has closed
+    explicit request_state(asio::io_context& io)
+        : peer_ended(io), upstream_ended(io) {}
+    asio::steady_timer peer_ended;      // cancelled when the peer has closed
+    asio::steady_timer upstream_ended;  // cancelled when a write has failed
+    bool writing = false;               // to the upstream
     bool upstream_broke = false;
   };
   const auto state = std::make_shared<request_state>(io_);
   Spawn(io_, "tunnel_request",
         [peer, upstream, state](asio::yield_context inner) {
-          const pass_on_end end = PassOn(*peer, *upstream, inner);
+          const pass_on_end end =
+              PassOn(*peer, *upstream, &state->writing, inner);
+          boost::system::error_code ignored;
           // The response of an upstream that takes no more is still read.
           state->upstream_broke = end == pass_on_end::kTargetBroke;
+          state->upstream_ended.cancel(ignored);
           if (state->upstream_broke || end == pass_on_end::kTargetEnded)
             return;
           // The peer wants no more of the response.
-          boost::system::error_code ignored;
           upstream->close(ignored);
           peer->close(ignored);
           state->peer_ended.cancel(ignored);
         });
-  // The kernel reports a reset once, possibly to the write of the request.
-  if (PassOn(*upstream, *peer, yield) != pass_on_end::kSourceEnded ||
-      state->upstream_broke)
+  if (PassOn(*upstream, *peer, nullptr, yield) != pass_on_end::kSourceEnded)
+    return Reset(*peer);
+  // The kernel reports a reset once, possibly to the write of the request,
+  // which then returns soon, but perhaps after the read.
+  if (state->writing && upstream->is_open() && HasHungUp(*upstream))
+    WaitOn(state->upstream_ended, clock::now() + kLingerTimeout, yield);
+  if (state->upstream_broke)
     return Reset(*peer);
   RecordEnd(id);
   boost::system::error_code ignored;
