--- a/src/edges/http_client.cc
+++ b/src/edges/http_client.cc
@@ -291,7 +291,7 @@
   const response_decoder& decoder = connection_->decoder;
   while (connection_->read.pending() || !decoder.done()) {
     if (!connection_->read.pending()) {
-      const auto data = DecodeReceived();
+      auto data = DecodeReceived();
       if (!data || !data->empty()) {
         finished_ = data && decoder.done();
         return data;
--- a/tests/unit/early_response_test.cc
+++ b/tests/unit/early_response_test.cc
@@ -171,6 +171,34 @@
   }
 }
 
+// Guards against a complete response that fails because its upstream, which
+// ended it regularly, resets the connection later.
+TEST_CASE("a response that ends during the request is complete", "[path]") {
+  for (const bool through_peer : {false, true}) {
+    asio::io_context io;
+    http_client client(io);
+    open_policy policy;
+    tunnel_server server(io, tunnel_connector::kSecret, &client.direct(),
+                         &policy);
+    const std::string tunnels = FreeAddress();
+    REQUIRE(server.Listen(tunnels));
+    tunnel_connector connector(&client.direct(), &server, tunnels);
+    if (through_peer)
+      client.SetUpstreamConnector(&connector);
+    early_upstream upstream(io);
+    Spawn(io, "test", [&](asio::yield_context yield) {
+      for (early_response ending : Endings(early_end::kHalfClosed)) {
+        CAPTURE(through_peer, ending.read_before, ending.delay.count());
+        ending.bytes = "HTTP/1.1 200 OK\r\n\r\nhello";
+        upstream.SetResponse(ending);
+        CHECK(IsComplete(client, upstream.address(), api::kSend, yield));
+      }
+      io.stop();
+    });
+    io.run();
+  }
+}
+
 // Guards against a peer which confirms that an upstream ended its response,
 // although the upstream reset the connection: the write of the request took the
 // reset.
