A crash on a kept connection counts against the request

Cause: a kept connection that ends before any byte of a response was taken for one that the upstream had closed while it was idle. No liveness check followed, so neither the suspects nor the quarantine heard of the crash.

Now the check follows whatever connection broke. An upstream that only closed an idle connection accepts the test connection, and nothing is recorded; one that has crashed refuses it.

Test: "a crash on a kept connection counts against the request". Before, a call ran 16 times in four attempts of its caller (3 are allowed), and the last was answered 502 instead of 503.

--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -394,15 +394,14 @@
 void relay_request::RecordFailedAttempt(upstream_exchange& exchange,
                                         const attempt& last,
                                         asio::yield_context yield) {
-  if (last.end == attempt_result::kInvalidResponse && !last.stale_connection)
+  if (last.end == attempt_result::kInvalidResponse)
     CheckLiveness(exchange, yield);
   RecordOutcome(*exchange.assignment, last);
   if (IsSetback(*exchange.assignment, last))
     services_.fleet.RecordSetback(
         *ResponsibleUpstream(*exchange.assignment, last), exchange.sent_at,
         last.end == attempt_result::kNotExecuted);
-  // A broken reused connection says nothing about the upstream, which may be
-  // tried again.
+  // An upstream may close an idle connection at any time, and be tried again.
   if (last.stale_connection && ++stale_retries_ <= kMaxStaleRetries)
     --sent_attempts_;
   else if (last.end != attempt_result::kRejected &&
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -73,7 +73,8 @@
   struct attempt {
     attempt_result end = attempt_result::kInvalidResponse;
     std::string detail;
-    // A reused connection broke before a response arrived.
+    // A reused connection broke before a response arrived: the upstream has
+    // closed it while it was idle, or has crashed, or its response was lost.
     bool stale_connection = false;
     std::optional<http::response<http::string_body>> response;  // for kFailed
     std::string at_fault;  // address of the upstream named by a refusal
