A crashing part is found wherever it is in a prompt

Cause: only the first 64 parts of a prompt were read, so that a report fits into a datagram. The crashing part was in no evidence; when all upstreams were down, nothing showed that the others were sound. Evidence: the part is missing in the in_flight lists of all upstream_died lines.

All parts are read now; the size of a header bounds them. Reports that exceed a message are split and joined again by request, which earlier releases can read as well. Evidence, messages and log lines are bounded by parts, and the comparison of prompts no longer grows with the square of the parts.

--- a/include/cactusward/membership.h
+++ b/include/cactusward/membership.h
@@ -103,6 +103,8 @@
 constexpr int kBaseGossipFormat = 7;
 // The newest format of this release. Later ones append fields to it.
 constexpr int kGossipFormat = 9;
+// Items of a list that every release reads; it leaves out longer lists.
+constexpr std::size_t kMaxGossipListItems = 512;
 
 // A datagram between instances.
 struct gossip_message {
--- a/include/cactusward/part_quarantine.h
+++ b/include/cactusward/part_quarantine.h
@@ -11,32 +11,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cactusward/crash_report.h"
 #include "cactusward/time.h"
 
 namespace cactusward {
 
-// A request that was in flight at a crash and had not survived its start.
-struct crash_suspect {
-  std::uint64_t fingerprint = 0;
-  std::vector<std::uint64_t> shared_parts;  // of its prompt
-
-  friend bool operator==(const crash_suspect& a, const crash_suspect& b) {
-    return a.fingerprint == b.fingerprint && a.shared_parts == b.shared_parts;
-  }
-};
-
-// A crash as seen by one instance: with the requests that it had sent.
-struct crash_report {
-  std::uint32_t upstream = 0;  // UpstreamKey
-  std::int64_t age_ms = 0;
-  std::vector<crash_suspect> suspects;
-
-  friend bool operator==(const crash_report& a, const crash_report& b) {
-    return a.upstream == b.upstream && a.age_ms == b.age_ms &&
-           a.suspects == b.suspects;
-  }
-};
-
 // Requests whose prompts have all of `parts` are refused.
 struct quarantine_report {
   std::vector<std::uint64_t> parts;  // sorted
@@ -94,8 +73,8 @@
   // Sets the number of instances over which trials are spread.
   void SetInstanceCount(std::size_t count) { instances_ = count; }
 
-  // Merges a crash seen by this instance or a peer. @return whether it holds
-  // new evidence.
+  // Merges a crash seen by this instance or a peer. The parts of one request
+  // may be spread over several reports. @return whether it holds new evidence.
   bool MergeCrash(const crash_report& report, time_point now);
   // Merges a peer's quarantine. @return false if it was known, or contradicts
   // what is known to be sound.
@@ -141,7 +120,7 @@
   struct crash {
     std::uint32_t upstream = 0;
     time_point at;
-    std::vector<crash_suspect> suspects;
+    std::vector<crash_suspect> suspects;  // their parts are sorted
     bool attributed = false;
   };
   struct quarantine {
@@ -154,6 +133,9 @@
   struct part_evidence;
 
   crash* FindCrash(const crash_report& report, time_point at);
+  // Adds parts of one request to the evidence, unless they exceed a limit.
+  // @return whether any was new.
+  static bool AddSuspect(const crash_suspect& suspect, crash* known);
   // Adds the quarantines that the recorded crashes call for.
   void Evaluate(time_point now);
   // @param known_sound whether parts may be blamed that upstreams survived
--- a/src/membership/gossip_codec.cc
+++ b/src/membership/gossip_codec.cc
@@ -18,7 +18,6 @@
 // The first format with evacuations.
 constexpr int kEvacuationFormat = 9;
 constexpr std::size_t kMemberFields = 6;
-constexpr std::size_t kMaxListItems = 512;
 // Fields of later formats that are kept for one member.
 constexpr std::size_t kMaxExtensionBytes = 256;
 // Precedes the newest format that the sender reads in the target of messages of
@@ -94,13 +93,14 @@
     return false;
   for (std::size_t i = 0; i < types.size(); ++i) {
     const json& field = item[i];
-    const bool fits = types[i] == 'u'   ? field.is_number_unsigned()
-                      : types[i] == 'i' ? IsInteger(field)
-                      : types[i] == 'b' ? field.is_boolean()
-                      : types[i] == 's' ? field.is_string()
-                      : types[i] == 'a'
-                          ? field.is_array() && field.size() <= kMaxListItems
-                          : true;
+    const bool fits =
+        types[i] == 'u'   ? field.is_number_unsigned()
+        : types[i] == 'i' ? IsInteger(field)
+        : types[i] == 'b' ? field.is_boolean()
+        : types[i] == 's' ? field.is_string()
+        : types[i] == 'a'
+            ? field.is_array() && field.size() <= kMaxGossipListItems
+            : true;
     if (!fits)
       return false;
   }
@@ -148,7 +148,7 @@
 }
 
 bool ReadNumbers(const json& value, std::vector<std::uint64_t>* out) {
-  if (!value.is_array() || value.size() > kMaxListItems)
+  if (!value.is_array() || value.size() > kMaxGossipListItems)
     return false;
   for (const json& item : value) {
     if (!item.is_number_unsigned())
@@ -212,7 +212,7 @@
 int ReadList(const json& value,
              bool (*read)(const json&, Item*),
              std::vector<Item>* out) {
-  if (!value.is_array() || value.size() > kMaxListItems)
+  if (!value.is_array() || value.size() > kMaxGossipListItems)
     return 1;
   int left_out = 0;
   for (const json& item : value) {
--- a/src/recovery/part_quarantine.cc
+++ b/src/recovery/part_quarantine.cc
@@ -1,6 +1,7 @@
 #include "cactusward/part_quarantine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 
@@ -30,27 +31,75 @@
 constexpr milliseconds kForgetPeriod{600'000};
 constexpr std::size_t kMaxCrashes = 64;
 constexpr std::size_t kMaxSuspects = 32;
+// Of all suspects of a crash together.
+constexpr std::size_t kMaxPartsPerCrash = 16'384;
 constexpr std::size_t kMaxQuarantines = 16;
-constexpr std::size_t kMaxSoundParts = 8'192;
+constexpr std::size_t kMaxSoundParts = 65'536;
 
-bool Contains(const std::vector<std::uint64_t>& parts, std::uint64_t part) {
-  return std::find(parts.begin(), parts.end(), part) != parts.end();
+// Preconditions of both: the parts of `suspect` and `required` are sorted.
+bool HasPart(const crash_suspect& suspect, std::uint64_t part) {
+  return std::binary_search(suspect.shared_parts.begin(),
+                            suspect.shared_parts.end(), part);
 }
 
-// Whether `parts` has all of `required`.
+bool HasSuspectWith(const std::vector<crash_suspect>& suspects,
+                    const std::vector<std::uint64_t>& required) {
+  return std::any_of(suspects.begin(), suspects.end(),
+                     [&required](const crash_suspect& suspect) {
+                       return std::includes(suspect.shared_parts.begin(),
+                                            suspect.shared_parts.end(),
+                                            required.begin(), required.end());
+                     });
+}
+
+// Whether `parts`, in any order, has all of `required`, which is sorted.
 bool ContainsAll(const std::vector<std::uint64_t>& parts,
                  const std::vector<std::uint64_t>& required) {
-  return std::all_of(
-      required.begin(), required.end(),
-      [&parts](std::uint64_t part) { return Contains(parts, part); });
+  if (parts.size() < required.size())
+    return false;
+  std::vector<bool> found(required.size());
+  std::size_t missing = required.size();
+  for (const std::uint64_t part : parts) {
+    const auto at = std::lower_bound(required.begin(), required.end(), part);
+    if (at == required.end() || *at != part || found[at - required.begin()])
+      continue;
+    found[at - required.begin()] = true;
+    --missing;
+  }
+  return missing == 0;
 }
 
-bool HasSuspectWith(const std::vector<crash_suspect>& suspects,
-                    const std::vector<std::uint64_t>& parts) {
-  return std::any_of(suspects.begin(), suspects.end(),
-                     [&parts](const crash_suspect& suspect) {
-                       return ContainsAll(suspect.shared_parts, parts);
-                     });
+// Suspects of one crash.
+using suspect_list = std::vector<const crash_suspect*>;
+
+suspect_list SuspectsWith(const std::vector<crash_suspect>& suspects,
+                          std::uint64_t part) {
+  suspect_list found;
+  for (const crash_suspect& suspect : suspects) {
+    if (HasPart(suspect, part))
+      found.push_back(&suspect);
+  }
+  return found;
+}
+
+// Drops the suspects without `part`. @return whether one is left of each crash;
+// nothing is dropped otherwise.
+bool NarrowToSuspectsWith(std::uint64_t part,
+                          std::vector<suspect_list>* crashes) {
+  std::vector<suspect_list> narrowed;
+  narrowed.reserve(crashes->size());
+  for (const suspect_list& suspects : *crashes) {
+    suspect_list having;
+    std::copy_if(suspects.begin(), suspects.end(), std::back_inserter(having),
+                 [part](const crash_suspect* suspect) {
+                   return HasPart(*suspect, part);
+                 });
+    if (having.empty())
+      return false;
+    narrowed.push_back(std::move(having));
+  }
+  *crashes = std::move(narrowed);
+  return true;
 }
 
 bool SharesRequest(const std::vector<crash_suspect>& a,
@@ -102,6 +151,36 @@
   return found == crashes_.end() ? nullptr : &*found;
 }
 
+bool part_quarantine::AddSuspect(const crash_suspect& suspect, crash* known) {
+  std::size_t room = kMaxPartsPerCrash;
+  for (const crash_suspect& other : known->suspects)
+    room -= other.shared_parts.size();
+  auto same = std::find_if(known->suspects.begin(), known->suspects.end(),
+                           [&suspect](const crash_suspect& other) {
+                             return other.fingerprint == suspect.fingerprint;
+                           });
+  const bool is_known = same != known->suspects.end();
+  std::vector<std::uint64_t> parts = suspect.shared_parts;
+  std::sort(parts.begin(), parts.end());
+  parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+  std::vector<std::uint64_t> added;
+  std::copy_if(parts.begin(), parts.end(), std::back_inserter(added),
+               [&same, is_known](std::uint64_t part) {
+                 return !is_known || !HasPart(*same, part);
+               });
+  if (added.empty() || added.size() > room ||
+      (!is_known && known->suspects.size() >= kMaxSuspects))
+    return false;
+  if (!is_known) {
+    known->suspects.push_back({suspect.fingerprint, std::move(added)});
+    return true;
+  }
+  std::vector<std::uint64_t>& all = same->shared_parts;
+  const auto middle = all.insert(all.end(), added.begin(), added.end());
+  std::inplace_merge(all.begin(), middle, all.end());
+  return true;
+}
+
 bool part_quarantine::MergeCrash(const crash_report& report, time_point now) {
   if (report.suspects.empty() || report.age_ms < 0 ||
       milliseconds(report.age_ms) > kEvidencePeriod)
@@ -115,15 +194,8 @@
     known = &*crashes_.insert(position, {report.upstream, at, {}, false});
   }
   bool is_new = false;
-  for (const crash_suspect& suspect : report.suspects) {
-    if (suspect.shared_parts.empty() ||
-        known->suspects.size() >= kMaxSuspects ||
-        std::find(known->suspects.begin(), known->suspects.end(), suspect) !=
-            known->suspects.end())
-      continue;
-    known->suspects.push_back(suspect);
-    is_new = true;
-  }
+  for (const crash_suspect& suspect : report.suspects)
+    is_new = AddSuspect(suspect, known) || is_new;
   if (crashes_.size() > kMaxCrashes)
     crashes_.pop_front();
   if (!is_new)
@@ -166,20 +238,19 @@
   found.first_crash = best->crashes.front()->at;
   found.last_crash = best->crashes.back()->at;
   const std::uint64_t blamed = found.parts.front();
+  // By crash: the suspects that have all of the parts found so far, since one
+  // request has to have all of them.
+  std::vector<suspect_list> remaining;
+  for (const crash* item : best->crashes) {
+    if (now - item->at >= kSettleTime)
+      remaining.push_back(SuspectsWith(item->suspects, blamed));
+  }
   for (const auto& [part, evidence] : by_part) {
     if (part == blamed || IsSoundSince(part, found.first_crash))
       continue;
-    // One request has to have all of them.
-    std::vector<std::uint64_t> together = found.parts;
-    together.push_back(part);
-    const bool accompanies =
-        std::all_of(best->crashes.begin(), best->crashes.end(),
-                    [&together, now](const crash* item) {
-                      return now - item->at < kSettleTime ||
-                             HasSuspectWith(item->suspects, together);
-                    });
-    if (accompanies && evidence.crashes.size() + 1 >= kMinCrashes)
-      found.parts = std::move(together);
+    if (evidence.crashes.size() + 1 >= kMinCrashes &&
+        NarrowToSuspectsWith(part, &remaining))
+      found.parts.push_back(part);
   }
   std::sort(found.parts.begin(), found.parts.end());
   return found;
@@ -283,7 +354,7 @@
     const bool suspected =
         std::any_of(crashes_.begin(), crashes_.end(), [&](const crash& item) {
           return item.at > since && item.at < at &&
-                 HasSuspectWith(item.suspects, {part});
+                 !SuspectsWith(item.suspects, part).empty();
         });
     bool quarantined = false;
     for (auto entry = quarantines_.begin(); entry != quarantines_.end();) {
--- a/src/relay/quarantine_service.cc
+++ b/src/relay/quarantine_service.cc
@@ -25,8 +25,34 @@
 constexpr milliseconds kSameCrashPeriod{5'000};
 // Limits that keep a message within one datagram.
 constexpr std::size_t kMaxCrashesPerMessage = 8;
+constexpr std::size_t kMaxPartsPerReport = kMaxGossipListItems;
+constexpr std::size_t kMaxSoundPartsPerMessage = 256;
+constexpr std::size_t kMaxQuarantinedPartsPerMessage = 1'024;
+// Limits of what is reported of one crash.
 constexpr std::size_t kMaxSuspectsPerCrash = 16;
-constexpr std::size_t kMaxSoundParts = 16;
+constexpr std::size_t kMaxPartsPerCrash = 16'384;
+// Reports that wait to be sent, or to be repeated.
+constexpr std::size_t kMaxQueuedReports = 64;
+constexpr std::size_t kMaxQueuedSoundParts = 4'096;
+constexpr std::size_t kMaxLoggedParts = 128;
+
+// Counts a broadcast of the first `count` reports, and moves those that are to
+// be repeated behind the others.
+template <typename report>
+void CountBroadcast(std::size_t count, std::deque<report>* reports) {
+  count = std::min(count, reports->size());
+  for (std::size_t i = 0; i < count; ++i) {
+    report sent = std::move(reports->front());
+    reports->pop_front();
+    if (--sent.broadcasts_left > 0)
+      reports->push_back(std::move(sent));
+  }
+}
+
+template <typename report>
+bool HasUnsent(const std::deque<report>& reports) {
+  return !reports.empty() && reports.front().broadcasts_left == kBroadcasts;
+}
 
 const quarantine_report* FindSame(const std::vector<quarantine_report>& all,
                                   const quarantine_report& wanted) {
@@ -41,8 +67,8 @@
 
 nlohmann::json DescribeParts(const std::vector<std::uint64_t>& parts) {
   auto described = nlohmann::json::array();
-  for (const std::uint64_t part : parts)
-    described.push_back(absl::StrCat(absl::Hex(part)));
+  for (std::size_t i = 0; i < std::min(parts.size(), kMaxLoggedParts); ++i)
+    described.push_back(absl::StrCat(absl::Hex(parts[i])));
   return described;
 }
 
@@ -67,16 +93,18 @@
   const time_point now = clock::now();
   crash_report report;
   report.upstream = UpstreamKey(upstream_id);
+  std::size_t room = kMaxPartsPerCrash;
   for (const running_request& request : in_flight) {
     if (request.survived_start || request.shared_parts.empty() ||
+        request.shared_parts.size() > room ||
         report.suspects.size() >= kMaxSuspectsPerCrash)
       continue;
     report.suspects.push_back({request.fingerprint, request.shared_parts});
+    room -= request.shared_parts.size();
   }
   if (quarantine_.MergeCrash(report, now)) {
-    own_crashes_.push_back({report, now, kBroadcasts});
-    if (own_crashes_.size() > kMaxCrashesPerMessage)
-      own_crashes_.pop_front();
+    for (crash_report& piece : SplitCrashReport(report, kMaxPartsPerReport))
+      QueueReport({std::move(piece), now, kBroadcasts});
     OnChange("own", now);
     ScheduleBroadcast(kCrashReportDelay);
   }
@@ -94,6 +122,16 @@
   return is_attributed;
 }
 
+void quarantine_service::QueueReport(own_crash report) {
+  const auto sent = std::find_if(own_crashes_.begin(), own_crashes_.end(),
+                                 [](const own_crash& other) {
+                                   return other.broadcasts_left < kBroadcasts;
+                                 });
+  own_crashes_.insert(sent, std::move(report));
+  if (own_crashes_.size() > kMaxQueuedReports)
+    own_crashes_.pop_back();
+}
+
 void quarantine_service::RecordSound(const std::vector<std::uint64_t>& parts) {
   const time_point now = clock::now();
   const auto unknown_to_peers = quarantine_.RecordSound(parts, now);
@@ -106,9 +144,9 @@
 
 void quarantine_service::ReportSound(std::uint64_t part) {
   DropSoundReport(part);
-  sound_parts_.push_back({part, kBroadcasts});
-  if (sound_parts_.size() > kMaxSoundParts)
-    sound_parts_.pop_front();
+  sound_parts_.push_front({part, kBroadcasts});
+  if (sound_parts_.size() > kMaxQueuedSoundParts)
+    sound_parts_.pop_back();
   const auto most =
       kSoundReportDelay +
       kSoundReportDelayPerPeer * static_cast<int>(membership_->LiveCount());
@@ -196,28 +234,50 @@
   is_broadcasting_ = true;
   membership_->Broadcast();
   is_broadcasting_ = false;
-  const auto count_down = [](auto* reports) {
-    for (auto& report : *reports)
-      --report.broadcasts_left;
-    while (!reports->empty() && reports->front().broadcasts_left <= 0)
-      reports->pop_front();
-  };
-  count_down(&own_crashes_);
-  count_down(&sound_parts_);
-  if (!own_crashes_.empty() || !sound_parts_.empty())
+  CountBroadcast(kMaxCrashesPerMessage, &own_crashes_);
+  CountBroadcast(kMaxSoundPartsPerMessage, &sound_parts_);
+  if (HasUnsent(own_crashes_) || HasUnsent(sound_parts_))
+    ScheduleBroadcast(kCrashReportDelay);
+  else if (!own_crashes_.empty() || !sound_parts_.empty())
     ScheduleBroadcast(kRepeatDelay);
 }
 
+std::vector<quarantine_report> quarantine_service::NextQuarantines(
+    time_point now) {
+  const auto all = quarantine_.Quarantines(now);
+  std::vector<quarantine_report> next;
+  std::size_t room = kMaxQuarantinedPartsPerMessage;
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    const quarantine_report& report = all[(next_quarantine_ + i) % all.size()];
+    // Peers leave out longer lists; they come to it by the reported crashes.
+    if (report.parts.size() > kMaxGossipListItems)
+      continue;
+    if (report.parts.size() > room) {
+      next_quarantine_ = (next_quarantine_ + i) % all.size();
+      break;
+    }
+    room -= report.parts.size();
+    next.push_back(report);
+  }
+  return next;
+}
+
 void quarantine_service::AddFields(gossip_message* message, time_point now) {
-  message->quarantines = quarantine_.Quarantines(now);
+  message->quarantines = NextQuarantines(now);
   if (!is_broadcasting_)
     return;
-  for (const own_crash& crash : own_crashes_) {
+  const std::size_t crashes =
+      std::min(own_crashes_.size(), kMaxCrashesPerMessage);
+  for (std::size_t i = 0; i < crashes; ++i) {
+    const own_crash& crash = own_crashes_[i];
     message->crashes.push_back(crash.report);
     message->crashes.back().age_ms =
         std::chrono::duration_cast<milliseconds>(now - crash.at).count();
   }
-  for (const sound_part& reported : sound_parts_) {
+  const std::size_t sound_parts =
+      std::min(sound_parts_.size(), kMaxSoundPartsPerMessage);
+  for (std::size_t i = 0; i < sound_parts; ++i) {
+    const sound_part& reported = sound_parts_[i];
     const auto sound_at = quarantine_.SoundAt(reported.part);
     if (sound_at)
       message->sound_parts.push_back(
--- a/src/relay/quarantine_service.h
+++ b/src/relay/quarantine_service.h
@@ -52,7 +52,7 @@
 
  private:
   struct own_crash {
-    crash_report report;  // its age counts from `at`
+    crash_report report;  // or a part of it; its age counts from `at`
     time_point at;
     int broadcasts_left = 0;
   };
@@ -67,6 +67,10 @@
   // Logs quarantines that have begun, changed or ended, and drops the crashes
   // attributed to them from the suspicions of single requests.
   void OnChange(std::string_view origin, time_point now);
+  // Queues a report before those that were sent already.
+  void QueueReport(own_crash report);
+  // As many quarantines as fit in a message, in turn.
+  std::vector<quarantine_report> NextQuarantines(time_point now);
   void ScheduleBroadcast(duration delay);
   void BroadcastReports();
 
@@ -74,8 +78,10 @@
   membership_service* membership_ = nullptr;
   recovery_service* recovery_ = nullptr;
   part_quarantine quarantine_;
-  std::deque<own_crash> own_crashes_;      // to be reported
-  std::deque<sound_part> sound_parts_;     // to be reported
+  // To be reported. The first ones are in the next message.
+  std::deque<own_crash> own_crashes_;
+  std::deque<sound_part> sound_parts_;
+  std::size_t next_quarantine_ = 0;        // to be reported first
   std::vector<quarantine_report> logged_;  // as of the last OnChange
   std::unique_ptr<asio::steady_timer> broadcast_timer_;
   std::optional<time_point> broadcast_at_;
@@ -83,7 +89,7 @@
   std::unique_ptr<timer_subscription> update_timer_;
 };
 
-// The identifiers of parts, as in the log. Thread-safe.
+// The identifiers of parts, as in the log: the first ones of many. Thread-safe.
 nlohmann::json DescribeParts(const std::vector<std::uint64_t>& parts);
 
 }  // namespace cactusward
--- a/src/services/recovery_service.cc
+++ b/src/services/recovery_service.cc
@@ -2,6 +2,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 #include "cactusward/upstreams.h"
 #include "src/kernel/log.h"
 #include "src/services/config_service.h"
@@ -20,6 +22,8 @@
 // to kBrokenProbeTimeout in upstream_directory.cc.
 constexpr milliseconds kPeerReportWait{300};
 
+constexpr std::size_t kMaxLoggedParts = 128;
+
 std::string Hex(std::uint64_t value) {
   return absl::StrCat(absl::Hex(value));
 }
@@ -28,10 +32,13 @@
   auto described = nlohmann::json::array();
   for (const running_request& request : requests) {
     auto parts = nlohmann::json::array();
-    for (const std::uint64_t part : request.shared_parts)
-      parts.push_back(Hex(part));
+    const std::size_t count =
+        std::min(request.shared_parts.size(), kMaxLoggedParts);
+    for (std::size_t i = 0; i < count; ++i)
+      parts.push_back(Hex(request.shared_parts[i]));
     described.push_back({{"fingerprint", Hex(request.fingerprint)},
                          {"first_token_seen", request.first_token_seen},
+                         {"parts", request.shared_parts.size()},
                          {"shared_parts", std::move(parts)}});
   }
   return described;
--- a/tests/unit/crashing_parts_test.cc
+++ b/tests/unit/crashing_parts_test.cc
@@ -38,6 +38,14 @@
   milliseconds length;
 };
 
+// The parts of a long conversation, which all requests share.
+std::string Conversation(int parts) {
+  std::string text;
+  for (int i = 0; i < parts; ++i)
+    text += "m" + std::to_string(i) + ":1,";
+  return text;
+}
+
 const crash_row kRows[] = {
     {"a part in the middle",
      {"a%d:40,dead:100,"},
@@ -69,6 +77,19 @@
      "a%d:40,",
      milliseconds(120),
      milliseconds(10'000)},
+    // Guards against sound parts being blamed for one that is not looked at.
+    {"a part behind many others",
+     {Conversation(70) + "dead:100," + Conversation(10)},
+     {"dead"},
+     Conversation(70) + "a%d:40," + Conversation(10),
+     milliseconds(120),
+     milliseconds(9'000)},
+    {"a part behind more than a message takes",
+     {Conversation(1'200) + "dead:100,"},
+     {"dead"},
+     Conversation(1'200) + "a%d:40,",
+     milliseconds(120),
+     milliseconds(9'000)},
 };
 
 std::string Expand(std::string text, int n) {
--- a/tests/unit/part_quarantine_test.cc
+++ b/tests/unit/part_quarantine_test.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
+#include <numeric>
 #include <random>
 
 namespace cactusward {
@@ -164,6 +166,80 @@
   }
 }
 
+// Guards against a crashing part that is not found since the prompts with it
+// are longer than a report.
+TEST_CASE("a prompt may be divided among reports") {
+  constexpr std::uint64_t kOwn = 1'000'000;
+  const std::size_t parts = GENERATE(3, 81, 4'000);
+  const std::size_t parts_per_report = GENERATE(1, 50, 512);
+  const bool others_are_sound = GENERATE(true, false);
+  CAPTURE(parts, parts_per_report, others_are_sound);
+  std::vector<std::uint64_t> shared(parts);
+  std::iota(shared.begin(), shared.end(), 1'000);
+  std::vector<std::uint64_t> crashing = shared;
+  crashing.insert(crashing.end() - 1, kCrashing);
+  part_quarantine table(1);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    const time_point at = At(static_cast<int>(i) * 300);
+    if (others_are_sound)
+      table.RecordSound(shared, at - milliseconds(50));
+    std::vector<std::uint64_t> prompt = crashing;
+    prompt.push_back(kOwn + i);
+    for (const crash_report& report :
+         SplitCrashReport({i, 0, {{i, prompt}}}, parts_per_report))
+      CHECK(table.MergeCrash(report, at));
+  }
+  table.Update(At(900));
+  CHECK(IsRefused(table, crashing, 900));
+  CHECK_FALSE(IsRefused(table, shared, 900));
+  CHECK(IsRefused(table, {kCrashing}, 900) == others_are_sound);
+}
+
+TEST_CASE("a report is split to fit into messages") {
+  struct row {
+    const char* name;
+    std::vector<std::size_t> parts;  // of each suspect
+    std::size_t max_parts;
+    std::vector<std::vector<std::size_t>> split;
+  };
+  const row rows[] = {
+      {"no suspect", {}, 4, {}},
+      {"a suspect without parts", {0}, 4, {}},
+      {"one report", {1, 3}, 4, {{1, 3}}},
+      {"a prompt that fits into the next report", {2, 3}, 4, {{2}, {3}}},
+      {"a longer prompt", {9}, 4, {{4}, {4}, {1}}},
+      {"the rest of one and another", {9, 3}, 4, {{4}, {4}, {1, 3}}},
+      {"a longer prompt behind another", {1, 5}, 4, {{1}, {4}, {1}}},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    crash_report report{7, 11, {}};
+    std::uint64_t next_part = 1;
+    for (const std::size_t count : r.parts) {
+      std::vector<std::uint64_t> parts(count);
+      std::iota(parts.begin(), parts.end(), next_part);
+      next_part += count;
+      report.suspects.push_back({report.suspects.size(), parts});
+    }
+    std::vector<std::vector<std::size_t>> split;
+    std::map<std::uint64_t, std::vector<std::uint64_t>> joined;
+    for (const crash_report& piece : SplitCrashReport(report, r.max_parts)) {
+      CHECK(piece.upstream == report.upstream);
+      CHECK(piece.age_ms == report.age_ms);
+      split.emplace_back();
+      for (const crash_suspect& suspect : piece.suspects) {
+        split.back().push_back(suspect.shared_parts.size());
+        auto& parts = joined[suspect.fingerprint];
+        parts.insert(parts.end(), suspect.shared_parts.begin(),
+                     suspect.shared_parts.end());
+      }
+    }
+    CHECK(split == r.split);
+    for (const auto& [fingerprint, parts] : joined)
+      CHECK(parts == report.suspects[fingerprint].shared_parts);
+  }
+}
+
 // Guards against blaming a part for one request that is sent again and again.
 TEST_CASE("the crashes of one request do not quarantine its parts") {
   part_quarantine table(1);
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -37,10 +37,18 @@
 
 TEST_CASE("the parts of a prompt before its last one are shared parts") {
   struct row {
-    const char* prefix;
+    std::string prefix;
     std::vector<std::string> ids;
   };
+  // As many as a header of the usual limit holds.
+  std::string many;
+  std::vector<std::string> many_ids;
+  for (int i = 0; many.size() < 16'000; ++i) {
+    many_ids.push_back("p" + std::to_string(i));
+    many += many_ids.back() + ":1,";
+  }
   const row rows[] = {
+      {many + "own:40", many_ids},
       {"", {}},
       {"5c1e:800", {}},
       {"5c1e:800,91bd:410", {"5c1e"}},
