A late stream is judged by the upstream that runs it

Evidence: by the cost model alone the streams would not have fitted into the time that was left.

Run times are now kept for each upstream process as well, and a certain bound is at least that of the upstream that was chosen; twice the prediction while few of its runs are known. That is decided before anything is sent, so the caller gets a 503 that is true.

--- a/src/relay/fleet_service.h
+++ b/src/relay/fleet_service.h
@@ -15,6 +15,7 @@
 #include "cactusward/load_tracker.h"
 #include "cactusward/ramp_triggers.h"
 #include "cactusward/report_pacer.h"
+#include "cactusward/run_times.h"
 #include "cactusward/suspects.h"
 #include "cactusward/upstream_announcements.h"
 #include "cactusward/upstream_catalog.h"
@@ -30,6 +31,10 @@
 class catalog_service;
 struct upstream_reply;
 
+// An upstream of which few runs are known may be slower than the cost model by
+// this factor.
+constexpr double kUnknownUpstreamFactor = 2;
+
 // The state of one upstream as known to this instance.
 struct fleet_upstream {
   upstream_entry entry;
@@ -46,6 +51,10 @@
   bool IsRegistered() const { return listed && !entry.leaving; }
   // Requests sent by this instance, by tracking id.
   std::map<std::uint64_t, running_request> running;
+  // How long its requests of this instance ran.
+  run_times measured{run_time_estimates(kUnknownUpstreamFactor),
+                     run_time_estimates(kUnknownUpstreamFactor),
+                     run_time_estimates(kUnknownUpstreamFactor)};
   // A test connection is in progress after a failed exchange.
   bool liveness_check_pending = false;
 };
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -125,9 +125,12 @@
     const relay_assignment* assignment) const {
   const double objective_ms = static_cast<double>(route_->objective.count());
   const forward_service* service = config_->FindService(service_);
+  run_prediction predicted;
+  if (assignment)
+    predicted.upstream = {assignment->upstream(),
+                          &assignment->upstream()->measured};
   if (service && service->engine && IsPrompt()) {
     const engine_parameters& engine = *service->engine;
-    run_prediction predicted;
     predicted.first_event_ms =
         assignment
             ? assignment->expected_first_event_ms
@@ -136,15 +139,13 @@
         std::ceil(static_cast<double>(caller_.max_output_tokens) /
                   std::max(engine.steps_per_pass, 1));
     predicted.pass_ms = DecodePassMs(engine, engine.slots, engine.kv_capacity);
-    return predicted;
-  }
-  if (route_->kind == route_kind::kStreaming) {
-    run_prediction predicted;
+  } else if (route_->kind == route_kind::kStreaming) {
     predicted.first_event_ms = ToMilliseconds(response_deadline_ - started_at_);
     predicted.unknown_length = true;
-    return predicted;
+  } else {
+    predicted.first_event_ms = objective_ms;
   }
-  return {objective_ms};
+  return predicted;
 }
 
 bool relay_request::CanComplete(const run_prediction& predicted) const {
--- a/src/relay/relay_stop.cc
+++ b/src/relay/relay_stop.cc
@@ -39,25 +39,47 @@
   return !stopping() && catalog_->Config() != nullptr;
 }
 
+double relay_shutdown::CertainBound(estimates kind,
+                                    const std::string& route,
+                                    double predicted_ms,
+                                    const run_prediction& predicted) const {
+  const double of_all =
+      (measured_.*kind)
+          .UpperBound(route, predicted_ms, run_time_confidence::kCertain);
+  if (!predicted.upstream)
+    return of_all;
+  // Upstreams of one service differ in speed.
+  return std::max(of_all, ((*predicted.upstream).*kind)
+                              .UpperBound(route, predicted_ms,
+                                          run_time_confidence::kLikely));
+}
+
 double relay_shutdown::ExpectedRunMs(const std::string& route,
                                      const run_prediction& predicted,
                                      time_point arrived_at) const {
-  constexpr auto kLikely = run_time_confidence::kLikely;
-  constexpr auto kCertain = run_time_confidence::kCertain;
-  const double likely = runs_.UpperBound(route, predicted.TotalMs(), kLikely);
-  if (!IsNoticed(arrived_at) && predicted.passes > 0)
-    return likely;
-  if (IsNoticed(arrived_at) && predicted.unknown_length)
+  const double total_ms = predicted.TotalMs();
+  const double likely =
+      measured_.runs.UpperBound(route, total_ms, run_time_confidence::kLikely);
+  if (!IsNoticed(arrived_at))
+    return predicted.passes > 0 ? likely : likely + kMaxSilenceMs;
+  if (predicted.unknown_length)
     return std::numeric_limits<double>::infinity();
   // The prediction of a call is its objective, not a bound.
-  if (predicted.passes == 0)
-    return likely + kMaxSilenceMs;
+  if (predicted.passes == 0) {
+    const double of_upstream =
+        predicted.upstream ? predicted.upstream->runs.UpperBound(
+                                 route, total_ms, run_time_confidence::kLikely)
+                           : 0;
+    return std::max(likely, of_upstream) + kMaxSilenceMs;
+  }
   const double by_events =
-      first_events_.UpperBound(route, predicted.first_event_ms, kCertain) +
-      predicted.passes * passes_.UpperBound(route, predicted.pass_ms, kCertain);
+      CertainBound(&run_times::first_events, route, predicted.first_event_ms,
+                   predicted) +
+      predicted.passes *
+          CertainBound(&run_times::passes, route, predicted.pass_ms, predicted);
   // An event need not be one pass, so whole runs are compared as well.
   return std::max(by_events,
-                  runs_.UpperBound(route, predicted.TotalMs(), kCertain)) +
+                  CertainBound(&run_times::runs, route, total_ms, predicted)) +
          kMaxSilenceMs;
 }
 
@@ -85,26 +107,36 @@
   return needed_ms <= ToMilliseconds(schedule_->requests_end_at - now);
 }
 
+void relay_shutdown::Record(estimates kind,
+                            const std::string& route,
+                            double predicted_ms,
+                            double measured_ms,
+                            const run_prediction& predicted) {
+  if (predicted_ms <= 0)
+    return;
+  (measured_.*kind).Record(route, predicted_ms, measured_ms);
+  if (predicted.upstream)
+    ((*predicted.upstream).*kind).Record(route, predicted_ms, measured_ms);
+}
+
 void relay_shutdown::RecordRun(const std::string& route,
                                const run_prediction& predicted,
                                duration measured) {
-  if (predicted.TotalMs() > 0)
-    runs_.Record(route, predicted.TotalMs(), ToMilliseconds(measured));
+  Record(&run_times::runs, route, predicted.TotalMs(), ToMilliseconds(measured),
+         predicted);
 }
 
 void relay_shutdown::RecordFirstEvent(const std::string& route,
                                       const run_prediction& predicted,
                                       duration measured) {
-  if (predicted.first_event_ms > 0)
-    first_events_.Record(route, predicted.first_event_ms,
-                         ToMilliseconds(measured));
+  Record(&run_times::first_events, route, predicted.first_event_ms,
+         ToMilliseconds(measured), predicted);
 }
 
 void relay_shutdown::RecordPass(const std::string& route,
                                 const run_prediction& predicted,
                                 double measured_ms) {
-  if (predicted.pass_ms > 0)
-    passes_.Record(route, predicted.pass_ms, measured_ms);
+  Record(&run_times::passes, route, predicted.pass_ms, measured_ms, predicted);
 }
 
 void relay_shutdown::Begin(std::function<void()> on_stopped) {
--- a/src/relay/relay_stop.h
+++ b/src/relay/relay_stop.h
@@ -3,9 +3,10 @@
 #define CACTUSWARD_SRC_RELAY_RELAY_STOP_H_
 
 #include <functional>
+#include <memory>
 #include <optional>
 
-#include "cactusward/run_time_estimates.h"
+#include "cactusward/run_times.h"
 #include "src/daemon/names.h"
 #include "src/daemon/pending_work.h"
 #include "src/daemon/runtime.h"
@@ -27,11 +28,14 @@
   // Nothing tells how long it is: `first_event_ms` is the time until its
   // deadline.
   bool unknown_length = false;
+  // Of the upstream that runs it; null: none is chosen.
+  std::shared_ptr<run_times> upstream;
 
   double TotalMs() const { return first_event_ms + passes * pass_ms; }
   friend bool operator==(const run_prediction& a, const run_prediction& b) {
     return a.first_event_ms == b.first_event_ms && a.passes == b.passes &&
-           a.pass_ms == b.pass_ms && a.unknown_length == b.unknown_length;
+           a.pass_ms == b.pass_ms && a.unknown_length == b.unknown_length &&
+           a.upstream == b.upstream;
   }
 };
 
@@ -71,12 +75,14 @@
                       time_point now) const;
   // The time in milliseconds for which CanComplete expects a request to run,
   // with a silence of its upstream unless the bound need only be likely;
-  // infinite if nothing bounds it.
+  // infinite if nothing bounds it. A certain bound also takes into account how
+  // long its upstream ran other requests.
   double ExpectedRunMs(const std::string& route,
                        const run_prediction& predicted,
                        time_point arrived_at) const;
   // Records how requests of `route` ran, as compared with their predictions:
   // the whole run, the time to the first event, and the time between events.
+  // Records it of the upstream in `predicted` as well.
   void RecordRun(const std::string& route,
                  const run_prediction& predicted,
                  duration measured);
@@ -100,6 +106,17 @@
   bool IsNoticed(time_point at) const {
     return schedule_ && at >= schedule_->grace_ends_at;
   }
+  using estimates = run_time_estimates run_times::*;
+  // The time that no request exceeds that is taken late.
+  double CertainBound(estimates kind,
+                      const std::string& route,
+                      double predicted_ms,
+                      const run_prediction& predicted) const;
+  void Record(estimates kind,
+              const std::string& route,
+              double predicted_ms,
+              double measured_ms,
+              const run_prediction& predicted);
   void WaitUntilDrained(asio::yield_context yield);
   // Own requests, and those of peers that this instance carries.
   bool HasPendingWork() const;
@@ -111,10 +128,10 @@
   membership_service* membership_ = nullptr;
   const path_service* paths_ = nullptr;
   std::optional<stop_schedule> schedule_;
-  // Few responses reach the longest length that the prediction assumes.
-  run_time_estimates runs_{0.5};
-  run_time_estimates first_events_{1.5};
-  run_time_estimates passes_{1};
+  // Of all upstreams. Few responses reach the longest length that the
+  // prediction assumes.
+  run_times measured_{run_time_estimates(0.5), run_time_estimates(1.5),
+                      run_time_estimates(1)};
   pending_work_list pending_;
   bool refusing_ = false;  // the drain has ended; requests are refused
   std::function<void()> on_stopped_;
--- a/tests/unit/planned_stop_test.cc
+++ b/tests/unit/planned_stop_test.cc
@@ -20,8 +20,10 @@
 constexpr milliseconds kCallerDeadline{10'000};
 constexpr milliseconds kPollPeriod{20};
 constexpr double kUnknownFactor = 1.5;
+// As many as a pass of the engine yields.
+constexpr int kTokensPerEvent = 51;
 // As many as the events of an upstream's stream hold.
-constexpr int kMaxOutputTokens = 51 * runner_fake::kEvents;
+constexpr int kMaxOutputTokens = kTokensPerEvent * runner_fake::kEvents;
 // Until the responses of requests that are ended have been written.
 constexpr milliseconds kStallDelay{4};
 constexpr milliseconds kStall{300};
@@ -73,7 +75,9 @@
   }
 
   // Sends a request in the background.
-  sent_request* Begin(const std::string& path, const std::string& id) {
+  sent_request* Begin(const std::string& path,
+                      const std::string& id,
+                      int max_output_tokens = kMaxOutputTokens) {
     requests_.push_back(std::make_unique<sent_request>());
     sent_request* sent = requests_.back().get();
     outgoing_request request = MakeCall(path, id, "key", 1'000);
@@ -81,7 +85,7 @@
       if (name == "X-Deadline-Ms")
         value = std::to_string(kCallerDeadline.count());
       if (name == "X-Token-Counts")
-        value = "1000," + std::to_string(kMaxOutputTokens);
+        value = "1000," + std::to_string(max_output_tokens);
     }
     Spawn(
         caller_io_, "caller", [this, request, sent](asio::yield_context yield) {
@@ -274,6 +278,56 @@
   }
 }
 
+// Guards against a late stream that is cut at the exit because its upstream has
+// just replaced another one and is slower than all whose runs are known.
+TEST_CASE("a late stream is not cut by an upstream of unknown speed",
+          "[responses]") {
+  struct row {
+    const char* name;
+    milliseconds limit;  // from SIGTERM until the process is killed
+    bool is_replaced;    // the upstreams, after SIGTERM
+    milliseconds event_pause;
+    int status;
+  };
+  // The cost model takes 43 ms for an event.
+  constexpr int kEvents = 18;
+  using ms = milliseconds;
+  const row rows[] = {
+      {"an upstream that is slower", ms(3'000), true, ms(140), 503},
+      {"such an upstream, with time to spare", ms(4'500), true, ms(140), 200},
+      {"an upstream of known speed", ms(3'000), false, ms(0), 200},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    stopping_fleet fleet(r.limit);
+    runner_fake next(fleet.io, "next");
+    next.SetEventPause(r.event_pause);
+    sent_request* late = nullptr;
+    fleet.Run([&](asio::yield_context yield) {
+      for (std::size_t i = 0; i < 2 * run_time_estimates::kSamples; ++i)
+        REQUIRE(fleet.WaitForStatus("/stream/x", 200, yield));
+      fleet.BeginEndless("/stream/x");
+      Sleep(fleet.io, ms(50), yield);
+      fleet.gateway->Stop();
+      if (r.is_replaced) {
+        fleet.store.Put("servers/next", next.Entry("engines"));
+        for (const auto& engine : fleet.engines)
+          fleet.store.Put("servers/" + engine->id(),
+                          engine->Entry("engines", true));
+      }
+      Sleep(fleet.io, ms(300), yield);
+      late = fleet.Begin("/stream/x?events=" + std::to_string(kEvents), "late",
+                         kEvents * kTokensPerEvent);
+      fleet.AwaitExit(yield);
+    });
+    fleet.AwaitResponses({late});
+    CHECK(late->ended);
+    CAPTURE(next.runs(), fleet.engines[0]->runs(), fleet.engines[1]->runs());
+    CHECK(late->status == r.status);
+    fleet.EndRequests();
+  }
+}
+
 // Guards against callers that are refused although their requests could be
 // completed: perhaps no other instance is left.
 TEST_CASE("a stopping instance serves what it can complete", "[path]") {
