A lost answer on a kept connection counts as an attempt

Cause: a kept connection that ends before any byte of a response was taken for an idle close, and the attempt was taken back from those that had been sent, up to twice. Evidence: the attempt_failed lines of these requests have stale_connection, and their request_placed lines go up to attempt 4.

Now every attempt that was sent counts. A request that crosses an idle close must still be served: after a kept connection that broke, and where the route allows only one attempt, the next one opens a connection of its own, which nobody closes as idle. One attempt is then enough, even when the pooled connections of all upstreams break together.

Tests: "a lost answer on a kept connection counts as an attempt" (all seven rows failed before: 3 to 5 upstreams instead of 1 to 3), "a request that crosses the close of kept connections is served" (five rows failed before with 502, since four kept connections were tried in turn).

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -115,6 +115,12 @@
               open_.end());
 }
 
+bool relay_request::NeedsFreshConnection() const {
+  const bool is_only_attempt = route_->max_attempts < 2;
+  return !route_->IsRetryable() || is_only_attempt || kept_connection_broke_ ||
+         caller_.attempt_id.empty();
+}
+
 std::optional<relay_request::attempt> relay_request::Send(
     upstream_exchange& exchange,
     const std::vector<helper_address>& helpers,
@@ -135,8 +141,7 @@
   fields.helpers = helpers;
   exchange.helpers = helpers;
   send_options options;
-  options.fresh_connection =
-      !route_->IsRetryable() || caller_.attempt_id.empty();
+  options.fresh_connection = NeedsFreshConnection();
   options.max_idle_time = kMaxConnectionIdleTime;
   options.dead_peer_timeout = kDeadPeerTimeout;
   options.may_send = [this, assignment = exchange.assignment.get()] {
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -37,8 +37,6 @@
 // a few round trips.
 constexpr milliseconds kLivenessCheckTimeout{300};
 constexpr milliseconds kLivenessPollPeriod{2};
-// The pooled connections to one upstream tend to break together.
-constexpr int kMaxStaleRetries = 2;
 // Another instance can take a request that is refused because this one stops.
 constexpr milliseconds kStopRetryAfter{50};
 
@@ -403,8 +401,8 @@
         *ResponsibleUpstream(*exchange.assignment, last), exchange.sent_at,
         last.end == attempt_result::kNotExecuted);
   // An upstream may close an idle connection at any time, and be tried again.
-  if (last.stale_connection && ++stale_retries_ <= kMaxStaleRetries)
-    --sent_attempts_;
+  if (last.stale_connection)
+    kept_connection_broke_ = true;
   else if (last.end != attempt_result::kRejected &&
            !exchange.assignment->withheld_by_limit())
     tried_upstreams_.insert(
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -103,6 +103,9 @@
   // Whether a failed attempt says that its upstream can take less.
   static bool IsSetback(const relay_assignment& assignment,
                         const attempt& last);
+  // Whether the next attempt must not use a kept connection. Its upstream may
+  // close that at any time, and the attempt counts nevertheless.
+  bool NeedsFreshConnection() const;
   // Sends the request to an upstream and adds the exchange to `open_`.
   // @return why it was not sent; empty if it was.
   std::optional<attempt> StartAttempt(
@@ -243,7 +246,7 @@
   bool ended_before_exit_ = false;  // cancelled by EndBeforeExit
   int sent_attempts_ = 0;
   int attempts_ = 0;
-  int stale_retries_ = 0;
+  bool kept_connection_broke_ = false;  // in an attempt of this request
   // Attempts whose response may still arrive, in order of their start.
   std::vector<std::unique_ptr<upstream_exchange>> open_;
   // No further upstream is looked for before then, after none was found.
