Log which configuration refuses a request, and how late it is

The lines of an instance did not tell by which version it refused a request, whether it had heard of a newer one and for how long, how long a configuration took to be decoded, or what it sends to peers. Adds request_refused_by_config, config_served, fields of config_in_force and catalog_pull_failed, and three metrics. No decision changes.

--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -45,6 +45,14 @@
 
 nlohmann::json catalog_service::Snapshot(std::int64_t known_version) {
   ++snapshots_served_;
+  const bool with_config = config_ && config_->version() > known_version;
+  if (with_config) {
+    config_bytes_served_ += config_document_.size();
+    Log(log_level::kInfo, "config_served",
+        {{"version", config_->version()},
+         {"known_version", known_version},
+         {"bytes", config_document_.size()}});
+  }
   nlohmann::json upstreams = nlohmann::json::array();
   for (const auto& [id, raw] : raw_upstreams_)
     upstreams.push_back(
@@ -56,9 +64,7 @@
                                report.position.revision, report.evacuated}));
   return {{"era", position_.era},
           {"revision", position_.revision},
-          {"config", config_ && config_->version() > known_version
-                         ? config_document_
-                         : std::string()},
+          {"config", with_config ? config_document_ : std::string()},
           {"config_era", config_position_.era},
           {"config_revision", config_position_.revision},
           {"upstreams", std::move(upstreams)},
@@ -123,6 +129,7 @@
 
 void catalog_service::OnMessage(const gossip_message& message, time_point now) {
   MergeEvacuations(message.evacuations, message.sender.name);
+  config_lag_.Report(message.config_number, now);
   if (message.catalog_position > position_)
     ApplyPeerChanges(message, now);
   const bool upstreams_behind = message.catalog_position > position_;
@@ -211,12 +218,17 @@
 void catalog_service::PullFrom(const std::string& peer,
                                std::int64_t known_version,
                                asio::yield_context yield) {
+  const time_point asked_at = clock::now();
   const auto response = peers_->Call(
       peer, {{"op", "catalog_get"}, {"config_version", known_version}},
       clock::now() + kPullTimeout, yield);
   if (!response || !response->is_object()) {
     Log(log_level::kWarning, "catalog_pull_failed",
-        {{"peer", peer}, {"detail", response.detail()}});
+        {{"peer", peer},
+         {"detail", response.detail()},
+         {"after_ms", ToMilliseconds(clock::now() - asked_at)},
+         {"known_version", known_version},
+         {"active", config_pacer_.active()}});
     return;
   }
   // Instances of a build without eras do not report one.
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -377,6 +377,7 @@
     return false;
   decoding_position_ = item.position;
   decoding_document_ = *item.document;
+  const time_point received_at = clock::now();
   const auto decoded = RunAndCleanUp(
       [&] {
         return source_->DecodeConfig(*item.document,
@@ -403,6 +404,9 @@
     return false;
   }
   config_ = *decoded;
+  const time_point now = clock::now();
+  const duration behind = config_lag_.Behind(now).value_or(duration(0));
+  config_lag_.RecordInForce(config_->version());
   config_pacer_.RecordCaughtUp();
   config_document_ = *item.document;
   config_position_ = item.position;
@@ -412,7 +416,10 @@
        {"catalog_era", item.position.era},
        {"revision", item.position.revision},
        {"origin", origin},
-       {"routes", config_->routes().size()}});
+       {"routes", config_->routes().size()},
+       {"bytes", config_document_.size()},
+       {"decode_ms", ToMilliseconds(now - received_at)},
+       {"behind_ms", ToMilliseconds(behind)}});
   return true;
 }
 
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -15,6 +15,7 @@
 #include "cactusward/catch_up_pacer.h"
 #include "cactusward/evacuation_set.h"
 #include "cactusward/upstream_catalog.h"
+#include "cactusward/version_lag.h"
 #include "src/daemon/names.h"
 #include "src/daemon/runtime.h"
 #include "src/edges/peer_link.h"
@@ -47,6 +48,8 @@
   // Time since the registry confirmed, to this instance or to a peer, that the
   // catalog is complete; empty if it never has.
   std::optional<duration> Age(time_point now) const;
+  // Which configurations peers have that this instance does not.
+  const version_lag& config_lag() const { return config_lag_; }
   // Calls `listener` after each change.
   void Subscribe(listener listener) {
     listeners_.push_back(std::move(listener));
@@ -56,6 +59,8 @@
   nlohmann::json Snapshot(std::int64_t known_version);
   // Number of snapshots served to peers since the start.
   std::uint64_t snapshots_served() const { return snapshots_served_; }
+  // Bytes of configurations in these snapshots.
+  std::uint64_t config_bytes_served() const { return config_bytes_served_; }
 
   void AddFields(gossip_message* message, time_point now) override;
   void OnMessage(const gossip_message& message, time_point now) override;
@@ -185,6 +190,7 @@
   std::shared_ptr<const forward_config> config_;
   std::string config_document_;
   registry_position config_position_;
+  version_lag config_lag_;
   // The newest configuration being decoded; empty if there is none.
   registry_position decoding_position_;
   std::string decoding_document_;
@@ -209,6 +215,7 @@
   bool needs_full_read_ = true;
   int failures_ = 0;
   std::uint64_t snapshots_served_ = 0;
+  std::uint64_t config_bytes_served_ = 0;
   bool confirming_ = false;
   // When this instance or a peer last confirmed with the registry that the
   // catalog is current.
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -184,6 +184,14 @@
       << "cactusward_catalog_age_milliseconds "
       << ToMilliseconds(catalog_.Age(clock::now()).value_or(duration(0)))
       << '\n'
+      << "cactusward_config_newest_version " << catalog_.config_lag().newest()
+      << '\n'
+      << "cactusward_config_behind_milliseconds "
+      << ToMilliseconds(
+             catalog_.config_lag().Behind(clock::now()).value_or(duration(0)))
+      << '\n'
+      << "cactusward_config_bytes_served " << catalog_.config_bytes_served()
+      << '\n'
       << "cactusward_catalog_snapshots_served " << catalog_.snapshots_served()
       << '\n'
       << "cactusward_upstreams " << catalog_.upstreams().entries().size()
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -211,6 +211,9 @@
   if (refusal == error_kind::kDraining) {
     RespondStopping(route_ ? PredictRun(nullptr) : run_prediction(), yield);
   } else if (refusal != error_kind::kOk) {
+    if (refusal == error_kind::kNotFound ||
+        refusal == error_kind::kUnauthenticated)
+      LogConfigRefusal(refusal);
     RespondWithError(
         refusal, milliseconds(ErrorResponseFor(refusal).retry_after_ms), yield);
   } else if (quarantined) {
@@ -581,6 +584,18 @@
   Log(log_level::kInfo, "response_cut", fields);
 }
 
+void relay_request::LogConfigRefusal(error_kind refusal) const {
+  const version_lag& lag = services_.catalog.config_lag();
+  const auto behind = lag.Behind(clock::now());
+  Log(log_level::kInfo, "request_refused_by_config",
+      {{"request", caller_.attempt_id},
+       {"kind", ErrorResponseFor(refusal).name},
+       {"config_version", config_->version()},
+       {"newest_version", lag.newest()},
+       {"behind_ms", behind ? ToMilliseconds(*behind) : 0},
+       {"catalog_age_ms", CatalogAgeMs(services_.catalog)}});
+}
+
 void relay_request::RespondStopping(const run_prediction& predicted,
                                     asio::yield_context yield) {
   nlohmann::json fields = Describe(clock::now());
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -203,6 +203,8 @@
   void RespondCancelled(asio::yield_context yield);
   // Logs that the connection closes without a complete response.
   void LogResponseCut(std::string_view reason) const;
+  // Logs which configuration refuses the request, and how old it is.
+  void LogConfigRefusal(error_kind refusal) const;
   // Refuses a request that no upstream has run.
   void RespondStopping(const run_prediction& predicted,
                        asio::yield_context yield);
