--- a/tests/unit/catalog_age_test.cc
+++ b/tests/unit/catalog_age_test.cc
@@ -1,7 +1,6 @@
 // Tests of how old an instance's view of the upstreams may become while the
 // registry and the instance are busy with other changes.
-#include "cactusward/membership.h"
-#include "src/edges/gossip_socket.h"
+#include "tests/support/gossip_peer.h"
 #include "tests/support/slow_catalog.h"
 #include "tests/support/small_fleet.h"
 
@@ -9,6 +8,7 @@
 namespace {
 
 using testing::extra_instances;
+using testing::gossip_peer;
 using testing::kPollPeriod;
 using testing::small_fleet;
 
@@ -16,8 +16,6 @@
 // shortest `drain_ms` of the deployments.
 constexpr milliseconds kDrainBound{2'000};
 constexpr int kExtraInstances = 5;  // so that some do not watch the registry
-// Era of a registry that was never restored.
-constexpr std::int64_t kEra = 1;
 // Instances contact missing peers once a second.
 constexpr milliseconds kJoinTime{2'500};
 
@@ -176,57 +174,6 @@
   }
 }
 
-// A member of the fleet that exchanges gossip and has no catalog.
-class gossip_peer {
- public:
-  using listener = std::function<void(const gossip_message&)>;
-
-  gossip_peer(small_fleet& fleet, listener on_message)
-      : table_({"observer", 1, member_state::kAlive, testing::FreeAddress(),
-                testing::FreeAddress(), "z"},
-               {},
-               1),
-        socket_(fleet.io,
-                fleet.settings.peer_secret,
-                [this](std::string_view bytes) { Receive(bytes); }),
-        on_message_(std::move(on_message)) {}
-
-  bool Listen() { return socket_.Listen(table_.self().peer_address); }
-  // Pings `address`, reporting `revision` as confirmed just now; 0: without a
-  // revision.
-  void Ping(const std::string& address, std::int64_t revision) {
-    gossip_message ping = table_.JoinPing(address).message;
-    ping.catalog_position = {kEra, revision};
-    ping.confirmed_age_ms = revision > 0 ? 0 : -1;
-    socket_.Send(address, EncodeGossip(ping));
-  }
-  // Reports all changes of upstreams after a revision, up to that of `change`.
-  void SendChange(const std::string& address,
-                  std::int64_t after,
-                  const catalog_change& change,
-                  std::int64_t era = kEra) {
-    gossip_message update = table_.BuildMessage(gossip_kind::kUpdate);
-    update.catalog_position = {era, change.revision};
-    update.changes_after = after;
-    update.changes = {change};
-    socket_.Send(address, EncodeGossip(update));
-  }
-
- private:
-  void Receive(std::string_view bytes) {
-    const auto message = DecodeGossip(bytes);
-    if (!message)
-      return;
-    for (const outbound_message& out : table_.Receive(*message, clock::now()))
-      socket_.Send(out.peer_address, EncodeGossip(out.message));
-    on_message_(*message);
-  }
-
-  member_table table_;
-  gossip_socket socket_;
-  listener on_message_;
-};
-
 // Guards against instances that reassure each other about an outdated list of
 // upstreams, so that none of them asks the registry.
 TEST_CASE("instances report only what they have confirmed and applied") {
