Configurations that may be outdated refuse nothing for good

Callers saw: 404 for a route of a version that was acknowledged 3.8 s before, at an instance that had been behind for that time; also 401, and 413 for a body above 64 KB. They do not come back after these. Cause: a refusal was decided by the configuration in force, whether or not a newer one was known of, or could have been. Class: a decision uses a belief whose age is not looked at.

Such a refusal is now final only if the configuration in force was the newest at most three quarters of config_apply_ms ago; otherwise it is 503 with a time to retry after, which is true and which another instance can answer better. An instance that has known of a newer version for that long refuses everything.

The age itself was not true: a watch confirmed the catalog as of when its response had been read, however long that took, and a peer's confirmation counted from when it was read, also after a standstill. Both now count from a time that is certain or exclude standstills; a confirmation at a later position confirms the configuration, too.

--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -129,6 +129,8 @@
   settings.reregistration_grace =
       ReadMilliseconds(reader, "registry_return_ms",
                        settings.reregistration_grace, kMaxForwardingTime);
+  settings.config_apply = ReadMilliseconds(
+      reader, "config_apply_ms", settings.config_apply, kMaxForwardingTime);
   settings.max_reservation =
       ReadMilliseconds(reader, "max_reservation_ms", settings.max_reservation,
                        kMaxForwardingTime);
--- a/src/relay/catalog_peers.cc
+++ b/src/relay/catalog_peers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "src/kernel/boot_clock.h"
 #include "src/kernel/log.h"
 #include "src/kernel/run_and_clean_up.h"
 #include "src/relay/catalog_service.h"
@@ -139,8 +140,12 @@
     CatchUpUpstreams(peer, now);
   if (config_behind)
     CatchUpConfig(peer, now);
-  if (message.catalog_position != position_ ||
-      message.config_number != ConfigVersion() || message.confirmed_age_ms < 0)
+  if (message.config_number != ConfigVersion() ||
+      message.confirmed_age_ms < 0 || standstill_.Recently(now, BootTime()))
+    return;
+  // A later position confirms the configuration as well.
+  RecordConfigConfirmation(now - milliseconds(message.confirmed_age_ms));
+  if (message.catalog_position != position_)
     return;
   // The changes up to that position may include evacuations, which messages of
   // earlier formats do not tell: this instance then asks the registry itself.
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "cactusward/hash.h"
+#include "src/kernel/boot_clock.h"
 #include "src/kernel/log.h"
 #include "src/kernel/run_and_clean_up.h"
 
@@ -12,6 +13,12 @@
 
 // A small fraction of the time in which a change must take effect.
 constexpr milliseconds kTickPeriod{100};
+// Share of the time in which a configuration must be in force that is left for
+// what cannot be measured: the way of the report that tells of it, and of the
+// request.
+constexpr double kReportDelayShare = 0.25;
+// A standstill of this length makes confirmations too old to be used.
+constexpr milliseconds kMaxStandstill{250};
 // Interval at which one instance reads the registry's revision on behalf of
 // all. A change must take effect everywhere within two seconds.
 constexpr milliseconds kConfirmPeriod{700};
@@ -67,6 +74,7 @@
       peers_(peers),
       upstreams_(runtime.settings.forwarding->reregistration_grace),
       evacuations_(runtime.settings.forwarding->reregistration_grace),
+      standstill_(kTickPeriod, kMaxStandstill, clock::now()),
       upstreams_pacer_(kCatchUp),
       config_pacer_(kCatchUp) {}
 
@@ -76,6 +84,7 @@
   membership_ =
       runtime_.registry.Find<membership_service>(kMembershipServiceName);
   tick_timer_ = runtime_.timers.Every(kTickPeriod, [this](time_point now) {
+    standstill_.Tick(now, BootTime());
     if (upstreams_.Expire(now))
       NotifyListeners();
     const auto evacuated = evacuations_.entries();
@@ -105,6 +114,8 @@
     return PostponeConfirmation(clock::now());
   own_confirmed_at_ = std::max(own_confirmed_at_, at);
   RecordConfirmation(at);
+  if (decoding_position_ == registry_position())
+    RecordConfigConfirmation(at);
 }
 
 std::optional<duration> catalog_service::Age(time_point now) const {
@@ -113,6 +124,21 @@
   return now - confirmed_at_;
 }
 
+bool catalog_service::MayBeOutdated(time_point now) const {
+  return config_lag_.Behind(now) || decoding_position_ != registry_position() ||
+         now - config_confirmed_at_ > MaxConfigAge();
+}
+
+bool catalog_service::IsOutdated(time_point now) const {
+  const auto behind = config_lag_.Behind(now);
+  return behind && *behind > MaxConfigAge();
+}
+
+duration catalog_service::MaxConfigAge() const {
+  return std::chrono::duration_cast<duration>(
+      runtime_.settings.forwarding->config_apply * (1 - kReportDelayShare));
+}
+
 void catalog_service::ConfirmIfDue(time_point now) {
   if (confirming_ || needs_full_read_ || failures_ > 0 || now < confirm_due_)
     return;
@@ -281,6 +307,7 @@
     needs_full_read_ = true;
     return false;
   }
+  const time_point asked_at = clock::now();
   const auto batch = source_->WaitForChanges(watched_position_, yield);
   if (!batch && batch.kind() == error_kind::kNotFound) {
     Log(log_level::kInfo, "registry_history_lost",
@@ -298,11 +325,11 @@
     needs_full_read_ = true;
     return false;
   }
-  const time_point received_at = clock::now();
   const bool newer = batch->position > position_;
   ApplyChanges(*batch, yield);
   RecordConfigKnown(batch->position);
-  RecordOwnConfirmation(received_at);
+  // The response may have been on its way for long.
+  RecordOwnConfirmation(asked_at);
   if (newer)
     membership_->Broadcast();
   watched_position_ = std::max(watched_position_, batch->position);
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -14,6 +14,7 @@
 
 #include "cactusward/catch_up_pacer.h"
 #include "cactusward/evacuation_set.h"
+#include "cactusward/standstill.h"
 #include "cactusward/upstream_catalog.h"
 #include "cactusward/version_lag.h"
 #include "src/daemon/names.h"
@@ -50,6 +51,13 @@
   std::optional<duration> Age(time_point now) const;
   // Which configurations peers have that this instance does not.
   const version_lag& config_lag() const { return config_lag_; }
+  // Whether a newer configuration than the one in force may have had to take
+  // effect here: one is known, or the registry has not confirmed this one for
+  // too long.
+  bool MayBeOutdated(time_point now) const;
+  // Whether a newer configuration has been known for so long that it must be in
+  // force everywhere.
+  bool IsOutdated(time_point now) const;
   // Calls `listener` after each change.
   void Subscribe(listener listener) {
     listeners_.push_back(std::move(listener));
@@ -141,6 +149,12 @@
   void Confirm(asio::yield_context yield);
   // The registry's position was not higher than `position_` at `at`.
   void RecordConfirmation(time_point at);
+  // For how long a configuration may be missing, or unconfirmed, at most.
+  duration MaxConfigAge() const;
+  // The configuration in force was the registry's newest at `at`.
+  void RecordConfigConfirmation(time_point at) {
+    config_confirmed_at_ = std::max(config_confirmed_at_, at);
+  }
   // The same, established by this instance's own request to the registry. Has
   // no effect while the registry's configuration is older than the one in
   // force.
@@ -223,7 +237,13 @@
   // When this instance did. Only this is reported to peers: the time that a
   // report spends on its way is not known, and would add up from peer to peer.
   time_point own_confirmed_at_{};
+  // When the configuration in force was last known to be the newest. Later than
+  // `confirmed_at_` while the list of upstreams is behind.
+  time_point config_confirmed_at_{};
   time_point confirm_due_{};
+  // What has waited to be read while this process stood still is older than it
+  // says.
+  standstill standstill_;
   // When a registry request outside the read loop last failed.
   time_point registry_failed_at_{};
   catch_up_pacer upstreams_pacer_;
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -150,7 +150,9 @@
 
 std::uint64_t relay_gateway::MaxBodyBytes(const http_request_head& head) const {
   const auto config = catalog_.Config();
-  if (config && !config->Match(HostOf(head), PathOf(head)))
+  // A refusal of the body would be final.
+  if (config && !config->Match(HostOf(head), PathOf(head)) &&
+      !catalog_.MayBeOutdated(clock::now()))
     return kSmallBodyBytes;
   return http_handler::MaxBodyBytes(head);
 }
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -39,6 +39,9 @@
 constexpr milliseconds kLivenessPollPeriod{2};
 // Another instance can take a request that is refused because this one stops.
 constexpr milliseconds kStopRetryAfter{50};
+// By then this instance most likely has the newest configuration, if no other
+// one takes a request that is refused since it may not.
+constexpr milliseconds kOutdatedRetryAfter{250};
 
 std::string_view ToView(boost::beast::string_view text) {
   return {text.data(), text.size()};
@@ -119,6 +122,20 @@
                                           : error_kind::kDraining;
 }
 
+error_kind relay_request::AdmitByNewest() {
+  const error_kind decision = Admit();
+  const time_point now = clock::now();
+  // Callers do not send a request again after these.
+  const bool is_final = decision == error_kind::kNotFound ||
+                        decision == error_kind::kUnauthenticated;
+  const bool withheld = is_final ? services_.catalog.MayBeOutdated(now)
+                                 : config_ && decision == error_kind::kOk &&
+                                       services_.catalog.IsOutdated(now);
+  if (is_final || withheld)
+    LogConfigRefusal(decision, withheld);
+  return withheld ? error_kind::kNotReady : decision;
+}
+
 run_prediction relay_request::PredictRun(
     const relay_assignment* assignment) const {
   const double objective_ms = static_cast<double>(route_->objective.count());
@@ -200,7 +217,7 @@
     Sleep(services_.daemon.io, kConfigPollPeriod, yield);
     config_ = services_.catalog.Config();
   }
-  const error_kind refusal = Admit();
+  const error_kind refusal = AdmitByNewest();
   auto quarantined = refusal == error_kind::kOk
                          ? CheckQuarantine()
                          : std::optional<quarantine_refusal>();
@@ -211,11 +228,12 @@
   if (refusal == error_kind::kDraining) {
     RespondStopping(route_ ? PredictRun(nullptr) : run_prediction(), yield);
   } else if (refusal != error_kind::kOk) {
-    if (refusal == error_kind::kNotFound ||
-        refusal == error_kind::kUnauthenticated)
-      LogConfigRefusal(refusal);
+    const bool outdated = refusal == error_kind::kNotReady && config_;
     RespondWithError(
-        refusal, milliseconds(ErrorResponseFor(refusal).retry_after_ms), yield);
+        refusal,
+        outdated ? kOutdatedRetryAfter
+                 : milliseconds(ErrorResponseFor(refusal).retry_after_ms),
+        yield);
   } else if (quarantined) {
     RespondQuarantined(*quarantined, yield);
   } else {
@@ -584,12 +602,13 @@
   Log(log_level::kInfo, "response_cut", fields);
 }
 
-void relay_request::LogConfigRefusal(error_kind refusal) const {
+void relay_request::LogConfigRefusal(error_kind decision, bool withheld) const {
   const version_lag& lag = services_.catalog.config_lag();
   const auto behind = lag.Behind(clock::now());
   Log(log_level::kInfo, "request_refused_by_config",
       {{"request", caller_.attempt_id},
-       {"kind", ErrorResponseFor(refusal).name},
+       {"decision", ErrorResponseFor(decision).name},
+       {"withheld", withheld},
        {"config_version", config_->version()},
        {"newest_version", lag.newest()},
        {"behind_ms", behind ? ToMilliseconds(*behind) : 0},
--- a/src/relay/relay_run.h
+++ b/src/relay/relay_run.h
@@ -84,6 +84,9 @@
   // Finds the route and the organisation. @return kOk or why the request is
   // refused.
   error_kind Admit();
+  // As Admit, but kNotReady where a configuration that may be outdated would
+  // decide for good, or one that is outdated would decide at all.
+  error_kind AdmitByNewest();
   // Where the request may be handled, by its route and its organisation.
   home_regions Homes() const;
   placement_demand MakeDemand() const;
@@ -204,7 +207,9 @@
   // Logs that the connection closes without a complete response.
   void LogResponseCut(std::string_view reason) const;
   // Logs which configuration refuses the request, and how old it is.
-  void LogConfigRefusal(error_kind refusal) const;
+  // @param withheld whether `decision` is not given to the caller, as a newer
+  //     configuration may decide otherwise.
+  void LogConfigRefusal(error_kind decision, bool withheld) const;
   // Refuses a request that no upstream has run.
   void RespondStopping(const run_prediction& predicted,
                        asio::yield_context yield);
