Peers are sent compressed configurations, no more than a link carries

Callers saw: requests handled by a version seconds after a newer one had been acknowledged, at instances that knew of it, and instances that served nothing for seconds. Cause: while the registry was slow, each instance asked the peer that it heard of a version from for the whole configuration as text, and all heard of it from the same few. Those sent 400 KB to each on links of 14 Mbit/s; copies were given up after 1.5 s but sent to the end, also those that were asked for several times. Class: what one link has to carry grows with instances times routes, without a bound at the sender.

Now a configuration is compressed before it is sent (388 KB of 1,650 routes become 34 KB); an instance accepts to send what half of its link carries in 150 ms, and tells further peers that it is busy; peers choose at random among those that have the version, of their own availability zone first, and get no list of upstreams with it.

Failed before: 13.6 MB for 40 peers at once where 1.0 MB is allowed, 2.0 MB for 12 instances where 1.0 MB is.

--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -18,6 +18,7 @@
 constexpr milliseconds kMaxForwardingTime = std::chrono::hours(1);
 constexpr double kMaxColdOverage = 100;
 constexpr double kMaxColdTolerance = 1'000'000;
+constexpr double kMaxLinkMbps = 1'000'000;
 constexpr std::int64_t kMaxMemoryMegabytes = 1'000'000;
 constexpr std::int64_t kMaxConnections = 1'000'000;
 constexpr std::int64_t kMaxPipelinedBytes = 1'000'000'000;
@@ -131,6 +132,8 @@
                        settings.reregistration_grace, kMaxForwardingTime);
   settings.config_apply = ReadMilliseconds(
       reader, "config_apply_ms", settings.config_apply, kMaxForwardingTime);
+  settings.link_mbps =
+      reader.Number("link_mbps", settings.link_mbps, 0, kMaxLinkMbps);
   settings.max_reservation =
       ReadMilliseconds(reader, "max_reservation_ms", settings.max_reservation,
                        kMaxForwardingTime);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -32,6 +32,8 @@
   milliseconds reregistration_grace{2'200};
   // Time within which an accepted configuration must be in force everywhere.
   milliseconds config_apply{2'000};
+  // Bandwidth of this instance's network link; 0: not known.
+  double link_mbps = 0;
   // Longest time for which an upstream's KV memory may be reserved.
   milliseconds max_reservation{20'000};
   cold_settings cold;
@@ -54,7 +56,7 @@
            a.metrics_listen == b.metrics_listen && a.registry == b.registry &&
            a.source_address == b.source_address && a.retries == b.retries &&
            a.reregistration_grace == b.reregistration_grace &&
-           a.config_apply == b.config_apply &&
+           a.config_apply == b.config_apply && a.link_mbps == b.link_mbps &&
            a.max_reservation == b.max_reservation && a.cold == b.cold &&
            a.ramp_up == b.ramp_up && a.zone_preference == b.zone_preference &&
            a.refuse_on_arrival == b.refuse_on_arrival &&
--- a/src/relay/catalog_service.cc
+++ b/src/relay/catalog_service.cc
@@ -64,6 +64,20 @@
     // As many as begin within the timeout of one when none gets a response.
     3, milliseconds(1'500)};
 
+// Share of the link that configurations for peers may take: callers and
+// upstreams need the rest.
+constexpr double kTransferLinkShare = 0.5;
+constexpr double kDefaultLinkMbps = 20;
+constexpr double kBytesPerMegabit = 125'000;
+// A peer that would have to wait longer asks another one.
+constexpr milliseconds kMaxTransferQueue{150};
+
+transfer_settings TransferSettings(const forwarding_settings& settings) {
+  const double mbps =
+      settings.link_mbps > 0 ? settings.link_mbps : kDefaultLinkMbps;
+  return {mbps * kBytesPerMegabit * kTransferLinkShare, kMaxTransferQueue};
+}
+
 }  // namespace
 
 catalog_service::catalog_service(runtime& runtime,
@@ -76,7 +90,8 @@
       evacuations_(runtime.settings.forwarding->reregistration_grace),
       standstill_(kTickPeriod, kMaxStandstill, clock::now()),
       upstreams_pacer_(kCatchUp),
-      config_pacer_(kCatchUp) {}
+      config_pacer_(kCatchUp),
+      transfers_(TransferSettings(*runtime.settings.forwarding)) {}
 
 void catalog_service::Start() {
   SpawnRestarting(runtime_.io, "catalog",
--- a/src/relay/catalog_service.h
+++ b/src/relay/catalog_service.h
@@ -15,7 +15,9 @@
 #include "cactusward/catch_up_pacer.h"
 #include "cactusward/evacuation_set.h"
 #include "cactusward/standstill.h"
+#include "cactusward/transfer_limit.h"
 #include "cactusward/upstream_catalog.h"
+#include "cactusward/version_holders.h"
 #include "cactusward/version_lag.h"
 #include "src/daemon/names.h"
 #include "src/daemon/runtime.h"
@@ -62,13 +64,16 @@
   void Subscribe(listener listener) {
     listeners_.push_back(std::move(listener));
   }
-  // The whole catalog, for a peer that requests it. The configuration is
-  // included only if it is newer than `known_version`.
-  nlohmann::json Snapshot(std::int64_t known_version);
+  // Replies to a peer that requests the catalog: with the list of upstreams,
+  // and with the configuration if it is newer than the one that the peer has
+  // and this instance's link has room for it.
+  void ServeSnapshot(const nlohmann::json& request, peer_handler::reply reply);
   // Number of snapshots served to peers since the start.
   std::uint64_t snapshots_served() const { return snapshots_served_; }
   // Bytes of configurations in these snapshots.
   std::uint64_t config_bytes_served() const { return config_bytes_served_; }
+  // Configurations that were not sent since the link had no room.
+  std::uint64_t configs_not_served() const { return configs_not_served_; }
 
   void AddFields(gossip_message* message, time_point now) override;
   void OnMessage(const gossip_message& message, time_point now) override;
@@ -79,6 +84,15 @@
     std::int64_t revision = 0;  // in the era of `position_`
   };
 
+  // A configuration as it is sent to peers.
+  struct packed_config {
+    std::int64_t version = 0;  // 0: none
+    std::string bytes;         // compressed
+  };
+
+  // How a request to a peer ended.
+  enum class pull_result { kReceived, kBusy, kFailed };
+
   struct recent_change {
     catalog_change change;  // an empty id means the configuration
     time_point at;
@@ -184,18 +198,42 @@
   // or a newer configuration. Each is paced by itself: a series of changes to
   // one does not hold back the other.
   void CatchUpUpstreams(const std::string& peer, time_point now);
-  void CatchUpConfig(const std::string& peer, time_point now);
+  void CatchUpConfig(time_point now);
   // Reads and applies the registry's configuration.
   // @return the era that it is of; kStoreUnavailable.
   result<std::int64_t> ReadConfig(asio::yield_context yield);
-  // Fetches a newer configuration from the registry, or from `peer` if the
+  // Fetches a newer configuration from the registry, or from a peer if the
   // registry does not provide one.
-  void FetchConfig(const std::string& peer, asio::yield_context yield);
+  void FetchConfig(asio::yield_context yield);
+  // Fetches a newer configuration from one of the peers that have it.
+  void PullConfig(asio::yield_context yield);
+  // Whether the configuration `version` or an older one is in force and none is
+  // being decoded.
+  bool LacksNewerThan(std::int64_t version) const {
+    return decoding_position_ == registry_position() &&
+           ConfigVersion() <= version;
+  }
   // Gets the list of upstreams from `peer`, and its configuration if that is
   // newer than `known_version`.
-  void PullFrom(const std::string& peer,
-                std::int64_t known_version,
-                asio::yield_context yield);
+  pull_result PullFrom(const std::string& peer,
+                       std::int64_t known_version,
+                       asio::yield_context yield);
+  // Apply a peer's response, which has the list of upstreams or a compressed
+  // configuration. @return false if it cannot be read.
+  bool ApplyPulled(const nlohmann::json& response,
+                   const std::string& peer,
+                   asio::yield_context yield);
+  bool ApplyPackedConfig(const nlohmann::json& response,
+                         const std::vector<std::uint8_t>& deflated,
+                         const std::string& peer,
+                         asio::yield_context yield);
+  void MergeReportedEvacuations(const nlohmann::json& response,
+                                const std::string& peer);
+  nlohmann::json MakeSnapshot() const;
+  // Compresses the configuration in force, unless it is already.
+  void PackConfig(asio::yield_context yield);
+  // @return whether a configuration of `bytes` may be sent to a peer now.
+  bool BeginTransfer(std::size_t bytes, std::int64_t known_version);
   void NotifyListeners();
 
   runtime& runtime_;
@@ -230,6 +268,7 @@
   int failures_ = 0;
   std::uint64_t snapshots_served_ = 0;
   std::uint64_t config_bytes_served_ = 0;
+  std::uint64_t configs_not_served_ = 0;
   bool confirming_ = false;
   // When this instance or a peer last confirmed with the registry that the
   // catalog is current.
@@ -248,6 +287,12 @@
   time_point registry_failed_at_{};
   catch_up_pacer upstreams_pacer_;
   catch_up_pacer config_pacer_;
+  version_holders config_holders_;
+  // By revision, in the era of `position_`.
+  version_holders list_holders_;
+  transfer_limit transfers_;
+  packed_config packed_;
+  bool packing_ = false;
   std::deque<recent_change> recent_changes_;
   // The last revision before the first of `recent_changes_`, which are all of
   // the era of `position_`.
--- a/src/relay/relay_gateway.cc
+++ b/src/relay/relay_gateway.cc
@@ -194,6 +194,8 @@
       << '\n'
       << "cactusward_config_bytes_served " << catalog_.config_bytes_served()
       << '\n'
+      << "cactusward_configs_not_served " << catalog_.configs_not_served()
+      << '\n'
       << "cactusward_catalog_snapshots_served " << catalog_.snapshots_served()
       << '\n'
       << "cactusward_upstreams " << catalog_.upstreams().entries().size()
@@ -242,13 +244,8 @@
   if (const auto answer = paths_.OnPeerCall(request))
     return reply(*answer);
   const auto op = request.is_object() ? request.find("op") : request.end();
-  if (op != request.end() && *op == "catalog_get") {
-    const auto version = request.find("config_version");
-    return reply(catalog_.Snapshot(version != request.end() &&
-                                           version->is_number_integer()
-                                       ? version->get<std::int64_t>()
-                                       : 0));
-  }
+  if (op != request.end() && *op == "catalog_get")
+    return catalog_.ServeSnapshot(request, std::move(reply));
   reply({{"error", ErrorResponseFor(error_kind::kBadRequest).name}});
 }
 
