--- a/tests/unit/outdated_refusal_test.cc
+++ b/tests/unit/outdated_refusal_test.cc
@@ -1,5 +1,5 @@
-// Tests of what an instance answers to requests that its configuration does not
-// allow, while a newer configuration may allow them.
+// Tests of what an instance answers while a newer configuration than its own
+// may be in force elsewhere.
 #include <thread>
 
 #include "tests/support/gossip_peer.h"
@@ -117,5 +117,43 @@
   }
 }
 
+// Guards against requests that run as a configuration allows that everybody
+// else has replaced: with a key that was removed, at a service that the route
+// has left.
+TEST_CASE("a configuration known to be outdated serves nothing for long",
+          "[responses]") {
+  constexpr milliseconds kPingPeriod{100};
+  small_fleet fleet;
+  fleet.store.Put("op/config", testing::ConfigDocument(1));
+  fleet.RegisterRunners();
+  gossip_peer peer(fleet, [](const gossip_message&) {});
+  fleet.Run([&](asio::yield_context yield) {
+    REQUIRE(fleet.WaitForStatus("/often/x", 200, yield));
+    REQUIRE(peer.Listen());
+    fleet.store.SetWatchEventsSuppressed(true);
+    fleet.store.SetValueReadsUnresponsive(true);
+    fleet.store.Put("op/config", testing::ConfigDocument(2, "new"));
+    const time_point until = clock::now() + kApplyBound;
+    while (clock::now() < until) {
+      peer.Ping(fleet.settings.peer_advertise, 0, 2);
+      Sleep(fleet.io, kPingPeriod, yield);
+    }
+    for (const char* path : {"/often/x", "/once/x", "/stream/x", "/new/x"}) {
+      CAPTURE(path);
+      const http_response refused = fleet.Call(path, path, yield);
+      CHECK(refused.status == 503);
+      CHECK_FALSE(refused.retry_after.empty());
+    }
+    const int runs = fleet.RunCount();
+    // Serves again once it has the newer one.
+    fleet.store.SetWatchEventsSuppressed(false);
+    fleet.store.SetValueReadsUnresponsive(false);
+    CHECK(fleet.WaitForStatus("/new/x", 200, yield));
+    CHECK(fleet.Call("/often/x", "b", yield).status == 200);
+    CHECK(fleet.RunCount() == runs + 2);
+    Sleep(fleet.io, kSettleTime, yield);
+  });
+}
+
 }  // namespace
 }  // namespace cactusward
